--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load tool and measurements.
--- /dev/null
+++ b/crates/caller/src/inbound.rs
@@ -0,0 +1,80 @@
+//! Requests on their way to the loop, and the pieces of their answers.
+
+use crate::prelude::*;
+
+/// A request with the way back to its caller.
+#[derive(Debug)]
+pub struct Inbound {
+    /// What is asked for.
+    pub ask: Ask,
+    /// BLAKE3 hash of the caller's key.
+    pub credential: [u8; 32],
+    /// Request id, for log lines.
+    pub id: Uuid,
+    /// Where the pieces of the answer go; closed when the caller leaves.
+    pub outlet: Sender<Piece>,
+    /// How long the caller waits, if it said so.
+    pub wait: Option<Duration>,
+}
+
+/// What is asked for, with what is to be sent on.
+#[derive(Debug)]
+pub enum Ask {
+    /// A call of a plain service.
+    Call {
+        /// The order key, if the caller gave one.
+        order: Option<Order>,
+        /// What to send.
+        payload: Payload,
+        /// Name of the service.
+        service: String,
+    },
+    /// A generation.
+    Generation {
+        /// JSON body, to be completed with the model version.
+        body: Map<String, Value>,
+        /// Largest number of tokens.
+        limit: u32,
+        /// Public model name.
+        model: String,
+        /// Path of the API.
+        path: &'static str,
+        /// Estimated prompt length in tokens.
+        prompt: u32,
+    },
+    /// The rest of a generation.
+    Resume {
+        /// Name of the endpoint that keeps it.
+        endpoint: String,
+        /// The generation.
+        generation: generation::Id,
+        /// First index wanted.
+        next: u32,
+    },
+}
+
+/// A call as it is to be sent.
+#[derive(Clone, Debug)]
+pub struct Payload {
+    /// The body.
+    pub body: Bytes,
+    /// The idempotency key as the caller wrote it.
+    pub key: Option<String>,
+    /// The `Content-Type`.
+    pub media: String,
+    /// The method.
+    pub method: Method,
+    /// Path and query at the service.
+    pub path: String,
+}
+
+/// A piece of an answer.
+#[derive(Debug)]
+pub enum Piece {
+    /// The generation was given to an endpoint of this name.
+    Begun(String, generation::Id),
+    /// The request is over.
+    End(Outcome),
+    /// A token with its index.
+    Token(u32, Bytes),
+}
--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,14 @@
+//! HTTP and server-sent events towards callers.
+
+pub mod call;
+pub mod collect;
+pub mod error;
+pub mod events;
+pub mod generation;
+pub mod handle;
+pub mod inbound;
+pub mod prelude;
+pub mod problem;
+pub mod server;
+
+pub use {error::Error, inbound::Inbound, server::Gate};
--- /dev/null
+++ b/crates/caller/src/prelude.rs
@@ -0,0 +1,29 @@
+//! Names that most modules of this package use.
+
+pub use {
+    crate::{
+        error::Error,
+        events::Events,
+        handle::Handle,
+        inbound::{Ask, Inbound, Payload, Piece},
+        problem::Problem,
+        server::Gate,
+    },
+    bytes::Bytes,
+    decision::{
+        generation,
+        order::Order,
+        prelude::{Answer, MayHaveRun, NotRun, Outcome, Refusal},
+    },
+    salvo::{
+        Depot, Request, Response,
+        http::{HeaderMap, Method, StatusCode},
+    },
+    serde_json::{Map, Value, json},
+    std::{
+        fmt::{self, Display, Formatter},
+        time::Duration,
+    },
+    tokio::sync::mpsc::{Receiver, Sender},
+    uuid::Uuid,
+};
--- /dev/null
+++ b/crates/carawayhead/src/daemon/metrics.rs
@@ -0,0 +1,168 @@
+//! Metrics by OpenTelemetry, in Prometheus text.
+
+use {
+    super::snapshot::Snapshot,
+    crate::prelude::*,
+    decision::invariant::Rule,
+    opentelemetry::{
+        KeyValue,
+        metrics::{Meter, MeterProvider as _},
+    },
+    opentelemetry_sdk::metrics::SdkMeterProvider,
+    prometheus::{Encoder, Registry, TextEncoder},
+};
+
+/// The figures that the loop shares.
+pub type Shared = Arc<Mutex<Snapshot>>;
+
+/// Everything that is exported.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+}
+
+impl Metrics {
+    /// Registers all metrics; they read `shared` when they are asked for.
+    ///
+    /// # Errors
+    ///
+    /// The exporter could not be set up.
+    pub fn new(shared: &Shared) -> Result<Self, Error> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|error| Error::Listen("metrics".to_string(), error.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("carawayhead");
+        gauges(&meter, shared);
+        counters(&meter, shared);
+        violations(&meter, shared);
+        Ok(Self {
+            _provider: provider,
+            registry,
+        })
+    }
+
+    /// Prometheus text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!(error:%; "metrics cannot be written");
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
+
+fn gauges(meter: &Meter, shared: &Shared) {
+    let gauge = |name: &'static str, help: &'static str, read: fn(&Snapshot) -> u64| {
+        let shared = Arc::clone(shared);
+        meter
+            .u64_observable_gauge(name)
+            .with_description(help)
+            .with_callback(move |observer| observer.observe(read(&look(&shared)), &[]))
+            .build();
+    };
+    gauge("backlog", "requests that wait for an endpoint", |s| {
+        s.backlog as u64
+    });
+    gauge("claims_known", "order keys within the window", |s| {
+        s.claims as u64
+    });
+    gauge(
+        "claims_unsettled",
+        "claim entries not yet known to be in the log",
+        |s| s.batch as u64,
+    );
+    gauge(
+        "config_next_offset",
+        "offset after the last configuration record",
+        |s| s.config_next,
+    );
+    gauge(
+        "config_stale_milliseconds",
+        "age of the configuration",
+        |s| s.stale_ms.unwrap_or(u64::MAX),
+    );
+    gauge("endpoints", "endpoints in the instance list", |s| {
+        s.endpoints as u64
+    });
+    gauge(
+        "longest_turn_microseconds",
+        "longest turn of the loop of late",
+        |s| s.longest_turn,
+    );
+    gauge("peers", "entry instances in the instance list", |s| {
+        s.peers as u64
+    });
+    gauge(
+        "ready",
+        "whether the balancer may send requests here",
+        |s| u64::from(s.ready),
+    );
+    gauge("requests", "requests in progress", |s| s.requests as u64);
+}
+
+fn counters(meter: &Meter, shared: &Shared) {
+    let counter = |name: &'static str, help: &'static str, read: fn(&Snapshot) -> u64| {
+        let shared = Arc::clone(shared);
+        meter
+            .u64_observable_counter(name)
+            .with_description(help)
+            .with_callback(move |observer| observer.observe(read(&look(&shared)), &[]))
+            .build();
+    };
+    counter("answered", "requests answered whole", |s| s.stats.answered);
+    counter(
+        "claims_lost",
+        "claims lost to an earlier one of the same key",
+        |s| s.stats.claims_lost,
+    );
+    counter("invariant_checks", "checks of invariants", |s| s.checks);
+    counter("late_events", "events of attempts no longer current", |s| {
+        s.stats.late
+    });
+    counter("may_have_run", "requests whose result is unknown", |s| {
+        s.stats.may_have_run
+    });
+    counter("not_run", "requests refused without being run", |s| {
+        s.stats.not_run
+    });
+    counter("resumed", "second connections of streams", |s| {
+        s.stats.resumed
+    });
+    counter("retried", "second tries at another endpoint", |s| {
+        s.stats.retried
+    });
+    counter("sent", "requests sent to endpoints", |s| s.stats.sent);
+    counter("tokens", "tokens delivered", |s| s.stats.tokens);
+}
+
+fn violations(meter: &Meter, shared: &Shared) {
+    let shared = Arc::clone(shared);
+    meter
+        .u64_observable_counter("invariant_violations")
+        .with_description("invariants found broken; any is a bug")
+        .with_callback(move |observer| {
+            let snapshot = look(&shared);
+            for (rule, count) in Rule::ALL.iter().zip(snapshot.violations) {
+                observer.observe(count, &[KeyValue::new("rule", rule.label())]);
+            }
+        })
+        .build();
+}
+
+/// A copy of the figures.
+///
+/// # Panics
+///
+/// The loop panicked while it wrote them.
+#[must_use]
+pub fn look(shared: &Shared) -> Snapshot {
+    shared
+        .lock()
+        .expect("the snapshot is never poisoned")
+        .clone()
+}
--- /dev/null
+++ b/crates/carawayhead/src/daemon/tail.rs
@@ -0,0 +1,125 @@
+//! Tasks that follow the platform's streams and list.
+
+use {
+    crate::prelude::*,
+    platform::{
+        codec, list,
+        stream::{Part, READ_HOLD, Stream},
+    },
+};
+
+/// Pause after a failed read.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Follows the configuration stream.
+pub async fn config(stream: Stream, clock: Clock, events: Sender<Event>) {
+    let mut next = 0;
+    let mut hold = Duration::ZERO;
+    loop {
+        let Some(part) = read(&stream, next, hold).await else {
+            continue;
+        };
+        hold = READ_HOLD;
+        if part.first > next {
+            // Starting in the middle would put a configuration in force that lacks what
+            // the missing records said. The instance stays stale, which operators see.
+            log::error!(first = part.first, next; "configuration records have aged out unread");
+            tokio::time::sleep(PAUSE * 25).await;
+            continue;
+        }
+        for entry in &part.records {
+            next = entry.offset + 1;
+            tell(
+                &events,
+                Event::Configured(entry.offset, decode_record(entry.offset, &entry.data)),
+            )
+            .await;
+        }
+        if next >= part.next {
+            tell(&events, Event::ConfigFresh(clock.at(part.asked))).await;
+        }
+    }
+}
+
+/// Follows the claim stream.
+pub async fn claims(stream: Stream, clock: Clock, events: Sender<Event>) {
+    let mut next = 0;
+    let mut begun = false;
+    loop {
+        let hold = if begun { READ_HOLD } else { Duration::ZERO };
+        let Some(part) = read(&stream, next, hold).await else {
+            continue;
+        };
+        if !begun && part.first == 0 {
+            tell(&events, Event::ClaimsCover(Wall(0))).await;
+        } else if part.first > next {
+            let from = part.records.first().map_or(part.now, |entry| entry.at);
+            log::warn!(first = part.first, next; "claim records have aged out unread");
+            tell(&events, Event::ClaimsCover(from)).await;
+            next = part.first;
+        }
+        begun = true;
+        let mut batches = Vec::with_capacity(part.records.len());
+        for entry in &part.records {
+            next = entry.offset + 1;
+            match codec::decode(&entry.data) {
+                Ok(batch) => batches.push(batch),
+                Err(error) => {
+                    log::error!(offset = entry.offset, error:%; "claim record is skipped");
+                }
+            }
+        }
+        if !batches.is_empty() {
+            tell(&events, Event::Claims(batches)).await;
+        }
+        if next >= part.next {
+            tell(&events, Event::ClaimsFresh(clock.at(part.asked))).await;
+        }
+    }
+}
+
+/// Follows the instance list.
+pub async fn list(client: Client, address: String, every: Duration, events: Sender<Event>) {
+    loop {
+        match list::read(&client, &address).await {
+            Ok(list) => tell(&events, Event::Listed(list.members, list.peers)).await,
+            Err(error) => log::warn!(error:%; "instance list cannot be read"),
+        }
+        tokio::time::sleep(every).await;
+    }
+}
+
+/// Reads a configuration record of the log; one with faults changes nothing.
+#[must_use]
+pub fn decode_record(offset: u64, data: &[u8]) -> Record {
+    let name = format!("offset {offset}");
+    let parsed = std::str::from_utf8(data)
+        .map_err(|error| error.to_string())
+        .and_then(|text| {
+            operator::record::parse(&name, text).map_err(|faults| Error::Faults(faults).to_string())
+        });
+    parsed.unwrap_or_else(|error| {
+        log::error!(offset, error; "configuration record has faults and changes nothing");
+        Record {
+            changes: Vec::new(),
+            schema: decision::record::SCHEMA,
+        }
+    })
+}
+
+async fn read(stream: &Stream, next: u64, hold: Duration) -> Option<Part> {
+    match stream.read(next, hold).await {
+        Ok(part) => Some(part),
+        Err(error) => {
+            log::warn!(stream = stream.name, error:%; "log cannot be read");
+            tokio::time::sleep(PAUSE).await;
+            None
+        }
+    }
+}
+
+async fn tell(events: &Sender<Event>, event: Event) {
+    if events.send(event).await.is_err() {
+        log::debug!("the loop has ended");
+    }
+}
--- /dev/null
+++ b/crates/carawayhead/src/error.rs
@@ -0,0 +1,83 @@
+//! Errors that end a command.
+
+use crate::prelude::*;
+
+/// Why a command could not do its work.
+#[derive(Debug)]
+pub enum Error {
+    /// The demo did not see what it should have seen.
+    Demo(String),
+    /// Files have faults.
+    Faults(Vec<Fault>),
+    /// A file or socket could not be used: its name and the cause.
+    Io(String, std::io::Error),
+    /// The listener for callers could not be started.
+    Listen(String, String),
+    /// The messages between instances could not be set up.
+    Fellow(fellow::Error),
+    /// The platform could not be asked.
+    Platform(platform::Error),
+    /// A publication lost against another record.
+    Beaten(String),
+    /// An item does not exist.
+    Missing(String),
+    /// It is not known whether a publication took effect.
+    Unsettled(String),
+}
+
+impl Display for Error {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        match self {
+            Self::Beaten(text) | Self::Missing(text) | Self::Unsettled(text) => f.write_str(text),
+            Self::Demo(text) => write!(f, "demo: {text}"),
+            Self::Faults(faults) => {
+                for fault in faults {
+                    writeln!(f, "{fault}")?;
+                }
+                write!(f, "{} faults", faults.len())
+            }
+            Self::Fellow(error) => write!(f, "{error}"),
+            Self::Io(name, error) => write!(f, "{name}: {error}"),
+            Self::Listen(address, error) => write!(f, "cannot listen at {address}: {error}"),
+            Self::Platform(error) => write!(f, "platform: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<Vec<Fault>> for Error {
+    fn from(faults: Vec<Fault>) -> Self {
+        Self::Faults(faults)
+    }
+}
+
+impl From<fellow::Error> for Error {
+    fn from(error: fellow::Error) -> Self {
+        Self::Fellow(error)
+    }
+}
+
+impl From<platform::Error> for Error {
+    fn from(error: platform::Error) -> Self {
+        Self::Platform(error)
+    }
+}
+
+impl Error {
+    /// The exit code for it; docs/OPERATING.md lists them.
+    #[must_use]
+    pub fn code(&self) -> ExitCode {
+        ExitCode::from(match self {
+            Self::Faults(_) => 2,
+            Self::Beaten(_) => 3,
+            Self::Unsettled(_) => 4,
+            Self::Demo(_)
+            | Self::Fellow(_)
+            | Self::Io(..)
+            | Self::Listen(..)
+            | Self::Missing(_)
+            | Self::Platform(_) => 1,
+        })
+    }
+}
--- /dev/null
+++ b/crates/carawayhead/src/prelude.rs
@@ -0,0 +1,36 @@
+//! Names that most modules of this package use.
+
+pub use {
+    crate::{clock::Clock, error::Error},
+    bytes::Bytes,
+    caller::{
+        Inbound,
+        inbound::{Ask, Payload, Piece},
+    },
+    decision::{
+        endpoint as target, generation,
+        prelude::{
+            Action, AppendResult, Arrival, Attempt, Batch, Event, Limits, MayHaveRun, Outcome,
+            Record, State, Time, Wall, Work,
+        },
+        request,
+    },
+    endpoint::Client,
+    operator::{Fault, Settings},
+    serde_json::{Value, json},
+    slotmap::SecondaryMap,
+    std::{
+        fmt::{self, Display, Formatter},
+        process::ExitCode,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::{Duration, Instant, SystemTime},
+    },
+    tokio::{
+        sync::mpsc::{self, Receiver, Sender},
+        task::AbortHandle,
+    },
+    uuid::Uuid,
+};
--- /dev/null
+++ b/crates/carawayhead/tests/common/mod.rs
@@ -0,0 +1,412 @@
+//! Real processes for the end-to-end tests: stand-ins and daemons on loopback.
+
+#![allow(dead_code, reason = "each test file uses its own part of the builder")]
+
+use {
+    bytes::Bytes,
+    endpoint::{Client, client::Reply},
+    http::Request,
+    http_body_util::Full,
+    serde_json::{Value, json},
+    std::{
+        io::{BufRead as _, BufReader},
+        process::{Child, Command, Stdio},
+        time::{Duration, Instant},
+    },
+};
+
+pub const KEY: &str = "workshop-key";
+const SECRET: &str = "4242424242424242424242424242424242424242424242424242424242424242";
+
+/// Longest time that a condition is waited for; far above what it takes.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A process that is killed when its test ends.
+pub struct Process {
+    pub address: String,
+    pub name: String,
+    pub operator: String,
+    child: Child,
+}
+
+impl Process {
+    fn start(name: &str, arguments: &[String]) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_carawayhead"))
+            .args(arguments)
+            .env(
+                "RUST_LOG",
+                std::env::var("RUST_LOG").unwrap_or_else(|_unset| "warn".to_string()),
+            )
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the binary starts");
+        let mut line = String::new();
+        let output = child.stdout.take().expect("standard output is piped");
+        BufReader::new(output)
+            .read_line(&mut line)
+            .expect("the process prints its address");
+        let word = |prefix: &str| {
+            let word = line
+                .split_whitespace()
+                .find_map(|word| word.strip_prefix(prefix));
+            word.unwrap_or_default().to_string()
+        };
+        let plain = line
+            .trim()
+            .strip_prefix("listening ")
+            .unwrap_or_default()
+            .to_string();
+        let caller = word("caller=");
+        Self {
+            address: if caller.is_empty() { plain } else { caller },
+            child,
+            name: name.to_string(),
+            operator: word("operator="),
+        }
+    }
+
+    pub fn signal(&self, signal: rustix::process::Signal) {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, signal).expect("the process can be signalled");
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process can be killed");
+        self.child.wait().expect("the process can be waited for");
+    }
+
+    pub fn exited(&mut self) -> Option<bool> {
+        let status = self
+            .child
+            .try_wait()
+            .expect("the process can be waited for");
+        status.map(|status| status.success())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if self.child.try_wait().is_ok_and(|ended| ended.is_none()) {
+            self.signal(rustix::process::Signal::CONT);
+            self.kill();
+        }
+    }
+}
+
+/// Stand-ins and daemons of one test.
+pub struct Cluster {
+    pub client: Client,
+    pub engines: Vec<Process>,
+    pub instances: Vec<Process>,
+    pub list: Process,
+    pub log: Process,
+    pub services: Vec<Process>,
+    folder: std::path::PathBuf,
+    limits: String,
+}
+
+/// What a test wants to run.
+pub struct Builder {
+    pub engine: Vec<&'static str>,
+    pub engines: Vec<&'static str>,
+    pub instances: Vec<&'static str>,
+    pub limits: &'static str,
+    pub services: Vec<&'static str>,
+}
+
+impl Default for Builder {
+    fn default() -> Self {
+        Self {
+            engine: Vec::new(),
+            engines: vec!["north", "south"],
+            instances: vec!["north", "south"],
+            limits: "",
+            services: vec!["north"],
+        }
+    }
+}
+
+impl Builder {
+    /// Starts everything and waits until each daemon is ready.
+    pub async fn start(self) -> Cluster {
+        let folder = std::env::temp_dir().join(format!("carawayhead-{}", uuid::Uuid::new_v4()));
+        std::fs::create_dir_all(&folder).expect("a folder for settings can be made");
+        let stand_in = |kind: &str, rest: &[&str]| {
+            let mut arguments = vec!["stand-in".to_string(), kind.to_string()];
+            arguments.extend(rest.iter().map(ToString::to_string));
+            arguments
+        };
+        let mut cluster = Cluster {
+            client: Client::new(Duration::from_secs(2)),
+            engines: Vec::new(),
+            instances: Vec::new(),
+            list: Process::start("list", &stand_in("list", &["--lag-ms=50"])),
+            log: Process::start("log", &stand_in("log", &[])),
+            services: Vec::new(),
+            folder,
+            limits: self.limits.to_string(),
+        };
+        for (number, domain) in self.engines.iter().enumerate() {
+            let mut rest = vec!["--model=survey-1", "--lag-ms=20", "--step-base=2000"];
+            rest.extend(&self.engine);
+            let engine = Process::start(&format!("engine-{number}"), &stand_in("engine", &rest));
+            cluster.register(&engine, domain, "engine", "live").await;
+            cluster.engines.push(engine);
+        }
+        for (number, domain) in self.services.iter().enumerate() {
+            let service = Process::start(&format!("desk-{number}"), &stand_in("service", &[]));
+            cluster.register(&service, domain, "service", "live").await;
+            cluster.services.push(service);
+        }
+        cluster.append(&records()).await;
+        for (number, domain) in self.instances.iter().enumerate() {
+            cluster.join(&format!("entry-{number}"), domain).await;
+        }
+        for number in 0..cluster.instances.len() {
+            cluster.ready(number).await;
+        }
+        cluster
+    }
+}
+
+fn records() -> String {
+    let hash = blake3::hash(KEY.as_bytes()).to_hex();
+    let facts = (0..8).map(|number| format!("[endpoint.engine-{number}]\ncold_limit = 1000\n"));
+    format!(
+        "schema = 1\n[customer.workshop]\nkey_hashes = [\"{hash}\"]\n\
+     [route.survey]\nversions = [{{ model = \"survey-1\" }}]\n[service.desk]\nidempotent = [\"/lookup\"]\n{}\
+     [endpoint.desk-0]\ncold_limit = 1000\n",
+        facts.collect::<String>()
+    )
+}
+
+impl Cluster {
+    /// Starts one more daemon.
+    pub async fn join(&mut self, name: &str, domain: &str) {
+        let file = self.folder.join(format!("{name}.toml"));
+        let settings = format!(
+            "[instance]\nname = \"{name}\"\ndomain = \"{domain}\"\n\
+       [caller]\nlisten = \"127.0.0.1:0\"\nhandle_secret = \"{SECRET}\"\n\
+       [operator]\nlisten = \"127.0.0.1:0\"\ndrain_notice = \"200ms\"\n\
+       [platform]\nlog = \"{}\"\nlist = \"{}\"\nlist_interval = \"50ms\"\n\
+       [limits]\npoll_interval = \"50ms\"\n{}\n",
+            self.log.address, self.list.address, self.limits
+        );
+        std::fs::write(&file, settings).expect("settings can be written");
+        let file = file.to_string_lossy().to_string();
+        let instance = Process::start(name, &["serve".to_string(), "--settings".to_string(), file]);
+        self.register(&instance, domain, "entry", "live").await;
+        self.instances.push(instance);
+    }
+
+    /// Puts a row into the instance list.
+    pub async fn register(&self, process: &Process, domain: &str, role: &str, state: &str) {
+        let row = json!({
+          "name": process.name, "address": process.address, "domain": domain,
+          "role": role, "service": "desk", "state": state,
+        });
+        self.post(&self.list.address, "/instances", &row).await;
+    }
+
+    /// Appends a configuration record.
+    pub async fn append(&self, record: &str) {
+        let request = Request::post("/streams/config/records")
+            .header("host", "log")
+            .body(Full::new(Bytes::from(record.to_string())))
+            .expect("the request is well formed");
+        let reply = self
+            .client
+            .send(&self.log.address, request)
+            .await
+            .expect("the log answers");
+        assert!(reply.status().is_success(), "the log takes the record");
+    }
+
+    /// Waits until a daemon is ready and has a load report of every engine.
+    pub async fn ready(&self, number: usize) {
+        let address = &self.instances[number].operator;
+        let engines = self.engines.len() + self.services.len();
+        self.until("the daemon is ready", async || {
+            let status = self.get(address, "/status").await;
+            status["ready"] == json!(true) && status["endpoints"] == json!(engines)
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+
+    /// Waits for a condition; failing to reach it is the only use of time.
+    pub async fn until(&self, what: &str, condition: impl AsyncFn() -> bool) {
+        let begun = Instant::now();
+        while !condition().await {
+            assert!(begun.elapsed() < PATIENCE, "waited in vain until {what}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// The JSON at an address.
+    pub async fn get(&self, address: &str, path: &str) -> Value {
+        let request = Request::get(path)
+            .header("host", "test")
+            .body(Full::default());
+        let request = request.expect("the request is well formed");
+        let Ok(reply) = self.client.send(address, request).await else {
+            return Value::Null;
+        };
+        let body = reply.whole(1 << 24).await.unwrap_or_default();
+        serde_json::from_slice(&body).unwrap_or_default()
+    }
+
+    /// Posts JSON to a stand-in.
+    pub async fn post(&self, address: &str, path: &str, body: &Value) {
+        let request = Request::post(path)
+            .header("host", "test")
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body.to_string())))
+            .expect("the request is well formed");
+        let reply = self
+            .client
+            .send(address, request)
+            .await
+            .expect("the stand-in answers");
+        assert!(reply.status().is_success(), "{path} took {body}");
+        reply.whole(1 << 20).await.expect("the answer arrives");
+    }
+
+    /// Sends a request to a daemon.
+    pub async fn ask(&self, number: usize, request: Ask) -> Result<Reply, endpoint::Error> {
+        let mut built = Request::builder()
+            .method(request.method)
+            .uri(&request.path)
+            .header("host", "test")
+            .header("authorization", format!("Bearer {KEY}"))
+            .header("content-type", "application/json");
+        for (name, value) in &request.headers {
+            built = built.header(*name, value);
+        }
+        let body = Full::new(Bytes::from(request.body));
+        let built = built.body(body).expect("the request is well formed");
+        self.client
+            .send_new(&self.instances[number].address, built)
+            .await
+    }
+
+    /// Sends a request and reads its whole answer.
+    pub async fn whole(&self, number: usize, request: Ask) -> (u16, Value) {
+        let reply = self.ask(number, request).await.expect("the daemon answers");
+        let status = reply.status().as_u16();
+        let body = reply
+            .whole(1 << 24)
+            .await
+            .expect("the answer arrives whole");
+        (status, serde_json::from_slice(&body).unwrap_or_default())
+    }
+
+    /// Orders that the services ran, by key.
+    pub async fn runs(&self, key: &str) -> usize {
+        let mut count = 0;
+        for service in &self.services {
+            let runs = self.get(&service.address, "/control").await;
+            let runs = runs.as_array().cloned().unwrap_or_default();
+            count += runs.iter().filter(|run| run["key"] == json!(key)).count();
+        }
+        count
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// A request to a daemon.
+pub struct Ask {
+    body: String,
+    headers: Vec<(&'static str, String)>,
+    method: &'static str,
+    path: String,
+}
+
+impl Ask {
+    /// A generation of this many tokens.
+    pub fn survey(tokens: u32, stream: bool) -> Self {
+        let body =
+            json!({"model": "survey", "prompt": format!("tokens={tokens}"), "stream": stream});
+        Self::post("/v1/completions", &body.to_string())
+    }
+
+    /// An order under a key.
+    pub fn order(key: &str, body: &str) -> Self {
+        Self::post("/services/desk/orders", body).header("idempotency-key", key)
+    }
+
+    pub fn post(path: &str, body: &str) -> Self {
+        Self {
+            body: body.to_string(),
+            headers: Vec::new(),
+            method: "POST",
+            path: path.to_string(),
+        }
+    }
+
+    pub fn header(mut self, name: &'static str, value: &str) -> Self {
+        self.headers.push((name, value.to_string()));
+        self
+    }
+}
+
+/// A fresh order key.
+pub fn key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
+/// The events of a stream as far as they have come.
+#[derive(Default)]
+pub struct Events {
+    pub data: Vec<String>,
+    pub last_id: String,
+    text: String,
+}
+
+impl Events {
+    /// Reads until `count` events have come; false if the stream ended before.
+    pub async fn read(&mut self, reply: &mut Reply, count: usize) -> bool {
+        while self.data.len() < count {
+            let Ok(Some(part)) = reply.part().await else {
+                return false;
+            };
+            self.text.push_str(&String::from_utf8_lossy(&part));
+            while let Some((event, rest)) = self.text.split_once("\n\n") {
+                for line in event.lines() {
+                    if let Some(data) = line.strip_prefix("data: ") {
+                        self.data.push(data.to_string());
+                    } else if let Some(id) = line.strip_prefix("id: ") {
+                        self.last_id = id.to_string();
+                    }
+                }
+                self.text = rest.to_string();
+            }
+        }
+        true
+    }
+
+    /// Reads to the end.
+    pub async fn finish(&mut self, reply: &mut Reply) {
+        self.read(reply, usize::MAX).await;
+    }
+
+    /// The words of the tokens, and whether the stream ended as it should.
+    pub fn words(&self) -> (Vec<String>, bool) {
+        let done = self.data.last().is_some_and(|data| data == "[DONE]");
+        let words = self.data.iter().filter_map(|data| {
+            let data = serde_json::from_str::<Value>(data).ok()?;
+            Some(data["choices"][0]["text"].as_str()?.trim().to_string())
+        });
+        (words.collect(), done)
+    }
+}
+
+/// The words of a whole generation.
+pub fn expected(tokens: u32) -> Vec<String> {
+    (0..tokens).map(|index| format!("w{index}")).collect()
+}
--- /dev/null
+++ b/crates/decision/src/call.rs
@@ -0,0 +1,252 @@
+//! Calls of plain services, and orders that must run at most once.
+
+use crate::{
+    claim::{Kind, Standing, Stored},
+    prelude::*,
+};
+
+/// When to come back if the log cannot be reached.
+const LOG_RETRY: Duration = Duration::from_secs(2);
+
+impl State {
+    /// Begins an order: looks its key up and claims it if it is free.
+    pub(crate) fn begin_order(
+        &mut self,
+        now: Time,
+        wall: Wall,
+        key: request::Key,
+        order: order::Order,
+        out: &mut Vec<Action>,
+    ) {
+        let name = self.order_key(key, order);
+        let birth = name.birth();
+        if birth > wall.plus(self.limits.skew) {
+            self.refuse(key, Refusal::KeyFromFuture, None, out);
+            return;
+        }
+        if birth < wall.before(self.limits.order_window) {
+            self.refuse(key, Refusal::KeyExpired, None, out);
+            return;
+        }
+        let readable = self.claims.covers(name, self.limits.skew) && self.claims_fresh(now);
+        if self.claims.get(name).is_none() && !readable {
+            self.refuse(key, Refusal::LogUnavailable, Some(LOG_RETRY), out);
+            return;
+        }
+        self.join_order(key, name);
+        self.settle(now, name, out);
+    }
+
+    /// Looks again at all requests here that use an order key.
+    pub(crate) fn settle(&mut self, now: Time, name: order::Key, out: &mut Vec<Action>) {
+        for key in self.with_order(name) {
+            self.settle_one(now, name, key, out);
+        }
+    }
+
+    /// The whole answer of a service came.
+    pub(crate) fn answered(
+        &mut self,
+        now: Time,
+        attempt: Attempt,
+        answer: Answer,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(run) = self.run(attempt) else {
+            self.stats.late += 1;
+            return;
+        };
+        let (endpoint, claim) = (run.endpoint, run.claim);
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+            endpoint.served = endpoint.served.saturating_add(1);
+        }
+        if let Some(claim) = claim {
+            self.note(attempt.request, claim, Kind::Answered(Stored::of(&answer)));
+        }
+        self.finish(attempt.request, Outcome::Answered(Some(answer)), out);
+        self.dispatch(now, out);
+    }
+
+    /// A call failed.
+    pub(crate) fn call_failed(
+        &mut self,
+        now: Time,
+        attempt: Attempt,
+        failure: Failure,
+        out: &mut Vec<Action>,
+    ) {
+        if let Failure::NotRun(evidence) = failure {
+            self.retry(now, attempt, Some(evidence), out);
+            return;
+        }
+        let Work::Call { idempotent, .. } = self.requests[attempt.request].work else {
+            return;
+        };
+        if idempotent {
+            self.retry(now, attempt, None, out);
+            return;
+        }
+        self.lose(attempt.request, MayHaveRun::ConnectionLost, out);
+        self.dispatch(now, out);
+    }
+
+    /// Ends a request that was sent and whose result is unknown.
+    pub(crate) fn lose(&mut self, key: request::Key, why: MayHaveRun, out: &mut Vec<Action>) {
+        if let Phase::Running(run) = &self.requests[key].phase
+            && let Some(claim) = run.claim
+        {
+            self.note(key, claim, Kind::Lost);
+        }
+        self.finish(key, Outcome::MayHaveRun(why), out);
+    }
+
+    /// Gives a claim up that was never used to send.
+    pub(crate) fn void(&mut self, key: request::Key, claim: claim::Id) {
+        if !self.batch.withdraw(claim) {
+            self.note(key, claim, Kind::Void);
+        }
+    }
+
+    /// Requests sharing a key whose holder left for good get their answer now.
+    ///
+    /// A holder that died after its claim may or may not have sent the order;
+    /// nobody can tell any more, and waiting would not change that.
+    pub(crate) fn settle_orphans(&mut self, out: &mut Vec<Action>) {
+        let names = self
+            .orders
+            .iter()
+            .map(|(name, key)| (*name, *key))
+            .collect::<Vec<_>>();
+        for (name, key) in names {
+            let Some(Standing::Held { holder, .. }) =
+                self.claims.get(name).map(|slot| &slot.standing)
+            else {
+                continue;
+            };
+            let alive = *holder == self.digest
+                || self
+                    .peers
+                    .iter()
+                    .any(|peer| crate::state::digest(&peer.name) == *holder);
+            if !alive && matches!(self.requests[key].phase, Phase::Sharing(_)) {
+                self.finish(key, Outcome::MayHaveRun(MayHaveRun::EarlierAttempt), out);
+            }
+        }
+    }
+
+    fn settle_one(
+        &mut self,
+        now: Time,
+        name: order::Key,
+        key: request::Key,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(order) = self.requests[key].order() else {
+            return;
+        };
+        if matches!(
+            self.requests[key].phase,
+            Phase::Running(_) | Phase::Waiting { claim: Some(_), .. }
+        ) {
+            return;
+        }
+        let slot = self
+            .claims
+            .get(name)
+            .filter(|slot| slot.standing != Standing::Free);
+        let Some(slot) = slot else {
+            self.claim_unless_pending(key, name, order);
+            return;
+        };
+        if slot.body != order.body {
+            self.drop_claim(key);
+            self.refuse(key, Refusal::KeyReused, None, out);
+            return;
+        }
+        match slot.standing.clone() {
+            Standing::Answered(Some(stored)) => {
+                self.drop_claim(key);
+                self.finish(key, Outcome::Answered(Some(stored.answer())), out);
+            }
+            Standing::Answered(None) | Standing::Lost => {
+                self.drop_claim(key);
+                self.finish(key, Outcome::MayHaveRun(MayHaveRun::EarlierAttempt), out);
+            }
+            Standing::Free => {}
+            Standing::Held { claim, .. } => self.held(now, key, claim, out),
+        }
+    }
+
+    /// The key is held, by this request's claim or by another one.
+    fn held(&mut self, now: Time, key: request::Key, holder: claim::Id, out: &mut Vec<Action>) {
+        let request = &mut self.requests[key];
+        match std::mem::replace(&mut request.phase, Phase::Moving) {
+            Phase::Claiming { claim, proof } if claim == holder => {
+                request.phase = Phase::Waiting {
+                    claim: Some(claim),
+                    proof: Some(proof),
+                };
+                self.backlog.push(key);
+                self.dispatch(now, out);
+            }
+            Phase::Claiming { claim, proof } => {
+                request.phase = Phase::Sharing(proof);
+                self.stats.claims_lost += 1;
+                self.void(key, claim);
+            }
+            Phase::Waiting {
+                proof: Some(proof), ..
+            } => request.phase = Phase::Sharing(proof),
+            phase => request.phase = phase,
+        }
+    }
+
+    /// Claims a free key for a request, unless another one here is at it.
+    fn claim_unless_pending(&mut self, key: request::Key, name: order::Key, order: order::Order) {
+        let pending = self.with_order(name).into_iter().any(|other| {
+            matches!(
+                self.requests[other].phase,
+                Phase::Claiming { .. } | Phase::Waiting { claim: Some(_), .. } | Phase::Running(_)
+            )
+        });
+        let claim = claim::Id(self.rng.random());
+        let request = &mut self.requests[key];
+        let proof = match std::mem::replace(&mut request.phase, Phase::Moving) {
+            Phase::Sharing(proof)
+            | Phase::Waiting {
+                proof: Some(proof), ..
+            } => proof,
+            phase => {
+                request.phase = phase;
+                return;
+            }
+        };
+        if pending {
+            request.phase = Phase::Sharing(proof);
+            return;
+        }
+        request.phase = Phase::Claiming { claim, proof };
+        self.note(key, claim, Kind::Claim(order.body));
+    }
+
+    /// Gives up the claim of a request that will not use it.
+    fn drop_claim(&mut self, key: request::Key) {
+        if let Phase::Claiming { claim, .. } = self.requests[key].phase {
+            self.void(key, claim);
+        }
+    }
+
+    /// Puts an entry about a request's claim into the next append.
+    fn note(&mut self, key: request::Key, claim: claim::Id, kind: Kind) {
+        let Some(order) = self.requests[key].order() else {
+            return;
+        };
+        let name = self.order_key(key, order);
+        self.batch.push(claim::Entry {
+            claim,
+            customer: name.customer,
+            kind,
+            uuid: name.uuid,
+        });
+    }
+}
--- /dev/null
+++ b/crates/decision/src/config.rs
@@ -0,0 +1,219 @@
+//! The configuration in force: a function of the log's prefix.
+
+use {
+    crate::prelude::*,
+    crate::record::{Body, Change, Facts, Item, Kind, Route, SCHEMA, Service},
+};
+
+/// What applying a record came to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Applied {
+    /// An item had been changed by another record first; nothing was applied.
+    Beaten {
+        /// The first item in conflict.
+        item: Item,
+        /// Offset of the record that won, if the item exists.
+        winner: Option<u64>,
+    },
+    /// The record is in force.
+    InForce,
+    /// Its offset was applied before; nothing changed.
+    Old,
+    /// The schema is newer than this version understands; it is kept and relayed.
+    Unknown,
+}
+
+/// One item with the offset that last changed it.
+#[derive(Clone, Debug)]
+struct Entry {
+    body: Body,
+    customer: Option<customer::Key>,
+    item: Item,
+    offset: u64,
+}
+
+/// Everything operators have published, as of one offset.
+#[derive(Debug, Default)]
+pub struct Config {
+    credentials: Vec<([u8; 32], customer::Key)>,
+    /// The customers, with their running counters.
+    pub customers: SlotMap<customer::Key, customer::Customer>,
+    items: Vec<Entry>,
+    next: u64,
+    seen: bool,
+}
+
+impl Config {
+    /// Applies the record at `offset`.
+    ///
+    /// Offsets below [`Self::next`] change nothing, so records may be applied from
+    /// several sources, late and doubled, and what was accepted never reverts.
+    pub fn apply(&mut self, offset: u64, record: &Record) -> Applied {
+        if offset < self.next {
+            return Applied::Old;
+        }
+        self.next = offset + 1;
+        self.seen = true;
+        if record.schema > SCHEMA {
+            return Applied::Unknown;
+        }
+        if let Some(change) = record.changes.iter().find(|change| !self.fits(change)) {
+            return Applied::Beaten {
+                item: change.item.clone(),
+                winner: self.version(&change.item),
+            };
+        }
+        for change in &record.changes {
+            self.change(offset, change);
+        }
+        Applied::InForce
+    }
+
+    /// The customer that a credential acts for.
+    #[must_use]
+    pub fn customer(&self, credential: &[u8; 32]) -> Option<customer::Key> {
+        let place = self
+            .credentials
+            .binary_search_by_key(&credential, |(hash, _)| hash)
+            .ok()?;
+        Some(self.credentials[place].1)
+    }
+
+    /// Whether a failure domain was taken out.
+    #[must_use]
+    pub fn out(&self, domain: &str) -> bool {
+        matches!(self.get(Kind::Domain, domain), Some(Body::Domain(domain)) if domain.out)
+    }
+
+    /// Facts about an endpoint, the defaults if none were published.
+    #[must_use]
+    pub fn facts(&self, endpoint: &str) -> Facts {
+        match self.get(Kind::Endpoint, endpoint) {
+            Some(Body::Endpoint(facts)) => *facts,
+            _ => Facts::default(),
+        }
+    }
+
+    /// Items with the offset of their last change, sorted.
+    pub fn items(&self) -> impl Iterator<Item = (&Item, u64, &Body)> {
+        self.items
+            .iter()
+            .map(|entry| (&entry.item, entry.offset, &entry.body))
+    }
+
+    /// The offset that follows the last record applied.
+    #[must_use]
+    pub const fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// The route of a public model name.
+    #[must_use]
+    pub fn route(&self, model: &str) -> Option<&Route> {
+        match self.get(Kind::Route, model)? {
+            Body::Route(route) => Some(route),
+            _ => None,
+        }
+    }
+
+    /// Whether any record was read.
+    #[must_use]
+    pub const fn seen(&self) -> bool {
+        self.seen
+    }
+
+    /// A plain service.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        match self.get(Kind::Service, name)? {
+            Body::Service(service) => Some(service),
+            _ => None,
+        }
+    }
+
+    /// Offset that last changed an item.
+    #[must_use]
+    pub fn version(&self, item: &Item) -> Option<u64> {
+        let place = self.place(item.kind, &item.name).ok()?;
+        Some(self.items[place].offset)
+    }
+
+    fn change(&mut self, offset: u64, change: &Change) {
+        let place = self.place(change.item.kind, &change.item.name);
+        let Some(body) = &change.body else {
+            if let Ok(place) = place {
+                let gone = self.items.remove(place);
+                self.drop_customer(gone.customer);
+            }
+            return;
+        };
+        let old = place.ok().and_then(|place| self.items[place].customer);
+        let entry = Entry {
+            body: body.clone(),
+            customer: self.put_customer(old, &change.item.name, body),
+            item: change.item.clone(),
+            offset,
+        };
+        match place {
+            Ok(place) => self.items[place] = entry,
+            Err(place) => self.items.insert(place, entry),
+        }
+    }
+
+    fn drop_customer(&mut self, key: Option<customer::Key>) {
+        let Some(key) = key else {
+            return;
+        };
+        self.customers.remove(key);
+        self.credentials.retain(|(_, owner)| *owner != key);
+    }
+
+    fn fits(&self, change: &Change) -> bool {
+        self.version(&change.item) == change.replaces
+    }
+
+    fn get(&self, kind: Kind, name: &str) -> Option<&Body> {
+        let place = self.place(kind, name).ok()?;
+        Some(&self.items[place].body)
+    }
+
+    fn place(&self, kind: Kind, name: &str) -> Result<usize, usize> {
+        self.items.binary_search_by(|entry| {
+            (entry.item.kind, entry.item.name.as_str()).cmp(&(kind, name))
+        })
+    }
+
+    fn put_customer(
+        &mut self,
+        old: Option<customer::Key>,
+        name: &str,
+        body: &Body,
+    ) -> Option<customer::Key> {
+        let Body::Customer(body) = body else {
+            return None;
+        };
+        let served = old
+            .and_then(|key| self.customers.get(key))
+            .map_or(0.0, |old| old.served);
+        let customer = customer::Customer {
+            credentials: body.credentials.clone(),
+            name: name.to_string(),
+            priority: body.priority,
+            served,
+            weight: f64::from(body.weight.max(1)),
+        };
+        let key = match old {
+            Some(key) => {
+                self.credentials.retain(|(_, owner)| *owner != key);
+                self.customers[key] = customer;
+                key
+            }
+            None => self.customers.insert(customer),
+        };
+        for hash in &body.credentials {
+            let place = self.credentials.partition_point(|(other, _)| other < hash);
+            self.credentials.insert(place, (*hash, key));
+        }
+        Some(key)
+    }
+}
--- /dev/null
+++ b/crates/decision/src/customer.rs
@@ -0,0 +1,21 @@
+//! Customers as the configuration describes them.
+
+slotmap::new_key_type! {
+  /// Names a customer in the arena of the configuration.
+  pub struct Key;
+}
+
+/// One customer.
+#[derive(Clone, Debug)]
+pub struct Customer {
+    /// BLAKE3 hashes of the API keys that act for the customer.
+    pub credentials: Vec<[u8; 32]>,
+    /// Unique name.
+    pub name: String,
+    /// Higher goes first while requests wait.
+    pub priority: u8,
+    /// Tokens served, divided by the weight: the virtual token counter.
+    pub served: f64,
+    /// Share of service relative to other customers.
+    pub weight: f64,
+}
--- /dev/null
+++ b/crates/decision/src/endpoint.rs
@@ -0,0 +1,139 @@
+//! Endpoints as this instance knows them.
+
+use crate::prelude::*;
+
+slotmap::new_key_type! {
+  /// Names an endpoint in the arena of the state.
+  pub struct Key;
+}
+
+/// What an endpoint is.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Kind {
+    /// A model engine.
+    Engine,
+    /// A plain service of this name.
+    Service(String),
+}
+
+/// An endpoint as the platform's instance list names it.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Member {
+    /// Unique name.
+    pub name: String,
+    /// IP address and port.
+    pub address: String,
+    /// Failure domain.
+    pub domain: String,
+    /// What it is.
+    pub kind: Kind,
+    /// Whether it has begun to leave.
+    pub leaving: bool,
+}
+
+/// Load that an engine reports about itself, some time late.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Report {
+    /// KV-cache memory in tokens.
+    pub capacity: u64,
+    /// Whether the engine says that it is leaving.
+    pub leaving: bool,
+    /// Models, adapters included, that it can serve now.
+    pub models: Vec<String>,
+    /// Generations in the batch.
+    pub running: u32,
+    /// Changes whenever the engine starts anew.
+    pub started: u64,
+    /// KV-cache memory in use, in tokens.
+    pub used: u64,
+    /// Generations that wait inside the engine.
+    pub waiting: u32,
+}
+
+/// One endpoint.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// What the instance list says.
+    pub member: Member,
+    /// When the next load report is to be asked for.
+    pub poll: Time,
+    /// Memory promised to own dispatches that the report cannot know yet.
+    pub promised: u64,
+    /// The last report, if one came since the endpoint was last reachable.
+    pub report: Option<Report>,
+    /// When that report came.
+    pub reported: Time,
+    /// Own requests that are at the endpoint now.
+    pub running: u32,
+    /// Own requests answered since the endpoint was last taken for cold.
+    pub served: u32,
+}
+
+/// Requests answered after which an endpoint counts as warm.
+const WARM_AFTER: u32 = 3;
+
+impl Endpoint {
+    /// An endpoint seen for the first time, which counts as cold.
+    #[must_use]
+    pub const fn new(member: Member) -> Self {
+        Self {
+            member,
+            poll: Time::from_micros(0),
+            promised: 0,
+            report: None,
+            reported: Time::from_micros(0),
+            running: 0,
+            served: 0,
+        }
+    }
+
+    /// Takes it for cold: first seen, unreachable, or started anew.
+    pub fn cool(&mut self) {
+        self.served = 0;
+    }
+
+    /// Whether it still bears only a little.
+    #[must_use]
+    pub const fn cold(&self) -> bool {
+        self.served < WARM_AFTER
+    }
+
+    /// Whether it has begun to leave, by the list or by its own word.
+    #[must_use]
+    pub fn leaving(&self) -> bool {
+        self.member.leaving || self.report.as_ref().is_some_and(|report| report.leaving)
+    }
+
+    /// KV memory left as far as is known, in tokens.
+    #[must_use]
+    pub fn free(&self) -> i64 {
+        let Some(report) = &self.report else {
+            return 0;
+        };
+        let free = report.capacity.saturating_sub(report.used);
+        i64::try_from(free).unwrap_or(i64::MAX) - i64::try_from(self.promised).unwrap_or(i64::MAX)
+    }
+
+    /// Whether it serves `model`, by its last report.
+    #[must_use]
+    pub fn serves(&self, model: &str) -> bool {
+        let Some(report) = &self.report else {
+            return false;
+        };
+        report.models.iter().any(|served| served == model)
+    }
+
+    /// Takes a report in.
+    pub fn take(&mut self, now: Time, report: Report) {
+        let anew = self
+            .report
+            .as_ref()
+            .is_none_or(|old| old.started != report.started);
+        if anew {
+            self.cool();
+        }
+        self.promised = 0;
+        self.report = Some(report);
+        self.reported = now;
+    }
+}
--- /dev/null
+++ b/crates/decision/src/lib.rs
@@ -0,0 +1,32 @@
+//! Pure decisions of an entry instance.
+//!
+//! [`state::State`] owns everything an instance knows. Its functions take the
+//! present time and an event and push [`action::Action`]s; nothing here reads a
+//! clock, does I/O or draws randomness other than from a generator passed in.
+
+pub mod action;
+pub mod answer;
+pub mod arrival;
+pub mod attempt;
+pub mod backlog;
+pub mod batch;
+pub mod budget;
+pub mod call;
+pub mod claim;
+pub mod config;
+pub mod customer;
+pub mod endpoint;
+pub mod event;
+pub mod generation;
+pub mod invariant;
+pub mod limits;
+pub mod order;
+pub mod outcome;
+pub mod prelude;
+pub mod record;
+pub mod request;
+pub mod routing;
+pub mod state;
+pub mod stats;
+pub mod stream;
+pub mod time;
--- /dev/null
+++ b/crates/decision/src/stream.rs
@@ -0,0 +1,199 @@
+//! Generations: each token once, in order, from one generation.
+
+use crate::{invariant::Rule, prelude::*, request::Run};
+
+/// Connections opened again without a token in between before a stream is cut.
+const MOST_RESUMES: u32 = 5;
+
+impl State {
+    /// A token came.
+    pub(crate) fn token(
+        &mut self,
+        now: Time,
+        attempt: Attempt,
+        index: u32,
+        payload: Bytes,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(run) = self.run(attempt) else {
+            self.stats.late += 1;
+            return;
+        };
+        if run.left.is_some() {
+            return;
+        }
+        run.progress = now;
+        run.resumes = 0;
+        // A resumed connection may repeat tokens that a silent one delivered after
+        // all; the caller would read a sentence twice. Only the next index passes.
+        if index < run.next {
+            self.stats.late += 1;
+            return;
+        }
+        if index > run.next {
+            self.resume(now, attempt, out);
+            return;
+        }
+        run.next += 1;
+        self.invariants.check(
+            Rule::TokenOrder,
+            self.requests[attempt.request].next() == index + 1,
+        );
+        self.stats.tokens += 1;
+        self.charge(attempt.request);
+        out.push(Action::Deliver(attempt.request, index, payload));
+    }
+
+    /// A stream ended as it should.
+    pub(crate) fn ended(&mut self, now: Time, attempt: Attempt, out: &mut Vec<Action>) {
+        let Some(run) = self.run(attempt) else {
+            self.stats.late += 1;
+            return;
+        };
+        let (tokens, endpoint) = (run.next, run.endpoint);
+        self.learn(attempt.request, tokens);
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+            endpoint.served = endpoint.served.saturating_add(1);
+        }
+        self.finish(attempt.request, Outcome::Answered(None), out);
+        self.dispatch(now, out);
+    }
+
+    /// A connection of a generation failed.
+    pub(crate) fn stream_failed(
+        &mut self,
+        now: Time,
+        attempt: Attempt,
+        failure: Failure,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(run) = self.run(attempt) else {
+            return;
+        };
+        let (next, resumes, left) = (run.next, run.resumes, run.left);
+        if left.is_some() {
+            return;
+        }
+        match failure {
+            Failure::NotRun(evidence) => self.retry(now, attempt, Some(evidence), out),
+            Failure::Forgotten if next == 0 => self.retry(now, attempt, None, out),
+            Failure::Broken if next == 0 => {
+                self.cancel(attempt, false, out);
+                self.retry(now, attempt, None, out);
+            }
+            Failure::Forgotten => {
+                self.finish(
+                    attempt.request,
+                    Outcome::MayHaveRun(MayHaveRun::StreamCut(next)),
+                    out,
+                );
+                self.dispatch(now, out);
+            }
+            Failure::Broken | Failure::Unreachable => {
+                // The first break is answered at once; later ones wait for the silence
+                // bound, so that an endpoint that is down is not asked in a tight loop.
+                if resumes == 0 {
+                    self.resume(now, attempt, out);
+                }
+            }
+        }
+    }
+
+    /// Reads the generation again on a new connection.
+    ///
+    /// A connection can go silent for good because something between the two ends
+    /// forgot it, while new ones work; one notices tokens stopping with the engine
+    /// still decoding. A second connection from the next index brings the rest.
+    pub(crate) fn resume(&mut self, now: Time, attempt: Attempt, out: &mut Vec<Action>) {
+        let Some(run) = self.run(attempt) else {
+            return;
+        };
+        let (next, endpoint) = (run.next, run.endpoint);
+        if run.resumes >= MOST_RESUMES {
+            self.cancel(attempt, false, out);
+            if next == 0 {
+                self.retry(now, attempt, None, out);
+            } else {
+                self.finish(
+                    attempt.request,
+                    Outcome::MayHaveRun(MayHaveRun::StreamCut(next)),
+                    out,
+                );
+            }
+            return;
+        }
+        run.resumes += 1;
+        run.progress = now;
+        self.stats.resumed += 1;
+        out.push(Action::Resume {
+            attempt,
+            endpoint,
+            next,
+        });
+    }
+
+    /// Takes up a generation that another connection began.
+    pub(crate) fn take_up(&mut self, now: Time, key: request::Key, out: &mut Vec<Action>) {
+        let Work::Resume {
+            endpoint,
+            generation,
+            next,
+        } = &self.requests[key].work
+        else {
+            return;
+        };
+        let (generation, next) = (*generation, *next);
+        let Some(endpoint) = self.named(endpoint) else {
+            self.refuse(key, Refusal::NotResumable, None, out);
+            return;
+        };
+        let attempt = Attempt {
+            generation,
+            request: key,
+        };
+        let request = &mut self.requests[key];
+        if let Phase::Waiting {
+            proof: Some(proof), ..
+        } = std::mem::replace(&mut request.phase, Phase::Moving)
+        {
+            proof.send();
+        }
+        request.phase = Phase::Running(Run {
+            claim: None,
+            endpoint,
+            generation,
+            left: None,
+            next,
+            progress: now,
+            promised: 0,
+            resumes: 0,
+        });
+        self.endpoints[endpoint].running += 1;
+        out.push(Action::Resume {
+            attempt,
+            endpoint,
+            next,
+        });
+    }
+
+    /// Cancels a generation at its endpoint.
+    pub(crate) fn cancel(&mut self, attempt: Attempt, unattached: bool, out: &mut Vec<Action>) {
+        let Some(run) = self.run(attempt) else {
+            return;
+        };
+        let endpoint = run.endpoint;
+        out.push(Action::Cancel {
+            endpoint,
+            generation: attempt.generation,
+            unattached,
+        });
+    }
+
+    /// Counts a token towards the customer's share.
+    fn charge(&mut self, key: request::Key) {
+        let customer = self.requests[key].customer;
+        if let Some(customer) = self.config.customers.get_mut(customer) {
+            customer.served += 1.0;
+        }
+    }
+}
--- /dev/null
+++ b/crates/endpoint/src/lib.rs
@@ -0,0 +1,10 @@
+//! HTTP client towards model engines and plain services.
+
+pub mod client;
+pub mod engine;
+pub mod error;
+pub mod prelude;
+pub mod service;
+pub mod sse;
+
+pub use {client::Client, error::Error};
--- /dev/null
+++ b/crates/endpoint/src/prelude.rs
@@ -0,0 +1,16 @@
+//! Names that most modules of this package use.
+
+pub use {
+    crate::{client::Client, error::Error},
+    bytes::{Bytes, BytesMut},
+    decision::prelude::{Answer, Attempt, Event, Evidence, Failure},
+    http::{Method, Request, Response, StatusCode},
+    http_body_util::{BodyExt, Full},
+    hyper::body::Incoming,
+    std::{
+        fmt::{self, Display, Formatter},
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::sync::mpsc::Sender,
+};
--- /dev/null
+++ b/crates/endpoint/src/sse.rs
@@ -0,0 +1,87 @@
+//! Server-sent events of engines.
+
+use crate::prelude::*;
+
+/// Largest event taken, in bytes.
+pub const MOST: usize = 1 << 20;
+
+/// One event.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Event {
+    /// The data, without its field name.
+    pub data: Bytes,
+    /// The index behind the last colon of the id, if there is one.
+    pub index: Option<u32>,
+}
+
+/// Cuts a byte stream into events.
+#[derive(Debug, Default)]
+pub struct Parser {
+    rest: BytesMut,
+}
+
+impl Parser {
+    /// Takes a part of the stream in and returns the events it completes.
+    ///
+    /// # Errors
+    ///
+    /// An event is larger than [`MOST`].
+    pub fn feed(&mut self, part: Bytes) -> Result<Vec<Event>, Error> {
+        let mut part = if self.rest.is_empty() {
+            part
+        } else {
+            self.rest.extend_from_slice(&part);
+            self.rest.split().freeze()
+        };
+        let mut events = Vec::new();
+        while let Some(end) = end(&part) {
+            let block = part.split_to(end);
+            if let Some(event) = parse(&block) {
+                events.push(event);
+            }
+        }
+        if part.len() > MOST {
+            return Err(Error::TooLarge);
+        }
+        self.rest.extend_from_slice(&part);
+        Ok(events)
+    }
+}
+
+/// Length of the first event with its empty line, if it is complete.
+fn end(bytes: &[u8]) -> Option<usize> {
+    let mut from = 0;
+    while let Some(place) = bytes[from..].iter().position(|byte| *byte == b'\n') {
+        let line = from + place + 1;
+        match &bytes[line..] {
+            [b'\n', ..] => return Some(line + 1),
+            [b'\r', b'\n', ..] => return Some(line + 2),
+            _ => from = line,
+        }
+    }
+    None
+}
+
+fn parse(block: &Bytes) -> Option<Event> {
+    let mut data = None;
+    let mut index = None;
+    for line in block.split(|byte| *byte == b'\n') {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        if let Some(value) = field(line, b"data:") {
+            data = Some(block.slice_ref(value));
+        } else if let Some(value) = field(line, b"id:") {
+            index = number(value);
+        }
+    }
+    data.map(|data| Event { data, index })
+}
+
+fn field<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
+    let value = line.strip_prefix(name)?;
+    Some(value.strip_prefix(b" ").unwrap_or(value))
+}
+
+fn number(id: &[u8]) -> Option<u32> {
+    let digits = id.rsplit(|byte| *byte == b':').next()?;
+    std::str::from_utf8(digits).ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/fellow/src/prelude.rs
@@ -0,0 +1,6 @@
+//! Names that most modules of this package use.
+
+pub use {
+    crate::error::Error,
+    std::fmt::{self, Display, Formatter},
+};
