--- /dev/null
+++ b/crates/carawayhead/src/command/demo.rs
@@ -0,0 +1,370 @@
+//! `carawayhead demo`: the whole system in one process, on loopback.
+
+use {
+    super::{publish, serve},
+    crate::{
+        daemon::{self, Running, timeline::Moment},
+        prelude::*,
+    },
+    endpoint::{client::Reply, sse::Parser},
+    http::{Request, header},
+    http_body_util::Full,
+    standin::{
+        decode::Shape,
+        engine::{Engine, Settings as EngineSettings},
+        list::List,
+        log::Log,
+        service::Desk,
+    },
+    std::io::Write as _,
+};
+
+/// The failure domains of the demo, an entry instance and an engine in each.
+const DOMAINS: [&str; 2] = ["guet-ndar", "sor"];
+
+/// The caller's key.
+const KEY: &str = "demo-key";
+
+/// Signs the resume handles of the demo.
+const SECRET: &str = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
+
+/// Tokens of the streamed report.
+const TOKENS: usize = 60;
+
+/// Longest wait for anything that should happen at once.
+const PATIENCE: Duration = Duration::from_secs(4);
+
+/// Pause between two looks at something awaited.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Everything that the demo runs.
+struct Demo {
+    client: Client,
+    desk: String,
+    engines: Vec<String>,
+    instances: Vec<Running>,
+    list: String,
+    log: String,
+}
+
+/// Shows the whole system at work.
+///
+/// # Errors
+///
+/// Something that should have been seen was not.
+pub async fn run() -> Result<(), Error> {
+    serve::logs("error");
+    println!(
+        "1. starting a log, an instance list, two engines, a booking desk, two entry instances"
+    );
+    let demo = start().await?;
+    println!(
+        "   ready in {} failure domains: {}",
+        DOMAINS.len(),
+        DOMAINS.join(", ")
+    );
+    println!("2. a report, streamed as the engine writes it:");
+    report(&demo).await?;
+    println!("3. a booking sent twice under one key, through both instances:");
+    booking(&demo).await?;
+    println!(
+        "4. failure domain {} is taken out by a published record:",
+        DOMAINS[1]
+    );
+    take_out(&demo).await?;
+    println!("5. what happened, in one order over both instances:");
+    timeline(&demo).await?;
+    for instance in demo.instances {
+        if instance.drain.send(()).is_err() {
+            return Err(Error::Demo("an instance ended early".to_string()));
+        }
+    }
+    println!("all outcomes seen");
+    Ok(())
+}
+
+async fn start() -> Result<Demo, Error> {
+    let list = List::new(Duration::from_millis(50))
+        .listen("127.0.0.1:0")
+        .await;
+    let log = Log::new(1).listen("127.0.0.1:0").await;
+    let desk = Desk::default().listen("127.0.0.1:0").await;
+    let mut demo = Demo {
+        client: Client::new(Duration::from_secs(1)),
+        desk: address(desk)?,
+        engines: Vec::new(),
+        instances: Vec::new(),
+        list: address(list)?,
+        log: address(log)?,
+    };
+    demo.register("desk-1", &demo.desk, DOMAINS[0], "service")
+        .await?;
+    publish::publish(&publish::config_stream(&demo.log), &record()).await?;
+    for domain in DOMAINS {
+        let engine = Engine::new(EngineSettings {
+            lag: Duration::from_millis(50),
+            models: vec!["survey-1".to_string()],
+            shape: Shape {
+                step_base: 15_000,
+                ..Shape::default()
+            },
+        });
+        let engine = address(engine.listen("127.0.0.1:0").await)?;
+        demo.register(&format!("engine-{domain}"), &engine, domain, "engine")
+            .await?;
+        demo.engines.push(engine);
+        let settings = Settings::parse("demo", &demo.settings(domain))?;
+        let instance = daemon::start(settings).await?;
+        let entry = instance.caller.to_string();
+        demo.register(&format!("entry-{domain}"), &entry, domain, "entry")
+            .await?;
+        demo.instances.push(instance);
+    }
+    demo.warm().await?;
+    Ok(demo)
+}
+
+fn address(running: std::io::Result<standin::serve::Running>) -> Result<String, Error> {
+    match running {
+        Ok(running) => Ok(running.address.to_string()),
+        Err(error) => Err(Error::Io("stand-in".to_string(), error)),
+    }
+}
+
+fn record() -> String {
+    let hash = blake3::hash(KEY.as_bytes()).to_hex();
+    format!(
+        "schema = 1\n\n[customer.regie]\nkey_hashes = [\"{hash}\"]\n\n\
+         [route.survey]\nversions = [{{ model = \"survey-1\" }}]\n\n[service.kiln]\n"
+    )
+}
+
+/// Streams a report and prints it as it arrives.
+async fn report(demo: &Demo) -> Result<(), Error> {
+    let body = json!({
+        "model": "survey",
+        "prompt": format!("Damage survey of plate 17, rue Blanchot. tokens={TOKENS}"),
+        "stream": true,
+    });
+    let mut reply = demo
+        .ask(0, "/v1/completions", None, &body.to_string())
+        .await?;
+    seen(reply.status() == 200, "the report was not streamed")?;
+    let mut parser = Parser::default();
+    let mut tokens = 0;
+    let mut done = false;
+    print!("  ");
+    while let Some(part) = reply.part().await.map_err(platform::Error::from)? {
+        for event in parser.feed(part).map_err(platform::Error::from)? {
+            done |= event.data == "[DONE]";
+            tokens += usize::from(event.index == Some(u32::try_from(tokens).unwrap_or(u32::MAX)));
+            let token = serde_json::from_slice::<Value>(&event.data).unwrap_or_default();
+            print!(
+                "{}",
+                token["choices"][0]["text"].as_str().unwrap_or_default()
+            );
+            if std::io::stdout().flush().is_err() {
+                return Err(Error::Demo("standard output is closed".to_string()));
+            }
+        }
+    }
+    println!();
+    seen(
+        done && tokens == TOKENS,
+        "the report was not whole and in order",
+    )?;
+    println!("   {tokens} tokens, each once and in order");
+    Ok(())
+}
+
+/// Sends a booking twice and counts how often it ran.
+async fn booking(demo: &Demo) -> Result<(), Error> {
+    let key = Uuid::now_v7().to_string();
+    let mut answers = Vec::new();
+    for instance in 0..2 {
+        let reply = demo
+            .ask(instance, "/services/kiln/bookings", Some(&key), "plate 17")
+            .await?;
+        let status = reply.status();
+        let body = reply.whole(4096).await.map_err(platform::Error::from)?;
+        let body = String::from_utf8_lossy(&body).into_owned();
+        println!("   through instance {}: {status} {body}", instance + 1);
+        seen(status == 200, "the booking was not answered")?;
+        answers.push(body);
+    }
+    let runs = demo.get(&demo.desk, "/control").await?;
+    let runs = runs.as_array().map_or(0, Vec::len);
+    seen(
+        runs == 1 && answers[0] == answers[1],
+        "the booking did not run once",
+    )?;
+    println!("   the desk ran it {runs} time; both callers got the same answer");
+    Ok(())
+}
+
+/// Takes a failure domain out and sends work through its own instance.
+async fn take_out(demo: &Demo) -> Result<(), Error> {
+    let stream = publish::config_stream(&demo.log);
+    let published = Instant::now();
+    let offset = publish::domain(&stream, DOMAINS[1], true).await?;
+    for instance in &demo.instances {
+        let status = instance.operator.to_string();
+        demo.until("the record is in force", async || {
+            let status = demo.get(&status, "/status").await.unwrap_or_default();
+            status["config_next_offset"].as_u64() > Some(offset)
+        })
+        .await?;
+    }
+    println!(
+        "   in force at both instances after {} ms",
+        published.elapsed().as_millis()
+    );
+    let before = demo.starts(1).await?;
+    for number in 0..6 {
+        let body = json!({"model": "survey", "prompt": format!("Check {number}. tokens=3")});
+        let reply = demo
+            .ask(1, "/v1/completions", None, &body.to_string())
+            .await?;
+        seen(reply.status() == 200, "a check was not answered")?;
+        reply.whole(1 << 16).await.map_err(platform::Error::from)?;
+    }
+    let after = demo.starts(1).await?;
+    seen(before == after, "the domain that is out got new work")?;
+    println!(
+        "   6 checks through the instance in {} ran elsewhere, none there",
+        DOMAINS[1]
+    );
+    Ok(())
+}
+
+/// Prints the merged time line.
+async fn timeline(demo: &Demo) -> Result<(), Error> {
+    let mut moments = Vec::new();
+    for instance in &demo.instances {
+        let kept = demo
+            .get(&instance.operator.to_string(), "/timeline")
+            .await?;
+        moments.extend(serde_json::from_value::<Vec<Moment>>(kept).unwrap_or_default());
+    }
+    moments.sort();
+    seen(!moments.is_empty(), "the time line is empty")?;
+    for moment in moments {
+        let line = moment.to_string();
+        println!("   {}", line.chars().take(150).collect::<String>());
+    }
+    Ok(())
+}
+
+fn seen(outcome: bool, otherwise: &str) -> Result<(), Error> {
+    if outcome {
+        return Ok(());
+    }
+    Err(Error::Demo(otherwise.to_string()))
+}
+
+impl Demo {
+    async fn ask(
+        &self,
+        instance: usize,
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> Result<Reply, Error> {
+        let address = self.instances[instance].caller.to_string();
+        let mut request = Request::post(path)
+            .header(header::HOST, &address)
+            .header(header::AUTHORIZATION, format!("Bearer {KEY}"))
+            .header(header::CONTENT_TYPE, "application/json");
+        if let Some(key) = key {
+            request = request.header("idempotency-key", key);
+        }
+        let request = request.body(Full::new(Bytes::from(body.to_string())));
+        let request = request.map_err(platform::Error::from)?;
+        Ok(self
+            .client
+            .send(&address, request)
+            .await
+            .map_err(platform::Error::from)?)
+    }
+
+    async fn get(&self, address: &str, path: &str) -> Result<Value, Error> {
+        let request = Request::get(path)
+            .header(header::HOST, address)
+            .body(Full::default());
+        let request = request.map_err(platform::Error::from)?;
+        let reply = self
+            .client
+            .send(address, request)
+            .await
+            .map_err(platform::Error::from)?;
+        let body = reply.whole(1 << 24).await.map_err(platform::Error::from)?;
+        Ok(serde_json::from_slice(&body).map_err(platform::Error::from)?)
+    }
+
+    async fn register(
+        &self,
+        name: &str,
+        address: &str,
+        domain: &str,
+        role: &str,
+    ) -> Result<(), Error> {
+        let row = json!({
+            "address": address, "domain": domain, "name": name, "role": role,
+            "service": "kiln", "state": "live",
+        });
+        let request = Request::post("/instances")
+            .header(header::HOST, &self.list)
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(row.to_string())))
+            .map_err(platform::Error::from)?;
+        let reply = self
+            .client
+            .send(&self.list, request)
+            .await
+            .map_err(platform::Error::from)?;
+        reply.whole(4096).await.map_err(platform::Error::from)?;
+        Ok(())
+    }
+
+    fn settings(&self, domain: &str) -> String {
+        format!(
+            "[instance]\nname = \"entry-{domain}\"\ndomain = \"{domain}\"\n\
+             [caller]\nlisten = \"127.0.0.1:0\"\nhandle_secret = \"{SECRET}\"\n\
+             [operator]\ndrain_notice = \"0ms\"\n\
+             [platform]\nlog = \"{}\"\nlist = \"{}\"\nlist_interval = \"50ms\"\n\
+             [limits]\npoll_interval = \"50ms\"\n",
+            self.log, self.list
+        )
+    }
+
+    async fn starts(&self, engine: usize) -> Result<u64, Error> {
+        let stats = self.get(&self.engines[engine], "/control").await?;
+        Ok(stats["starts"].as_u64().unwrap_or_default())
+    }
+
+    async fn until(&self, what: &str, condition: impl AsyncFn() -> bool) -> Result<(), Error> {
+        let begun = Instant::now();
+        while !condition().await {
+            seen(
+                begun.elapsed() < PATIENCE,
+                &format!("not seen in time: {what}"),
+            )?;
+            tokio::time::sleep(LOOK).await;
+        }
+        Ok(())
+    }
+
+    /// Waits until both instances may send to every endpoint.
+    async fn warm(&self) -> Result<(), Error> {
+        let endpoints = json!(self.engines.len() + 1);
+        for instance in &self.instances {
+            let address = instance.operator.to_string();
+            self.until("an instance is ready", async || {
+                let status = self.get(&address, "/status").await.unwrap_or_default();
+                status["ready"] == json!(true) && status["usable"] == endpoints
+            })
+            .await?;
+        }
+        Ok(())
+    }
+}
--- a/crates/carawayhead/src/command/mod.rs
+++ b/crates/carawayhead/src/command/mod.rs
@@ -1,7 +1,12 @@
 //! The command line.
 
 pub mod check;
+#[cfg(feature = "stand-ins")]
+pub mod demo;
+pub mod publish;
+pub mod secrets;
 pub mod serve;
+pub mod show;
 
 use {crate::prelude::*, bpaf::Bpaf};
 
@@ -9,15 +14,87 @@
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
 enum Command {
+    /// Make a certificate for an instance, and the authority before the first one
+    ///
+    /// Example: carawayhead certificate --folder keys entry-1
+    #[bpaf(command)]
+    Certificate {
+        /// Folder of the authority and the certificates
+        #[bpaf(argument("FOLDER"))]
+        folder: String,
+        /// Name of the instance
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
     /// Check settings and record files in full
     ///
-    /// Example: carawayhead check settings.toml records/*.toml
+    /// Example: carawayhead check settings.toml records/customers.toml
     #[bpaf(command)]
     Check {
-        /// Settings and record files, told apart by the key 'schema' that records begin with
+        /// Settings and record files; records begin with the key 'schema'
         #[bpaf(positional("FILE"), some("name at least one file"))]
         files: Vec<String>,
     },
+    /// Show the whole system at work on this machine, in under 15 seconds
+    ///
+    /// Example: carawayhead demo
+    #[cfg(feature = "stand-ins")]
+    #[bpaf(command)]
+    Demo,
+    /// Take a failure domain out: its endpoints get no new work
+    ///
+    /// Example: carawayhead drain --log 10.0.0.5:9000 sor
+    #[bpaf(command)]
+    Drain {
+        /// IP address and port of the log
+        #[bpaf(argument("ADDRESS"))]
+        log: String,
+        /// The failure domain
+        #[bpaf(positional("DOMAIN"))]
+        domain: String,
+    },
+    /// List every published record with what it came to
+    ///
+    /// Example: carawayhead history --log 10.0.0.5:9000
+    #[bpaf(command)]
+    History {
+        /// IP address and port of the log
+        #[bpaf(argument("ADDRESS"))]
+        log: String,
+        /// Print JSON
+        json: bool,
+    },
+    /// Make a caller's key and its hash
+    ///
+    /// Example: carawayhead key
+    #[bpaf(command)]
+    Key,
+    /// Publish a configuration record
+    ///
+    /// Example: carawayhead publish --log 10.0.0.5:9000 records/routes.toml
+    #[bpaf(command)]
+    Publish {
+        /// IP address and port of the log
+        #[bpaf(argument("ADDRESS"))]
+        log: String,
+        /// Only tell what would happen
+        dry_run: bool,
+        /// The record
+        #[bpaf(positional("FILE"))]
+        file: String,
+    },
+    /// Take a failure domain back in
+    ///
+    /// Example: carawayhead restore --log 10.0.0.5:9000 sor
+    #[bpaf(command)]
+    Restore {
+        /// IP address and port of the log
+        #[bpaf(argument("ADDRESS"))]
+        log: String,
+        /// The failure domain
+        #[bpaf(positional("DOMAIN"))]
+        domain: String,
+    },
     /// Run one entry instance
     ///
     /// Example: carawayhead serve --settings settings.toml
@@ -27,24 +104,43 @@
         #[bpaf(argument("FILE"))]
         settings: String,
     },
+    /// Show the configuration in force, or one item as a record to edit
+    ///
+    /// Example: carawayhead show --log 10.0.0.5:9000 route.survey
+    #[bpaf(command)]
+    Show {
+        /// IP address and port of the log
+        #[bpaf(argument("ADDRESS"))]
+        log: String,
+        /// Print JSON
+        json: bool,
+        /// The item, as kind.name
+        #[bpaf(positional("ITEM"))]
+        item: Option<String>,
+    },
     /// Run a stand-in for the platform or a back end, for trials and tests
     ///
     /// Example: carawayhead stand-in engine --model survey-1
     #[cfg(feature = "stand-ins")]
     #[bpaf(command("stand-in"))]
     StandIn(#[bpaf(external(standin::command::parser))] standin::command::Command),
+    /// Show what instances do and which configuration they have in force
+    ///
+    /// Example: carawayhead status 10.0.0.7:9100 10.0.0.8:9100
+    #[bpaf(command)]
+    Status {
+        /// Print JSON
+        json: bool,
+        /// Operator addresses of instances
+        #[bpaf(positional("ADDRESS"), some("name at least one address"))]
+        addresses: Vec<String>,
+    },
 }
 
 /// Runs the command line and returns the exit code.
 #[must_use]
 pub fn run() -> ExitCode {
-    let result = match command().run() {
-        Command::Check { files } => check::run(&files),
-        Command::Serve { settings } => serve::run(&settings),
-        #[cfg(feature = "stand-ins")]
-        Command::StandIn(command) => stand_in(command),
-    };
-    match result {
+    match execute(command().run()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
@@ -53,14 +149,54 @@
     }
 }
 
-#[cfg(feature = "stand-ins")]
-fn stand_in(command: standin::command::Command) -> Result<(), Error> {
-    let fault = |error| Error::Io("stand-in".to_string(), error);
+fn execute(command: Command) -> Result<(), Error> {
+    match command {
+        Command::Certificate { folder, name } => secrets::certificate(&folder, &name),
+        Command::Check { files } => check::run(&files),
+        #[cfg(feature = "stand-ins")]
+        Command::Demo => block(demo::run()),
+        Command::Drain { domain, log } => block(set_domain(&log, &domain, true)),
+        Command::History { json, log } => block(show::history(&publish::config_stream(&log), json)),
+        Command::Key => {
+            secrets::caller_key();
+            Ok(())
+        }
+        Command::Publish { dry_run, file, log } => block(publish_file(&log, &file, dry_run)),
+        Command::Restore { domain, log } => block(set_domain(&log, &domain, false)),
+        Command::Serve { settings } => serve::run(&settings),
+        Command::Show { item, json, log } => block(show::items(
+            &publish::config_stream(&log),
+            item.as_deref(),
+            json,
+        )),
+        #[cfg(feature = "stand-ins")]
+        Command::StandIn(command) => block(async {
+            let ended = standin::command::run(command).await;
+            ended.map_err(|error| Error::Io("stand-in".to_string(), error))
+        }),
+        Command::Status { addresses, json } => block(show::status(&addresses, json)),
+    }
+}
+
+/// Runs `work` on a loop of its own.
+fn block(work: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
-    runtime
-        .map_err(fault)?
-        .block_on(standin::command::run(command))
-        .map_err(fault)
+    let runtime = runtime.map_err(|error| Error::Io("runtime".to_string(), error))?;
+    runtime.block_on(work)
+}
+
+async fn publish_file(log: &str, file: &str, dry: bool) -> Result<(), Error> {
+    let offset = publish::file(&publish::config_stream(log), file, dry).await?;
+    let verb = if dry { "would be" } else { "is" };
+    println!("{file} {verb} in force from offset {offset}");
+    Ok(())
+}
+
+async fn set_domain(log: &str, domain: &str, out: bool) -> Result<(), Error> {
+    let offset = publish::domain(&publish::config_stream(log), domain, out).await?;
+    let state = if out { "out" } else { "in" };
+    println!("{domain} is {state} from offset {offset}");
+    Ok(())
 }
--- a/crates/carawayhead/src/command/serve.rs
+++ b/crates/carawayhead/src/command/serve.rs
@@ -13,12 +13,8 @@
 /// The settings have faults, or an address cannot be bound.
 pub fn run(file: &str) -> Result<(), Error> {
     let settings = Settings::parse(file, &text(file)?)?;
-    logs();
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    let runtime = runtime.map_err(|error| Error::Io("runtime".to_string(), error))?;
-    runtime.block_on(serve(settings))
+    logs("info");
+    super::block(serve(settings))
 }
 
 async fn serve(settings: Settings) -> Result<(), Error> {
@@ -51,9 +47,9 @@
     signal(kind).map_err(|error| Error::Io("signals".to_string(), error))
 }
 
-/// Structured log lines on standard error, `info` unless `RUST_LOG` says otherwise.
-pub fn logs() {
-    let environment = env_logger::Env::default().default_filter_or("info");
+/// Structured log lines on standard error, `level` and above unless `RUST_LOG` says otherwise.
+pub fn logs(level: &str) {
+    let environment = env_logger::Env::default().default_filter_or(level);
     env_logger::Builder::from_env(environment)
         .format_timestamp_micros()
         .init();
--- a/crates/carawayhead/src/daemon/instance.rs
+++ b/crates/carawayhead/src/daemon/instance.rs
@@ -1,14 +1,21 @@
 //! The loop that owns the state of one instance.
 
 use {
-    super::{exchange::Exchange, metrics::Shared, operator_side, snapshot::Snapshot, tail},
+    super::{
+        exchange::Exchange,
+        metrics::Shared,
+        operator_side,
+        snapshot::Snapshot,
+        tail,
+        timeline::{Moment, Timeline},
+    },
     crate::prelude::*,
     caller::{
         Gate,
         server::{self, Pem},
     },
-    endpoint::{engine, service},
-    platform::stream::{self, Stream},
+    fellow::{Asked, Hello, Link},
+    platform::stream::Stream,
     std::net::SocketAddr,
     tokio::{sync::oneshot, time::MissedTickBehavior},
 };
@@ -22,12 +29,12 @@
 /// Events taken in one turn before time and other inputs are looked at again.
 const MOST_EVENTS: usize = 256;
 
+/// How long a stopping instance waits for its last bytes and log entries.
+const FLUSH: Duration = Duration::from_secs(15);
+
 /// How long a connection to an endpoint or the platform may take to open.
 const CONNECT: Duration = Duration::from_millis(500);
 
-/// How long an engine may take to report its load.
-const LOAD_WAIT: Duration = Duration::from_millis(800);
-
 /// Stream that operators publish the configuration on.
 pub const CONFIG: &str = "config";
 
@@ -39,6 +46,8 @@
 pub struct Running {
     /// Where callers are listened for.
     pub caller: SocketAddr,
+    /// Where fellow instances are listened for, if they are.
+    pub fellow: Option<SocketAddr>,
     /// Where operators are listened for.
     pub operator: SocketAddr,
     /// Tells it to leave without cutting a request.
@@ -50,19 +59,22 @@
 /// The loop and everything it owns.
 #[derive(Debug)]
 pub struct Instance {
-    actions: Vec<Action>,
-    claims: Stream,
-    client: Client,
-    clock: Clock,
+    pub(super) actions: Vec<Action>,
+    asked: Receiver<Asked>,
+    pub(super) claims: Stream,
+    pub(super) client: Client,
+    pub(super) clock: Clock,
     drain_notice: Duration,
-    events: Sender<Event>,
-    exchanges: SecondaryMap<request::Key, Exchange>,
+    pub(super) events: Sender<Event>,
+    pub(super) exchanges: SecondaryMap<request::Key, Exchange>,
     inbox: Receiver<Event>,
     inbound: Receiver<Inbound>,
+    pub(super) link: Option<Link>,
     longest_turn: Duration,
     ready: Arc<AtomicBool>,
     shared: Shared,
-    state: State,
+    pub(super) state: State,
+    pub(super) timeline: Arc<Mutex<Timeline>>,
 }
 
 /// Starts an instance.
@@ -87,11 +99,21 @@
     let listener = server::listen(gate, &settings.caller.listen, pem(&settings)?)
         .await
         .map_err(|error| Error::Listen(settings.caller.listen.clone(), error.to_string()))?;
-    let operator = operator_side::listen(Arc::clone(&shared), &settings.operator.listen).await?;
+    let timeline = Arc::new(Mutex::new(Timeline::default()));
+    let operator = operator_side::listen(
+        Arc::clone(&shared),
+        Arc::clone(&timeline),
+        &settings.operator.listen,
+    )
+    .await?;
+    let (questions, asked) = mpsc::channel(QUEUE);
+    let link = link(&settings, questions)?;
+    let fellow = link.as_ref().map(Link::address).transpose()?;
     follow(&settings, &client, clock, &events);
     let seed = rand::random();
     let instance = Instance {
         actions: Vec::new(),
+        asked,
         claims: stream(&settings, &client, CLAIMS),
         client,
         clock,
@@ -100,6 +122,7 @@
         exchanges: SecondaryMap::new(),
         inbound,
         inbox,
+        link,
         longest_turn: Duration::ZERO,
         ready,
         shared,
@@ -109,12 +132,14 @@
             settings.limits.clone(),
             seed,
         ),
+        timeline,
     };
     let (drain, drained) = oneshot::channel();
     let caller = listener.address;
     let task = tokio::spawn(instance.run(listener, drained));
     Ok(Running {
         caller,
+        fellow,
         operator,
         drain,
         task,
@@ -145,6 +170,22 @@
     ));
 }
 
+fn link(settings: &Settings, questions: Sender<Asked>) -> Result<Option<Link>, Error> {
+    let Some(side) = &settings.fellow else {
+        return Ok(None);
+    };
+    let configs = fellow::tls::configs(&fellow::tls::Files {
+        authority: side.authority.clone(),
+        certificate: side.tls.certificate.clone(),
+        key: side.tls.key.clone(),
+    })?;
+    let listen = side
+        .listen
+        .parse()
+        .map_err(|_checked| Error::Listen(side.listen.clone(), "not an address".to_string()))?;
+    Ok(Some(Link::listen(listen, configs, questions)?))
+}
+
 fn pem(settings: &Settings) -> Result<Option<Pem>, Error> {
     let Some(tls) = &settings.caller.tls else {
         return Ok(None);
@@ -168,14 +209,16 @@
         let mut leaving = None;
         loop {
             tokio::select! {
-              Some(event) = self.inbox.recv() => self.events(event),
-              Some(inbound) = self.inbound.recv() => self.arrive(inbound),
-              _ = tick.tick() => self.tick(leaving.is_some()),
-              () = wait(&mut drained) => {
-                drained = None;
-                leaving = Some(Instant::now());
-                log::info!(instance = self.state.name; "leaving");
-              }
+                Some(event) = self.inbox.recv() => self.events(event),
+                Some(inbound) = self.inbound.recv() => self.arrive(inbound),
+                Some(asked) = self.asked.recv() => self.answer(asked),
+                _ = tick.tick() => self.tick(),
+                () = wait(&mut drained) => {
+                    drained = None;
+                    leaving = Some(Instant::now());
+                    self.state.draining = true;
+                    self.note(Moment { what: "leaving".to_string(), ..Moment::default() });
+                }
             }
             let Some(since) = leaving else {
                 continue;
@@ -187,14 +230,22 @@
                 break;
             }
         }
+        // The last pieces are in the hands of the listener; ending now would cut the
+        // end of an answer that counts as given.
+        if tokio::time::timeout(FLUSH, listener.task).await.is_err() {
+            log::warn!("connections were still open at the end");
+        }
         log::info!(instance = self.state.name; "left");
     }
 
     /// Whether nothing is in progress any more.
     fn left(&self, since: Instant) -> bool {
-        let idle =
-            self.exchanges.is_empty() && self.inbound.is_empty() && self.state.batch.is_empty();
-        since.elapsed() >= self.drain_notice && idle
+        let served = self.exchanges.is_empty() && self.inbound.is_empty();
+        let noticed = since.elapsed() >= self.drain_notice;
+        // With the log out the last entries cannot be appended; waiting for it without
+        // a bound would keep the instance for as long as the outage lasts.
+        let told = self.state.batch.is_empty() || since.elapsed() >= self.drain_notice + FLUSH;
+        served && noticed && told
     }
 
     fn events(&mut self, first: Event) {
@@ -209,13 +260,21 @@
         self.longest_turn = self.longest_turn.max(begun.elapsed());
     }
 
-    fn step(&mut self, event: Event) {
+    pub(super) fn step(&mut self, event: Event) {
         let (now, wall) = (self.clock.now(), self.clock.wall());
+        let next = self.state.config.next();
         self.state.step(now, wall, event, &mut self.actions);
+        if self.state.config.next() != next {
+            self.note(Moment {
+                what: "configured".to_string(),
+                detail: format!("up to offset {}", self.state.config.next() - 1),
+                ..Moment::default()
+            });
+        }
         self.perform();
     }
 
-    fn tick(&mut self, leaving: bool) {
+    fn tick(&mut self) {
         let begun = Instant::now();
         let closed = self
             .exchanges
@@ -226,7 +285,7 @@
             self.step(Event::Gone(key));
         }
         self.step(Event::Tick);
-        let ready = self.state.ready() && !leaving;
+        let ready = self.state.ready() && !self.state.draining;
         self.ready.store(ready, Ordering::Relaxed);
         let turn = u64::try_from(self.longest_turn.as_micros()).unwrap_or(u64::MAX);
         let snapshot = Snapshot::of(&self.state, self.clock.now(), ready, turn);
@@ -245,7 +304,12 @@
             deadline: now.after(wait),
             work: self.work(&inbound.ask),
         };
-        log::info!(request:% = inbound.id, work:? = arrival.work; "arrived");
+        self.note(Moment {
+            what: "arrived".to_string(),
+            request: inbound.id.to_string(),
+            detail: describe(&arrival.work),
+            ..Moment::default()
+        });
         let key = self.state.arrive(now, wall, arrival, &mut self.actions);
         self.exchanges
             .insert(key, Exchange::new(inbound.ask, inbound.id, inbound.outlet));
@@ -254,6 +318,53 @@
         self.perform();
     }
 
+    /// Notes a moment for the time line, and as a log line.
+    pub(super) fn note(&mut self, moment: Moment) {
+        let moment = Moment {
+            instance: self.state.name.clone(),
+            ..moment
+        };
+        log::info!(
+            request = moment.request,
+            endpoint = moment.endpoint,
+            domain = moment.domain,
+            detail = moment.detail;
+            "{}", moment.what
+        );
+        let wall = self.clock.wall();
+        lock(&self.timeline).note(wall, moment);
+    }
+
+    /// What this instance tells its fellows.
+    pub(super) fn hello(&self) -> Hello {
+        let known = self.state.known(self.clock.now());
+        let age = known.age.map(|age| age.as_millis());
+        Hello {
+            age_ms: age.map(|age| u64::try_from(age).unwrap_or(u64::MAX)),
+            name: self.state.name.clone(),
+            next: known.next,
+            stamp: lock(&self.timeline).send(self.clock.wall()),
+        }
+    }
+
+    /// Answers a fellow instance with the records it lacks.
+    fn answer(&self, asked: Asked) {
+        lock(&self.timeline).receive(self.clock.wall(), asked.hello.stamp);
+        let lines = self.state.history.after(asked.hello.next).into_iter();
+        let answer = fellow::Answer {
+            hello: self.hello(),
+            lines: lines
+                .map(|(offset, data)| fellow::Line {
+                    data: data.to_vec(),
+                    offset,
+                })
+                .collect(),
+        };
+        if asked.reply.send(answer).is_err() {
+            log::debug!(fellow = asked.hello.name; "the fellow instance did not wait");
+        }
+    }
+
     fn work(&self, ask: &Ask) -> Work {
         match ask {
             Ask::Call {
@@ -300,219 +411,28 @@
                 .any(|prefix| payload.path.starts_with(prefix.as_str()))
         })
     }
+}
 
-    fn perform(&mut self) {
-        let mut gone = Vec::new();
-        for action in std::mem::take(&mut self.actions) {
-            match action {
-                Action::Append(batch) => self.append(&batch),
-                Action::Cancel {
-                    endpoint,
-                    generation,
-                    unattached,
-                } => {
-                    if let Some(address) = self.address(endpoint) {
-                        let client = self.client.clone();
-                        tokio::spawn(engine::cancel(client, address, generation, unattached));
-                    }
-                }
-                Action::Deliver(key, index, data) => {
-                    let sent = self
-                        .exchanges
-                        .get(key)
-                        .map(|to| to.outlet.try_send(Piece::Token(index, data)));
-                    if let Some(Err(error)) = sent {
-                        gone.push((key, error));
-                    }
-                }
-                Action::Detach(key) => {
-                    if let Some(exchange) = self.exchanges.get_mut(key) {
-                        exchange.detach();
-                    }
-                }
-                Action::Finish(key, outcome) => self.finish(key, outcome),
-                Action::Poll(endpoint) => self.poll(endpoint),
-                Action::Resume {
-                    attempt,
-                    endpoint,
-                    next,
-                } => self.resume(attempt, endpoint, next),
-                Action::Send {
-                    attempt,
-                    endpoint,
-                    model,
-                } => self.send(attempt, endpoint, model.as_deref()),
-            }
-        }
-        for (key, error) in gone {
-            self.drop_caller(key, &error);
-        }
-    }
-
-    /// A caller left, or reads so slowly that the buffer is full.
-    ///
-    /// Its connection is closed after what is buffered; the generation is kept for
-    /// the grace time, and the caller may come back with `Last-Event-ID`. Waiting
-    /// instead would hold memory for as long as the caller likes.
-    fn drop_caller(&mut self, key: request::Key, error: &mpsc::error::TrySendError<Piece>) {
-        if let Some(exchange) = self.exchanges.get_mut(key) {
-            if matches!(error, mpsc::error::TrySendError::Full(_)) {
-                log::warn!(request:% = exchange.id; "caller reads too slowly and is let go");
-            }
-            let (closed, _) = mpsc::channel(1);
-            exchange.outlet = closed;
-        }
-        self.step(Event::Gone(key));
-    }
-
-    fn address(&self, endpoint: target::Key) -> Option<String> {
-        Some(self.state.endpoints.get(endpoint)?.member.address.clone())
-    }
-
-    fn append(&self, batch: &Batch) {
-        let (stream, events) = (self.claims.clone(), self.events.clone());
-        let data = platform::codec::encode(batch);
-        tokio::spawn(async move {
-            let result = match data {
-                Ok(data) => stream.append(data).await,
-                Err(error) => Err(error),
-            };
-            if let Err(error) = &result {
-                log::warn!(error:%; "claims could not be appended");
-            }
-            if events
-                .send(Event::Appended(stream::settled(&result)))
-                .await
-                .is_err()
-            {
-                log::debug!("the loop has ended");
-            }
-        });
-    }
-
-    fn finish(&mut self, key: request::Key, outcome: Outcome) {
-        let Some(exchange) = self.exchanges.remove(key) else {
-            return;
-        };
-        log::info!(request:% = exchange.id, outcome:? = outcome; "finished");
-        if let Err(mpsc::error::TrySendError::Full(piece)) =
-            exchange.outlet.try_send(Piece::End(outcome))
-        {
-            // The buffer is full of tokens that the caller has yet to read; the end
-            // must follow them, or a whole answer would look cut.
-            let outlet = exchange.outlet.clone();
-            tokio::spawn(async move {
-                if outlet.send(piece).await.is_err() {
-                    log::debug!("the caller left before the end of its answer");
-                }
-            });
-        }
-    }
-
-    fn poll(&self, endpoint: target::Key) {
-        let Some(address) = self.address(endpoint) else {
-            return;
-        };
-        let (client, events) = (self.client.clone(), self.events.clone());
-        tokio::spawn(async move {
-            let event = match engine::load(&client, &address, LOAD_WAIT).await {
-                Ok(report) => Event::Reported(endpoint, report),
-                Err(error) => {
-                    log::debug!(address, error:%; "no load report");
-                    Event::Unreachable(endpoint)
-                }
-            };
-            if events.send(event).await.is_err() {
-                log::debug!("the loop has ended");
-            }
-        });
-    }
-
-    fn resume(&mut self, attempt: Attempt, endpoint: target::Key, next: u32) {
-        let Some(address) = self.address(endpoint) else {
-            return;
-        };
-        let (client, events) = (self.client.clone(), self.events.clone());
-        self.begun(attempt, endpoint);
-        let Some(exchange) = self.exchanges.get_mut(attempt.request) else {
-            return;
-        };
-        log::info!(request:% = exchange.id, generation:% = attempt.generation, next; "resuming");
-        let task = tokio::spawn(engine::resume(client, address, attempt, next, events));
-        exchange.attach(task.abort_handle());
-    }
-
-    fn send(&mut self, attempt: Attempt, endpoint: target::Key, model: Option<&str>) {
-        let Some(address) = self.address(endpoint) else {
-            return;
-        };
-        let (client, events) = (self.client.clone(), self.events.clone());
-        let work = self
-            .state
-            .requests
-            .get(attempt.request)
-            .map(|request| &request.work);
-        let idempotent = !matches!(
-            work,
-            Some(Work::Call {
-                idempotent: false,
-                ..
-            })
-        );
-        let priority = self.priority(attempt.request);
-        self.begun(attempt, endpoint);
-        let Some(exchange) = self.exchanges.get_mut(attempt.request) else {
-            return;
-        };
-        log::info!(request:% = exchange.id, generation:% = attempt.generation, address; "sending");
-        let task = match &mut exchange.ask {
-            Ask::Call { payload, .. } => {
-                let call = service::Call {
-                    attempt,
-                    body: payload.body.clone(),
-                    idempotent,
-                    key: payload.key.clone(),
-                    media: payload.media.clone(),
-                    method: payload.method.clone(),
-                    path: payload.path.clone(),
-                };
-                tokio::spawn(service::call(client, address, call, events))
-            }
-            Ask::Generation { body, path, .. } => {
-                body.insert("model".to_string(), json!(model));
-                body.insert("priority".to_string(), json!(priority));
-                body.insert("stream".to_string(), json!(true));
-                let start = engine::Start {
-                    attempt,
-                    body: json!(body).to_string().into(),
-                    path,
-                };
-                tokio::spawn(engine::start(client, address, start, events))
-            }
-            Ask::Resume { .. } => return,
-        };
-        exchange.attach(task.abort_handle());
-    }
+/// The time line, for a short while.
+pub(super) fn lock(timeline: &Mutex<Timeline>) -> std::sync::MutexGuard<'_, Timeline> {
+    timeline.lock().expect("the time line is never poisoned")
+}
 
-    /// Tells the caller's side where the generation runs, for its resume handles.
-    fn begun(&self, attempt: Attempt, endpoint: target::Key) {
-        let (Some(exchange), Some(target)) = (
-            self.exchanges.get(attempt.request),
-            self.state.endpoints.get(endpoint),
-        ) else {
-            return;
-        };
-        let piece = Piece::Begun(target.member.name.clone(), attempt.generation);
-        if exchange.outlet.try_send(piece).is_err() {
-            log::debug!(request:% = exchange.id; "the caller left or reads slowly");
+/// What is asked for, in a few words.
+fn describe(work: &Work) -> String {
+    match work {
+        Work::Call {
+            service,
+            order: Some(order),
+            ..
+        } => {
+            format!("order at {service} under {}", Uuid::from_u128(order.uuid))
         }
-    }
-
-    fn priority(&self, key: request::Key) -> u8 {
-        let request = self.state.requests.get(key);
-        let customer =
-            request.and_then(|request| self.state.config.customers.get(request.customer));
-        customer.map_or(0, |customer| customer.priority)
+        Work::Call { service, .. } => format!("call of {service}"),
+        Work::Generation { model, .. } => format!("generation by {model}"),
+        Work::Resume {
+            generation, next, ..
+        } => format!("rest of {generation} from {next}"),
     }
 }
 
--- a/crates/carawayhead/src/daemon/metrics.rs
+++ b/crates/carawayhead/src/daemon/metrics.rs
@@ -97,6 +97,11 @@
     gauge("peers", "entry instances in the instance list", |s| {
         s.peers as u64
     });
+    gauge(
+        "endpoints_usable",
+        "endpoints that could take a request now",
+        |s| s.usable as u64,
+    );
     gauge(
         "ready",
         "whether the balancer may send requests here",
--- a/crates/carawayhead/src/daemon/operator_side.rs
+++ b/crates/carawayhead/src/daemon/operator_side.rs
@@ -1,7 +1,10 @@
 //! The listener for operators: health, metrics and status.
 
 use {
-    super::metrics::{Metrics, Shared, look},
+    super::{
+        metrics::{Metrics, Shared, look},
+        timeline::Timeline,
+    },
     crate::prelude::*,
     salvo::{
         Depot, Listener, Response, Router, Server,
@@ -17,6 +20,7 @@
 struct Side {
     metrics: Arc<Metrics>,
     shared: Shared,
+    timeline: Arc<Mutex<Timeline>>,
 }
 
 /// Starts to listen for operators.
@@ -24,17 +28,23 @@
 /// # Errors
 ///
 /// The address cannot be bound, or the metrics cannot be set up.
-pub async fn listen(shared: Shared, listen: &str) -> Result<SocketAddr, Error> {
+pub async fn listen(
+    shared: Shared,
+    timeline: Arc<Mutex<Timeline>>,
+    listen: &str,
+) -> Result<SocketAddr, Error> {
     let side = Side {
         metrics: Arc::new(Metrics::new(&shared)?),
         shared,
+        timeline,
     };
     let router = Router::new()
         .hoop(salvo::affix_state::inject(side))
         .push(Router::with_path("healthz").get(healthz))
         .push(Router::with_path("metrics").get(metrics))
         .push(Router::with_path("readyz").get(readyz))
-        .push(Router::with_path("status").get(status));
+        .push(Router::with_path("status").get(status))
+        .push(Router::with_path("timeline").get(get_timeline));
     let acceptor = TcpListener::new(listen.to_string())
         .try_bind()
         .await
@@ -81,3 +91,15 @@
         response.body(look(&side.shared).json().to_string());
     }
 }
+
+/// The moments kept, as JSON.
+#[handler]
+async fn get_timeline(depot: &mut Depot, response: &mut Response) {
+    if let Ok(side) = depot.get_typed::<Side>() {
+        let timeline = side
+            .timeline
+            .lock()
+            .expect("the time line is never poisoned");
+        response.body(json!(timeline.moments()).to_string());
+    }
+}
--- a/crates/carawayhead/src/daemon/snapshot.rs
+++ b/crates/carawayhead/src/daemon/snapshot.rs
@@ -14,6 +14,8 @@
     pub backlog: usize,
     /// Checks of invariants made.
     pub checks: u64,
+    /// Endpoints that could take a request now.
+    pub usable: usize,
     /// Order keys known.
     pub claims: usize,
     /// Offset after the last configuration record in force.
@@ -57,6 +59,7 @@
             requests: state.requests.len(),
             stale_ms: age.map(|age| u64::try_from(age).unwrap_or(u64::MAX)),
             stats: state.stats,
+            usable: state.open(now),
             violations: Rule::ALL.map(|rule| state.invariants.violations(rule)),
         }
     }
@@ -89,6 +92,7 @@
           "retried": self.stats.retried,
           "sent": self.stats.sent,
           "tokens": self.stats.tokens,
+            "usable": self.usable,
         })
     }
 }
--- a/crates/carawayhead/src/daemon/tail.rs
+++ b/crates/carawayhead/src/daemon/tail.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::prelude::*,
+    decision::gossip::Line,
     platform::{
         codec, list,
         stream::{Part, READ_HOLD, Stream},
@@ -15,7 +16,7 @@
 pub async fn config(stream: Stream, clock: Clock, events: Sender<Event>) {
     let mut next = 0;
     let mut hold = Duration::ZERO;
-    loop {
+    while !events.is_closed() {
         let Some(part) = read(&stream, next, hold).await else {
             continue;
         };
@@ -29,11 +30,7 @@
         }
         for entry in &part.records {
             next = entry.offset + 1;
-            tell(
-                &events,
-                Event::Configured(entry.offset, decode_record(entry.offset, &entry.data)),
-            )
-            .await;
+            tell(&events, Event::Configured(line(entry.offset, &entry.data))).await;
         }
         if next >= part.next {
             tell(&events, Event::ConfigFresh(clock.at(part.asked))).await;
@@ -45,7 +42,7 @@
 pub async fn claims(stream: Stream, clock: Clock, events: Sender<Event>) {
     let mut next = 0;
     let mut begun = false;
-    loop {
+    while !events.is_closed() {
         let hold = if begun { READ_HOLD } else { Duration::ZERO };
         let Some(part) = read(&stream, next, hold).await else {
             continue;
@@ -80,7 +77,7 @@
 
 /// Follows the instance list.
 pub async fn list(client: Client, address: String, every: Duration, events: Sender<Event>) {
-    loop {
+    while !events.is_closed() {
         match list::read(&client, &address).await {
             Ok(list) => tell(&events, Event::Listed(list.members, list.peers)).await,
             Err(error) => log::warn!(error:%; "instance list cannot be read"),
@@ -89,6 +86,16 @@
     }
 }
 
+/// A configuration record with its text.
+#[must_use]
+pub fn line(offset: u64, data: &Bytes) -> Line {
+    Line {
+        data: data.clone(),
+        offset,
+        record: decode_record(offset, data),
+    }
+}
+
 /// Reads a configuration record of the log; one with faults changes nothing.
 #[must_use]
 pub fn decode_record(offset: u64, data: &[u8]) -> Record {
--- a/crates/carawayhead/tests/common/mod.rs
+++ b/crates/carawayhead/tests/common/mod.rs
@@ -24,6 +24,7 @@
 /// A process that is killed when its test ends.
 pub struct Process {
     pub address: String,
+    pub fellow: String,
     pub name: String,
     pub operator: String,
     child: Child,
@@ -60,6 +61,7 @@
         Self {
             address: if caller.is_empty() { plain } else { caller },
             child,
+            fellow: word("fellow="),
             name: name.to_string(),
             operator: word("operator="),
         }
@@ -183,12 +185,20 @@
 impl Cluster {
     /// Starts one more daemon.
     pub async fn join(&mut self, name: &str, domain: &str) {
+        let certificate = Command::new(env!("CARGO_BIN_EXE_carawayhead"))
+            .args(["certificate", name, "--folder"])
+            .arg(&self.folder)
+            .status();
+        assert!(certificate.expect("the binary starts").success());
+        let keys = self.folder.display();
         let file = self.folder.join(format!("{name}.toml"));
         let settings = format!(
             "[instance]\nname = \"{name}\"\ndomain = \"{domain}\"\n\
        [caller]\nlisten = \"127.0.0.1:0\"\nhandle_secret = \"{SECRET}\"\n\
        [operator]\nlisten = \"127.0.0.1:0\"\ndrain_notice = \"200ms\"\n\
        [platform]\nlog = \"{}\"\nlist = \"{}\"\nlist_interval = \"50ms\"\n\
+             [fellow]\nlisten = \"127.0.0.1:0\"\nauthority = \"{keys}/authority.pem\"\n\
+             certificate = \"{keys}/{name}.pem\"\nkey = \"{keys}/{name}.key\"\n\
        [limits]\npoll_interval = \"50ms\"\n{}\n",
             self.log.address, self.list.address, self.limits
         );
@@ -201,8 +211,14 @@
 
     /// Puts a row into the instance list.
     pub async fn register(&self, process: &Process, domain: &str, role: &str, state: &str) {
+        let entry = role == "entry";
+        let address = if entry {
+            &process.fellow
+        } else {
+            &process.address
+        };
         let row = json!({
-          "name": process.name, "address": process.address, "domain": domain,
+          "name": process.name, "address": address, "domain": domain,
           "role": role, "service": "desk", "state": state,
         });
         self.post(&self.list.address, "/instances", &row).await;
@@ -228,10 +244,9 @@
         let engines = self.engines.len() + self.services.len();
         self.until("the daemon is ready", async || {
             let status = self.get(address, "/status").await;
-            status["ready"] == json!(true) && status["endpoints"] == json!(engines)
+            status["ready"] == json!(true) && status["usable"] == json!(engines)
         })
         .await;
-        tokio::time::sleep(Duration::from_millis(150)).await;
     }
 
     /// Waits for a condition; failing to reach it is the only use of time.
--- a/crates/decision/src/action.rs
+++ b/crates/decision/src/action.rs
@@ -22,6 +22,8 @@
     Detach(request::Key),
     /// Hand the outcome to the caller; the request is over.
     Finish(request::Key, Outcome),
+    /// Ask the fellow instance at this address what it knows.
+    Gossip(String),
     /// Ask an endpoint for its load.
     Poll(endpoint::Key),
     /// Read a generation again from this index on a new connection.
--- a/crates/decision/src/batch.rs
+++ b/crates/decision/src/batch.rs
@@ -1,4 +1,4 @@
-//! Group commit of log entries, one append in flight per stream.
+//! Group commit of the system's own log entries, one append in flight at a time.
 
 use {
     crate::prelude::*,
@@ -8,11 +8,20 @@
 /// Most entries put into one append.
 pub const MOST: usize = 512;
 
+/// One entry of the claim stream.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Entry {
+    /// About an order key.
+    Claim(claim::Entry),
+    /// About an endpoint's start.
+    Warmth(warmth::Entry),
+}
+
 /// What one append to the claim stream carries.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Batch {
     /// The entries, in order.
-    pub entries: Vec<claim::Entry>,
+    pub entries: Vec<Entry>,
     /// Digest of the name of the instance that appends.
     pub instance: u64,
 }
@@ -31,12 +40,13 @@
 /// Entries waiting to be appended.
 ///
 /// Entries of a lost append are appended again. That is harmless because every
-/// entry names its claim: a second copy of one changes nothing in the table.
+/// entry names its claim, or the holder it replaces: a second copy of one
+/// changes nothing in the tables.
 #[derive(Debug, Default)]
 pub struct Queue {
-    flight: Vec<claim::Entry>,
+    flight: Vec<Entry>,
     next: Time,
-    waiting: VecDeque<claim::Entry>,
+    waiting: VecDeque<Entry>,
 }
 
 impl Queue {
@@ -71,12 +81,12 @@
     }
 
     /// Adds an entry.
-    pub fn push(&mut self, entry: claim::Entry) {
+    pub fn push(&mut self, entry: Entry) {
         self.waiting.push_back(entry);
     }
 
     /// Takes the entries for the next append, if it may start now.
-    pub fn take(&mut self, now: Time, interval: Duration) -> Option<Vec<claim::Entry>> {
+    pub fn take(&mut self, now: Time, interval: Duration) -> Option<Vec<Entry>> {
         if self.due()? > now {
             return None;
         }
@@ -89,7 +99,8 @@
     /// Takes a claim back that has not been put into an append; true if it was so.
     pub fn withdraw(&mut self, claim: claim::Id) -> bool {
         let before = self.waiting.len();
-        self.waiting.retain(|entry| entry.claim != claim);
+        self.waiting
+            .retain(|entry| !matches!(entry, Entry::Claim(entry) if entry.claim == claim));
         before != self.waiting.len()
     }
 }
--- a/crates/decision/src/call.rs
+++ b/crates/decision/src/call.rs
@@ -123,12 +123,7 @@
             else {
                 continue;
             };
-            let alive = *holder == self.digest
-                || self
-                    .peers
-                    .iter()
-                    .any(|peer| crate::state::digest(&peer.name) == *holder);
-            if !alive && matches!(self.requests[key].phase, Phase::Sharing(_)) {
+            if !self.alive(*holder) && matches!(self.requests[key].phase, Phase::Sharing(_)) {
                 self.finish(key, Outcome::MayHaveRun(MayHaveRun::EarlierAttempt), out);
             }
         }
@@ -242,11 +237,11 @@
             return;
         };
         let name = self.order_key(key, order);
-        self.batch.push(claim::Entry {
+        self.batch.push(batch::Entry::Claim(claim::Entry {
             claim,
             customer: name.customer,
             kind,
             uuid: name.uuid,
-        });
+        }));
     }
 }
--- a/crates/decision/src/endpoint.rs
+++ b/crates/decision/src/endpoint.rs
@@ -1,6 +1,6 @@
 //! Endpoints as this instance knows them.
 
-use crate::prelude::*;
+use crate::{prelude::*, state::digest};
 
 slotmap::new_key_type! {
   /// Names an endpoint in the arena of the state.
@@ -53,6 +53,10 @@
 /// One endpoint.
 #[derive(Debug)]
 pub struct Endpoint {
+    /// Digest of the name.
+    pub digest: u64,
+    /// Whether it lies in this instance's windows.
+    pub mine: bool,
     /// What the instance list says.
     pub member: Member,
     /// When the next load report is to be asked for.
@@ -65,18 +69,24 @@
     pub reported: Time,
     /// Own requests that are at the endpoint now.
     pub running: u32,
-    /// Own requests answered since the endpoint was last taken for cold.
+    /// Own requests answered since the endpoint's last start.
     pub served: u32,
+    /// When the start now known was first seen.
+    pub seen: Time,
+    /// When this instance last tried to take that start.
+    pub proposed: Option<Time>,
 }
 
-/// Requests answered after which an endpoint counts as warm.
+/// Requests answered after which an endpoint is called warm.
 const WARM_AFTER: u32 = 3;
 
 impl Endpoint {
     /// An endpoint seen for the first time, which counts as cold.
     #[must_use]
-    pub const fn new(member: Member) -> Self {
+    pub fn new(member: Member) -> Self {
         Self {
+            digest: digest(&member.name),
+            mine: true,
             member,
             poll: Time::from_micros(0),
             promised: 0,
@@ -84,18 +94,26 @@
             reported: Time::from_micros(0),
             running: 0,
             served: 0,
+            seen: Time::from_micros(0),
+            proposed: None,
         }
     }
 
-    /// Takes it for cold: first seen, unreachable, or started anew.
-    pub fn cool(&mut self) {
-        self.served = 0;
+    /// Which start of the endpoint this instance knows, if it knows one.
+    ///
+    /// Plain services report none; another address is taken for another start.
+    #[must_use]
+    pub fn started(&self) -> Option<u64> {
+        match self.member.kind {
+            Kind::Engine => self.report.as_ref().map(|report| report.started),
+            Kind::Service(_) => Some(digest(&self.member.address)),
+        }
     }
 
-    /// Whether it still bears only a little.
+    /// Whether own work has shown that it bears work.
     #[must_use]
-    pub const fn cold(&self) -> bool {
-        self.served < WARM_AFTER
+    pub const fn proven(&self) -> bool {
+        self.served >= WARM_AFTER
     }
 
     /// Whether it has begun to leave, by the list or by its own word.
@@ -130,7 +148,9 @@
             .as_ref()
             .is_none_or(|old| old.started != report.started);
         if anew {
-            self.cool();
+            self.proposed = None;
+            self.seen = now;
+            self.served = 0;
         }
         self.promised = 0;
         self.report = Some(report);
--- a/crates/decision/src/event.rs
+++ b/crates/decision/src/event.rs
@@ -1,6 +1,10 @@
 //! What adapters tell the decisions.
 
-use {crate::endpoint::Member, crate::prelude::*};
+use crate::{
+    endpoint::Member,
+    gossip::{Heard, Line},
+    prelude::*,
+};
 
 /// Something that happened outside.
 #[derive(Debug)]
@@ -18,13 +22,15 @@
     /// A part of the configuration stream was read up to the end, asked for at this time.
     ConfigFresh(Time),
     /// A configuration record was read.
-    Configured(u64, Record),
+    Configured(Line),
     /// The stream of a generation ended as it should.
     Ended(Attempt),
     /// An attempt failed.
     Failed(Attempt, Failure),
     /// The caller of a request left.
     Gone(request::Key),
+    /// A fellow instance said what it knows.
+    Heard(Heard),
     /// The instance list was read: endpoints, and names of entry instances.
     Listed(Vec<Member>, Vec<Peer>),
     /// An endpoint reported its load.
--- /dev/null
+++ b/crates/decision/src/gossip.rs
@@ -0,0 +1,146 @@
+//! Relay of the configuration between instances.
+//!
+//! An instance that is cut off from the log, or meets a log that is down, still
+//! has to learn within seconds that a failure domain was taken out. Instances
+//! tell a few fixed fellows how far they have read and how fresh that is; the
+//! others hand over what is lacking. Each has a constant number of fellows, so
+//! the cost does not grow with the number of instances.
+
+use crate::{event::Peer, prelude::*, routing::rendezvous};
+
+/// Bytes of records kept to hand on.
+const MOST_KEPT: usize = 8 << 20;
+
+/// Bytes of records handed over at once.
+const MOST_HANDED: usize = 64 << 10;
+
+/// Fellows in other failure domains that are asked in turn.
+const FINGERS: usize = 4;
+
+/// How far an instance has read the configuration.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Known {
+    /// Time since that was known to be all.
+    pub age: Option<Duration>,
+    /// Offset of the first record it lacks.
+    pub next: u64,
+}
+
+/// A record with its text.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    /// The text as it stands in the log.
+    pub data: Bytes,
+    /// Offset.
+    pub offset: u64,
+    /// The record.
+    pub record: Record,
+}
+
+/// What a fellow instance said.
+#[derive(Clone, Debug)]
+pub struct Heard {
+    /// When it was asked.
+    pub asked: Time,
+    /// What it knows.
+    pub known: Known,
+    /// Records that were lacking here, in order.
+    pub lines: Vec<Line>,
+}
+
+/// Records kept to hand on, in order without gaps.
+#[derive(Debug, Default)]
+pub struct History {
+    bytes: usize,
+    kept: VecDeque<(u64, Bytes)>,
+}
+
+impl History {
+    /// Keeps a record, letting go of the oldest ones over the bound.
+    pub fn push(&mut self, offset: u64, data: Bytes) {
+        self.bytes += data.len();
+        self.kept.push_back((offset, data));
+        while self.bytes > MOST_KEPT {
+            let Some((_, data)) = self.kept.pop_front() else {
+                return;
+            };
+            self.bytes -= data.len();
+        }
+    }
+
+    /// Records from `next` on, as many as fit into a message; none if `next` is not kept.
+    #[must_use]
+    pub fn after(&self, next: u64) -> Vec<(u64, Bytes)> {
+        let first = self.kept.partition_point(|(offset, _)| *offset < next);
+        let begins = self
+            .kept
+            .get(first)
+            .is_some_and(|(offset, _)| *offset == next);
+        if !begins {
+            return Vec::new();
+        }
+        let mut bytes = 0;
+        let kept = self.kept.iter().skip(first);
+        kept.take_while(|(_, data)| {
+            bytes += data.len();
+            bytes <= MOST_HANDED
+        })
+        .cloned()
+        .collect()
+    }
+}
+
+impl State {
+    /// What this instance knows.
+    #[must_use]
+    pub fn known(&self, now: Time) -> Known {
+        Known {
+            age: self.staleness(now),
+            next: self.config.next(),
+        }
+    }
+
+    /// Takes in what a fellow instance said.
+    pub(crate) fn heard(&mut self, now: Time, heard: Heard, out: &mut Vec<Action>) {
+        for line in heard.lines {
+            self.configure(now, line, out);
+        }
+        let Some(age) = heard.known.age else {
+            return;
+        };
+        // The fellow knew all there was `age` before it answered; once this
+        // instance has as much, it knew all there was at that time, too.
+        if self.config.next() >= heard.known.next {
+            self.config_read_at(heard.asked.before(age));
+        }
+    }
+
+    /// The fellows to ask now.
+    pub(crate) fn fellows(&self, round: u64) -> Vec<&Peer> {
+        let mut fellows = Vec::new();
+        fellows.extend(self.neighbour());
+        let mut fingers = self
+            .peers
+            .iter()
+            .filter(|peer| peer.domain != self.domain)
+            .collect::<Vec<_>>();
+        fingers.sort_by_key(|peer| rendezvous(&self.name, &peer.name));
+        fingers.truncate(FINGERS);
+        if !fingers.is_empty() {
+            let turn = usize::try_from(round % fingers.len() as u64).unwrap_or(0);
+            fellows.push(fingers[turn]);
+        }
+        fellows
+    }
+
+    /// The next instance of the own failure domain, in a ring by name.
+    fn neighbour(&self) -> Option<&Peer> {
+        let own = || {
+            let peers = self.peers.iter();
+            peers.filter(|peer| peer.domain == self.domain && peer.name != self.name)
+        };
+        own()
+            .find(|peer| peer.name > self.name)
+            .or_else(|| own().next())
+    }
+}
--- /dev/null
+++ b/crates/decision/src/hybrid.rs
@@ -0,0 +1,48 @@
+//! A hybrid logical clock, for one order of the events of all processes.
+//!
+//! Wall clocks of instances differ, so sorting by them can show an effect before
+//! its cause. The hybrid clock follows the wall clock but never falls behind a
+//! time that came with a message (Kulkarni and others, 2014).
+
+use {
+    crate::prelude::*,
+    serde::{Deserialize, Serialize},
+};
+
+/// A time of the hybrid clock.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Stamp {
+    /// Milliseconds since the Unix epoch.
+    pub millis: u64,
+    /// Orders events of the same millisecond.
+    pub counter: u32,
+}
+
+impl Stamp {
+    /// The stamp of an event at wall time `wall` that follows `self`.
+    #[must_use]
+    pub const fn next(self, wall: Wall) -> Self {
+        if wall.0 > self.millis {
+            return Self {
+                millis: wall.0,
+                counter: 0,
+            };
+        }
+        Self {
+            millis: self.millis,
+            counter: self.counter + 1,
+        }
+    }
+
+    /// The stamp of the receipt of a message that carries `other`.
+    #[must_use]
+    pub fn receive(self, other: Self, wall: Wall) -> Self {
+        self.max(other).next(wall)
+    }
+}
+
+impl Display for Stamp {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        write!(f, "{}.{:04}", self.millis, self.counter)
+    }
+}
--- a/crates/decision/src/limits.rs
+++ b/crates/decision/src/limits.rs
@@ -9,6 +9,8 @@
     pub append_interval: Duration,
     /// Longest a request without a deadline of its own may take.
     pub deadline: Duration,
+    /// How often fellow instances are asked what they know.
+    pub gossip_interval: Duration,
     /// How long a generation is kept after its caller left, before it is cancelled.
     pub grace: Duration,
     /// Age up to which order keys are taken.
@@ -32,6 +34,7 @@
         Self {
             append_interval: Duration::from_millis(25),
             deadline: Duration::from_mins(10),
+            gossip_interval: Duration::from_millis(500),
             grace: Duration::from_secs(5),
             order_window: Duration::from_mins(15),
             poll_interval: Duration::from_millis(200),
--- a/crates/decision/src/routing.rs
+++ b/crates/decision/src/routing.rs
@@ -48,35 +48,30 @@
     /// endpoints that are about to be switched off. Only the own failure domain
     /// is served then, whose operators can be seen from here.
     pub(crate) fn usable(&self, now: Time, endpoint: &Endpoint) -> bool {
-        if endpoint.leaving() || self.config.out(&endpoint.member.domain) {
+        if !endpoint.mine || endpoint.leaving() || self.config.out(&endpoint.member.domain) {
             return false;
         }
         self.fresh(now) || endpoint.member.domain == self.domain
     }
 
-    /// This instance's part of what a cold endpoint bears, see docs/PROMISES.md.
+    /// Whether an endpoint bears one more request of this instance.
     ///
-    /// The limit is split over the entry instances in the list, so that their sum
-    /// keeps it as long as their views agree; the parts left over go to the
-    /// instances first in rendezvous order.
-    pub(crate) fn cold_share(&self, endpoint: &Endpoint) -> u32 {
-        let limit = self.config.facts(&endpoint.member.name).cold_limit;
-        let instances = u32::try_from(self.peers.len()).unwrap_or(u32::MAX).max(1);
-        let ahead = self
-            .peers
-            .iter()
-            .filter(|peer| self.ahead(&peer.name, &endpoint.member.name))
-            .count();
-        let extra = u32::try_from(ahead).unwrap_or(u32::MAX) < limit % instances;
-        limit / instances + u32::from(extra)
-    }
-
-    fn ahead(&self, peer: &str, endpoint: &str) -> bool {
-        peer != self.name && rendezvous(peer, endpoint) > rendezvous(&self.name, endpoint)
+    /// Warm by the log: yes. Cold: only up to this instance's part of its limit.
+    pub(crate) fn bears(&self, endpoint: &Endpoint) -> bool {
+        let Some(slot) = self.warmth.get(endpoint.digest) else {
+            return false;
+        };
+        let current = endpoint.started() == Some(slot.holder.started);
+        current && (slot.warm || endpoint.running < slot.part(self.digest))
     }
 
-    fn bears(&self, endpoint: &Endpoint) -> bool {
-        !endpoint.cold() || endpoint.running < self.cold_share(endpoint)
+    /// Number of endpoints that could take a request of this instance now.
+    #[must_use]
+    pub fn open(&self, now: Time) -> usize {
+        let listed = self.endpoints.values();
+        listed
+            .filter(|endpoint| self.usable(now, endpoint) && self.bears(endpoint))
+            .count()
     }
 
     fn choose_engine(
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
-        claim::Kind as EntryKind,
         endpoint::{Kind, Member},
         event::Peer,
+        gossip::{History, Line},
         invariant::Rule,
         prelude::*,
         request::Run,
@@ -57,7 +57,16 @@
     claims_read: Option<Time>,
     config_read: Option<Time>,
     lengths: Vec<(String, f64)>,
+    live: Vec<u64>,
+    gossip: Time,
     names: Vec<(String, endpoint::Key)>,
+    round: u64,
+    /// Whether this instance is about to stop.
+    pub draining: bool,
+    /// Configuration records kept for fellow instances.
+    pub history: History,
+    /// Which endpoints are cold, as far as the log was read.
+    pub warmth: Warmth,
     pub(crate) digest: u64,
     pub(crate) orders: Vec<(order::Key, request::Key)>,
     pub(crate) rng: StdRng,
@@ -77,17 +86,23 @@
             config_read: None,
             digest: digest(name),
             domain: domain.to_string(),
+            draining: false,
             endpoints: SlotMap::default(),
+            gossip: Time::default(),
+            history: History::default(),
             invariants: Invariants::default(),
             lengths: Vec::new(),
             limits,
+            live: Vec::new(),
             name: name.to_string(),
             names: Vec::new(),
             orders: Vec::new(),
             peers: Vec::new(),
             requests: SlotMap::default(),
             rng: StdRng::seed_from_u64(seed),
+            round: 0,
             stats: Stats::default(),
+            warmth: Warmth::default(),
         }
     }
 
@@ -142,11 +157,12 @@
             Event::Claims(batches) => self.read_claims(now, batches, out),
             Event::ClaimsCover(from) => self.claims.cover_from(from),
             Event::ClaimsFresh(at) => self.claims_read = self.claims_read.max(Some(at)),
-            Event::ConfigFresh(at) => self.config_read = self.config_read.max(Some(at)),
-            Event::Configured(offset, record) => self.configure(now, offset, &record, out),
+            Event::ConfigFresh(at) => self.config_read_at(at),
+            Event::Configured(line) => self.configure(now, line, out),
             Event::Ended(attempt) => self.ended(now, attempt, out),
             Event::Failed(attempt, failure) => self.failed(now, attempt, failure, out),
             Event::Gone(request) => self.gone(now, request, out),
+            Event::Heard(heard) => self.heard(now, heard, out),
             Event::Listed(members, peers) => self.listed(now, members, peers, out),
             Event::Reported(endpoint, report) => self.reported(now, endpoint, report, out),
             Event::Tick => self.tick(now, wall, out),
@@ -154,7 +170,6 @@
             Event::Unreachable(endpoint) => {
                 if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
                     endpoint.report = None;
-                    endpoint.cool();
                 }
             }
         }
@@ -174,6 +189,11 @@
             .is_some_and(|read| now.since(read) <= self.limits.staleness)
     }
 
+    /// Whether the instance with this digest of its name is in the list, or is this one.
+    pub(crate) fn alive(&self, instance: u64) -> bool {
+        instance == self.digest || self.live.binary_search(&instance).is_ok()
+    }
+
     /// Time since the configuration was last known to be complete.
     #[must_use]
     pub fn staleness(&self, now: Time) -> Option<Duration> {
@@ -359,9 +379,6 @@
             proof,
         };
         self.release(&run);
-        if let Some(endpoint) = self.endpoints.get_mut(run.endpoint) {
-            endpoint.cool();
-        }
         self.backlog.push(key);
         if !self.budget.spend() {
             self.give_up(key, Refusal::AllRefused, Some(ROOM_RETRY), out);
@@ -388,14 +405,37 @@
         same.map(|(_, key)| *key).collect()
     }
 
-    fn configure(&mut self, now: Time, offset: u64, record: &Record, out: &mut Vec<Action>) {
+    /// Takes a configuration record in, from the log or from a fellow instance.
+    ///
+    /// Records are applied without gaps: a fellow may hand over later ones first.
+    pub(crate) fn configure(&mut self, now: Time, line: Line, out: &mut Vec<Action>) {
         let before = self.config.next();
-        self.config.apply(offset, record);
+        if line.offset != before {
+            return;
+        }
+        self.config.apply(line.offset, &line.record);
+        self.history.push(line.offset, line.data);
         self.invariants
-            .check(Rule::ConfigForward, self.config.next() >= before);
+            .check(Rule::ConfigForward, self.config.next() > before);
         self.dispatch(now, out);
     }
 
+    /// The configuration was known to be complete at `at`.
+    pub(crate) fn config_read_at(&mut self, at: Time) {
+        self.config_read = self.config_read.max(Some(at));
+    }
+
+    fn gossip(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.gossip > now {
+            return;
+        }
+        self.gossip = now.after(self.limits.gossip_interval);
+        self.round += 1;
+        for peer in self.fellows(self.round) {
+            out.push(Action::Gossip(peer.address.clone()));
+        }
+    }
+
     /// Past its deadline a request gets its final answer.
     fn expire(&mut self, now: Time, key: request::Key, out: &mut Vec<Action>) {
         match &self.requests[key].phase {
@@ -493,11 +533,20 @@
             };
             names.push((member.name, key));
         }
-        let kept = names.iter().map(|(_, key)| *key).collect::<Vec<_>>();
+        let mut kept = names.iter().map(|(_, key)| *key).collect::<Vec<_>>();
+        kept.sort_unstable();
         self.names = names;
+        // An endpoint that is no longer listed gets no new work, but the requests that
+        // are there still belong to it.
+        for (key, endpoint) in &mut self.endpoints {
+            endpoint.member.leaving |= kept.binary_search(&key).is_err();
+        }
         self.endpoints
-            .retain(|key, endpoint| kept.contains(&key) || endpoint.running > 0);
+            .retain(|key, endpoint| kept.binary_search(&key).is_ok() || endpoint.running > 0);
+        self.live = peers.iter().map(|peer| digest(&peer.name)).collect();
+        self.live.sort_unstable();
         self.peers = peers;
+        self.lay_windows();
         self.settle_orphans(out);
         self.dispatch(now, out);
     }
@@ -505,10 +554,16 @@
     fn read_claims(&mut self, now: Time, batches: Vec<Batch>, out: &mut Vec<Action>) {
         for batch in batches {
             for entry in &batch.entries {
-                self.claims.apply(entry, batch.instance);
-                self.settle(now, entry.key(), out);
+                match entry {
+                    batch::Entry::Claim(entry) => {
+                        self.claims.apply(entry, batch.instance);
+                        self.settle(now, entry.key(), out);
+                    }
+                    batch::Entry::Warmth(entry) => self.warmth.apply(entry, batch.instance),
+                }
             }
         }
+        self.dispatch(now, out);
     }
 
     fn reject(
@@ -605,7 +660,7 @@
     fn check_send(&mut self, now: Time, key: request::Key, endpoint: endpoint::Key) {
         let target = &self.endpoints[endpoint];
         let usable = self.usable(now, target);
-        let cold = !target.cold() || target.running < self.cold_share(target);
+        let cold = self.bears(target);
         let request = &self.requests[key];
         let repeatable = !matches!(
             request.work,
@@ -640,6 +695,8 @@
             self.watch(now, key, out);
         }
         self.poll(now, out);
+        self.tend(now);
+        self.gossip(now, out);
         self.claims
             .expire(wall.before(self.limits.order_window + self.limits.skew * 3));
         self.flush(now, out);
@@ -658,7 +715,8 @@
 
     fn poll(&mut self, now: Time, out: &mut Vec<Action>) {
         for (key, endpoint) in &mut self.endpoints {
-            if endpoint.member.kind != Kind::Engine || endpoint.poll > now {
+            let polled = endpoint.mine && endpoint.member.kind == Kind::Engine;
+            if !polled || endpoint.poll > now {
                 continue;
             }
             endpoint.poll = now.after(self.limits.poll_interval);
@@ -705,9 +763,3 @@
 pub fn digest(name: &str) -> u64 {
     rendezvous(name, "")
 }
-
-/// Whether an entry begins a claim, for readers of histories.
-#[must_use]
-pub const fn begins(entry: &claim::Entry) -> bool {
-    matches!(entry.kind, EntryKind::Claim(_))
-}
--- a/crates/decision/src/time.rs
+++ b/crates/decision/src/time.rs
@@ -20,6 +20,13 @@
         Self(self.0.saturating_add(micros))
     }
 
+    /// Returns the time `duration` earlier, saturating at the start.
+    #[must_use]
+    pub fn before(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+
     /// Builds a time from microseconds since the process started.
     #[must_use]
     pub const fn from_micros(micros: u64) -> Self {
--- a/crates/fellow/src/lib.rs
+++ b/crates/fellow/src/lib.rs
@@ -1,6 +1,14 @@
-//! Messages between entry instances over QUIC.
+//! Messages between entry instances over QUIC, with certificates on both sides.
 
 pub mod error;
+pub mod link;
+pub mod message;
 pub mod prelude;
+pub mod tls;
 
-pub use error::Error;
+pub use {
+    error::Error,
+    link::{Asked, Link},
+    message::{Answer, Hello, Line},
+    tls::PEER_NAME,
+};
--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -154,6 +154,11 @@
             ms(1)..=ms(5_000),
         ),
         deadline: section.span("deadline", default.deadline, ms(100)..=ms(86_400_000)),
+        gossip_interval: section.span(
+            "gossip_interval",
+            default.gossip_interval,
+            ms(10)..=ms(60_000),
+        ),
         grace: section.span("grace", default.grace, ms(0)..=ms(600_000)),
         order_window: section.span(
             "order_window",
