Prove streams, orders, leaving and cold starts on real processes

Cause: the promises had mechanisms without proofs. They found and this mends: a daemon that did not print its fellow address and so was never asked; a cold endpoint whose only idle parts starved a third instance (parts now move by wish and yield, and answers count over all instances); an order that waited ten minutes for its claim in an outage (now claim_wait, 5 s); a staleness bound shorter than a held read, which made every endpoint unusable (now refused by the settings check). Ruled out: calling an endpoint warm after three answers of one instance.

--- a/crates/carawayhead/src/command/serve.rs
+++ b/crates/carawayhead/src/command/serve.rs
@@ -21,9 +21,12 @@
     let mut terminate = watch(SignalKind::terminate())?;
     let mut interrupt = watch(SignalKind::interrupt())?;
     let running = daemon::start(settings).await?;
+    let fellow = running.fellow.map(|address| format!(" fellow={address}"));
     println!(
-        "listening caller={} operator={}",
-        running.caller, running.operator
+        "listening caller={} operator={}{}",
+        running.caller,
+        running.operator,
+        fellow.unwrap_or_default()
     );
     let mut task = running.task;
     tokio::select! {
--- a/crates/carawayhead/tests/common/mod.rs
+++ b/crates/carawayhead/tests/common/mod.rs
@@ -107,6 +107,12 @@
     limits: String,
 }
 
+fn stand_in(kind: &str, rest: &[&str]) -> Vec<String> {
+    let mut arguments = vec!["stand-in".to_string(), kind.to_string()];
+    arguments.extend(rest.iter().map(ToString::to_string));
+    arguments
+}
+
 /// What a test wants to run.
 pub struct Builder {
     pub engine: Vec<&'static str>,
@@ -133,11 +139,6 @@
     pub async fn start(self) -> Cluster {
         let folder = std::env::temp_dir().join(format!("carawayhead-{}", uuid::Uuid::new_v4()));
         std::fs::create_dir_all(&folder).expect("a folder for settings can be made");
-        let stand_in = |kind: &str, rest: &[&str]| {
-            let mut arguments = vec!["stand-in".to_string(), kind.to_string()];
-            arguments.extend(rest.iter().map(ToString::to_string));
-            arguments
-        };
         let mut cluster = Cluster {
             client: Client::new(Duration::from_secs(2)),
             engines: Vec::new(),
@@ -149,15 +150,12 @@
             limits: self.limits.to_string(),
         };
         for (number, domain) in self.engines.iter().enumerate() {
-            let mut rest = vec!["--model=survey-1", "--lag-ms=20", "--step-base=2000"];
-            rest.extend(&self.engine);
-            let engine = Process::start(&format!("engine-{number}"), &stand_in("engine", &rest));
-            cluster.register(&engine, domain, "engine", "live").await;
+            let engine = format!("engine-{number}");
+            let engine = cluster.add_engine(&engine, domain, &self.engine).await;
             cluster.engines.push(engine);
         }
         for (number, domain) in self.services.iter().enumerate() {
-            let service = Process::start(&format!("desk-{number}"), &stand_in("service", &[]));
-            cluster.register(&service, domain, "service", "live").await;
+            let service = cluster.add_service(&format!("desk-{number}"), domain).await;
             cluster.services.push(service);
         }
         cluster.append(&records()).await;
@@ -173,7 +171,9 @@
 
 fn records() -> String {
     let hash = blake3::hash(KEY.as_bytes()).to_hex();
-    let facts = (0..8).map(|number| format!("[endpoint.engine-{number}]\ncold_limit = 1000\n"));
+    let facts = (0..8).map(|number| {
+        format!("[endpoint.engine-{number}]\ncold_limit = 1000\ncold_time = \"0ms\"\n")
+    });
     format!(
         "schema = 1\n[customer.workshop]\nkey_hashes = [\"{hash}\"]\n\
      [route.survey]\nversions = [{{ model = \"survey-1\" }}]\n[service.desk]\nidempotent = [\"/lookup\"]\n{}\
@@ -183,8 +183,51 @@
 }
 
 impl Cluster {
+    /// Starts one more engine.
+    pub async fn add_engine(&self, name: &str, domain: &str, flags: &[&str]) -> Process {
+        let mut rest = vec!["--model=survey-1", "--lag-ms=20"];
+        if !flags.iter().any(|flag| flag.starts_with("--step-base")) {
+            rest.push("--step-base=2000");
+        }
+        rest.extend(flags);
+        let engine = Process::start(name, &stand_in("engine", &rest));
+        self.register(&engine, domain, "engine", "live").await;
+        engine
+    }
+
+    /// Starts one more service.
+    pub async fn add_service(&self, name: &str, domain: &str) -> Process {
+        let service = Process::start(name, &stand_in("service", &[]));
+        self.register(&service, domain, "service", "live").await;
+        service
+    }
+
     /// Starts one more daemon.
     pub async fn join(&mut self, name: &str, domain: &str) {
+        let log = self.log.address.clone();
+        self.join_with(name, domain, &log).await;
+    }
+
+    /// Starts one more daemon that cannot reach the log.
+    pub async fn join_cut_off(&mut self, name: &str, domain: &str) {
+        self.join_with(name, domain, "127.0.0.1:9").await;
+    }
+
+    /// Takes a row out of the instance list.
+    pub async fn unregister(&self, name: &str) {
+        let request = Request::delete(format!("/instances/{name}")).header("host", "list");
+        let request = request
+            .body(Full::default())
+            .expect("the request is well formed");
+        let reply = self
+            .client
+            .send(&self.list.address, request)
+            .await
+            .expect("the list answers");
+        reply.whole(1 << 20).await.expect("the answer arrives");
+    }
+
+    async fn join_with(&mut self, name: &str, domain: &str, log: &str) {
         let certificate = Command::new(env!("CARGO_BIN_EXE_carawayhead"))
             .args(["certificate", name, "--folder"])
             .arg(&self.folder)
@@ -200,7 +243,7 @@
              [fellow]\nlisten = \"127.0.0.1:0\"\nauthority = \"{keys}/authority.pem\"\n\
              certificate = \"{keys}/{name}.pem\"\nkey = \"{keys}/{name}.key\"\n\
        [limits]\npoll_interval = \"50ms\"\n{}\n",
-            self.log.address, self.list.address, self.limits
+            log, self.list.address, self.limits
         );
         std::fs::write(&file, settings).expect("settings can be written");
         let file = file.to_string_lossy().to_string();
--- /dev/null
+++ b/crates/carawayhead/tests/leaving.rs
@@ -0,0 +1,174 @@
+//! Planned stops, failure domains taken out, endpoints that leave or start cold.
+
+mod common;
+
+use {
+    common::{Ask, Builder, Events, expected},
+    rustix::process::Signal,
+    serde_json::json,
+};
+
+/// An instance is told to stop while it streams. Stopping at once would cut the
+/// report; it finishes what it has begun, and then ends well.
+#[tokio::test]
+async fn a_planned_stop_cuts_no_stream() {
+    let mut cluster = Builder {
+        engine: vec!["--step-base=20000"],
+        ..Builder::default()
+    }
+    .start()
+    .await;
+    let mut reply = cluster
+        .ask(0, Ask::survey(60, true))
+        .await
+        .expect("an answer");
+    let mut events = Events::default();
+    assert!(events.read(&mut reply, 5).await);
+    cluster.instances[0].signal(Signal::TERM);
+    events.finish(&mut reply).await;
+    assert_eq!(events.words(), (expected(60), true));
+    let mut ended = None;
+    for _ in 0..500 {
+        ended = cluster.instances[0].exited();
+        if ended.is_some() {
+            break;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    assert_eq!(ended, Some(true));
+}
+
+/// Operators take a failure domain out. Work sent there afterwards would be lost
+/// with the domain; new work goes elsewhere from every instance, that of the
+/// domain itself included, and running streams there are not cut.
+#[tokio::test]
+async fn a_domain_taken_out_gets_no_new_work_and_keeps_its_streams() {
+    let cluster = Builder {
+        engine: vec!["--step-base=20000"],
+        ..Builder::default()
+    }
+    .start()
+    .await;
+    let mut streams = Vec::new();
+    for number in 0..4 {
+        streams.push(
+            cluster
+                .ask(number % 2, Ask::survey(60, true))
+                .await
+                .expect("an answer"),
+        );
+    }
+    cluster
+        .append("schema = 1\n[domain.south]\nstate = \"out\"\n")
+        .await;
+    for instance in &cluster.instances {
+        cluster
+            .until("the record is in force", async || {
+                cluster.get(&instance.operator, "/status").await["config_next_offset"] == json!(2)
+            })
+            .await;
+    }
+    let before = cluster.get(&cluster.engines[1].address, "/control").await["starts"].clone();
+    for number in 0..10 {
+        let (status, _) = cluster.whole(number % 2, Ask::survey(2, false)).await;
+        assert_eq!(status, 200);
+    }
+    let after = cluster.get(&cluster.engines[1].address, "/control").await["starts"].clone();
+    assert_eq!(before, after);
+    for mut reply in streams {
+        let mut events = Events::default();
+        events.finish(&mut reply).await;
+        assert_eq!(events.words(), (expected(60), true));
+    }
+}
+
+/// An instance cannot reach the log at all, as when its failure domain is cut off
+/// from the platform. It would go on sending work to a domain that was taken out;
+/// it hears of the record from a fellow instance instead.
+#[tokio::test]
+async fn an_instance_without_the_log_follows_through_a_fellow() {
+    let mut cluster = Builder::default().start().await;
+    cluster.join_cut_off("entry-9", "north").await;
+    cluster
+        .append("schema = 1\n[domain.south]\nstate = \"out\"\n")
+        .await;
+    let address = &cluster.instances[2].operator;
+    cluster
+        .until("the record came through a fellow", async || {
+            let status = cluster.get(address, "/status").await;
+            status["config_next_offset"] == json!(2)
+                && status["config_stale_ms"].as_u64() < Some(3000)
+        })
+        .await;
+}
+
+/// An engine starts and bears two requests; a third makes it fall over. Six
+/// requests that come at once through three instances would throw it over at
+/// each start; they are let in by parts that sum up to the two.
+#[tokio::test]
+async fn a_cold_engine_gets_no_more_than_it_bears_over_all_instances() {
+    let mut cluster = Builder {
+        engines: vec!["north"],
+        instances: vec!["north", "south", "north"],
+        ..Builder::default()
+    }
+    .start()
+    .await;
+    cluster
+        .append("schema = 1\n[domain.north]\nstate = \"out\"\n")
+        .await;
+    cluster
+        .append("schema = 1\n[endpoint.cold]\ncold_limit = 2\ncold_time = \"2s\"\n")
+        .await;
+    for instance in &cluster.instances {
+        cluster
+            .until("the records are in force", async || {
+                cluster.get(&instance.operator, "/status").await["config_next_offset"] == json!(3)
+            })
+            .await;
+    }
+    let flags = ["--cold-ms=1500", "--cold-limit=2", "--step-base=5000"];
+    let engine = cluster.add_engine("cold", "south", &flags).await;
+    for instance in &cluster.instances {
+        cluster
+            .until("the engine is listed", async || {
+                cluster.get(&instance.operator, "/status").await["endpoints"] == json!(3)
+            })
+            .await;
+    }
+    let ask = |number: usize| cluster.whole(number % 3, Ask::survey(8, false));
+    for _ in 0..4 {
+        let (a, b, c, d, e, f) = tokio::join!(ask(0), ask(1), ask(2), ask(3), ask(4), ask(5));
+        assert_eq!([a.0, b.0, c.0, d.0, e.0, f.0], [200; 6]);
+    }
+    let stats = cluster.get(&engine.address, "/control").await;
+    assert_eq!(stats["fell_over"], json!(0));
+    cluster.engines.push(engine);
+}
+
+/// An engine begins to leave and says so itself, before the instance list does.
+/// Work sent there in between would be refused or lost; it gets none.
+#[tokio::test]
+async fn an_engine_that_says_it_is_leaving_gets_no_new_work() {
+    let cluster = Builder::default().start().await;
+    cluster
+        .post(
+            &cluster.engines[0].address,
+            "/control",
+            &json!({"leaving": true}),
+        )
+        .await;
+    for instance in &cluster.instances {
+        cluster
+            .until("the engine is passed over", async || {
+                cluster.get(&instance.operator, "/status").await["usable"] == json!(2)
+            })
+            .await;
+    }
+    for number in 0..6 {
+        let (status, _) = cluster.whole(number % 2, Ask::survey(2, false)).await;
+        assert_eq!(status, 200);
+    }
+    let stats = cluster.get(&cluster.engines[0].address, "/control").await;
+    assert_eq!(stats["starts"], json!(0));
+}
--- /dev/null
+++ b/crates/carawayhead/tests/orders.rs
@@ -0,0 +1,168 @@
+//! Orders through failures: at most one run, and truthful refusals.
+
+mod common;
+
+use {
+    common::{Ask, Builder, key},
+    rustix::process::Signal,
+    serde_json::json,
+};
+
+/// The answer of the log to a claim is lost again and again, while the claim may
+/// stand in the log. An instance that took that for a failure would leave the
+/// order unsent or send it beside another one; each order runs once all the same.
+#[tokio::test]
+async fn lost_answers_of_the_log_neither_lose_nor_double_an_order() {
+    let cluster = Builder::default().start().await;
+    cluster
+        .post(
+            &cluster.log.address,
+            "/control",
+            &json!({"lose_answers": 0.5}),
+        )
+        .await;
+    for _ in 0..8 {
+        let key = key();
+        let (first, second) = tokio::join!(
+            cluster.whole(0, Ask::order(&key, "print 5")),
+            cluster.whole(1, Ask::order(&key, "print 5")),
+        );
+        assert_eq!((first.0, second.0), (200, 200));
+        assert_eq!(first.1, second.1);
+        assert_eq!(cluster.runs(&key).await, 1);
+    }
+}
+
+/// The log is down. No order can be claimed, so none is sent: the counter is told
+/// at once that nothing ran and when to come back, and after the outage the same
+/// key goes through.
+#[tokio::test]
+async fn an_order_during_an_outage_of_the_log_is_refused_as_not_run() {
+    let cluster = Builder {
+        limits: "staleness = \"1s\"",
+        ..Builder::default()
+    }
+    .start()
+    .await;
+    cluster
+        .post(&cluster.log.address, "/control", &json!({"outage": true}))
+        .await;
+    let address = &cluster.instances[0].operator;
+    cluster
+        .until("the outage is noticed", async || {
+            cluster.get(address, "/status").await["config_stale_ms"].as_u64() > Some(1800)
+        })
+        .await;
+    let key = key();
+    let (status, problem) = cluster.whole(0, Ask::order(&key, "print 5")).await;
+    assert_eq!((status, &problem["outcome"]), (503, &json!("not-run")));
+    assert_eq!(cluster.runs(&key).await, 0);
+    cluster
+        .post(&cluster.log.address, "/control", &json!({"outage": false}))
+        .await;
+    cluster
+        .until("the log is read again", async || {
+            let (status, _) = cluster.whole(0, Ask::order(&key, "print 5")).await;
+            status == 200
+        })
+        .await;
+    assert_eq!(cluster.runs(&key).await, 1);
+}
+
+/// The desk runs an order, but its answer is lost on the way. Sending again would
+/// print the badge twice; the organiser is told that it may have run, and so is
+/// whoever repeats the key elsewhere.
+#[tokio::test]
+async fn an_order_whose_answer_is_lost_is_not_sent_again() {
+    let cluster = Builder::default().start().await;
+    cluster
+        .post(
+            &cluster.services[0].address,
+            "/control",
+            &json!({"lose": 1}),
+        )
+        .await;
+    let key = key();
+    let (status, problem) = cluster.whole(0, Ask::order(&key, "print 5")).await;
+    assert_eq!((status, &problem["outcome"]), (502, &json!("may-have-run")));
+    let (status, problem) = cluster.whole(1, Ask::order(&key, "print 5")).await;
+    assert_eq!((status, &problem["code"]), (409, &json!("earlier_attempt")));
+    assert_eq!(problem["outcome"], json!("may-have-run"));
+    assert_eq!(cluster.runs(&key).await, 1);
+}
+
+/// An instance freezes with an order in its hands, and the caller tries again
+/// through another one. When the first wakes, it must not send what the second
+/// has sent; the order runs once.
+#[tokio::test]
+async fn an_instance_that_wakes_late_does_not_run_an_order_again() {
+    let cluster = Builder::default().start().await;
+    for _ in 0..5 {
+        let key = key();
+        let frozen = async {
+            let order = cluster.whole(
+                0,
+                Ask::order(&key, "fire 9").header("x-request-timeout", "20"),
+            );
+            order.await
+        };
+        let other = async {
+            cluster.instances[0].signal(Signal::STOP);
+            let (status, _) = cluster.whole(1, Ask::order(&key, "fire 9")).await;
+            cluster.instances[0].signal(Signal::CONT);
+            status
+        };
+        let ((first, _), second) = tokio::join!(frozen, other);
+        assert!(first == 200 && second == 200, "{first} {second}");
+        assert_eq!(cluster.runs(&key).await, 1);
+    }
+}
+
+/// The holder of a key dies after it claimed the key and sent the order. Nobody
+/// can tell whether the order ran; the second caller is told just that once the
+/// instance list says that the holder is gone, not left waiting to its deadline.
+#[tokio::test]
+async fn a_key_whose_holder_died_is_answered_as_may_have_run() {
+    let mut cluster = Builder::default().start().await;
+    cluster
+        .post(
+            &cluster.services[0].address,
+            "/control",
+            &json!({"delay_ms": 60_000}),
+        )
+        .await;
+    let key = key();
+    {
+        let order = cluster.ask(0, Ask::order(&key, "fire 9"));
+        let sent = cluster.until("the desk runs it", async || cluster.runs(&key).await == 1);
+        tokio::select! {
+            _ = order => panic!("the desk takes a minute"),
+            () = sent => {}
+        }
+    }
+    cluster.instances[0].kill();
+    cluster.unregister("entry-0").await;
+    let (status, problem) = cluster.whole(1, Ask::order(&key, "fire 9")).await;
+    assert_eq!((status, &problem["code"]), (409, &json!("earlier_attempt")));
+    assert_eq!(cluster.runs(&key).await, 1);
+}
+
+/// No desk listens where the list says. Nothing was written, so the refusal says
+/// "not run", and the same key can be used for the next try.
+#[tokio::test]
+async fn an_order_that_found_no_listener_is_not_run_and_can_be_repeated() {
+    let mut cluster = Builder::default().start().await;
+    cluster.services[0].kill();
+    let key = key();
+    let (status, problem) = cluster.whole(0, Ask::order(&key, "print 5")).await;
+    assert_eq!((status, &problem["outcome"]), (503, &json!("not-run")));
+    let desk = cluster.add_service("desk-0", "north").await;
+    cluster.services = vec![desk];
+    cluster
+        .until("the new desk is known", async || {
+            let (status, _) = cluster.whole(1, Ask::order(&key, "print 5")).await;
+            status == 200
+        })
+        .await;
+    assert_eq!(cluster.runs(&key).await, 1);
+}
--- a/crates/decision/src/batch.rs
+++ b/crates/decision/src/batch.rs
@@ -44,9 +44,17 @@
 /// changes nothing in the tables.
 #[derive(Debug, Default)]
 pub struct Queue {
-    flight: Vec<Entry>,
+    flight: Vec<Waiting>,
     next: Time,
-    waiting: VecDeque<Entry>,
+    waiting: VecDeque<Waiting>,
+}
+
+/// An entry that is to be appended.
+#[derive(Clone, Debug)]
+struct Waiting {
+    /// Whether a copy of it may stand in the log already.
+    doubtful: bool,
+    entry: Entry,
 }
 
 impl Queue {
@@ -56,8 +64,9 @@
         if sent == Sent::Done {
             return;
         }
-        for entry in flight.into_iter().rev() {
-            self.waiting.push_front(entry);
+        for mut waiting in flight.into_iter().rev() {
+            waiting.doubtful |= sent == Sent::Lost;
+            self.waiting.push_front(waiting);
         }
         self.next = now.after(pause);
     }
@@ -82,7 +91,10 @@
 
     /// Adds an entry.
     pub fn push(&mut self, entry: Entry) {
-        self.waiting.push_back(entry);
+        self.waiting.push_back(Waiting {
+            doubtful: false,
+            entry,
+        });
     }
 
     /// Takes the entries for the next append, if it may start now.
@@ -93,14 +105,18 @@
         let most = MOST.min(self.waiting.len());
         self.flight = self.waiting.drain(..most).collect();
         self.next = now.after(interval);
-        Some(self.flight.clone())
+        let entries = self.flight.iter().map(|waiting| waiting.entry.clone());
+        Some(entries.collect())
     }
 
-    /// Takes a claim back that has not been put into an append; true if it was so.
+    /// Takes a claim back; true if it is certain that no copy stands in the log.
     pub fn withdraw(&mut self, claim: claim::Id) -> bool {
-        let before = self.waiting.len();
-        self.waiting
-            .retain(|entry| !matches!(entry, Entry::Claim(entry) if entry.claim == claim));
-        before != self.waiting.len()
+        let mut certain = false;
+        self.waiting.retain(|waiting| {
+            let same = matches!(&waiting.entry, Entry::Claim(entry) if entry.claim == claim);
+            certain |= same && !waiting.doubtful;
+            !same
+        });
+        certain
     }
 }
--- a/crates/decision/src/call.rs
+++ b/crates/decision/src/call.rs
@@ -57,9 +57,7 @@
             return;
         };
         let (endpoint, claim) = (run.endpoint, run.claim);
-        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
-            endpoint.served = endpoint.served.saturating_add(1);
-        }
+        self.bore(endpoint, attempt.generation);
         if let Some(claim) = claim {
             self.note(attempt.request, claim, Kind::Answered(Stored::of(&answer)));
         }
--- a/crates/decision/src/endpoint.rs
+++ b/crates/decision/src/endpoint.rs
@@ -69,21 +69,18 @@
     pub reported: Time,
     /// Own requests that are at the endpoint now.
     pub running: u32,
-    /// Own requests answered since the endpoint's last start.
-    pub served: u32,
     /// When the start now known was first seen.
     pub seen: Time,
     /// When this instance last tried to take that start.
     pub proposed: Option<Time>,
+    /// Whether this instance has given its part away.
+    pub yielding: bool,
 }
 
-/// Requests answered after which an endpoint is called warm.
-const WARM_AFTER: u32 = 3;
-
 impl Endpoint {
     /// An endpoint seen for the first time, which counts as cold.
     #[must_use]
-    pub fn new(member: Member) -> Self {
+    pub fn new(member: Member, now: Time) -> Self {
         Self {
             digest: digest(&member.name),
             mine: true,
@@ -93,9 +90,9 @@
             report: None,
             reported: Time::from_micros(0),
             running: 0,
-            served: 0,
-            seen: Time::from_micros(0),
+            seen: now,
             proposed: None,
+            yielding: false,
         }
     }
 
@@ -110,12 +107,6 @@
         }
     }
 
-    /// Whether own work has shown that it bears work.
-    #[must_use]
-    pub const fn proven(&self) -> bool {
-        self.served >= WARM_AFTER
-    }
-
     /// Whether it has begun to leave, by the list or by its own word.
     #[must_use]
     pub fn leaving(&self) -> bool {
@@ -150,7 +141,7 @@
         if anew {
             self.proposed = None;
             self.seen = now;
-            self.served = 0;
+            self.yielding = false;
         }
         self.promised = 0;
         self.report = Some(report);
--- a/crates/decision/src/limits.rs
+++ b/crates/decision/src/limits.rs
@@ -7,6 +7,8 @@
 pub struct Limits {
     /// Shortest time between two appends of this instance to one stream.
     pub append_interval: Duration,
+    /// Longest time that an order waits for its claim to be settled.
+    pub claim_wait: Duration,
     /// Longest a request without a deadline of its own may take.
     pub deadline: Duration,
     /// How often fellow instances are asked what they know.
@@ -33,6 +35,7 @@
     fn default() -> Self {
         Self {
             append_interval: Duration::from_millis(25),
+            claim_wait: Duration::from_secs(5),
             deadline: Duration::from_mins(10),
             gossip_interval: Duration::from_millis(500),
             grace: Duration::from_secs(5),
--- a/crates/decision/src/record.rs
+++ b/crates/decision/src/record.rs
@@ -118,6 +118,8 @@
     pub checks_fencing: bool,
     /// Requests that it bears at once while cold, over all instances together.
     pub cold_limit: u32,
+    /// How long it is cold after a start, at the most.
+    pub cold_time: Duration,
     /// Whether it refuses to run a second order with the same idempotency key.
     pub deduplicates: bool,
 }
@@ -127,6 +129,7 @@
         Self {
             checks_fencing: false,
             cold_limit: 8,
+            cold_time: Duration::from_secs(10),
             deduplicates: false,
         }
     }
--- a/crates/decision/src/routing.rs
+++ b/crates/decision/src/routing.rs
@@ -62,7 +62,12 @@
             return false;
         };
         let current = endpoint.started() == Some(slot.holder.started);
-        current && (slot.warm || endpoint.running < slot.part(self.digest))
+        let part = if endpoint.yielding {
+            0
+        } else {
+            slot.part(self.digest)
+        };
+        current && (slot.warm || endpoint.running < part)
     }
 
     /// Number of endpoints that could take a request of this instance now.
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -442,7 +442,7 @@
             Phase::Claiming { claim, .. } => {
                 let claim = *claim;
                 if self.batch.withdraw(claim) {
-                    self.refuse(key, Refusal::DeadlinePassed, None, out);
+                    self.refuse(key, Refusal::LogUnavailable, Some(ROOM_RETRY), out);
                     return;
                 }
                 self.void(key, claim);
@@ -529,7 +529,7 @@
                     self.endpoints[key].member = member.clone();
                     key
                 }
-                _ => self.endpoints.insert(Endpoint::new(member.clone())),
+                _ => self.endpoints.insert(Endpoint::new(member.clone(), now)),
             };
             names.push((member.name, key));
         }
@@ -559,13 +559,25 @@
                         self.claims.apply(entry, batch.instance);
                         self.settle(now, entry.key(), out);
                     }
-                    batch::Entry::Warmth(entry) => self.warmth.apply(entry, batch.instance),
+                    batch::Entry::Warmth(entry) => self.read_warmth(entry, batch.instance),
                 }
             }
         }
         self.dispatch(now, out);
     }
 
+    fn read_warmth(&mut self, entry: &warmth::Entry, instance: u64) {
+        self.warmth.apply(entry, instance);
+        let yielded = matches!(entry.kind, warmth::Kind::Yield { .. });
+        if !yielded || instance != self.digest {
+            return;
+        }
+        let endpoints = self.endpoints.values_mut();
+        for endpoint in endpoints.filter(|endpoint| endpoint.digest == entry.endpoint) {
+            endpoint.yielding = false;
+        }
+    }
+
     fn reject(
         &self,
         customer: Option<customer::Key>,
@@ -729,7 +741,9 @@
         let Some(request) = self.requests.get(key) else {
             return;
         };
-        if request.deadline <= now {
+        let claiming = matches!(request.phase, Phase::Claiming { .. });
+        let unsettled = claiming && now.since(request.arrived) >= self.limits.claim_wait;
+        if request.deadline <= now || unsettled {
             self.expire(now, key, out);
             return;
         }
--- a/crates/decision/src/steward.rs
+++ b/crates/decision/src/steward.rs
@@ -16,7 +16,23 @@
 const MOST_AHEAD: u32 = 8;
 
 impl State {
-    /// Takes starts and declares endpoints warm, where that is due.
+    /// Counts an answer of an endpoint that is cold.
+    pub(crate) fn bore(&mut self, endpoint: endpoint::Key, generation: generation::Id) {
+        let Some(endpoint) = self.endpoints.get(endpoint) else {
+            return;
+        };
+        let slot = self.warmth.get(endpoint.digest);
+        let Some(slot) = slot.filter(|slot| !slot.proven()) else {
+            return;
+        };
+        self.batch.push(batch::Entry::Warmth(Entry {
+            endpoint: endpoint.digest,
+            kind: Kind::Bore(generation.0),
+            started: slot.holder.started,
+        }));
+    }
+
+    /// Says of starting endpoints what is due: takes them, asks for parts, gives parts up.
     pub(crate) fn tend(&mut self, now: Time) {
         let mut due = Vec::new();
         for (key, endpoint) in &self.endpoints {
@@ -39,7 +55,11 @@
             }
         }
         for (key, entry) in due {
-            self.endpoints[key].proposed = Some(now);
+            let endpoint = &mut self.endpoints[key];
+            endpoint.proposed = Some(now);
+            // From here on the part belongs to the other instance, whenever the record
+            // arrives: one request more would be one too many there.
+            endpoint.yielding |= matches!(entry.kind, Kind::Yield { .. });
             self.batch.push(batch::Entry::Warmth(entry));
         }
     }
@@ -51,13 +71,23 @@
         match current {
             None => self.take(now, endpoint, slot),
             Some(slot) if slot.warm => None,
-            Some(_) if endpoint.proven() => Some(Kind::Warm),
+            Some(slot) if slot.proven() && self.matured(now, endpoint) => Some(Kind::Warm),
             Some(slot) if slot.part(self.digest) == 0 => self.join(slot),
+            Some(slot) if endpoint.running == 0 && self.backlog.is_empty() => {
+                let to = *slot.wishes.first()?;
+                Some(Kind::Yield { to })
+            }
             Some(_) => None,
         }
     }
 
-    /// Asks for a free part, or for one whose instance is gone.
+    /// Whether this instance has known the start for as long as such a start is cold.
+    fn matured(&self, now: Time, endpoint: &Endpoint) -> bool {
+        let facts = self.config.facts(&endpoint.member.name);
+        now.since(endpoint.seen) >= facts.cold_time
+    }
+
+    /// Asks for a free part, one whose instance is gone, or any that is idle.
     fn join(&self, slot: &Slot) -> Option<Kind> {
         if self.draining {
             return None;
@@ -65,10 +95,13 @@
         if slot.has_free() {
             return Some(Kind::Join { heir_of: None });
         }
-        let dead = slot.parts.iter().find(|part| !self.alive(**part))?;
-        Some(Kind::Join {
-            heir_of: Some(*dead),
-        })
+        let dead = slot.parts.iter().find(|part| !self.alive(**part));
+        if let Some(dead) = dead {
+            return Some(Kind::Join {
+                heir_of: Some(*dead),
+            });
+        }
+        (!self.backlog.is_empty()).then_some(Kind::Wish)
     }
 
     fn take(&self, now: Time, endpoint: &Endpoint, slot: Option<&Slot>) -> Option<Kind> {
--- a/crates/decision/src/stream.rs
+++ b/crates/decision/src/stream.rs
@@ -52,9 +52,7 @@
         };
         let (tokens, endpoint) = (run.next, run.endpoint);
         self.learn(attempt.request, tokens);
-        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
-            endpoint.served = endpoint.served.saturating_add(1);
-        }
+        self.bore(endpoint, attempt.generation);
         self.finish(attempt.request, Outcome::Answered(None), out);
         self.dispatch(now, out);
     }
--- a/crates/decision/src/warmth.rs
+++ b/crates/decision/src/warmth.rs
@@ -6,7 +6,9 @@
 //! the instances the whole limit; one would notice an engine that falls over
 //! each time it starts. Instead the first instance to take the endpoint's start
 //! in the log writes down who gets a part of the limit, each part being one request at
-//! a time. All readers of the log agree on that record, whatever lists they see.
+//! a time. All readers of the log agree on that record, whatever lists they see. Parts move by records, too:
+//! an instance with work and no part says so, and one with an idle part hands it
+//! over.
 
 use serde::{Deserialize, Serialize};
 
@@ -24,6 +26,8 @@
 /// What an entry says.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Kind {
+    /// This request was answered there.
+    Bore(u128),
     /// The appending instance wants a part, a free one or that of a dead instance.
     Join {
         /// Digest of the dead instance.
@@ -38,8 +42,15 @@
         /// Digests of the instances that get a part.
         parts: Vec<u64>,
     },
-    /// The endpoint has borne work.
+    /// The endpoint has borne enough for long enough.
     Warm,
+    /// The appending instance has work to send and no part.
+    Wish,
+    /// The appending instance gives its part, which it does not use, to another one.
+    Yield {
+        /// Digest of the other instance.
+        to: u64,
+    },
 }
 
 /// Who took which start of an endpoint.
@@ -54,6 +65,8 @@
 /// What is known of one endpoint.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Slot {
+    /// Requests answered while it was cold, over all instances; a copy counts once.
+    pub bore: Vec<u128>,
     /// Digest of the endpoint's name.
     pub endpoint: u64,
     /// Who took it.
@@ -62,10 +75,15 @@
     pub limit: u32,
     /// Digests of the instances that have a part, in order.
     pub parts: Vec<u64>,
-    /// Whether it has borne work since that start.
+    /// Whether it was called warm since that start.
     pub warm: bool,
+    /// Instances that have work to send and no part, in order.
+    pub wishes: Vec<u64>,
 }
 
+/// Requests that an endpoint must have answered before it is called warm.
+const WARM_AFTER: usize = 3;
+
 impl Slot {
     /// Requests that an instance may have at the endpoint while it is cold.
     #[must_use]
@@ -74,12 +92,37 @@
         u32::try_from(parts.count()).unwrap_or(u32::MAX)
     }
 
+    /// Whether it has borne enough work to be called warm.
+    #[must_use]
+    pub const fn proven(&self) -> bool {
+        self.bore.len() >= WARM_AFTER
+    }
+
     /// Whether a part is left over.
     #[must_use]
     pub fn has_free(&self) -> bool {
         u32::try_from(self.parts.len()).is_ok_and(|parts| parts < self.limit)
     }
 
+    fn count(&mut self, request: u128) {
+        if !self.proven() && !self.bore.contains(&request) {
+            self.bore.push(request);
+        }
+    }
+
+    fn hand_over(&mut self, from: u64, to: u64) {
+        if let Some(part) = self.parts.iter_mut().find(|part| **part == from) {
+            *part = to;
+            self.wishes.retain(|wish| *wish != to);
+        }
+    }
+
+    fn wish(&mut self, instance: u64) {
+        if self.part(instance) == 0 && !self.wishes.contains(&instance) {
+            self.wishes.push(instance);
+        }
+    }
+
     fn join(&mut self, instance: u64, heir_of: Option<u64>) {
         if self.part(instance) > 0 {
             return;
@@ -114,6 +157,7 @@
         {
             let most = usize::try_from(*limit).unwrap_or(usize::MAX);
             let slot = Slot {
+                bore: Vec::new(),
                 endpoint: entry.endpoint,
                 holder: Holder {
                     instance,
@@ -122,6 +166,7 @@
                 limit: *limit,
                 parts: parts.iter().copied().take(most).collect(),
                 warm: false,
+                wishes: Vec::new(),
             };
             self.take(place, *expected, slot);
             return;
@@ -134,9 +179,12 @@
             return;
         }
         match entry.kind {
+            Kind::Bore(request) => slot.count(request),
             Kind::Join { heir_of } => slot.join(instance, heir_of),
             Kind::Take { .. } => {}
             Kind::Warm => slot.warm = true,
+            Kind::Wish => slot.wish(instance),
+            Kind::Yield { to } => slot.hand_over(instance, to),
         }
     }
 
--- a/crates/operator/src/record.rs
+++ b/crates/operator/src/record.rs
@@ -71,6 +71,11 @@
         Kind::Endpoint => Body::Endpoint(Facts {
             checks_fencing: section.flag("checks_fencing", Some(false)),
             cold_limit: section.small("cold_limit", Some(8), 0..=1_000_000),
+            cold_time: section.span(
+                "cold_time",
+                Facts::default().cold_time,
+                Duration::ZERO..=Duration::from_hours(1),
+            ),
             deduplicates: section.flag("deduplicates", Some(false)),
         }),
         Kind::Route => Body::Route(route(section)),
@@ -167,6 +172,11 @@
                 &facts.checks_fencing.to_string(),
             );
             line(&mut text, "cold_limit", &facts.cold_limit.to_string());
+            line(
+                &mut text,
+                "cold_time",
+                &format!("{:?}", span::render(facts.cold_time)),
+            );
             line(&mut text, "deduplicates", &facts.deduplicates.to_string());
         }
         Body::Route(route) => {
--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -153,6 +153,7 @@
             default.append_interval,
             ms(1)..=ms(5_000),
         ),
+        claim_wait: section.span("claim_wait", default.claim_wait, ms(100)..=ms(600_000)),
         deadline: section.span("deadline", default.deadline, ms(100)..=ms(86_400_000)),
         gossip_interval: section.span(
             "gossip_interval",
@@ -170,7 +171,7 @@
         retry_percent: section.small("retry_percent", Some(default.retry_percent), 0..=100),
         silence: section.span("silence", default.silence, ms(50)..=ms(600_000)),
         skew: section.span("skew", default.skew, ms(0)..=ms(3_600_000)),
-        staleness: section.span("staleness", default.staleness, ms(100)..=ms(600_000)),
+        staleness: section.span("staleness", default.staleness, ms(1_000)..=ms(600_000)),
     };
     section.close();
     limits
