--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,1 @@
-//! Load tool and measurements.
+//! Load tool and measurements, for development only.
--- a/crates/decision/src/call.rs
+++ b/crates/decision/src/call.rs
@@ -166,6 +166,12 @@
                 self.finish(key, Outcome::MayHaveRun(MayHaveRun::EarlierAttempt), out);
             }
             Standing::Free => {}
+            // A part of the log was missed since the order arrived: an earlier claim of
+            // the key may stand there, and what looks like a won claim may have lost.
+            Standing::Held { .. } if !self.claims.covers(name, self.limits.skew) => {
+                self.drop_claim(key);
+                self.finish(key, Outcome::MayHaveRun(MayHaveRun::EarlierAttempt), out);
+            }
             Standing::Held { claim, .. } => self.held(now, key, claim, out),
         }
     }
--- a/crates/decision/src/event.rs
+++ b/crates/decision/src/event.rs
@@ -23,8 +23,8 @@
     ConfigFresh(Time),
     /// A configuration record was read.
     Configured(Line),
-    /// The stream of a generation ended as it should.
-    Ended(Attempt),
+    /// The stream of a generation ended as it should, after this many tokens.
+    Ended(Attempt, u32),
     /// An attempt failed.
     Failed(Attempt, Failure),
     /// The caller of a request left.
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -159,7 +159,7 @@
             Event::ClaimsFresh(at) => self.claims_read = self.claims_read.max(Some(at)),
             Event::ConfigFresh(at) => self.config_read_at(at),
             Event::Configured(line) => self.configure(now, line, out),
-            Event::Ended(attempt) => self.ended(now, attempt, out),
+            Event::Ended(attempt, tokens) => self.ended(now, attempt, tokens, out),
             Event::Failed(attempt, failure) => self.failed(now, attempt, failure, out),
             Event::Gone(request) => self.gone(now, request, out),
             Event::Heard(heard) => self.heard(now, heard, out),
--- a/crates/decision/src/stream.rs
+++ b/crates/decision/src/stream.rs
@@ -45,12 +45,24 @@
     }
 
     /// A stream ended as it should.
-    pub(crate) fn ended(&mut self, now: Time, attempt: Attempt, out: &mut Vec<Action>) {
+    pub(crate) fn ended(
+        &mut self,
+        now: Time,
+        attempt: Attempt,
+        tokens: u32,
+        out: &mut Vec<Action>,
+    ) {
         let Some(run) = self.run(attempt) else {
             self.stats.late += 1;
             return;
         };
-        let (tokens, endpoint) = (run.next, run.endpoint);
+        // The end can overtake tokens that are still on another connection; ending
+        // here would leave them out without a word.
+        if tokens != run.next {
+            self.resume(now, attempt, out);
+            return;
+        }
+        let endpoint = run.endpoint;
         self.learn(attempt.request, tokens);
         self.bore(endpoint, attempt.generation);
         self.finish(attempt.request, Outcome::Answered(None), out);
@@ -73,7 +85,9 @@
             return;
         }
         match failure {
-            Failure::NotRun(evidence) => self.retry(now, attempt, Some(evidence), out),
+            Failure::NotRun(evidence) if next == 0 => {
+                self.retry(now, attempt, Some(evidence), out);
+            }
             Failure::Forgotten if next == 0 => self.retry(now, attempt, None, out),
             Failure::Broken if next == 0 => {
                 self.cancel(attempt, false, out);
@@ -87,7 +101,8 @@
                 );
                 self.dispatch(now, out);
             }
-            Failure::Broken | Failure::Unreachable => {
+            // A refusal that comes after tokens belongs to a connection given up before.
+            Failure::Broken | Failure::NotRun(_) | Failure::Unreachable => {
                 // The first break is answered at once; later ones wait for the silence
                 // bound, so that an endpoint that is down is not asked in a tight loop.
                 if resumes == 0 {
--- a/crates/endpoint/src/engine.rs
+++ b/crates/endpoint/src/engine.rs
@@ -162,7 +162,7 @@
             if event.data == DONE {
                 while let Ok(Some(_)) = reply.part().await {}
                 reply.keep();
-                return Event::Ended(attempt);
+                return Event::Ended(attempt, next);
             }
             let index = event.index.unwrap_or(next);
             next = index + 1;
