Give a dead instance's part away only after it was missing for long

Cause: an instance list that lags made a new instance look dead; its part of a cold endpoint was taken at once and the limit overrun. Change: histories let the list of each core lag; a part is inherited after its owner was missing for 30 s. Ruled out: inheriting at once (overruns), never (all parts dead: stuck cold). Conclusion: views may differ for as long as a list lags, not for ever.

--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -58,6 +58,7 @@
     config_read: Option<Time>,
     lengths: Vec<(String, f64)>,
     live: Vec<u64>,
+    pub(crate) absent: Vec<(u64, Time)>,
     gossip: Time,
     names: Vec<(String, endpoint::Key)>,
     round: u64,
@@ -94,6 +95,7 @@
             lengths: Vec::new(),
             limits,
             live: Vec::new(),
+            absent: Vec::new(),
             name: name.to_string(),
             names: Vec::new(),
             orders: Vec::new(),
@@ -707,6 +709,7 @@
             self.watch(now, key, out);
         }
         self.poll(now, out);
+        self.note_absent(now);
         self.tend(now);
         self.gossip(now, out);
         self.claims
--- a/crates/decision/src/steward.rs
+++ b/crates/decision/src/steward.rs
@@ -12,6 +12,11 @@
 /// Time that each instance leaves to the one before it in rendezvous order.
 const STAGGER: Duration = Duration::from_millis(250);
 
+/// Time that an instance must be missing from the list before its part is taken.
+///
+/// It lies well above the lag of the list and the time that a cold request takes.
+const DEAD_AFTER: Duration = Duration::from_secs(30);
+
 /// Most instances that are waited for.
 const MOST_AHEAD: u32 = 8;
 
@@ -32,6 +37,27 @@
         }));
     }
 
+    /// Notes since when the owners of parts have been missing from the list.
+    ///
+    /// A list can lag behind an instance that has just started; taking its part at
+    /// once would let one request too many through.
+    pub(crate) fn note_absent(&mut self, now: Time) {
+        let cold = self.warmth.cold();
+        let owners = cold.flat_map(|slot| slot.parts.iter().copied());
+        let missing = owners.filter(|owner| !self.alive(*owner));
+        let mut absent = Vec::new();
+        for owner in missing {
+            let known = self.absent.iter().find(|(other, _)| *other == owner);
+            absent.push(*known.unwrap_or(&(owner, now)));
+        }
+        self.absent = absent;
+    }
+
+    fn dead(&self, now: Time, instance: u64) -> bool {
+        let mut absent = self.absent.iter();
+        absent.any(|(other, since)| *other == instance && now.since(*since) >= DEAD_AFTER)
+    }
+
     /// Says of starting endpoints what is due: takes them, asks for parts, gives parts up.
     pub(crate) fn tend(&mut self, now: Time) {
         let mut due = Vec::new();
@@ -72,7 +98,7 @@
             None => self.take(now, endpoint, slot),
             Some(slot) if slot.warm => None,
             Some(slot) if slot.proven() && self.matured(now, endpoint) => Some(Kind::Warm),
-            Some(slot) if slot.part(self.digest) == 0 => self.join(slot),
+            Some(slot) if slot.part(self.digest) == 0 => self.join(now, slot),
             Some(slot) if endpoint.running == 0 && self.backlog.is_empty() => {
                 let to = *slot.wishes.first()?;
                 Some(Kind::Yield { to })
@@ -88,14 +114,14 @@
     }
 
     /// Asks for a free part, one whose instance is gone, or any that is idle.
-    fn join(&self, slot: &Slot) -> Option<Kind> {
+    fn join(&self, now: Time, slot: &Slot) -> Option<Kind> {
         if self.draining {
             return None;
         }
         if slot.has_free() {
             return Some(Kind::Join { heir_of: None });
         }
-        let dead = slot.parts.iter().find(|part| !self.alive(**part));
+        let dead = slot.parts.iter().find(|part| self.dead(now, **part));
         if let Some(dead) = dead {
             return Some(Kind::Join {
                 heir_of: Some(*dead),
--- a/crates/decision/src/warmth.rs
+++ b/crates/decision/src/warmth.rs
@@ -188,6 +188,11 @@
         }
     }
 
+    /// The endpoints that were not called warm yet.
+    pub fn cold(&self) -> impl Iterator<Item = &Slot> {
+        self.slots.iter().filter(|slot| !slot.warm)
+    }
+
     /// What is known of an endpoint.
     #[must_use]
     pub fn get(&self, endpoint: u64) -> Option<&Slot> {
--- a/crates/decision/tests/histories.rs
+++ b/crates/decision/tests/histories.rs
@@ -27,6 +27,7 @@
         1 => (0..3_usize).prop_map(Op::Crash),
         14 => place.clone().prop_map(Op::Deliver),
         3 => (0..3_usize).prop_map(Op::Generate),
+        1 => (0..3_usize, 0..3_usize).prop_map(|(core, missing)| Op::Lag(core, missing)),
         1 => place.clone().prop_map(Op::Leave),
         3 => place.clone().prop_map(Op::Lose),
         5 => (0..3_usize, 0..8_usize, prop::bool::weighted(0.1)).prop_map(|(c, k, b)| Op::Order(c, k, b)),
@@ -47,6 +48,7 @@
     prop_oneof![
         12 => (0..64_usize).prop_map(Op::Deliver),
         8 => (0..3_usize).prop_map(Op::Generate),
+        2 => (0..3_usize, 0..3_usize).prop_map(|(core, missing)| Op::Lag(core, missing)),
         1 => (0..64_usize).prop_map(Op::Lose),
         14 => (0..3_usize).prop_map(|core| Op::Read(core, 3)),
         1 => Just(Op::Restart),
--- a/crates/decision/tests/world/mod.rs
+++ b/crates/decision/tests/world/mod.rs
@@ -59,6 +59,8 @@
     Relay(usize, usize),
     /// A message in flight arrives, and once more later.
     Repeat(usize),
+    /// The instance list of a core lags: one instance is missing from it for a while.
+    Lag(usize, usize),
     /// Time passes at every core, in milliseconds.
     Tick(u64),
     /// The log drops records that grew old.
@@ -96,6 +98,7 @@
 
 struct Core {
     life: u64,
+    lagging: Option<u64>,
     read: Option<usize>,
     state: State,
 }
@@ -165,6 +168,7 @@
             Op::Crash(core) => self.crash(core % CORES),
             Op::Deliver(place) => self.deliver(place, false),
             Op::Generate(core) => self.ask(core % CORES, None, false),
+            Op::Lag(core, missing) => self.list(core % CORES, Some(missing % CORES)),
             Op::Leave(place) => self.leave(place),
             Op::Lose(place) => self.lose(place),
             Op::Order(core, key, other) => self.ask(core % CORES, Some(key % 8), other),
@@ -232,12 +236,7 @@
         let mut state = State::new(&format!("entry-{core}"), "north", limits, self.lives);
         let (now, wall) = self.clock();
         let mut out = Vec::new();
-        let peers = (0..CORES).map(|number| Peer {
-            name: format!("entry-{number}"),
-            address: String::new(),
-            domain: "north".to_string(),
-            leaving: false,
-        });
+        let peers = (0..CORES).map(peer);
         for event in [
             Event::Configured(self.config[0].clone()),
             Event::ConfigFresh(now),
@@ -246,6 +245,7 @@
             state.step(now, wall, event, &mut out);
         }
         Core {
+            lagging: None,
             life: self.lives,
             read: None,
             state,
@@ -479,6 +479,13 @@
         self.step(core, Event::Reported(engine, report));
     }
 
+    fn list(&mut self, core: usize, missing: Option<usize>) {
+        self.cores[core].lagging = missing.map(|_missing| self.now);
+        let seen = (0..CORES).filter(|number| *number == core || Some(*number) != missing);
+        let event = Event::Listed(members(), seen.map(peer).collect());
+        self.step(core, event);
+    }
+
     fn engine(&self, core: usize) -> endpoint::Key {
         self.named(core, "engine")
     }
@@ -491,6 +498,12 @@
 
     fn tick(&mut self, millis: u64) {
         self.now += millis;
+        for core in 0..CORES {
+            let since = self.cores[core].lagging;
+            if since.is_some_and(|since| self.now - since > 15_000) {
+                self.list(core, None);
+            }
+        }
         for core in 0..CORES {
             self.step(core, Event::Tick);
         }
@@ -631,6 +644,15 @@
     }
 }
 
+fn peer(number: usize) -> Peer {
+    Peer {
+        name: format!("entry-{number}"),
+        address: String::new(),
+        domain: "north".to_string(),
+        leaving: false,
+    }
+}
+
 fn line(offset: u64, record: Record) -> Line {
     Line {
         data: Bytes::new(),
