Parts of a cold endpoint hold several requests; measure what relaying costs

Cause: with 64 streams on four engines that bear 100,000 cold requests each, the first token took 16 s: an instance had one request per part and an engine needed three answers before it was warm. Change: a part is a number of requests; half of the limit is given out at once, joiners get half of what is free. Ruled out: handing out the whole limit (latecomers starve).

--- a/crates/decision/src/steward.rs
+++ b/crates/decision/src/steward.rs
@@ -3,7 +3,7 @@
 use crate::{
     prelude::*,
     routing::rendezvous,
-    warmth::{Entry, Kind, Slot},
+    warmth::{Entry, Kind, Part, Slot},
 };
 
 /// Pause before another attempt to take an endpoint's start.
@@ -43,7 +43,7 @@
     /// once would let one request too many through.
     pub(crate) fn note_absent(&mut self, now: Time) {
         let cold = self.warmth.cold();
-        let owners = cold.flat_map(|slot| slot.parts.iter().copied());
+        let owners = cold.flat_map(|slot| slot.parts.iter().map(|part| part.instance));
         let missing = owners.filter(|owner| !self.alive(*owner));
         let mut absent = Vec::new();
         for owner in missing {
@@ -98,7 +98,7 @@
             None => self.take(now, endpoint, slot),
             Some(slot) if slot.warm => None,
             Some(slot) if slot.proven() && self.matured(now, endpoint) => Some(Kind::Warm),
-            Some(slot) if slot.part(self.digest) == 0 => self.join(now, slot),
+            Some(slot) if endpoint.running >= slot.part(self.digest) => self.join(now, slot),
             Some(slot) if endpoint.running == 0 && self.backlog.is_empty() => {
                 let to = *slot.wishes.first()?;
                 Some(Kind::Yield { to })
@@ -118,16 +118,21 @@
         if self.draining {
             return None;
         }
-        if slot.has_free() {
+        let lacking = slot.part(self.digest) == 0 || !self.backlog.is_empty();
+        if !lacking {
+            return None;
+        }
+        if slot.free() > 0 {
             return Some(Kind::Join { heir_of: None });
         }
-        let dead = slot.parts.iter().find(|part| self.dead(now, **part));
+        let dead = slot.parts.iter().find(|part| self.dead(now, part.instance));
         if let Some(dead) = dead {
             return Some(Kind::Join {
-                heir_of: Some(*dead),
+                heir_of: Some(dead.instance),
             });
         }
-        (!self.backlog.is_empty()).then_some(Kind::Wish)
+        let wished = slot.wishes.contains(&self.digest);
+        (!self.backlog.is_empty() && !wished).then_some(Kind::Wish)
     }
 
     fn take(&self, now: Time, endpoint: &Endpoint, slot: Option<&Slot>) -> Option<Kind> {
@@ -138,8 +143,8 @@
             return None;
         }
         let limit = self.config.facts(&endpoint.member.name).cold_limit;
-        let mut parts = self.covering(endpoint);
-        parts.truncate(usize::try_from(limit).unwrap_or(usize::MAX));
+        let instances = self.covering(endpoint);
+        let parts = divide(limit, &instances);
         Some(Kind::Take {
             expected: slot.map(|slot| slot.holder),
             limit,
@@ -160,3 +165,17 @@
         u32::try_from(ahead).unwrap_or(MOST_AHEAD).min(MOST_AHEAD)
     }
 }
+
+/// Half of a limit in equal parts, at least one request each as long as there are any.
+fn divide(limit: u32, instances: &[u64]) -> Vec<Part> {
+    let count = u32::try_from(instances.len()).unwrap_or(u32::MAX).max(1);
+    let each = (limit / 2 / count).max(1);
+    let most = usize::try_from(limit / each).unwrap_or(usize::MAX);
+    let given = instances.iter().take(most);
+    given
+        .map(|instance| Part {
+            instance: *instance,
+            requests: each,
+        })
+        .collect()
+}
--- a/crates/decision/src/warmth.rs
+++ b/crates/decision/src/warmth.rs
@@ -5,8 +5,8 @@
 //! whenever two instances see different lists, or a partition gives each half of
 //! the instances the whole limit; one would notice an engine that falls over
 //! each time it starts. Instead the first instance to take the endpoint's start
-//! in the log writes down who gets a part of the limit, each part being one request at
-//! a time. All readers of the log agree on that record, whatever lists they see. Parts move by records, too:
+//! in the log writes down who gets which part of the limit, and keeps half of it for
+//! those who come later. All readers of the log agree on that record, whatever lists they see. Parts move by records, too:
 //! an instance with work and no part says so, and one with an idle part hands it
 //! over.
 
@@ -39,8 +39,8 @@
         expected: Option<Holder>,
         /// Requests that the endpoint bears while cold.
         limit: u32,
-        /// Digests of the instances that get a part.
-        parts: Vec<u64>,
+        /// Who gets which part.
+        parts: Vec<Part>,
     },
     /// The endpoint has borne enough for long enough.
     Warm,
@@ -53,6 +53,15 @@
     },
 }
 
+/// Requests that one instance may have at an endpoint while it is cold.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Part {
+    /// Digest of the instance's name.
+    pub instance: u64,
+    /// How many at once.
+    pub requests: u32,
+}
+
 /// Who took which start of an endpoint.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Holder {
@@ -73,8 +82,8 @@
     pub holder: Holder,
     /// Requests that it bears while cold.
     pub limit: u32,
-    /// Digests of the instances that have a part, in order.
-    pub parts: Vec<u64>,
+    /// Who has which part.
+    pub parts: Vec<Part>,
     /// Whether it was called warm since that start.
     pub warm: bool,
     /// Instances that have work to send and no part, in order.
@@ -88,8 +97,8 @@
     /// Requests that an instance may have at the endpoint while it is cold.
     #[must_use]
     pub fn part(&self, instance: u64) -> u32 {
-        let parts = self.parts.iter().filter(|part| **part == instance);
-        u32::try_from(parts.count()).unwrap_or(u32::MAX)
+        let parts = self.parts.iter().filter(|part| part.instance == instance);
+        parts.map(|part| part.requests).sum()
     }
 
     /// Whether it has borne enough work to be called warm.
@@ -98,10 +107,11 @@
         self.bore.len() >= WARM_AFTER
     }
 
-    /// Whether a part is left over.
+    /// Requests of the limit that nobody has.
     #[must_use]
-    pub fn has_free(&self) -> bool {
-        u32::try_from(self.parts.len()).is_ok_and(|parts| parts < self.limit)
+    pub fn free(&self) -> u32 {
+        let given = self.parts.iter().map(|part| part.requests).sum::<u32>();
+        self.limit.saturating_sub(given)
     }
 
     fn count(&mut self, request: u128) {
@@ -110,10 +120,24 @@
         }
     }
 
+    /// Half of an instance's part goes to another one, all of a single request.
     fn hand_over(&mut self, from: u64, to: u64) {
-        if let Some(part) = self.parts.iter_mut().find(|part| **part == from) {
-            *part = to;
-            self.wishes.retain(|wish| *wish != to);
+        let Some(part) = self.parts.iter_mut().find(|part| part.instance == from) else {
+            return;
+        };
+        let given = part.requests.div_ceil(2);
+        part.requests -= given;
+        self.give(to, given);
+        self.wishes.retain(|wish| *wish != to);
+    }
+
+    fn give(&mut self, to: u64, requests: u32) {
+        match self.parts.iter_mut().find(|part| part.instance == to) {
+            Some(part) => part.requests += requests,
+            None => self.parts.push(Part {
+                instance: to,
+                requests,
+            }),
         }
     }
 
@@ -123,18 +147,19 @@
         }
     }
 
+    /// Half of what is free, or the whole part of a dead instance.
     fn join(&mut self, instance: u64, heir_of: Option<u64>) {
-        if self.part(instance) > 0 {
-            return;
-        }
-        match heir_of {
-            None if self.has_free() => self.parts.push(instance),
-            None => {}
-            Some(dead) => {
-                if let Some(part) = self.parts.iter_mut().find(|part| **part == dead) {
-                    *part = instance;
-                }
+        let dead = heir_of.and_then(|dead| {
+            let mut parts = self.parts.iter();
+            parts.position(|part| part.instance == dead)
+        });
+        match (heir_of, dead) {
+            (None, _) => self.give(instance, self.free().div_ceil(2)),
+            (Some(_), Some(place)) => {
+                let part = self.parts.remove(place);
+                self.give(instance, part.requests);
             }
+            (Some(_), None) => {}
         }
     }
 }
@@ -155,7 +180,6 @@
             parts,
         } = &entry.kind
         {
-            let most = usize::try_from(*limit).unwrap_or(usize::MAX);
             let slot = Slot {
                 bore: Vec::new(),
                 endpoint: entry.endpoint,
@@ -164,7 +188,7 @@
                     started: entry.started,
                 },
                 limit: *limit,
-                parts: parts.iter().copied().take(most).collect(),
+                parts: parts.clone(),
                 warm: false,
                 wishes: Vec::new(),
             };
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -402,6 +402,8 @@
 fn render(cursor: &mut Cursor, produced: u32) -> Bytes {
     let mut part = String::new();
     let (id, model) = (&cursor.reader.id, &cursor.model);
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let sent = since.unwrap_or_default().as_micros();
     while cursor.next < produced {
         let index = cursor.next;
         let finish = if index + 1 == cursor.target {
@@ -416,7 +418,7 @@
         };
         write!(
       part,
-      "id: {id}:{index}\ndata: {{\"id\":\"cmpl-{id}\",\"object\":\"text_completion\",\"model\":\"{model}\",\"choices\":[{choice}]}}\n\n"
+      "id: {id}:{index}\ndata: {{\"id\":\"cmpl-{id}\",\"object\":\"text_completion\",\"model\":\"{model}\",\"sent_us\":{sent},\"choices\":[{choice}]}}\n\n"
     )
     .expect("writing to a String cannot fail");
         cursor.next += 1;
