--- a/crates/carawayhead/src/command/publish.rs
+++ b/crates/carawayhead/src/command/publish.rs
@@ -3,7 +3,10 @@
 use {
     super::check::text,
     crate::{
-        daemon::{instance::CONFIG, tail},
+        daemon::{
+            instance::{CONFIG, SNAPSHOTS},
+            tail,
+        },
         prelude::*,
     },
     decision::{
@@ -132,6 +135,21 @@
     let mut next = 0;
     loop {
         let part = stream.read(next, Duration::ZERO).await?;
+        if part.first > next {
+            let snapshots = Stream {
+                name: SNAPSHOTS,
+                ..stream.clone()
+            };
+            let snapshot = tail::newest(&snapshots).await;
+            let Some(snapshot) = snapshot.filter(|snapshot| snapshot.next >= part.first) else {
+                return Err(Error::Missing(
+                    "records have aged out and no snapshot has them".to_string(),
+                ));
+            };
+            next = snapshot.next;
+            replay.config.restore(snapshot);
+            continue;
+        }
         for entry in part.records {
             next = entry.offset + 1;
             let record = tail::decode_record(entry.offset, &entry.data);
--- a/crates/carawayhead/src/daemon/instance.rs
+++ b/crates/carawayhead/src/daemon/instance.rs
@@ -41,6 +41,9 @@
 /// Stream of the claims on order keys.
 pub const CLAIMS: &str = "claims";
 
+/// Stream of the snapshots of the configuration.
+pub const SNAPSHOTS: &str = "snapshots";
+
 /// An instance that runs.
 #[derive(Debug)]
 pub struct Running {
@@ -62,6 +65,7 @@
     pub(super) actions: Vec<Action>,
     asked: Receiver<Asked>,
     pub(super) claims: Stream,
+    pub(super) snapshots: Stream,
     pub(super) client: Client,
     pub(super) clock: Clock,
     drain_notice: Duration,
@@ -115,6 +119,7 @@
         actions: Vec::new(),
         asked,
         claims: stream(&settings, &client, CLAIMS),
+        snapshots: stream(&settings, &client, SNAPSHOTS),
         client,
         clock,
         drain_notice: settings.operator.drain_notice,
@@ -160,7 +165,14 @@
     let config = stream(settings, client, CONFIG);
     let claims = stream(settings, client, CLAIMS);
     let platform = &settings.platform;
-    tokio::spawn(tail::config(config, clock, events.clone()));
+    let snapshots = stream(settings, client, SNAPSHOTS);
+    tokio::spawn(tail::config(
+        config,
+        snapshots.clone(),
+        clock,
+        events.clone(),
+    ));
+    tokio::spawn(tail::snapshots(snapshots, events.clone()));
     tokio::spawn(tail::claims(claims, clock, events.clone()));
     tokio::spawn(tail::list(
         client.clone(),
@@ -357,9 +369,13 @@
     /// Answers a fellow instance with the records it lacks.
     fn answer(&self, asked: Asked) {
         lock(&self.timeline).receive(self.clock.wall(), asked.hello.stamp);
-        let lines = self.state.history.after(asked.hello.next).into_iter();
+        let next = asked.hello.next;
+        let lines = self.state.history.after(next).into_iter();
+        let own = self.state.config.next();
+        let lacking = self.state.history.lacks(next, own) && self.state.config.complete();
         let answer = fellow::Answer {
             hello: self.hello(),
+            snapshot: lacking.then(|| self.state.config.snapshot()),
             lines: lines
                 .map(|(offset, data)| fellow::Line {
                     data: data.to_vec(),
--- a/crates/carawayhead/src/daemon/perform.rs
+++ b/crates/carawayhead/src/daemon/perform.rs
@@ -7,10 +7,13 @@
         timeline::Moment,
     },
     crate::prelude::*,
-    decision::gossip::{Heard, Known},
+    decision::{
+        gossip::{Heard, Known},
+        snapshot::Snapshot,
+    },
     endpoint::{engine, service},
     fellow::Answer,
-    platform::stream,
+    platform::stream::{self, Stream},
 };
 
 /// How long an engine may take to report its load.
@@ -56,6 +59,7 @@
                     endpoint,
                     next,
                 } => self.resume(attempt, endpoint, next),
+                Action::Snapshot(snapshot) => self.snapshot(snapshot),
                 Action::Send {
                     attempt,
                     endpoint,
@@ -88,6 +92,21 @@
         self.step(Event::Gone(key));
     }
 
+    /// Appends a snapshot, part after part; one that breaks off is never whole.
+    fn snapshot(&mut self, snapshot: Snapshot) {
+        self.note(Moment {
+            what: "snapshot".to_string(),
+            detail: format!("up to offset {}", snapshot.next.saturating_sub(1)),
+            ..Moment::default()
+        });
+        let stream = self.snapshots.clone();
+        tokio::spawn(async move {
+            if let Err(error) = append_parts(&stream, &snapshot).await {
+                log::warn!(error:%; "snapshot could not be appended");
+            }
+        });
+    }
+
     fn address(&self, endpoint: target::Key) -> Option<String> {
         Some(self.state.endpoints.get(endpoint)?.member.address.clone())
     }
@@ -262,6 +281,13 @@
     }
 }
 
+async fn append_parts(stream: &Stream, snapshot: &Snapshot) -> Result<(), platform::Error> {
+    for part in platform::codec::split(snapshot, rand::random())? {
+        stream.append(part).await?;
+    }
+    Ok(())
+}
+
 /// Longest description of an outcome in the time line, in characters.
 const MOST_DETAIL: usize = 160;
 
@@ -276,6 +302,7 @@
         lines: lines
             .map(|line| tail::line(line.offset, &Bytes::from(line.data)))
             .collect(),
+        snapshot: answer.snapshot,
     }
 }
 
--- a/crates/carawayhead/src/daemon/tail.rs
+++ b/crates/carawayhead/src/daemon/tail.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::prelude::*,
-    decision::gossip::Line,
+    decision::{gossip::Line, snapshot::Snapshot},
     platform::{
         codec, list,
         stream::{Part, READ_HOLD, Stream},
@@ -13,7 +13,7 @@
 const PAUSE: Duration = Duration::from_millis(200);
 
 /// Follows the configuration stream.
-pub async fn config(stream: Stream, clock: Clock, events: Sender<Event>) {
+pub async fn config(stream: Stream, snapshots: Stream, clock: Clock, events: Sender<Event>) {
     let mut next = 0;
     let mut hold = Duration::ZERO;
     while !events.is_closed() {
@@ -23,9 +23,17 @@
         hold = READ_HOLD;
         if part.first > next {
             // Starting in the middle would put a configuration in force that lacks what
-            // the missing records said. The instance stays stale, which operators see.
-            log::error!(first = part.first, next; "configuration records have aged out unread");
-            tokio::time::sleep(PAUSE * 25).await;
+            // the missing records said; it starts from a snapshot, or not at all.
+            match newest(&snapshots).await {
+                Some(snapshot) if snapshot.next >= part.first => {
+                    next = snapshot.next;
+                    tell(&events, Event::Snapshot(snapshot)).await;
+                }
+                _ => {
+                    log::error!(first = part.first, next; "configuration records have aged out unread and no snapshot has them");
+                    tokio::time::sleep(PAUSE * 25).await;
+                }
+            }
             continue;
         }
         for entry in &part.records {
@@ -38,6 +46,45 @@
     }
 }
 
+/// Reads the newest whole snapshot.
+pub async fn newest(stream: &Stream) -> Option<Snapshot> {
+    let mut assembly = codec::Assembly::default();
+    let mut newest = None;
+    let mut next = 0;
+    loop {
+        let part = read(stream, next, Duration::ZERO).await?;
+        for entry in &part.records {
+            next = entry.offset + 1;
+            match assembly.take(&entry.data) {
+                Ok(Some(snapshot)) => newest = Some(snapshot),
+                Ok(None) => {}
+                Err(error) => log::error!(offset = entry.offset, error:%; "snapshot is skipped"),
+            }
+        }
+        if next >= part.next || part.records.is_empty() {
+            return newest;
+        }
+    }
+}
+
+/// Follows the snapshots, to know when the next one is due.
+pub async fn snapshots(stream: Stream, events: Sender<Event>) {
+    let mut assembly = codec::Assembly::default();
+    let mut next = 0;
+    while !events.is_closed() {
+        let Some(part) = read(&stream, next, READ_HOLD).await else {
+            continue;
+        };
+        next = next.max(part.first);
+        for entry in &part.records {
+            next = entry.offset + 1;
+            if matches!(assembly.take(&entry.data), Ok(Some(_))) {
+                tell(&events, Event::SnapshotSeen(entry.at)).await;
+            }
+        }
+    }
+}
+
 /// Follows the claim stream.
 pub async fn claims(stream: Stream, clock: Clock, events: Sender<Event>) {
     let mut next = 0;
--- a/crates/carawayhead/tests/leaving.rs
+++ b/crates/carawayhead/tests/leaving.rs
@@ -175,3 +175,35 @@
     let stats = cluster.get(&cluster.engines[0].address, "/control").await;
     assert_eq!(stats["starts"], json!(0));
 }
+
+/// The records of the first days have aged out of the log when an instance starts.
+/// Without what they said it would know no customer and turn everybody away; it
+/// starts from a snapshot that the others have appended in the meantime.
+#[tokio::test]
+async fn an_instance_starts_after_the_records_have_aged_out() {
+    let mut cluster = Builder {
+        limits: "snapshot_interval = \"1s\"",
+        ..Builder::default()
+    }
+    .start()
+    .await;
+    cluster
+        .post(
+            &cluster.log.address,
+            "/control",
+            &json!({"retention_ms": 3000}),
+        )
+        .await;
+    for stream in ["config", "snapshots"] {
+        let path = format!("/streams/{stream}/records?from=0");
+        cluster
+            .until("records have aged out", async || {
+                cluster.get(&cluster.log.address, &path).await["first"].as_u64() > Some(0)
+            })
+            .await;
+    }
+    cluster.join("entry-7", "north").await;
+    cluster.ready(2).await;
+    let (status, _) = cluster.whole(2, Ask::survey(3, false)).await;
+    assert_eq!(status, 200);
+}
--- a/crates/decision/src/action.rs
+++ b/crates/decision/src/action.rs
@@ -35,6 +35,8 @@
         /// Index of the first token wanted.
         next: u32,
     },
+    /// Append a snapshot of the configuration.
+    Snapshot(Snapshot),
     /// Send the request.
     Send {
         /// The attempt.
--- a/crates/decision/src/config.rs
+++ b/crates/decision/src/config.rs
@@ -1,8 +1,8 @@
 //! The configuration in force: a function of the log's prefix.
 
 use {
-    crate::prelude::*,
     crate::record::{Body, Change, Facts, Item, Kind, Route, SCHEMA, Service},
+    crate::{prelude::*, snapshot},
 };
 
 /// What applying a record came to.
@@ -41,6 +41,7 @@
     items: Vec<Entry>,
     next: u64,
     seen: bool,
+    unknown: u64,
 }
 
 impl Config {
@@ -55,6 +56,7 @@
         self.next = offset + 1;
         self.seen = true;
         if record.schema > SCHEMA {
+            self.unknown += 1;
             return Applied::Unknown;
         }
         if let Some(change) = record.changes.iter().find(|change| !self.fits(change)) {
@@ -64,11 +66,56 @@
             };
         }
         for change in &record.changes {
-            self.change(offset, change);
+            self.put(offset, &change.item, change.body.as_ref());
         }
         Applied::InForce
     }
 
+    /// Whether everything published is understood, so that a snapshot loses nothing.
+    ///
+    /// A snapshot by a version that skips newer records would take them back for
+    /// every instance that starts from it.
+    #[must_use]
+    pub const fn complete(&self) -> bool {
+        self.seen && self.unknown == 0
+    }
+
+    /// The configuration with the offsets of its items.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        let entries = self.items.iter().map(|entry| snapshot::Entry {
+            body: entry.body.clone(),
+            item: entry.item.clone(),
+            offset: entry.offset,
+        });
+        Snapshot {
+            entries: entries.collect(),
+            next: self.next,
+        }
+    }
+
+    /// Starts from a snapshot; false if as much is known already.
+    pub fn restore(&mut self, snapshot: Snapshot) -> bool {
+        if snapshot.next <= self.next {
+            return false;
+        }
+        let listed = snapshot.entries.iter().map(|entry| &entry.item);
+        let listed = listed.cloned().collect::<Vec<_>>();
+        let gone = self
+            .items
+            .iter()
+            .filter(|entry| !listed.contains(&entry.item));
+        for item in gone.map(|entry| entry.item.clone()).collect::<Vec<_>>() {
+            self.put(self.next, &item, None);
+        }
+        for entry in snapshot.entries {
+            self.put(entry.offset, &entry.item, Some(&entry.body));
+        }
+        self.next = snapshot.next;
+        self.seen = true;
+        true
+    }
+
     /// The customer that a credential acts for.
     #[must_use]
     pub fn customer(&self, credential: &[u8; 32]) -> Option<customer::Key> {
@@ -138,9 +185,9 @@
         Some(self.items[place].offset)
     }
 
-    fn change(&mut self, offset: u64, change: &Change) {
-        let place = self.place(change.item.kind, &change.item.name);
-        let Some(body) = &change.body else {
+    fn put(&mut self, offset: u64, item: &Item, body: Option<&Body>) {
+        let place = self.place(item.kind, &item.name);
+        let Some(body) = body else {
             if let Ok(place) = place {
                 let gone = self.items.remove(place);
                 self.drop_customer(gone.customer);
@@ -150,8 +197,8 @@
         let old = place.ok().and_then(|place| self.items[place].customer);
         let entry = Entry {
             body: body.clone(),
-            customer: self.put_customer(old, &change.item.name, body),
-            item: change.item.clone(),
+            customer: self.put_customer(old, &item.name, body),
+            item: item.clone(),
             offset,
         };
         match place {
--- a/crates/decision/src/event.rs
+++ b/crates/decision/src/event.rs
@@ -35,6 +35,10 @@
     Listed(Vec<Member>, Vec<Peer>),
     /// An endpoint reported its load.
     Reported(endpoint::Key, crate::endpoint::Report),
+    /// A snapshot of the configuration was read, to start from.
+    Snapshot(Snapshot),
+    /// A snapshot that some instance appended was seen, taken by the log at this time.
+    SnapshotSeen(Wall),
     /// Time passed.
     Tick,
     /// A token of a generation came.
--- a/crates/decision/src/gossip.rs
+++ b/crates/decision/src/gossip.rs
@@ -46,6 +46,8 @@
     pub known: Known,
     /// Records that were lacking here, in order.
     pub lines: Vec<Line>,
+    /// The whole configuration, if the records lacking are not kept any more.
+    pub snapshot: Option<Snapshot>,
 }
 
 /// Records kept to hand on, in order without gaps.
@@ -68,6 +70,19 @@
         }
     }
 
+    /// Forgets everything, after a start from a snapshot.
+    pub fn clear(&mut self) {
+        self.bytes = 0;
+        self.kept.clear();
+    }
+
+    /// Whether `next` lies before everything kept, so that only a snapshot helps.
+    #[must_use]
+    pub fn lacks(&self, next: u64, own: u64) -> bool {
+        let first = self.kept.front().map_or(own, |(offset, _)| *offset);
+        next < first
+    }
+
     /// Records from `next` on, as many as fit into a message; none if `next` is not kept.
     #[must_use]
     pub fn after(&self, next: u64) -> Vec<(u64, Bytes)> {
@@ -102,6 +117,9 @@
 
     /// Takes in what a fellow instance said.
     pub(crate) fn heard(&mut self, now: Time, heard: Heard, out: &mut Vec<Action>) {
+        if let Some(snapshot) = heard.snapshot {
+            self.restore(now, snapshot, out);
+        }
         for line in heard.lines {
             self.configure(now, line, out);
         }
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod record;
 pub mod request;
 pub mod routing;
+pub mod snapshot;
 pub mod state;
 pub mod stats;
 pub mod steward;
--- a/crates/decision/src/limits.rs
+++ b/crates/decision/src/limits.rs
@@ -27,6 +27,8 @@
     pub silence: Duration,
     /// Difference allowed between the clocks of callers, instances and the log.
     pub skew: Duration,
+    /// Time between two snapshots of the configuration.
+    pub snapshot_interval: Duration,
     /// Age of knowledge past which only the own failure domain gets new work.
     pub staleness: Duration,
 }
@@ -45,6 +47,7 @@
             retry_percent: 10,
             silence: Duration::from_millis(1500),
             skew: Duration::from_secs(30),
+            snapshot_interval: Duration::from_hours(6),
             staleness: Duration::from_secs(3),
         }
     }
--- a/crates/decision/src/prelude.rs
+++ b/crates/decision/src/prelude.rs
@@ -18,6 +18,7 @@
         outcome::{Evidence, MayHaveRun, NotRun, Outcome, Refusal, Unsent},
         record::Record,
         request::{Phase, Request},
+        snapshot::Snapshot,
         state::State,
         stats::Stats,
         time::{Time, Wall},
--- a/crates/decision/src/record.rs
+++ b/crates/decision/src/record.rs
@@ -1,6 +1,9 @@
 //! Configuration records as operators publish them.
 
-use crate::prelude::*;
+use {
+    crate::prelude::*,
+    serde::{Deserialize, Serialize},
+};
 
 /// Newest schema that this version understands.
 pub const SCHEMA: u32 = 1;
@@ -26,7 +29,7 @@
 }
 
 /// Names an item of the configuration.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 pub struct Item {
     /// Kind of the item.
     pub kind: Kind,
@@ -41,7 +44,7 @@
 }
 
 /// Kinds of items.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 pub enum Kind {
     /// A customer.
     Customer,
@@ -79,7 +82,7 @@
 }
 
 /// Content of an item.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub enum Body {
     /// A customer.
     Customer(Customer),
@@ -94,7 +97,7 @@
 }
 
 /// A customer.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Customer {
     /// BLAKE3 hashes of API keys.
     pub credentials: Vec<[u8; 32]>,
@@ -105,14 +108,14 @@
 }
 
 /// A failure domain.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Domain {
     /// Whether its endpoints get no new work.
     pub out: bool,
 }
 
 /// Facts about an endpoint that it does not report itself.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Facts {
     /// Whether it refuses orders with an old fencing number.
     pub checks_fencing: bool,
@@ -136,7 +139,7 @@
 }
 
 /// A route from a public model name.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Route {
     /// Output length in tokens assumed until lengths were seen.
     pub expected_tokens: u32,
@@ -145,7 +148,7 @@
 }
 
 /// A model version of a route.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Version {
     /// Name under which engines serve it, adapter included.
     pub model: String,
@@ -154,7 +157,7 @@
 }
 
 /// A plain service.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Service {
     /// Path prefixes whose `POST` calls may be repeated.
     pub idempotent: Vec<String>,
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -59,6 +59,9 @@
     lengths: Vec<(String, f64)>,
     live: Vec<u64>,
     pub(crate) absent: Vec<(u64, Time)>,
+    pub(crate) begun: Option<Wall>,
+    pub(crate) snapshot_again: Time,
+    pub(crate) snapshot_at: Option<Wall>,
     gossip: Time,
     names: Vec<(String, endpoint::Key)>,
     round: u64,
@@ -96,6 +99,9 @@
             limits,
             live: Vec::new(),
             absent: Vec::new(),
+            begun: None,
+            snapshot_again: Time::default(),
+            snapshot_at: None,
             name: name.to_string(),
             names: Vec::new(),
             orders: Vec::new(),
@@ -167,6 +173,8 @@
             Event::Heard(heard) => self.heard(now, heard, out),
             Event::Listed(members, peers) => self.listed(now, members, peers, out),
             Event::Reported(endpoint, report) => self.reported(now, endpoint, report, out),
+            Event::Snapshot(snapshot) => self.restore(now, snapshot, out),
+            Event::SnapshotSeen(at) => self.snapshot_seen(at),
             Event::Tick => self.tick(now, wall, out),
             Event::Token(attempt, index, payload) => self.token(now, attempt, index, payload, out),
             Event::Unreachable(endpoint) => {
@@ -712,6 +720,7 @@
         self.note_absent(now);
         self.tend(now);
         self.gossip(now, out);
+        self.snapshot(now, wall, out);
         self.claims
             .expire(wall.before(self.limits.order_window + self.limits.skew * 3));
         self.flush(now, out);
--- a/crates/decision/tests/config.rs
+++ b/crates/decision/tests/config.rs
@@ -47,6 +47,27 @@
     assert_eq!(config.next(), 2);
 }
 
+/// A snapshot older than what is in force comes late, from a fellow instance. It
+/// must not take back what was accepted since; a newer one brings all of it,
+/// removals included.
+#[test]
+fn only_a_newer_snapshot_changes_anything() {
+    let mut config = Config::default();
+    config.apply(0, &domain(true, None));
+    let old = config.snapshot();
+    config.apply(1, &domain(false, Some(0)));
+    assert!(!config.restore(old.clone()));
+    assert!(!config.out("sor"));
+    let mut fresh = Config::default();
+    assert!(fresh.restore(config.snapshot()));
+    assert_eq!((fresh.next(), fresh.out("sor")), (2, false));
+    let mut behind = Config::default();
+    assert!(behind.restore(old));
+    assert!(behind.out("sor"));
+    assert!(behind.restore(config.snapshot()));
+    assert!(!behind.out("sor"));
+}
+
 /// A record changes two items and lost the race for one. Half of it in force would
 /// be a configuration that nobody published.
 #[test]
--- a/crates/decision/tests/world/mod.rs
+++ b/crates/decision/tests/world/mod.rs
@@ -539,7 +539,7 @@
                     assert_eq!(asked.next, index, "a token came twice or out of order");
                     asked.next += 1;
                 }
-                Action::Detach(_) | Action::Gossip(_) | Action::Poll(_) => {}
+                Action::Detach(_) | Action::Gossip(_) | Action::Poll(_) | Action::Snapshot(_) => {}
                 Action::Finish(key, outcome) => self.finish(core, key, outcome),
                 Action::Resume { attempt, next, .. } => {
                     let job = Job::Resume(next);
--- a/crates/fellow/src/message.rs
+++ b/crates/fellow/src/message.rs
@@ -1,9 +1,12 @@
 //! What instances say to each other.
 
-use {crate::prelude::*, decision::hybrid::Stamp};
+use {
+    crate::prelude::*,
+    decision::{hybrid::Stamp, snapshot::Snapshot},
+};
 
 /// Largest message, in bytes.
-pub const MOST: usize = 256 * 1024;
+pub const MOST: usize = 16 << 20;
 
 /// What an instance knows, sent to ask for what it lacks.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -28,10 +31,12 @@
 }
 
 /// The answer to a [`Hello`].
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Answer {
     /// What the answering instance knows.
     pub hello: Hello,
     /// Records that the other one lacks, in order, as many as fit.
     pub lines: Vec<Line>,
+    /// The whole configuration, if those records are not kept any more.
+    pub snapshot: Option<Snapshot>,
 }
--- a/crates/fellow/tests/messages.rs
+++ b/crates/fellow/tests/messages.rs
@@ -31,6 +31,7 @@
         let answer = Answer {
             hello: Hello::default(),
             lines: vec![Line { data, offset }],
+            snapshot: None,
         };
         let encoded = postcard::to_stdvec(&answer).expect("it can be encoded");
         prop_assert_eq!(postcard::from_bytes::<Answer>(&encoded).expect("it can be decoded"), answer);
--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -171,6 +171,11 @@
         retry_percent: section.small("retry_percent", Some(default.retry_percent), 0..=100),
         silence: section.span("silence", default.silence, ms(50)..=ms(600_000)),
         skew: section.span("skew", default.skew, ms(0)..=ms(3_600_000)),
+        snapshot_interval: section.span(
+            "snapshot_interval",
+            default.snapshot_interval,
+            ms(1_000)..=ms(604_800_000),
+        ),
         staleness: section.span("staleness", default.staleness, ms(1_000)..=ms(600_000)),
     };
     section.close();
--- a/crates/operator/tests/files.rs
+++ b/crates/operator/tests/files.rs
@@ -41,7 +41,7 @@
     settings.toml:12: platform.list: found 7, allowed: a text
     settings.toml:12: platform.list: found "", allowed: an IP address with a port, like "127.0.0.1:8080"
     settings.toml:15: limits.staleness: found "200ms", allowed: a time from 1s to 10min, like "3s"
-    settings.toml:16: limits.queu: found an unknown key, allowed: one of append_interval, claim_wait, deadline, gossip_interval, grace, order_window, poll_interval, queue, retry_percent, silence, skew, staleness
+    settings.toml:16: limits.queu: found an unknown key, allowed: one of append_interval, claim_wait, deadline, gossip_interval, grace, order_window, poll_interval, queue, retry_percent, silence, skew, snapshot_interval, staleness
     "#);
 }
 
