--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod decide;
 pub mod domain;
 pub mod error;
+pub mod faults;
+pub mod idle;
 pub mod orders;
 pub mod prelude;
 pub mod process;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -9,21 +9,33 @@
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options)]
 enum Command {
+    /// Whether a cold engine is overrun by six instances
+    #[bpaf(command)]
+    Cold,
     /// What decisions cost at today's sizes and at full size
     #[bpaf(command)]
     Decide,
     /// How soon a failure domain taken out gets no more new work
     #[bpaf(command)]
     Domain,
+    /// What a daemon costs without a request
+    #[bpaf(command)]
+    Idle,
     /// What the claim adds to an order
     #[bpaf(command)]
     Orders,
+    /// How long a stream waits after its connection fell silent
+    #[bpaf(command)]
+    Silence,
     /// What relaying a stream costs
     #[bpaf(command)]
     Relay {
         /// Tokens of each stream
         #[bpaf(argument("COUNT"), fallback(200))]
         tokens: u32,
+        /// Time between two tokens of a stream, in microseconds
+        #[bpaf(argument("MICROS"), fallback(20_000))]
+        step: u32,
     },
 }
 
@@ -37,9 +49,14 @@
             bench::decide::run();
             Ok(())
         }
+        (Ok(runtime), Command::Cold) => runtime.block_on(bench::faults::cold()),
+        (Ok(runtime), Command::Silence) => runtime.block_on(bench::faults::silence()),
         (Ok(runtime), Command::Domain) => runtime.block_on(bench::domain::run()),
+        (Ok(runtime), Command::Idle) => runtime.block_on(bench::idle::run()),
         (Ok(runtime), Command::Orders) => runtime.block_on(bench::orders::run()),
-        (Ok(runtime), Command::Relay { tokens }) => runtime.block_on(bench::relay::run(tokens)),
+        (Ok(runtime), Command::Relay { step, tokens }) => {
+            runtime.block_on(bench::relay::run(tokens, step))
+        }
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -14,9 +14,6 @@
 /// Streams at once, in turn.
 const STREAMS: [usize; 3] = [1, 64, 1000];
 
-/// Time between two tokens of a stream, in microseconds.
-const STEP: u32 = 20_000;
-
 /// Figures of one series of streams.
 #[derive(Debug)]
 pub struct Series {
@@ -44,11 +41,12 @@
 /// # Errors
 ///
 /// A process cannot be started or reached.
-pub async fn run(tokens: u32) -> Result<(), Error> {
+pub async fn run(tokens: u32, step: u32) -> Result<(), Error> {
     let client = Client::new(Duration::from_secs(5));
     let list = Process::stand_in("list", &["--lag-ms=0"])?;
     let log = Process::stand_in("log", &[])?;
-    let step = format!("--step-base={STEP}");
+    let spread = Duration::from_micros(u64::from(step));
+    let step = format!("--step-base={step}");
     let mut engines = Vec::new();
     for number in 0..ENGINES {
         let flags = [
@@ -82,12 +80,12 @@
         "streams  path    tokens  first p50/p99 us     passage p50/p99 us   processor us/token  memory KiB/stream"
     );
     for streams in STREAMS {
-        measure(&client, &direct, streams, tokens).await?;
-        let series = measure(&client, &direct, streams, tokens).await?;
+        measure(&client, &direct, streams, tokens, spread).await?;
+        let series = measure(&client, &direct, streams, tokens, spread).await?;
         print(streams, "direct", &series, None);
         let (used, held) = (daemon.processor()?, daemon.memory()?);
         let watched = watch(&daemon, held);
-        let measured = measure(&client, &through, streams, tokens);
+        let measured = measure(&client, &through, streams, tokens, spread);
         let (series, most) = tokio::join!(measured, watched);
         let series = series?;
         let processor = (daemon.processor()? - used) * 1e6 / count(series.tokens);
@@ -165,6 +163,7 @@
     addresses: &[String],
     streams: usize,
     tokens: u32,
+    spread: Duration,
 ) -> Result<Series, Error> {
     let series = Arc::new(Mutex::new(Series::new()));
     let mut tasks = Vec::new();
@@ -175,10 +174,7 @@
             stream(&client, &address, tokens, &series).await
         }));
         // Spread the starts over one step, as arrivals of real callers are.
-        tokio::time::sleep(
-            Duration::from_micros(u64::from(STEP)) / u32::try_from(streams).unwrap_or(1),
-        )
-        .await;
+        tokio::time::sleep(spread / u32::try_from(streams).unwrap_or(1)).await;
     }
     for task in tasks {
         task.await.map_err(std::io::Error::other)??;
--- a/crates/carawayhead/src/daemon/tail.rs
+++ b/crates/carawayhead/src/daemon/tail.rs
@@ -124,9 +124,11 @@
 
 /// Follows the instance list.
 pub async fn list(client: Client, address: String, every: Duration, events: Sender<Event>) {
+    let mut reader = list::Reader::new(client, address);
     while !events.is_closed() {
-        match list::read(&client, &address).await {
-            Ok(list) => tell(&events, Event::Listed(list.members, list.peers)).await,
+        match reader.read().await {
+            Ok(Some(list)) => tell(&events, Event::Listed(list.members, list.peers)).await,
+            Ok(None) => {}
             Err(error) => log::warn!(error:%; "instance list cannot be read"),
         }
         tokio::time::sleep(every).await;
--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -161,6 +161,12 @@
             .to_string()
     }
 
+    /// A header's value, if it is there and is text.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.response.headers().get(name)?.to_str().ok()
+    }
+
     /// The next part of the body; `None` at its end, with the connection kept.
     ///
     /// # Errors
--- a/crates/endpoint/src/sse.rs
+++ b/crates/endpoint/src/sse.rs
@@ -68,7 +68,8 @@
     for line in block.split(|byte| *byte == b'\n') {
         let line = line.strip_suffix(b"\r").unwrap_or(line);
         if let Some(value) = field(line, b"data:") {
-            data = Some(block.slice_ref(value));
+            // A copy: a slice would keep the whole read buffer, 8 KiB for one token.
+            data = Some(Bytes::copy_from_slice(value));
         } else if let Some(value) = field(line, b"id:") {
             index = number(value);
         }
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -6,6 +6,7 @@
         endpoint::{Kind, Member},
         event::Peer,
     },
+    http::header::IF_NONE_MATCH,
 };
 
 /// How long a read of the list may take.
@@ -35,27 +36,56 @@
     state: String,
 }
 
-/// Reads the list.
+/// Reads the list again and again, but transfers it only when it has changed.
 ///
-/// # Errors
-///
-/// It cannot be reached or its answer cannot be read.
-pub async fn read(client: &Client, address: &str) -> Result<List, Error> {
-    let request = Request::get("/instances")
-        .header(HOST, address)
-        .body(Full::default())?;
-    let asked = async {
-        let reply = client.send(address, request).await?;
-        let status = reply.status();
-        let body = reply.whole(MOST).await?;
-        if status == StatusCode::OK {
-            Ok(body)
-        } else {
-            Err(Error::Status(status))
+/// At full size the list is a third of a megabyte; read whole twice a second it
+/// cost more than everything else that an idle instance does.
+#[derive(Debug)]
+pub struct Reader {
+    address: String,
+    client: Client,
+    tag: Option<String>,
+}
+
+impl Reader {
+    /// A reader that has not read anything.
+    #[must_use]
+    pub const fn new(client: Client, address: String) -> Self {
+        Self {
+            address,
+            client,
+            tag: None,
         }
-    };
-    let body = timeout(WAIT, asked).await.unwrap_or(Err(Error::Silent))?;
-    Ok(sort(serde_json::from_slice(&body)?))
+    }
+
+    /// The list, or `None` if it is as it was at the last reading.
+    ///
+    /// # Errors
+    ///
+    /// It cannot be reached or its answer cannot be read.
+    pub async fn read(&mut self) -> Result<Option<List>, Error> {
+        let mut request = Request::get("/instances").header(HOST, &self.address);
+        if let Some(tag) = &self.tag {
+            request = request.header(IF_NONE_MATCH, tag);
+        }
+        let request = request.body(Full::default())?;
+        let asked = async {
+            let reply = self.client.send(&self.address, request).await?;
+            let status = reply.status();
+            let tag = reply.header("etag").map(str::to_string);
+            Ok((status, tag, reply.whole(MOST).await?))
+        };
+        let (status, tag, body) = timeout(WAIT, asked).await.unwrap_or(Err(Error::Silent))?;
+        match status {
+            StatusCode::NOT_MODIFIED => Ok(None),
+            StatusCode::OK => {
+                let list = sort(serde_json::from_slice(&body)?);
+                self.tag = tag;
+                Ok(Some(list))
+            }
+            status => Err(Error::Status(status)),
+        }
+    }
 }
 
 fn sort(rows: Vec<Row>) -> List {
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -30,6 +30,8 @@
 struct Inner {
     lag: Duration,
     outage: bool,
+    /// Number of the version that is seen now, its tag.
+    seen: u64,
     versions: VecDeque<(Instant, Vec<Row>)>,
 }
 
@@ -49,6 +51,7 @@
         let inner = Inner {
             lag,
             outage: false,
+            seen: 0,
             versions: VecDeque::from([(Instant::now(), Vec::new())]),
         };
         Self {
@@ -83,7 +86,7 @@
 
 /// `GET /instances`.
 #[handler]
-async fn read(depot: &mut Depot, response: &mut Response) {
+async fn read(request: &mut Request, depot: &mut Depot, response: &mut Response) {
     let Ok(list) = depot.get_typed::<List>().cloned() else {
         return;
     };
@@ -94,6 +97,14 @@
     let lag = inner.lag;
     while inner.versions.len() > 1 && inner.versions[1].0.elapsed() >= lag {
         inner.versions.pop_front();
+        inner.seen += 1;
+    }
+    let tag = format!("\"{}\"", inner.seen);
+    if request.header::<String>("if-none-match").as_ref() == Some(&tag) {
+        return text(response, StatusCode::NOT_MODIFIED, "");
+    }
+    if let Ok(tag) = tag.parse() {
+        response.headers_mut().insert("etag", tag);
     }
     response.body(json!(inner.versions[0].1).to_string());
 }
