--- a/crates/carawayhead/src/daemon/perform.rs
+++ b/crates/carawayhead/src/daemon/perform.rs
@@ -64,7 +64,8 @@
                     attempt,
                     endpoint,
                     model,
-                } => self.send(attempt, endpoint, model.as_deref()),
+                    wait,
+                } => self.send(attempt, endpoint, model.as_deref(), wait),
             }
         }
         // The allocation is used again: one for each token would be felt.
@@ -198,7 +199,13 @@
         exchange.attach(task.abort_handle());
     }
 
-    fn send(&mut self, attempt: Attempt, endpoint: target::Key, model: Option<&str>) {
+    fn send(
+        &mut self,
+        attempt: Attempt,
+        endpoint: target::Key,
+        model: Option<&str>,
+        wait: Duration,
+    ) {
         let Some(address) = self.address(endpoint) else {
             return;
         };
@@ -230,6 +237,7 @@
                     media: payload.media.clone(),
                     method: payload.method.clone(),
                     path: payload.path.clone(),
+                    wait,
                 };
                 tokio::spawn(service::call(client, address, call, events))
             }
@@ -241,6 +249,7 @@
                     attempt,
                     body: json!(body).to_string().into(),
                     path,
+                    wait,
                 };
                 tokio::spawn(engine::start(client, address, start, events))
             }
--- a/crates/decision/src/action.rs
+++ b/crates/decision/src/action.rs
@@ -45,5 +45,7 @@
         endpoint: endpoint::Key,
         /// The model version, for a generation.
         model: Option<String>,
+        /// Time left until the caller's deadline.
+        wait: Duration,
     },
 }
--- a/crates/decision/src/prelude.rs
+++ b/crates/decision/src/prelude.rs
@@ -14,6 +14,7 @@
         endpoint::Endpoint,
         event::{Event, Failure},
         invariant::Invariants,
+        lengths::Lengths,
         limits::Limits,
         outcome::{Evidence, MayHaveRun, NotRun, Outcome, Refusal, Unsent},
         record::Record,
--- a/crates/decision/src/routing.rs
+++ b/crates/decision/src/routing.rs
@@ -90,7 +90,8 @@
         let Some(version) = self.version(model) else {
             return Choice::Never;
         };
-        let need = u64::from(prompt) + u64::from(limit.min(self.expected(model)));
+        let need =
+            u64::from(prompt) + u64::from(limit.min(self.lengths.expected(&self.config, model)));
         let mut best = None;
         let mut seen = false;
         for (key, endpoint) in &self.endpoints {
--- a/crates/decision/src/stream.rs
+++ b/crates/decision/src/stream.rs
@@ -63,7 +63,9 @@
             return;
         }
         let endpoint = run.endpoint;
-        self.learn(attempt.request, tokens);
+        if let Work::Generation { model, .. } = &self.requests[attempt.request].work {
+            self.lengths.learn(model, tokens);
+        }
         self.bore(endpoint, attempt.generation);
         self.finish(attempt.request, Outcome::Answered(None), out);
         self.dispatch(now, out);
--- a/crates/endpoint/src/engine.rs
+++ b/crates/endpoint/src/engine.rs
@@ -10,6 +10,9 @@
 /// Header that carries the generation id to the engine.
 const GENERATION: &str = "x-request-id";
 
+/// Header that carries the time left, in seconds.
+pub(crate) const TIMEOUT: &str = "x-request-timeout";
+
 /// Largest refusal or load report read, in bytes.
 const MOST_ANSWER: usize = 1 << 20;
 
@@ -25,6 +28,8 @@
     pub body: Bytes,
     /// Path of the API.
     pub path: &'static str,
+    /// Time left until the caller's deadline, told to the engine.
+    pub wait: Duration,
 }
 
 /// Starts a generation and reports its tokens until it ends.
@@ -34,6 +39,7 @@
         .header(http::header::HOST, &address)
         .header(http::header::CONTENT_TYPE, "application/json")
         .header(GENERATION, attempt.generation.to_string())
+        .header(TIMEOUT, seconds(start.wait))
         .body(Full::new(start.body));
     let last = match begin(&client, &address, request).await {
         Ok(reply) if reply.status() == StatusCode::OK => read(reply, attempt, 0, &events).await,
@@ -193,6 +199,11 @@
     }
 }
 
+/// A time as the header carries it.
+pub(crate) fn seconds(wait: Duration) -> String {
+    format!("{:.3}", wait.as_secs_f64())
+}
+
 /// Tells the loop; if it has ended there is nobody left to tell.
 pub(crate) async fn tell(events: &Sender<Event>, event: Event) {
     if events.send(event).await.is_err() {
--- a/crates/endpoint/src/service.rs
+++ b/crates/endpoint/src/service.rs
@@ -1,6 +1,9 @@
 //! Calls of plain services.
 
-use crate::{engine::tell, prelude::*};
+use crate::{
+    engine::{TIMEOUT, seconds, tell},
+    prelude::*,
+};
 
 /// Largest answer of a service, in bytes.
 const MOST_ANSWER: usize = 4 << 20;
@@ -22,6 +25,8 @@
     pub method: Method,
     /// Path and query at the service.
     pub path: String,
+    /// Time left until the caller's deadline, told to the service.
+    pub wait: Duration,
 }
 
 /// Makes a call and reports its answer.
@@ -55,7 +60,8 @@
     let mut request = Request::builder()
         .method(call.method)
         .uri(call.path)
-        .header(http::header::HOST, address);
+        .header(http::header::HOST, address)
+        .header(TIMEOUT, seconds(call.wait));
     if !call.media.is_empty() {
         request = request.header(http::header::CONTENT_TYPE, call.media);
     }
