--- a/crates/bench/src/domain.rs
+++ b/crates/bench/src/domain.rs
@@ -53,9 +53,10 @@
     stop.store(true, Ordering::Relaxed);
     let refused = load.await.map_err(std::io::Error::other)??;
     println!(
-        "from publication to the last new work: p50 {} us, longest {} us, {TIMES} times; checks not answered {refused}",
+        "from publication to the last new work: p50 {} us, longest {} us, {TIMES} times; {} pieces of work went there in all; checks not answered {refused}",
         waits.value_at_quantile(0.5),
-        waits.max()
+        waits.max(),
+        count(&setup).await?
     );
     Ok(())
 }
--- a/crates/caller/src/call.rs
+++ b/crates/caller/src/call.rs
@@ -1,12 +1,8 @@
 //! Calls of plain services.
 
-use {
-    crate::{
-        generation::{body, credential, wait, write},
-        prelude::*,
-        problem::set,
-    },
-    tokio::sync::mpsc,
+use crate::{
+    generation::{body, credential, wait, write},
+    prelude::*,
 };
 
 /// Header that names an order.
@@ -33,24 +29,12 @@
     let service = request.param::<String>("service").unwrap_or_default();
     let payload = payload(gate, request).await?;
     let order = order(&payload)?;
-    let (outlet, mut pieces) = mpsc::channel(gate.buffer);
-    let id = Uuid::new_v4();
-    set(response, "x-request-id", &id.to_string());
-    let inbound = Inbound {
-        ask: Ask::Call {
-            order,
-            payload,
-            service,
-        },
-        credential,
-        id,
-        outlet,
-        wait,
+    let ask = Ask::Call {
+        order,
+        payload,
+        service,
     };
-    gate.inbound
-        .send(inbound)
-        .await
-        .map_err(|_ended| Error::Stopping)?;
+    let mut pieces = gate.submit(ask, credential, wait, response).await?;
     while let Some(piece) = pieces.recv().await {
         if let Piece::End(outcome) = piece {
             finish(outcome, response);
--- a/crates/caller/src/generation.rs
+++ b/crates/caller/src/generation.rs
@@ -1,9 +1,6 @@
 //! Generations in the OpenAI shape.
 
-use {
-    crate::{collect::Collect, prelude::*, problem::set},
-    tokio::sync::mpsc,
-};
+use crate::{collect::Collect, prelude::*, problem::set};
 
 /// Path of the completion API.
 const COMPLETIONS: &str = "/v1/completions";
@@ -87,20 +84,7 @@
         ),
         None => ask(&read(gate, request).await?, path)?,
     };
-    let (outlet, mut pieces) = mpsc::channel(gate.buffer);
-    let id = Uuid::new_v4();
-    set(response, "x-request-id", &id.to_string());
-    let inbound = Inbound {
-        ask,
-        credential,
-        id,
-        outlet,
-        wait,
-    };
-    gate.inbound
-        .send(inbound)
-        .await
-        .map_err(|_ended| Error::Stopping)?;
+    let mut pieces = gate.submit(ask, credential, wait, response).await?;
     if form.stream {
         stream(gate, &credential, pieces, response).await;
     } else {
--- a/crates/caller/src/inbound.rs
+++ b/crates/caller/src/inbound.rs
@@ -1,6 +1,9 @@
 //! Requests on their way to the loop, and the pieces of their answers.
 
-use crate::prelude::*;
+use {
+    crate::{prelude::*, problem::set},
+    tokio::sync::mpsc,
+};
 
 /// A request with the way back to its caller.
 #[derive(Debug)]
@@ -78,3 +81,32 @@
     /// A token with its index.
     Token(u32, Bytes),
 }
+
+impl Gate {
+    /// Hands a request to the loop and returns where the pieces of its answer come.
+    ///
+    /// The request id goes into the response, so that callers and operators can name
+    /// the request alike.
+    pub(crate) async fn submit(
+        &self,
+        ask: Ask,
+        credential: [u8; 32],
+        wait: Option<Duration>,
+        response: &mut Response,
+    ) -> Result<Receiver<Piece>, Error> {
+        let (outlet, pieces) = mpsc::channel(self.buffer);
+        let id = Uuid::new_v4();
+        set(response, "x-request-id", &id.to_string());
+        let inbound = Inbound {
+            ask,
+            credential,
+            id,
+            outlet,
+            wait,
+        };
+        match self.inbound.send(inbound).await {
+            Ok(()) => Ok(pieces),
+            Err(_ended) => Err(Error::Stopping),
+        }
+    }
+}
--- a/crates/caller/src/problem.rs
+++ b/crates/caller/src/problem.rs
@@ -135,7 +135,6 @@
         Refusal::NoEndpoint => ("no_endpoint", StatusCode::SERVICE_UNAVAILABLE),
         Refusal::NotResumable => ("not_resumable", StatusCode::GONE),
         Refusal::QueueFull => ("queue_full", StatusCode::TOO_MANY_REQUESTS),
-        Refusal::Stale => ("stale", StatusCode::SERVICE_UNAVAILABLE),
         Refusal::UnknownCustomer => ("unknown_customer", StatusCode::UNAUTHORIZED),
         Refusal::UnknownRoute => ("unknown_route", StatusCode::NOT_FOUND),
     }
--- a/crates/carawayhead/tests/common/mod.rs
+++ b/crates/carawayhead/tests/common/mod.rs
@@ -357,6 +357,15 @@
             .await
     }
 
+    /// Begins a stream through the first daemon and reads its first events.
+    pub async fn begin(&self, tokens: u32, count: usize) -> (Reply, Events) {
+        let asked = self.ask(0, Ask::survey(tokens, true)).await;
+        let mut reply = asked.expect("an answer");
+        let mut events = Events::default();
+        assert!(events.read(&mut reply, count).await, "the stream begins");
+        (reply, events)
+    }
+
     /// Sends a request and reads its whole answer.
     pub async fn whole(&self, number: usize, request: Ask) -> (u16, Value) {
         let reply = self.ask(number, request).await.expect("the daemon answers");
--- a/crates/carawayhead/tests/leaving.rs
+++ b/crates/carawayhead/tests/leaving.rs
@@ -18,12 +18,7 @@
     }
     .start()
     .await;
-    let mut reply = cluster
-        .ask(0, Ask::survey(60, true))
-        .await
-        .expect("an answer");
-    let mut events = Events::default();
-    assert!(events.read(&mut reply, 5).await);
+    let (mut reply, mut events) = cluster.begin(60, 5).await;
     cluster.instances[0].signal(Signal::TERM);
     events.finish(&mut reply).await;
     assert_eq!(events.words(), (expected(60), true));
--- a/crates/carawayhead/tests/streams.rs
+++ b/crates/carawayhead/tests/streams.rs
@@ -21,12 +21,7 @@
         ..Builder::default()
     };
     let mut cluster = builder.start().await;
-    let mut reply = cluster
-        .ask(0, Ask::survey(100, true))
-        .await
-        .expect("an answer");
-    let mut events = Events::default();
-    assert!(events.read(&mut reply, 10).await);
+    let (mut reply, mut events) = cluster.begin(100, 10).await;
     cluster.instances[0].kill();
     events.finish(&mut reply).await;
     assert!(!events.words().1, "the stream is cut");
@@ -48,12 +43,7 @@
         ..Builder::default()
     };
     let cluster = builder.start().await;
-    let mut reply = cluster
-        .ask(0, Ask::survey(100, true))
-        .await
-        .expect("an answer");
-    let mut events = Events::default();
-    assert!(events.read(&mut reply, 10).await);
+    let (mut reply, mut events) = cluster.begin(100, 10).await;
     for engine in &cluster.engines {
         cluster
             .post(&engine.address, "/control", &json!({"mute": true}))
@@ -76,12 +66,7 @@
         ..Builder::default()
     };
     let mut cluster = builder.start().await;
-    let mut reply = cluster
-        .ask(0, Ask::survey(100, true))
-        .await
-        .expect("an answer");
-    let mut events = Events::default();
-    assert!(events.read(&mut reply, 10).await);
+    let (mut reply, mut events) = cluster.begin(100, 10).await;
     for engine in &mut cluster.engines {
         engine.kill();
     }
@@ -144,12 +129,7 @@
         ..Builder::default()
     };
     let cluster = builder.start().await;
-    let mut reply = cluster
-        .ask(0, Ask::survey(10_000, true))
-        .await
-        .expect("an answer");
-    let mut events = Events::default();
-    assert!(events.read(&mut reply, 5).await);
+    let (reply, _) = cluster.begin(10_000, 5).await;
     drop(reply);
     cluster
         .until("no engine decodes", async || {
--- a/crates/decision/src/backlog.rs
+++ b/crates/decision/src/backlog.rs
@@ -57,5 +57,5 @@
         return (u8::MAX, f64::MAX, request.arrived);
     };
     let behind = u8::MAX - customer.priority;
-    (behind, customer.served / customer.weight, request.arrived)
+    (behind, customer.share(), request.arrived)
 }
--- a/crates/decision/src/customer.rs
+++ b/crates/decision/src/customer.rs
@@ -14,8 +14,16 @@
     pub name: String,
     /// Higher goes first while requests wait.
     pub priority: u8,
-    /// Tokens served, divided by the weight: the virtual token counter.
+    /// Tokens served: the virtual token counter.
     pub served: f64,
     /// Share of service relative to other customers.
     pub weight: f64,
 }
+
+impl Customer {
+    /// Tokens served for each unit of weight, by which customers take turns.
+    #[must_use]
+    pub fn share(&self) -> f64 {
+        self.served / self.weight
+    }
+}
--- a/crates/decision/src/outcome.rs
+++ b/crates/decision/src/outcome.rs
@@ -126,8 +126,6 @@
     LogUnavailable,
     /// The queue is full.
     QueueFull,
-    /// What this instance knows is too old to send work.
-    Stale,
     /// The credential belongs to no customer.
     UnknownCustomer,
     /// No route or service has this name.
@@ -150,7 +148,6 @@
             Self::NoEndpoint => "no endpoint can serve this now",
             Self::NotResumable => "the generation to resume is not kept any more",
             Self::QueueFull => "the queue is full",
-            Self::Stale => "this instance's configuration is too old to send work",
             Self::UnknownCustomer => "the credential belongs to no customer",
             Self::UnknownRoute => "no route or service has this name",
         };
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -106,6 +106,7 @@
         out: &mut Vec<Action>,
     ) -> request::Key {
         let customer = self.config.customer(&arrival.credential);
+        self.lift(customer);
         let key = self.requests.insert(Request {
             arrived: now,
             customer: customer.unwrap_or_default(),
@@ -140,6 +141,30 @@
         key
     }
 
+    /// Brings the counter of a customer who had nothing in progress up to the others.
+    ///
+    /// Without this, a customer who was away would come back with the claims of all
+    /// the time it asked for nothing, and hold up everybody else until it had used
+    /// them; they would see their checks wait behind one customer's drafts.
+    fn lift(&mut self, customer: Option<customer::Key>) {
+        let Some(customer) = customer else {
+            return;
+        };
+        let mut least = f64::INFINITY;
+        for request in self.requests.values() {
+            if request.customer == customer {
+                return;
+            }
+            if let Some(other) = self.config.customers.get(request.customer) {
+                least = least.min(other.share());
+            }
+        }
+        let customer = &mut self.config.customers[customer];
+        if least.is_finite() && customer.share() < least {
+            customer.served = least * customer.weight;
+        }
+    }
+
     /// Takes in something that happened outside.
     pub fn step(&mut self, now: Time, wall: Wall, event: Event, out: &mut Vec<Action>) {
         match event {
