Stand-in engine: prefix cache with late events, load orders with fencing numbers

Cause: the stand-in lacked what the policies to come will meet; the added time of a request had no measurement against the service itself. Change: /cache/events late and with gaps, /orders with a fencing number that is checked or not as set; 'bench orders' asks the service directly, too.

--- a/crates/bench/src/orders.rs
+++ b/crates/bench/src/orders.rs
@@ -8,6 +8,9 @@
 /// Orders a second, in turn; the log takes 300 appends a second.
 const RATES: [u32; 3] = [1, 100, 300];
 
+/// Path at the service itself, past the daemons.
+const DIRECT: &str = "/lookup";
+
 /// Length of each series.
 const SECONDS: u32 = 5;
 
@@ -20,14 +23,19 @@
     let setup = Arc::new(Setup::start().await?);
     // Warm every daemon's way to the service.
     series(&setup, "/services/desk/lookup", 50).await?;
-    println!("rate/s  lookup p50/p99 us   order p50/p99 us   answered  appends/s");
+    println!(
+        "rate/s  direct p50/p99 us   lookup p50/p99 us   order p50/p99 us   answered  appends/s"
+    );
     for rate in RATES {
+        let (direct, _) = series(&setup, DIRECT, rate).await?;
         let (lookups, _) = series(&setup, "/services/desk/lookup", rate).await?;
         let before = appends(&setup).await?;
         let (orders, answered) = series(&setup, "/services/desk/orders", rate).await?;
         let appends = (appends(&setup).await? - before) / u64::from(SECONDS);
         println!(
-            "{rate:>6} {:>9} / {:>7} {:>8} / {:>7} {answered:>10} {appends:>10}",
+            "{rate:>6} {:>8} / {:>7} {:>9} / {:>7} {:>8} / {:>7} {answered:>10} {appends:>10}",
+            direct.value_at_quantile(0.5),
+            direct.value_at_quantile(0.99),
             lookups.value_at_quantile(0.5),
             lookups.value_at_quantile(0.99),
             orders.value_at_quantile(0.5),
@@ -60,10 +68,12 @@
             if let Ok(key) = key.parse() {
                 request.headers_mut().insert("idempotency-key", key);
             }
-            let reply = setup
-                .client
-                .send(&setup.daemons[daemon].address, request)
-                .await?;
+            let address = if path == DIRECT {
+                &setup.service.address
+            } else {
+                &setup.daemons[daemon].address
+            };
+            let reply = setup.client.send(address, request).await?;
             let answered = reply.status() == 200;
             reply.whole(1 << 20).await?;
             let waited = u64::try_from(begun.elapsed().as_micros()).unwrap_or(u64::MAX);
--- a/crates/carawayhead/src/command/demo.rs
+++ b/crates/carawayhead/src/command/demo.rs
@@ -102,6 +102,7 @@
     publish::publish(&publish::config_stream(&demo.log), &record()).await?;
     for domain in DOMAINS {
         let engine = Engine::new(EngineSettings {
+            checks_fencing: true,
             lag: Duration::from_millis(50),
             models: vec!["survey-1".to_string()],
             shape: Shape {
--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -23,6 +23,8 @@
         /// IP address and port
         #[bpaf(argument("ADDRESS"), fallback("127.0.0.1:0".to_string()))]
         listen: String,
+        /// Refuse orders with an old fencing number
+        checks_fencing: bool,
         /// A model that it serves
         #[bpaf(argument("NAME"), many)]
         model: Vec<String>,
@@ -93,6 +95,7 @@
         Command::Engine {
             batch,
             capacity,
+            checks_fencing,
             cold_limit,
             cold_ms,
             lag_ms,
@@ -111,6 +114,7 @@
                 ..Shape::default()
             };
             let settings = Settings {
+                checks_fencing,
                 lag: Duration::from_millis(lag_ms),
                 models: model,
                 shape,
--- a/crates/standin/src/decode.rs
+++ b/crates/standin/src/decode.rs
@@ -68,6 +68,7 @@
     /// When it ended.
     pub ended: Option<Instant>,
     arrived: u64,
+    known: bool,
     produced: u32,
     running: bool,
 }
@@ -115,13 +116,22 @@
     }
 
     /// Takes a new generation in.
-    pub fn add(&mut self, id: &str, model: &str, prompt: u32, target: u32, priority: i64) {
+    pub fn add(
+        &mut self,
+        id: &str,
+        model: &str,
+        prompt: u32,
+        target: u32,
+        priority: i64,
+        known: bool,
+    ) {
         self.arrivals += 1;
         let (progress, _) = watch::channel(Progress::default());
         self.generations.push(Generation {
             arrived: self.arrivals,
             ended: None,
             id: id.to_string(),
+            known,
             model: model.to_string(),
             priority,
             produced: 0,
@@ -228,7 +238,12 @@
             generation.running = true;
             used += need;
             running += 1;
-            computed += generation.memory();
+            // Once it was preempted its memory is gone, and the prefix with it.
+            computed += if std::mem::take(&mut generation.known) {
+                0
+            } else {
+                generation.memory()
+            };
         }
         computed
     }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        cache::Cache,
         decode::{Batch, Progress, Shape},
         prelude::*,
     },
@@ -17,6 +18,8 @@
 /// What an engine is.
 #[derive(Clone, Debug)]
 pub struct Settings {
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fencing: bool,
     /// How late the load report is.
     pub lag: Duration,
     /// Models that it serves, adapters included.
@@ -46,6 +49,8 @@
 #[derive(Debug)]
 struct Inner {
     batch: Batch,
+    cache: Cache,
+    fence: u64,
     cold_until: Instant,
     down_until: Instant,
     highest_cold: usize,
@@ -67,6 +72,8 @@
             .unwrap_or_default();
         let inner = Inner {
             batch: Batch::new(settings.shape),
+            cache: Cache::default(),
+            fence: 0,
             cold_until: now + settings.shape.cold_for,
             down_until: now,
             highest_cold: 0,
@@ -96,7 +103,9 @@
                     .get(get_stats)
                     .post(set_control),
             )
+            .push(Router::with_path("cache/events").get(cache_events))
             .push(Router::with_path("load").get(get_load))
+            .push(Router::with_path("orders").post(take_order))
             .push(Router::with_path("v1/completions").post(start))
             .push(Router::with_path("v1/chat/completions").post(start))
             .push(
@@ -211,9 +220,11 @@
             return text(response, StatusCode::SERVICE_UNAVAILABLE, "not taken");
         }
         let length = u32::try_from(prompt.len() / 4).unwrap_or(u32::MAX);
+        // A known prefix costs no computing; its memory is counted all the same.
+        let known = inner.cache.touch(&prompt, Instant::now());
         inner
             .batch
-            .add(&id, &body.model, length, target, body.priority);
+            .add(&id, &body.model, length, target, body.priority, known);
     };
     engine.added.notify_one();
     stream(&engine, &id, 0, chat, response);
@@ -258,6 +269,52 @@
     text(response, StatusCode::NO_CONTENT, "");
 }
 
+/// `GET /cache/events?from=0`: changes of the prefix cache, late and with gaps.
+#[handler]
+async fn cache_events(request: &mut Request, depot: &mut Depot, response: &mut Response) {
+    let Ok(engine) = depot.get_typed::<Engine>().cloned() else {
+        return;
+    };
+    let from = request.query::<u64>("from").unwrap_or_default();
+    let inner = engine.lock();
+    let events = inner.cache.events(from, inner.settings.lag, Instant::now());
+    drop(inner);
+    response.body(json!(events).to_string());
+}
+
+/// An order of an operator's system to an engine.
+#[derive(Deserialize)]
+struct Order {
+    /// Fencing number; a higher one is newer.
+    fence: u64,
+    /// A model to load.
+    load: Option<String>,
+    /// A model to let go.
+    unload: Option<String>,
+}
+
+/// `POST /orders`: loads or lets go a model, unless the fencing number is old.
+#[handler]
+async fn take_order(request: &mut Request, depot: &mut Depot, response: &mut Response) {
+    let Ok(engine) = depot.get_typed::<Engine>().cloned() else {
+        return;
+    };
+    let Ok(order) = request.parse_json::<Order>().await else {
+        return text(response, StatusCode::BAD_REQUEST, "not an order");
+    };
+    let mut inner = engine.lock();
+    if inner.settings.checks_fencing && order.fence < inner.fence {
+        return text(response, StatusCode::CONFLICT, "old fencing number");
+    }
+    inner.fence = inner.fence.max(order.fence);
+    let models = &mut inner.settings.models;
+    models
+        .retain(|model| Some(model) != order.unload.as_ref() && Some(model) != order.load.as_ref());
+    models.extend(order.load);
+    drop(inner);
+    response.body("{}");
+}
+
 /// `GET /load`.
 #[handler]
 async fn get_load(depot: &mut Depot, response: &mut Response) {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each is an HTTP server on loopback that behaves, and fails, as the real thing
 //! is described to; `POST /control` sets its faults.
 
+pub mod cache;
 pub mod command;
 pub mod decode;
 pub mod engine;
