Serve a request that is still coming when the instance is told to stop

Cause: the loop ended once nothing was in progress, while the listener still took in the body of an accepted request; its caller waited 15 s and got 502. Change: the loop goes on until the listener's connections are closed. Ruled out: refusing it (it was accepted), ending the listener first (its idle connections would hold the loop; they are closed by the graceful stop). Before and after: the new test fails before (502 after 15 s), passes after. Conclusion: a planned stop cuts no accepted request.

--- a/crates/carawayhead/src/daemon/instance.rs
+++ b/crates/carawayhead/src/daemon/instance.rs
@@ -219,6 +219,7 @@
         tick.set_missed_tick_behavior(MissedTickBehavior::Skip);
         let mut drained = Some(drained);
         let mut leaving = None;
+        let mut idle = None;
         loop {
             tokio::select! {
                 Some(event) = self.inbox.recv() => self.events(event),
@@ -238,14 +239,20 @@
             if since.elapsed() >= self.drain_notice && !listener.task.is_finished() {
                 listener.handle.stop_graceful(None);
             }
-            if self.left(since) {
+            if !self.left(since) {
+                idle = None;
+                continue;
+            }
+            // The listener may hold the last bytes of an answer, or a request whose body
+            // is still coming: the loop goes on for it until its connections are closed.
+            let waited = idle.get_or_insert_with(Instant::now).elapsed();
+            if listener.task.is_finished() {
+                break;
+            }
+            if waited >= FLUSH {
+                log::warn!("connections were still open at the end");
                 break;
             }
-        }
-        // The last pieces are in the hands of the listener; ending now would cut the
-        // end of an answer that counts as given.
-        if tokio::time::timeout(FLUSH, listener.task).await.is_err() {
-            log::warn!("connections were still open at the end");
         }
         log::info!(instance = self.state.name; "left");
     }
--- a/crates/carawayhead/tests/leaving.rs
+++ b/crates/carawayhead/tests/leaving.rs
@@ -3,9 +3,14 @@
 mod common;
 
 use {
-    common::{Ask, Builder, Events, expected},
+    common::{Ask, Builder, Events, KEY, expected},
     rustix::process::Signal,
     serde_json::json,
+    std::time::Duration,
+    tokio::{
+        io::{AsyncReadExt as _, AsyncWriteExt as _},
+        net::TcpStream,
+    },
 };
 
 /// An instance is told to stop while it streams. Stopping at once would cut the
@@ -28,7 +33,7 @@
         if ended.is_some() {
             break;
         }
-        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
     }
     assert_eq!(ended, Some(true));
 }
@@ -202,3 +207,34 @@
     let (status, _) = cluster.whole(2, Ask::survey(3, false)).await;
     assert_eq!(status, 200);
 }
+
+/// An instance is told to stop while a caller is still sending its request. It was
+/// accepted, so it must be answered, although nothing seems to be in progress.
+#[tokio::test]
+async fn a_request_that_is_still_coming_at_a_planned_stop_is_answered() {
+    let cluster = Builder::default().start().await;
+    let body = json!({"model": "survey", "prompt": "tokens=2"}).to_string();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: test\r\nauthorization: Bearer {KEY}\r\n\
+         connection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let (first, rest) = body.split_at(10);
+    let mut stream = TcpStream::connect(&cluster.instances[0].address)
+        .await
+        .expect("a listener");
+    stream
+        .write_all(format!("{head}{first}").as_bytes())
+        .await
+        .expect("a connection");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    cluster.instances[0].signal(Signal::TERM);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    stream
+        .write_all(rest.as_bytes())
+        .await
+        .expect("the connection is still open");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -19,7 +19,10 @@
     let lag = Duration::from_millis(200);
     assert!(cache.events(0, lag, begun).is_empty());
     let events = cache.events(0, lag, begun + lag);
-    let sequences = events.iter().map(|event| event.sequence).collect::<Vec<_>>();
+    let sequences = events
+        .iter()
+        .map(|event| event.sequence)
+        .collect::<Vec<_>>();
     assert_eq!(sequences.len(), 27);
     assert!(!sequences.contains(&9) && !sequences.contains(&29));
 }
