Look past requests that wait for what is full

Cause: a dispatch looked at the first 64 waiting requests only; 64 drafts for a full model hid every check for an idle one behind them. Change: a search that found no room is not made again for as much of the same, and only searches are counted. Ruled out: no bound (a turn of the loop over 1,024 waiting requests), a queue for each model (the order of service over all would be lost). Before and after: the new test fails without the change (seen) and passes with it. Conclusion: short checks do not wait behind drafts of another model.

--- a/crates/decision/src/routing.rs
+++ b/crates/decision/src/routing.rs
@@ -90,8 +90,7 @@
         let Some(version) = self.version(model) else {
             return Choice::Never;
         };
-        let need =
-            u64::from(prompt) + u64::from(limit.min(self.lengths.expected(&self.config, model)));
+        let need = self.need(model, limit, prompt);
         let mut best = None;
         let mut seen = false;
         for (key, endpoint) in &self.endpoints {
--- a/crates/decision/src/sending.rs
+++ b/crates/decision/src/sending.rs
@@ -2,8 +2,8 @@
 
 use crate::{invariant::Rule, prelude::*, request::Run, routing::Choice, state::ROOM_RETRY};
 
-/// Most requests looked at in one dispatch, so that no turn of the loop is long.
-const MOST_DISPATCHES: usize = 64;
+/// Most searches for an endpoint in one dispatch, so that no turn of the loop is long.
+const MOST_SEARCHES: usize = 64;
 
 impl State {
     /// Asserts what must hold of every send.
@@ -45,14 +45,29 @@
             return;
         }
         let order = self.backlog.ordered(&self.requests, &self.config);
-        for key in order.into_iter().take(MOST_DISPATCHES) {
+        // A search that found no room is not made again for as much of the same: without
+        // this, 64 drafts that wait for one model would hide every check behind them.
+        let mut full: Vec<(String, u64)> = Vec::new();
+        let mut searches = 0;
+        for key in order {
+            let (name, need) = self.demand(key);
+            let known = full
+                .iter()
+                .any(|(other, least)| *other == name && *least <= need);
+            if known {
+                continue;
+            }
+            searches += 1;
+            if searches > MOST_SEARCHES {
+                break;
+            }
             match self.choose(now, key) {
                 Choice::Go {
                     endpoint,
                     model,
                     need,
                 } => self.send(now, key, endpoint, model, need, out),
-                Choice::Later => {}
+                Choice::Later => full.push((name, need)),
                 Choice::Never => self.give_up(key, Refusal::NoEndpoint, Some(ROOM_RETRY), out),
             }
         }
@@ -64,6 +79,25 @@
         }
     }
 
+    /// What a request needs: the name of its route or service, and memory in tokens.
+    fn demand(&self, key: request::Key) -> (String, u64) {
+        match &self.requests[key].work {
+            Work::Call { service, .. } => (format!("service {service}"), 0),
+            Work::Generation {
+                limit,
+                model,
+                prompt,
+            } => (model.clone(), self.need(model, *limit, *prompt)),
+            Work::Resume { endpoint, .. } => (endpoint.clone(), 0),
+        }
+    }
+
+    /// KV memory that a generation is expected to need, in tokens.
+    pub(crate) fn need(&self, model: &str, limit: u32, prompt: u32) -> u64 {
+        let expected = self.lengths.expected(&self.config, model);
+        u64::from(prompt) + u64::from(limit.min(expected))
+    }
+
     /// Forgets an engine's report after a failure there, until it reports again.
     ///
     /// It may have started anew and be cold; work sent by the old report in the
--- a/crates/decision/tests/fairness.rs
+++ b/crates/decision/tests/fairness.rs
@@ -3,13 +3,17 @@
 use {
     bytes::Bytes,
     decision::{
+        action::Action,
         arrival::{Arrival, Work},
+        batch,
+        endpoint::{Kind as EndpointKind, Member, Report},
         event::Event,
         gossip::Line,
         limits::Limits,
         record::{Body, Change, Customer, Item, Kind, Record, Route, Version},
         state::State,
         time::{Time, Wall},
+        warmth,
     },
     std::time::Duration,
 };
@@ -35,10 +39,10 @@
 
 fn state() -> State {
     let mut state = State::new("entry", "north", Limits::default(), 1);
-    let route = Route {
+    let route = |model: &str| Route {
         expected_tokens: 1,
         versions: vec![Version {
-            model: "m".to_string(),
+            model: model.to_string(),
             share: 1,
         }],
     };
@@ -46,7 +50,8 @@
         changes: vec![
             change(Kind::Customer, "away", customer(1)),
             change(Kind::Customer, "busy", customer(2)),
-            change(Kind::Route, "m", Body::Route(route)),
+            change(Kind::Route, "m", Body::Route(route("m"))),
+            change(Kind::Route, "n", Body::Route(route("n"))),
         ],
         schema: 1,
     };
@@ -60,6 +65,92 @@
     state
 }
 
+/// Lists one engine for each model, and lets this instance have parts of both.
+fn open(state: &mut State, rooms: [(&str, u64); 2]) {
+    let now = Time::from_micros(1_000_000);
+    let member = |name: &str| Member {
+        name: name.to_string(),
+        address: name.to_string(),
+        domain: "north".to_string(),
+        kind: EndpointKind::Engine,
+        leaving: false,
+    };
+    let members = rooms.iter().map(|(model, _)| member(model)).collect();
+    let mut out = Vec::new();
+    state.step(now, Wall(0), Event::Listed(members, Vec::new()), &mut out);
+    state.step(now, Wall(0), Event::ConfigFresh(now), &mut out);
+    let keys = state
+        .endpoints
+        .iter()
+        .map(|(key, endpoint)| (key, endpoint.member.name.clone()));
+    for (key, name) in keys.collect::<Vec<_>>() {
+        let (_, capacity) = rooms
+            .iter()
+            .find(|(model, _)| *model == name)
+            .expect("it is listed");
+        let report = Report {
+            capacity: *capacity,
+            models: vec![name],
+            started: 1,
+            ..Report::default()
+        };
+        state.step(now, Wall(0), Event::Reported(key, report), &mut out);
+    }
+    let engines = state
+        .endpoints
+        .values()
+        .map(|endpoint| endpoint.digest)
+        .collect::<Vec<_>>();
+    let entries = engines.iter().flat_map(|digest| {
+        let take = warmth::Kind::Take {
+            expected: None,
+            limit: 1,
+            parts: Vec::new(),
+        };
+        [take, warmth::Kind::Warm].map(|kind| {
+            batch::Entry::Warmth(warmth::Entry {
+                endpoint: *digest,
+                kind,
+                started: 1,
+            })
+        })
+    });
+    let batch = batch::Batch {
+        entries: entries.collect(),
+        instance: 1,
+    };
+    state.step(now, Wall(0), Event::Claims(vec![batch]), &mut out);
+}
+
+/// A hundred drafts wait for a model whose engine is full, and then somebody asks
+/// another model for a check. Its engine is idle; the organiser must not wait
+/// behind drafts that have nothing to do with it.
+#[test]
+fn a_check_for_an_idle_model_does_not_wait_behind_drafts_for_a_full_one() {
+    let mut state = state();
+    open(&mut state, [("m", 0), ("n", 100_000)]);
+    let now = Time::from_micros(1_000_000);
+    let mut ask = |model: &str| {
+        let arrival = Arrival {
+            credential: [1; 32],
+            deadline: now.after(Duration::from_secs(9)),
+            work: Work::Generation {
+                limit: 50,
+                model: model.to_string(),
+                prompt: 50,
+            },
+        };
+        let mut out = Vec::new();
+        state.arrive(now, Wall(0), arrival, &mut out);
+        out.iter()
+            .any(|action| matches!(action, Action::Send { .. }))
+    };
+    for _ in 0..100 {
+        assert!(!ask("m"));
+    }
+    assert!(ask("n"));
+}
+
 fn arrive(state: &mut State, credential: u8) {
     let now = Time::default();
     let arrival = Arrival {
