Prove racing operators, lost publications and exit codes

Cause: the commands of operators were unproved. Change: three end-to-end tests through real processes. Before and after: 0 -> 3 tests, no fault found. Conclusion: the loser of a race is told by name and nothing of it is in force.

--- /dev/null
+++ b/crates/carawayhead/tests/operators.rs
@@ -0,0 +1,108 @@
+//! Commands of operators, through real processes.
+
+mod common;
+
+use {
+    common::{Builder, Cluster},
+    serde_json::json,
+    std::process::{Command, Output},
+};
+
+fn run(arguments: &[&str]) -> Output {
+    let output = Command::new(env!("CARGO_BIN_EXE_carawayhead"))
+        .args(arguments)
+        .output();
+    output.expect("the binary starts")
+}
+
+fn file(cluster: &Cluster, name: &str, text: &str) -> String {
+    let path = cluster.folder.join(name);
+    std::fs::write(&path, text).expect("the file can be written");
+    path.display().to_string()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// Two operators edit the same route, each from what `show` printed. The second
+/// would undo the first unknowingly; it is told which record came first, nothing
+/// of it is in force, and every instance has the first one's.
+#[tokio::test]
+async fn the_second_of_two_racing_operators_is_told_which_record_won() {
+    let cluster = Builder::default().start().await;
+    let log = cluster.log.address.clone();
+    let shown = run(&["show", "--log", &log, "route.survey"]);
+    assert!(shown.status.success());
+    let shown = text(&shown.stdout);
+    let first = file(&cluster, "a.toml", &shown.replace("256", "300"));
+    let second = file(&cluster, "b.toml", &shown.replace("256", "400"));
+    assert!(run(&["publish", "--log", &log, &first]).status.success());
+    let beaten = run(&["publish", "--log", &log, &second]);
+    assert_eq!(beaten.status.code(), Some(3));
+    let told = text(&beaten.stderr);
+    assert!(
+        told.contains("route.survey: beaten by the record at offset 1"),
+        "{told}"
+    );
+    let shown = text(&run(&["show", "--log", &log, "route.survey"]).stdout);
+    assert!(shown.contains("300"), "{shown}");
+    let history = text(&run(&["history", "--log", &log]).stdout);
+    assert!(history.contains("route.survey beaten by 1"), "{history}");
+}
+
+/// The answer to a publication is lost while the record stands in the log. Taken
+/// for a failure it would be published again and lose against itself; the command
+/// looks it up and says that it is in force.
+#[tokio::test]
+async fn a_publication_whose_answer_was_lost_is_settled_by_reading() {
+    let cluster = Builder::default().start().await;
+    let log = cluster.log.address.clone();
+    cluster
+        .post(&log, "/control", &json!({"lose_answers": 1.0}))
+        .await;
+    let drained = run(&["drain", "--log", &log, "south"]);
+    assert!(drained.status.success(), "{}", text(&drained.stderr));
+    for instance in &cluster.instances {
+        cluster
+            .until("the record is in force", async || {
+                cluster.get(&instance.operator, "/status").await["config_next_offset"] == json!(2)
+            })
+            .await;
+    }
+}
+
+#[tokio::test]
+async fn commands_end_with_the_codes_they_document() {
+    let cluster = Builder::default().start().await;
+    let log = cluster.log.address.clone();
+    let faulty = file(
+        &cluster,
+        "faulty.toml",
+        "schema = 1\n[domain.x]\nstate = \"away\"\n",
+    );
+    assert_eq!(run(&["check", &faulty]).status.code(), Some(2));
+    assert_eq!(
+        run(&["publish", "--log", &log, &faulty]).status.code(),
+        Some(2)
+    );
+    assert_eq!(run(&["check", "/nowhere.toml"]).status.code(), Some(1));
+    assert_eq!(
+        run(&["show", "--log", &log, "route.none"]).status.code(),
+        Some(1)
+    );
+    let good = file(
+        &cluster,
+        "good.toml",
+        "schema = 1\n[domain.x]\nstate = \"in\"\n",
+    );
+    assert!(
+        run(&["publish", "--log", &log, "--dry-run", &good])
+            .status
+            .success()
+    );
+    assert!(!text(&run(&["show", "--log", &log]).stdout).contains("domain.x"));
+    let status = run(&["status", "--json", &cluster.instances[0].operator]);
+    let status = serde_json::from_str::<serde_json::Value>(text(&status.stdout).trim());
+    assert_eq!(status.expect("JSON")["instance"], json!("entry-0"));
+}
