Ask a desk that knows its keys again after a lost answer

Cause: a caller got 'may have run' although the endpoint could tell. Change: an order with a key goes once more to the same endpoint if its record says that it deduplicates. A second try that reached nobody does not count as proof for the first, and a key is freed only against that proof. Ruled out: skipping the claim there (another endpoint would not know the key). Conclusion: at most one run holds with endpoints that know keys and ones that don't.

--- a/crates/carawayhead/tests/orders.rs
+++ b/crates/carawayhead/tests/orders.rs
@@ -166,3 +166,31 @@
         .await;
     assert_eq!(cluster.runs(&key).await, 1);
 }
+
+/// The answer of a desk is lost, but this desk knows its keys and answers a repeat
+/// without printing again. Telling the organiser "may have run" would be true and
+/// of no use; the same desk is asked once more, and the answer is given.
+#[tokio::test]
+async fn a_desk_that_knows_its_keys_is_asked_again() {
+    let cluster = Builder::default().start().await;
+    cluster
+        .append(
+            "schema = 1\n[endpoint.desk-0]\nreplaces = 0\ncold_limit = 1000\ndeduplicates = true\n",
+        )
+        .await;
+    for instance in &cluster.instances {
+        cluster
+            .until("the record is in force", async || {
+                cluster.get(&instance.operator, "/status").await["config_next_offset"] == json!(2)
+            })
+            .await;
+    }
+    let control = json!({"lose": 1, "deduplicate": true});
+    cluster
+        .post(&cluster.services[0].address, "/control", &control)
+        .await;
+    let key = key();
+    let (status, _) = cluster.whole(0, Ask::order(&key, "print 5")).await;
+    assert_eq!(status, 200);
+    assert_eq!(cluster.runs(&key).await, 1);
+}
--- a/crates/decision/src/call.rs
+++ b/crates/decision/src/call.rs
@@ -73,21 +73,70 @@
         failure: Failure,
         out: &mut Vec<Action>,
     ) {
-        if let Failure::NotRun(evidence) = failure {
+        let request = &self.requests[attempt.request];
+        let Work::Call { idempotent, .. } = request.work else {
+            return;
+        };
+        // That this send reached nobody says nothing of one before it, which may have
+        // run at the endpoint that knows its key.
+        let only = request.sends <= 1;
+        if let Failure::NotRun(evidence) = failure
+            && (idempotent || only)
+        {
             self.retry(now, attempt, Some(evidence), out);
             return;
         }
-        let Work::Call { idempotent, .. } = self.requests[attempt.request].work else {
-            return;
-        };
         if idempotent {
             self.retry(now, attempt, None, out);
             return;
         }
+        if only && self.knows_repeats(attempt) && self.budget.spend() {
+            self.send_again(now, attempt, out);
+            return;
+        }
         self.lose(attempt.request, MayHaveRun::ConnectionLost, out);
         self.dispatch(now, out);
     }
 
+    /// Whether the endpoint itself refuses to run an order with this key twice.
+    fn knows_repeats(&mut self, attempt: Attempt) -> bool {
+        let keyed = self.requests[attempt.request].order().is_some();
+        let Some(run) = self.run(attempt) else {
+            return false;
+        };
+        let endpoint = run.endpoint;
+        let Some(endpoint) = self.endpoints.get(endpoint) else {
+            return false;
+        };
+        keyed && self.config.facts(&endpoint.member.name).deduplicates
+    }
+
+    /// Sends an order once more to the same endpoint, which knows its key.
+    ///
+    /// Only that endpoint is known to have it; another one would run it again.
+    fn send_again(&mut self, now: Time, attempt: Attempt, out: &mut Vec<Action>) {
+        let generation = generation::Id(self.rng.random());
+        let request = &mut self.requests[attempt.request];
+        request.sends += 1;
+        let wait = request.deadline.since(now);
+        let Some(run) = self.run(attempt) else {
+            return;
+        };
+        run.generation = generation;
+        run.progress = now;
+        let endpoint = run.endpoint;
+        self.stats.retried += 1;
+        out.push(Action::Send {
+            attempt: Attempt {
+                generation,
+                request: attempt.request,
+            },
+            endpoint,
+            model: None,
+            wait,
+        });
+    }
+
     /// Ends a request that was sent and whose result is unknown.
     pub(crate) fn lose(&mut self, key: request::Key, why: MayHaveRun, out: &mut Vec<Action>) {
         if let Phase::Running(run) = &self.requests[key].phase
--- a/crates/decision/src/ending.rs
+++ b/crates/decision/src/ending.rs
@@ -85,8 +85,10 @@
         retry_after: Option<Duration>,
         out: &mut Vec<Action>,
     ) {
+        // Without the proof something was sent, and the key must not be freed.
         if let Phase::Waiting {
-            claim: Some(claim), ..
+            claim: Some(claim),
+            proof: Some(_),
         } = self.requests[key].phase
         {
             self.void(key, claim);
