Give the histories a second desk

Cause: since a key is freed only against proof, the broken guard 'a lost order is tried again' did no harm with a single desk and went unnoticed. Change: the service has two endpoints in the histories, so a wrong second try goes to the other one. Ruled out: taking the mutation off the list; the guard is needed with two desks.

--- a/crates/decision/tests/world/mod.rs
+++ b/crates/decision/tests/world/mod.rs
@@ -684,6 +684,7 @@
         member("engine", Kind::Engine),
         member("other", Kind::Engine),
         member("desk", Kind::Service("desk".to_string())),
+        member("spare", Kind::Service("desk".to_string())),
     ]
 }
 
@@ -723,6 +724,7 @@
                 Body::Endpoint(facts(COLD)),
             ),
             change(record::Kind::Endpoint, "other", Body::Endpoint(facts(100))),
+            change(record::Kind::Endpoint, "spare", Body::Endpoint(facts(100))),
             change(record::Kind::Route, "survey", Body::Route(route)),
             change(
                 record::Kind::Service,
