--- a/crates/carawayhead/src/daemon/perform.rs
+++ b/crates/carawayhead/src/daemon/perform.rs
@@ -11,7 +11,7 @@
         gossip::{Heard, Known},
         snapshot::Snapshot,
     },
-    endpoint::{engine, service},
+    endpoint::{engine, service, tell},
     fellow::Answer,
     platform::stream::{self, Stream},
 };
@@ -314,9 +314,3 @@
         snapshot: answer.snapshot,
     }
 }
-
-async fn tell(events: &Sender<Event>, event: Event) {
-    if events.send(event).await.is_err() {
-        log::debug!("the loop has ended");
-    }
-}
--- a/crates/carawayhead/src/daemon/tail.rs
+++ b/crates/carawayhead/src/daemon/tail.rs
@@ -3,6 +3,7 @@
 use {
     crate::prelude::*,
     decision::{gossip::Line, snapshot::Snapshot},
+    endpoint::tell,
     platform::{
         codec, list,
         stream::{Part, READ_HOLD, Stream},
@@ -173,9 +174,3 @@
         }
     }
 }
-
-async fn tell(events: &Sender<Event>, event: Event) {
-    if events.send(event).await.is_err() {
-        log::debug!("the loop has ended");
-    }
-}
--- a/crates/carawayhead/tests/common/mod.rs
+++ b/crates/carawayhead/tests/common/mod.rs
@@ -301,6 +301,16 @@
         .await;
     }
 
+    /// Waits until every daemon has the records below this offset in force.
+    pub async fn in_force(&self, next: u64) {
+        for instance in &self.instances {
+            self.until("the records are in force", async || {
+                self.get(&instance.operator, "/status").await["config_next_offset"] == json!(next)
+            })
+            .await;
+        }
+    }
+
     /// Waits for a condition; failing to reach it is the only use of time.
     pub async fn until(&self, what: &str, condition: impl AsyncFn() -> bool) {
         let begun = Instant::now();
--- a/crates/carawayhead/tests/leaving.rs
+++ b/crates/carawayhead/tests/leaving.rs
@@ -61,13 +61,7 @@
     cluster
         .append("schema = 1\n[domain.south]\nstate = \"out\"\n")
         .await;
-    for instance in &cluster.instances {
-        cluster
-            .until("the record is in force", async || {
-                cluster.get(&instance.operator, "/status").await["config_next_offset"] == json!(2)
-            })
-            .await;
-    }
+    cluster.in_force(2).await;
     let before = cluster.get(&cluster.engines[1].address, "/control").await["starts"].clone();
     for number in 0..10 {
         let (status, _) = cluster.whole(number % 2, Ask::survey(2, false)).await;
@@ -120,13 +114,7 @@
     cluster
         .append("schema = 1\n[endpoint.cold]\ncold_limit = 2\ncold_time = \"2s\"\n")
         .await;
-    for instance in &cluster.instances {
-        cluster
-            .until("the records are in force", async || {
-                cluster.get(&instance.operator, "/status").await["config_next_offset"] == json!(3)
-            })
-            .await;
-    }
+    cluster.in_force(3).await;
     let flags = ["--cold-ms=1500", "--cold-limit=2", "--step-base=5000"];
     let engine = cluster.add_engine("cold", "south", &flags).await;
     for instance in &cluster.instances {
--- a/crates/carawayhead/tests/operators.rs
+++ b/crates/carawayhead/tests/operators.rs
@@ -63,13 +63,7 @@
         .await;
     let drained = run(&["drain", "--log", &log, "south"]);
     assert!(drained.status.success(), "{}", text(&drained.stderr));
-    for instance in &cluster.instances {
-        cluster
-            .until("the record is in force", async || {
-                cluster.get(&instance.operator, "/status").await["config_next_offset"] == json!(2)
-            })
-            .await;
-    }
+    cluster.in_force(2).await;
 }
 
 #[tokio::test]
--- a/crates/carawayhead/tests/orders.rs
+++ b/crates/carawayhead/tests/orders.rs
@@ -178,13 +178,7 @@
             "schema = 1\n[endpoint.desk-0]\nreplaces = 0\ncold_limit = 1000\ndeduplicates = true\n",
         )
         .await;
-    for instance in &cluster.instances {
-        cluster
-            .until("the record is in force", async || {
-                cluster.get(&instance.operator, "/status").await["config_next_offset"] == json!(2)
-            })
-            .await;
-    }
+    cluster.in_force(2).await;
     let control = json!({"lose": 1, "deduplicate": true});
     cluster
         .post(&cluster.services[0].address, "/control", &control)
--- a/crates/decision/src/gossip.rs
+++ b/crates/decision/src/gossip.rs
@@ -142,7 +142,7 @@
             .iter()
             .filter(|peer| peer.domain != self.domain)
             .collect::<Vec<_>>();
-        fingers.sort_by_key(|peer| rendezvous(&self.name, &peer.name));
+        fingers.sort_by_cached_key(|peer| rendezvous(&self.name, &peer.name));
         fingers.truncate(FINGERS);
         if !fingers.is_empty() {
             let turn = usize::try_from(round % fingers.len() as u64).unwrap_or(0);
--- a/crates/decision/src/snapshot.rs
+++ b/crates/decision/src/snapshot.rs
@@ -79,12 +79,7 @@
     }
 
     fn snapshot_rank(&self) -> u32 {
-        let own = (self.digest, &self.name);
-        let digest = |name: &String| crate::state::digest(name);
-        let peers = self.peers.iter();
-        let ahead = peers
-            .filter(|peer| (digest(&peer.name), &peer.name) < own)
-            .count();
+        let ahead = self.live.partition_point(|digest| *digest < self.digest);
         u32::try_from(ahead).unwrap_or(MOST_RANKS).min(MOST_RANKS)
     }
 }
--- a/crates/endpoint/src/engine.rs
+++ b/crates/endpoint/src/engine.rs
@@ -205,7 +205,7 @@
 }
 
 /// Tells the loop; if it has ended there is nobody left to tell.
-pub(crate) async fn tell(events: &Sender<Event>, event: Event) {
+pub async fn tell(events: &Sender<Event>, event: Event) {
     if events.send(event).await.is_err() {
         log::debug!("the loop has ended");
     }
