--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -3,9 +3,10 @@
 use {
     crate::{
         prelude::*,
-        process::{KEY, get, post},
+        process::{KEY, get, post, register},
         setup::Setup,
     },
+    standin::list::Row,
     std::sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -90,18 +91,14 @@
          versions = [{{ model = \"m\" }}]\n[endpoint.engine]\ncold_limit = {LIMIT}\ncold_time = \"6s\"\n"
     );
     post(&client, &log.address, "/streams/config/records", &record).await?;
-    let row = json!({
-        "address": engine.address, "domain": "d", "name": "engine", "role": "engine", "state": "live",
-    });
-    post(&client, &list.address, "/instances", &row.to_string()).await?;
+    let row = Row::live("engine", "engine", &engine.address, "d", "");
+    register(&client, &list, &row).await?;
     let mut daemons = Vec::new();
     for number in 0..INSTANCES {
         let name = format!("entry-{number}");
         let daemon = Process::daemon(&name, "d", &log.address, &list.address)?;
-        let row = json!({
-            "address": daemon.address, "domain": "d", "name": name, "role": "entry", "state": "live",
-        });
-        post(&client, &list.address, "/instances", &row.to_string()).await?;
+        let row = Row::live("entry", &name, &daemon.address, "d", "");
+        register(&client, &list, &row).await?;
         daemons.push(daemon);
     }
     tokio::time::sleep(Duration::from_millis(500)).await;
--- a/crates/bench/src/idle.rs
+++ b/crates/bench/src/idle.rs
@@ -1,8 +1,11 @@
 //! What a daemon costs without a single request, at several sizes of the list.
 
-use crate::{
-    prelude::*,
-    process::{KEY, post},
+use {
+    crate::{
+        prelude::*,
+        process::{KEY, post, register},
+    },
+    standin::list::Row,
 };
 
 /// Entry instances and endpoints in the list, in turn.
@@ -35,16 +38,16 @@
         post(&client, &log.address, "/streams/config/records", &record).await?;
         for number in 0..endpoints {
             let row = row(
+                "engine",
                 &format!("engine-{number}"),
                 &engine.address,
                 number,
-                "engine",
             );
-            post(&client, &list.address, "/instances", &row).await?;
+            register(&client, &list, &row).await?;
         }
         for number in 0..instances {
-            let row = row(&format!("entry-{number}"), "127.0.0.1:9", number, "entry");
-            post(&client, &list.address, "/instances", &row).await?;
+            let row = row("entry", &format!("entry-{number}"), "127.0.0.1:9", number);
+            register(&client, &list, &row).await?;
         }
         let daemon = Process::daemon("entry-0", "domain-0", &log.address, &list.address)?;
         tokio::time::sleep(Duration::from_secs(3)).await;
@@ -81,8 +84,12 @@
     Ok(())
 }
 
-fn row(name: &str, address: &str, number: usize, role: &str) -> String {
-    let domain = format!("domain-{}", number % DOMAINS);
-    json!({"address": address, "domain": domain, "name": name, "role": role, "state": "live"})
-        .to_string()
+fn row(role: &str, name: &str, address: &str, number: usize) -> Row {
+    Row::live(
+        role,
+        name,
+        address,
+        &format!("domain-{}", number % DOMAINS),
+        "",
+    )
 }
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::prelude::*,
+    standin::list::Row,
     std::{
         fs,
         io::{BufRead as _, BufReader},
@@ -151,6 +152,15 @@
     Ok(())
 }
 
+/// Puts a row into an instance list.
+///
+/// # Errors
+///
+/// The list cannot be reached.
+pub async fn register(client: &Client, list: &Process, row: &Row) -> Result<(), Error> {
+    post(client, &list.address, "/instances", &json!(row).to_string()).await
+}
+
 /// The JSON at an address.
 ///
 /// # Errors
--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -3,8 +3,9 @@
 use {
     crate::{
         prelude::*,
-        process::{KEY, get, post},
+        process::{KEY, get, post, register},
     },
+    standin::list::Row,
     std::sync::{Arc, Mutex},
 };
 
@@ -57,19 +58,15 @@
             &step,
         ];
         let engine = Process::stand_in("engine", &flags)?;
-        let row = json!({
-            "address": engine.address, "domain": "d", "name": format!("engine-{number}"),
-            "role": "engine", "state": "live",
-        });
-        post(&client, &list.address, "/instances", &row.to_string()).await?;
+        let name = format!("engine-{number}");
+        let row = Row::live("engine", &name, &engine.address, "d", "");
+        register(&client, &list, &row).await?;
         engines.push(engine);
     }
     post(&client, &log.address, "/streams/config/records", &record()).await?;
     let daemon = Process::daemon("entry", "d", &log.address, &list.address)?;
-    let row = json!({
-        "address": daemon.address, "domain": "d", "name": "entry", "role": "entry", "state": "live",
-    });
-    post(&client, &list.address, "/instances", &row.to_string()).await?;
+    let row = Row::live("entry", "entry", &daemon.address, "d", "");
+    register(&client, &list, &row).await?;
     ready(&client, &daemon).await?;
     let direct = engines
         .iter()
--- a/crates/bench/src/setup.rs
+++ b/crates/bench/src/setup.rs
@@ -1,8 +1,11 @@
 //! A small system of real processes, for measurements.
 
-use crate::{
-    prelude::*,
-    process::{KEY, get, post},
+use {
+    crate::{
+        prelude::*,
+        process::{KEY, get, post, register},
+    },
+    standin::list::Row,
 };
 
 /// Two daemons, an engine in each of two failure domains, a plain service.
@@ -119,17 +122,8 @@
         domain: &str,
         role: &str,
     ) -> Result<(), Error> {
-        let row = json!({
-            "address": address, "domain": domain, "name": name, "role": role,
-            "service": "desk", "state": "live",
-        });
-        post(
-            &self.client,
-            &self.list.address,
-            "/instances",
-            &row.to_string(),
-        )
-        .await
+        let row = Row::live(role, name, address, domain, "desk");
+        register(&self.client, &self.list, &row).await
     }
 }
 
--- a/crates/carawayhead/src/command/demo.rs
+++ b/crates/carawayhead/src/command/demo.rs
@@ -12,7 +12,7 @@
     standin::{
         decode::Shape,
         engine::{Engine, Settings as EngineSettings},
-        list::List,
+        list::{List, Row},
         log::Log,
         service::Desk,
     },
@@ -309,10 +309,7 @@
         domain: &str,
         role: &str,
     ) -> Result<(), Error> {
-        let row = json!({
-            "address": address, "domain": domain, "name": name, "role": role,
-            "service": "kiln", "state": "live",
-        });
+        let row = json!(Row::live(role, name, address, domain, "kiln"));
         let request = Request::post("/instances")
             .header(header::HOST, &self.list)
             .header(header::CONTENT_TYPE, "application/json")
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -20,6 +20,21 @@
     pub state: String,
 }
 
+impl Row {
+    /// A live row; `service` counts for services only.
+    #[must_use]
+    pub fn live(role: &str, name: &str, address: &str, domain: &str, service: &str) -> Self {
+        Self {
+            address: address.to_string(),
+            domain: domain.to_string(),
+            name: name.to_string(),
+            role: role.to_string(),
+            service: service.to_string(),
+            state: "live".to_string(),
+        }
+    }
+}
+
 /// The list, with the versions it went through.
 #[derive(Clone, Debug)]
 pub struct List {
