--- a/crates/carawayhead/src/command/demo.rs
+++ b/crates/carawayhead/src/command/demo.rs
@@ -155,8 +155,8 @@
     let mut tokens = 0;
     let mut done = false;
     print!("  ");
-    while let Some(part) = reply.part().await.map_err(platform::Error::from)? {
-        for event in parser.feed(part).map_err(platform::Error::from)? {
+    while let Some(part) = reply.part().await.map_err(streamlog::Error::from)? {
+        for event in parser.feed(part).map_err(streamlog::Error::from)? {
             done |= event.data == "[DONE]";
             tokens += usize::from(event.index == Some(u32::try_from(tokens).unwrap_or(u32::MAX)));
             let token = serde_json::from_slice::<Value>(&event.data).unwrap_or_default();
@@ -187,7 +187,7 @@
             .ask(instance, "/services/kiln/bookings", Some(&key), "plate 17")
             .await?;
         let status = reply.status();
-        let body = reply.whole(4096).await.map_err(platform::Error::from)?;
+        let body = reply.whole(4096).await.map_err(streamlog::Error::from)?;
         let body = String::from_utf8_lossy(&body).into_owned();
         println!("   through instance {}: {status} {body}", instance + 1);
         seen(status == 200, "the booking was not answered")?;
@@ -227,7 +227,7 @@
             .ask(1, "/v1/completions", None, &body.to_string())
             .await?;
         seen(reply.status() == 200, "a check was not answered")?;
-        reply.whole(1 << 16).await.map_err(platform::Error::from)?;
+        reply.whole(1 << 16).await.map_err(streamlog::Error::from)?;
     }
     let after = demo.starts(1).await?;
     seen(before == after, "the domain that is out got new work")?;
@@ -280,26 +280,26 @@
             request = request.header("idempotency-key", key);
         }
         let request = request.body(Full::new(Bytes::from(body.to_string())));
-        let request = request.map_err(platform::Error::from)?;
+        let request = request.map_err(streamlog::Error::from)?;
         Ok(self
             .client
             .send(&address, request)
             .await
-            .map_err(platform::Error::from)?)
+            .map_err(streamlog::Error::from)?)
     }
 
     async fn get(&self, address: &str, path: &str) -> Result<Value, Error> {
         let request = Request::get(path)
             .header(header::HOST, address)
             .body(Full::default());
-        let request = request.map_err(platform::Error::from)?;
+        let request = request.map_err(streamlog::Error::from)?;
         let reply = self
             .client
             .send(address, request)
             .await
-            .map_err(platform::Error::from)?;
-        let body = reply.whole(1 << 24).await.map_err(platform::Error::from)?;
-        Ok(serde_json::from_slice(&body).map_err(platform::Error::from)?)
+            .map_err(streamlog::Error::from)?;
+        let body = reply.whole(1 << 24).await.map_err(streamlog::Error::from)?;
+        Ok(serde_json::from_slice(&body).map_err(streamlog::Error::from)?)
     }
 
     async fn register(
@@ -314,13 +314,13 @@
             .header(header::HOST, &self.list)
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(row.to_string())))
-            .map_err(platform::Error::from)?;
+            .map_err(streamlog::Error::from)?;
         let reply = self
             .client
             .send(&self.list, request)
             .await
-            .map_err(platform::Error::from)?;
-        reply.whole(4096).await.map_err(platform::Error::from)?;
+            .map_err(streamlog::Error::from)?;
+        reply.whole(4096).await.map_err(streamlog::Error::from)?;
         Ok(())
     }
 
--- a/crates/carawayhead/src/command/mod.rs
+++ b/crates/carawayhead/src/command/mod.rs
@@ -3,6 +3,7 @@
 pub mod check;
 #[cfg(feature = "stand-ins")]
 pub mod demo;
+pub mod forward;
 pub mod publish;
 pub mod secrets;
 pub mod serve;
@@ -53,6 +54,15 @@
         #[bpaf(positional("DOMAIN"))]
         domain: String,
     },
+    /// Run one entry instance that forwards requests by host and path
+    ///
+    /// Example: carawayhead forward --settings /etc/carawayhead/instance.toml
+    #[bpaf(command)]
+    Forward {
+        /// Settings of the instance
+        #[bpaf(argument("FILE"), env("CARAWAYHEAD_SETTINGS"))]
+        settings: String,
+    },
     /// List every published record with what it came to
     ///
     /// Example: carawayhead history --log 10.0.0.5:9000
@@ -156,6 +166,7 @@
         #[cfg(feature = "stand-ins")]
         Command::Demo => block(demo::run()),
         Command::Drain { domain, log } => block(set_domain(&log, &domain, true)),
+        Command::Forward { settings } => forward::run(&settings),
         Command::History { json, log } => block(show::history(&publish::config_stream(&log), json)),
         Command::Key => {
             secrets::caller_key();
--- a/crates/carawayhead/src/command/publish.rs
+++ b/crates/carawayhead/src/command/publish.rs
@@ -13,7 +13,7 @@
         config::{Applied, Config},
         record::{Body, Domain, Item, Kind},
     },
-    platform::stream::{Entry, Stream, settled},
+    streamlog::stream::{Entry, Stream, settled},
 };
 
 /// How often a publication whose answer was lost is looked for.
--- a/crates/carawayhead/src/command/show.rs
+++ b/crates/carawayhead/src/command/show.rs
@@ -6,7 +6,7 @@
     decision::{config::Applied, record::Item},
     http::Request,
     http_body_util::Full,
-    platform::stream::Stream,
+    streamlog::stream::Stream,
 };
 
 /// Prints the items in force; one item as a record ready to be edited.
@@ -89,7 +89,7 @@
     Err(Error::Missing("no instance answered".to_string()))
 }
 
-async fn ask(client: &Client, address: &str) -> Result<Value, platform::Error> {
+async fn ask(client: &Client, address: &str) -> Result<Value, streamlog::Error> {
     let request = Request::get("/status")
         .header("host", address)
         .body(Full::default())?;
--- a/crates/carawayhead/src/daemon/instance.rs
+++ b/crates/carawayhead/src/daemon/instance.rs
@@ -15,7 +15,7 @@
         server::{self, Pem},
     },
     fellow::{Asked, Hello, Link},
-    platform::stream::Stream,
+    streamlog::stream::Stream,
     std::net::SocketAddr,
     tokio::{sync::oneshot, time::MissedTickBehavior},
 };
--- a/crates/carawayhead/src/daemon/perform.rs
+++ b/crates/carawayhead/src/daemon/perform.rs
@@ -13,7 +13,7 @@
     },
     endpoint::{engine, service, tell},
     fellow::Answer,
-    platform::stream::{self, Stream},
+    streamlog::stream::{self, Stream},
 };
 
 /// How long an engine may take to report its load.
@@ -114,7 +114,7 @@
 
     fn append(&self, batch: &Batch) {
         let (stream, events) = (self.claims.clone(), self.events.clone());
-        let data = platform::codec::encode(batch);
+        let data = streamlog::codec::encode(batch);
         tokio::spawn(async move {
             let result = match data {
                 Ok(data) => stream.append(data).await,
@@ -290,8 +290,8 @@
     }
 }
 
-async fn append_parts(stream: &Stream, snapshot: &Snapshot) -> Result<(), platform::Error> {
-    for part in platform::codec::split(snapshot, rand::random())? {
+async fn append_parts(stream: &Stream, snapshot: &Snapshot) -> Result<(), streamlog::Error> {
+    for part in streamlog::codec::split(snapshot, rand::random())? {
         stream.append(part).await?;
     }
     Ok(())
--- a/crates/carawayhead/src/daemon/tail.rs
+++ b/crates/carawayhead/src/daemon/tail.rs
@@ -4,7 +4,7 @@
     crate::prelude::*,
     decision::{gossip::Line, snapshot::Snapshot},
     endpoint::tell,
-    platform::{
+    streamlog::{
         codec, list,
         stream::{Part, READ_HOLD, Stream},
     },
--- a/crates/carawayhead/src/error.rs
+++ b/crates/carawayhead/src/error.rs
@@ -13,10 +13,12 @@
     Io(String, std::io::Error),
     /// The listener for callers could not be started.
     Listen(String, String),
+    /// An instance that forwards cannot run.
+    Forward(proxy::Error),
     /// The messages between instances could not be set up.
     Fellow(fellow::Error),
     /// The platform could not be asked.
-    Platform(platform::Error),
+    Platform(streamlog::Error),
     /// A publication lost against another record.
     Beaten(String),
     /// An item does not exist.
@@ -37,6 +39,7 @@
                 write!(f, "{} faults", faults.len())
             }
             Self::Fellow(error) => write!(f, "{error}"),
+            Self::Forward(error) => write!(f, "{error}"),
             Self::Io(name, error) => write!(f, "{name}: {error}"),
             Self::Listen(address, error) => write!(f, "cannot listen at {address}: {error}"),
             Self::Platform(error) => write!(f, "platform: {error}"),
@@ -52,14 +55,20 @@
     }
 }
 
+impl From<proxy::Error> for Error {
+    fn from(error: proxy::Error) -> Self {
+        Self::Forward(error)
+    }
+}
+
 impl From<fellow::Error> for Error {
     fn from(error: fellow::Error) -> Self {
         Self::Fellow(error)
     }
 }
 
-impl From<platform::Error> for Error {
-    fn from(error: platform::Error) -> Self {
+impl From<streamlog::Error> for Error {
+    fn from(error: streamlog::Error) -> Self {
         Self::Platform(error)
     }
 }
@@ -69,11 +78,12 @@
     #[must_use]
     pub fn code(&self) -> ExitCode {
         ExitCode::from(match self {
-            Self::Faults(_) => 2,
+            Self::Faults(_) | Self::Forward(proxy::Error::Settings(..)) => 2,
             Self::Beaten(_) => 3,
             Self::Unsettled(_) => 4,
             Self::Demo(_)
             | Self::Fellow(_)
+            | Self::Forward(_)
             | Self::Io(..)
             | Self::Listen(..)
             | Self::Missing(_)
--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -4,16 +4,31 @@
     crate::prelude::*,
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
+    std::time::Instant,
     tokio::{net::TcpStream, time::timeout},
 };
 
 /// Idle connections kept per address.
 const MOST_IDLE: usize = 64;
 
+/// How long an idle connection is reused if its other side does not say.
+const REUSE: Duration = Duration::from_secs(8);
+
+/// Part of the time that the other side states for idle connections in which they are
+/// reused. A request that crosses the other side's close may or may not have run.
+const REUSE_SHARE: f64 = 0.6;
+
 type Sending = SendRequest<Full<Bytes>>;
 
 /// Idle connections, sorted by address.
-type Idle = Vec<(String, Vec<Sending>)>;
+type Idle = Vec<(String, Vec<Kept>)>;
+
+/// An idle connection, and until when it is reused.
+#[derive(Debug)]
+struct Kept {
+    sending: Sending,
+    until: Instant,
+}
 
 /// HTTP/1.1 client with a small pool; clones share it.
 #[derive(Clone, Debug)]
@@ -96,7 +111,7 @@
         Ok(sending)
     }
 
-    fn put(&self, address: &str, sending: Sending) {
+    fn put(&self, address: &str, sending: Sending, reuse: Duration) {
         let mut idle = self.idle.lock().expect("the pool is never poisoned");
         let place = match idle.binary_search_by(|(other, _)| other.as_str().cmp(address)) {
             Ok(place) => place,
@@ -107,7 +122,8 @@
         };
         let kept = &mut idle[place].1;
         if kept.len() < MOST_IDLE {
-            kept.push(sending);
+            let until = Instant::now() + reuse;
+            kept.push(Kept { sending, until });
         }
     }
 
@@ -126,12 +142,9 @@
             .binary_search_by(|(other, _)| other.as_str().cmp(address))
             .ok()?;
         let kept = &mut idle[place].1;
-        while let Some(sending) = kept.pop() {
-            if sending.is_ready() {
-                return Some(sending);
-            }
-        }
-        None
+        let now = Instant::now();
+        kept.retain(|kept| kept.until > now && kept.sending.is_ready());
+        kept.pop().map(|kept| kept.sending)
     }
 }
 
@@ -183,7 +196,15 @@
 
     /// Hands the connection back once the body is read.
     pub fn keep(self) {
-        self.client.put(&self.address, self.sending);
+        let stated = self.header("keep-alive").and_then(idle_timeout);
+        let reuse = stated.map_or(REUSE, |stated| stated.mul_f64(REUSE_SHARE));
+        self.client.put(&self.address, self.sending, reuse);
+    }
+
+    /// All headers.
+    #[must_use]
+    pub fn headers(&self) -> &HeaderMap {
+        self.response.headers()
     }
 
     /// Reads the whole body, at most `most` bytes.
@@ -203,3 +224,10 @@
         Ok(body.freeze())
     }
 }
+
+/// The `timeout` parameter of a `Keep-Alive` header.
+fn idle_timeout(value: &str) -> Option<Duration> {
+    let mut parameters = value.split(',');
+    let seconds = parameters.find_map(|parameter| parameter.trim().strip_prefix("timeout="))?;
+    Some(Duration::from_secs(seconds.parse().ok()?))
+}
--- a/crates/endpoint/src/prelude.rs
+++ b/crates/endpoint/src/prelude.rs
@@ -4,7 +4,7 @@
     crate::{client::Client, error::Error},
     bytes::{Bytes, BytesMut},
     decision::prelude::{Answer, Attempt, Event, Evidence, Failure},
-    http::{Method, Request, Response, StatusCode},
+    http::{HeaderMap, Method, Request, Response, StatusCode},
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
     std::{
--- a/crates/endpoint/src/sse.rs
+++ b/crates/endpoint/src/sse.rs
@@ -14,37 +14,67 @@
     pub index: Option<u32>,
 }
 
-/// Cuts a byte stream into events.
+/// Cuts a byte stream into the blocks of events, each with its empty line.
 #[derive(Debug, Default)]
-pub struct Parser {
+pub struct Cutter {
     rest: BytesMut,
 }
 
-impl Parser {
-    /// Takes a part of the stream in and returns the events it completes.
+impl Cutter {
+    /// Takes a part of the stream in and returns the blocks it completes, as written.
     ///
     /// # Errors
     ///
-    /// An event is larger than [`MOST`].
-    pub fn feed(&mut self, part: Bytes) -> Result<Vec<Event>, Error> {
+    /// A block is larger than [`MOST`].
+    pub fn feed(&mut self, part: Bytes) -> Result<Vec<Bytes>, Error> {
         let mut part = if self.rest.is_empty() {
             part
         } else {
             self.rest.extend_from_slice(&part);
             self.rest.split().freeze()
         };
-        let mut events = Vec::new();
+        let mut blocks = Vec::new();
         while let Some(end) = end(&part) {
-            let block = part.split_to(end);
-            if let Some(event) = parse(&block) {
-                events.push(event);
-            }
+            blocks.push(part.split_to(end));
         }
         if part.len() > MOST {
             return Err(Error::TooLarge);
         }
         self.rest.extend_from_slice(&part);
-        Ok(events)
+        Ok(blocks)
+    }
+
+    /// Whether part of a block is left over.
+    #[must_use]
+    pub fn unfinished(&self) -> bool {
+        !self.rest.is_empty()
+    }
+}
+
+/// The `id` of a block, if it has one.
+#[must_use]
+pub fn id(block: &[u8]) -> Option<&str> {
+    let mut lines = block.split(|byte| *byte == b'\n');
+    let value = lines.find_map(|line| field(line, b"id:"))?;
+    let value = value.strip_suffix(b"\r").unwrap_or(value);
+    std::str::from_utf8(value).ok()
+}
+
+/// Cuts a byte stream into events.
+#[derive(Debug, Default)]
+pub struct Parser {
+    cutter: Cutter,
+}
+
+impl Parser {
+    /// Takes a part of the stream in and returns the events it completes.
+    ///
+    /// # Errors
+    ///
+    /// An event is larger than [`MOST`].
+    pub fn feed(&mut self, part: Bytes) -> Result<Vec<Event>, Error> {
+        let blocks = self.cutter.feed(part)?;
+        Ok(blocks.iter().filter_map(parse).collect())
     }
 }
 
--- /dev/null
+++ b/crates/forward/src/budget.rs
@@ -0,0 +1,87 @@
+//! Second sends to a service.
+//!
+//! Endpoints that fail under load are asked again by every request at once and never
+//! recover. The bound holds over all instances together; each uses its own part (its
+//! own first sends times the ratio, and the burst divided by the most instances that
+//! can exist), so no message and no shared view is needed, and a partition breaks
+//! nothing.
+
+use {crate::prelude::*, std::collections::VecDeque};
+
+/// First and second sends of one service within the window.
+#[derive(Debug, Default)]
+struct Ledger {
+    first: VecDeque<Time>,
+    second: VecDeque<Time>,
+}
+
+/// The part of the joint budget that this instance may use, for each service.
+#[derive(Debug)]
+pub struct Budget {
+    burst: f64,
+    ledgers: Vec<(String, Ledger)>,
+    ratio: f64,
+    window: Duration,
+}
+
+impl Budget {
+    /// The instance's part by its settings.
+    #[must_use]
+    pub fn new(settings: &Settings) -> Self {
+        Self {
+            burst: settings.retry_burst / f64::from(settings.most_instances.max(1)),
+            ledgers: Vec::new(),
+            ratio: settings.retry_ratio,
+            window: settings.budget_window,
+        }
+    }
+
+    /// A request for the service arrived.
+    pub fn first(&mut self, service: &str, now: Time) {
+        self.ledger(service, now).first.push_back(now);
+    }
+
+    /// Whether a second send is allowed.
+    pub fn allows(&mut self, service: &str, now: Time) -> bool {
+        let (burst, ratio) = (self.burst, self.ratio);
+        let ledger = self.ledger(service, now);
+        let (first, second) = (ledger.first.len(), ledger.second.len());
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "counts of a ten-second window are far below 2^52"
+        )]
+        let (first, second) = (first as f64, second as f64);
+        second < (first * ratio + burst).floor()
+    }
+
+    /// A second send was made.
+    pub fn second(&mut self, service: &str, now: Time) {
+        self.ledger(service, now).second.push_back(now);
+    }
+
+    fn ledger(&mut self, service: &str, now: Time) -> &mut Ledger {
+        let since = now.before(self.window);
+        let place = match self
+            .ledgers
+            .binary_search_by(|(name, _)| name.as_str().cmp(service))
+        {
+            Ok(place) => place,
+            Err(place) => {
+                self.ledgers
+                    .insert(place, (service.to_string(), Ledger::default()));
+                place
+            }
+        };
+        let ledger = &mut self.ledgers[place].1;
+        drop_before(&mut ledger.first, since);
+        drop_before(&mut ledger.second, since);
+        ledger
+    }
+}
+
+/// Forgets what lies before the window.
+fn drop_before(times: &mut VecDeque<Time>, since: Time) {
+    while times.front().is_some_and(|time| *time < since) {
+        times.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/forward/src/pace.rs
@@ -0,0 +1,39 @@
+//! Sends per second to one endpoint.
+//!
+//! An endpoint that is cold bears a stated number of requests a second from all
+//! instances together and falls over above that. It can turn cold without a word, so
+//! the part of each instance is kept to at every endpoint of a service that can be
+//! cold, all the time.
+
+use {crate::prelude::*, std::collections::VecDeque};
+
+/// Any span of this length counts.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Margin for sends that leave one after the other and arrive together.
+const SPREAD: Duration = Duration::from_millis(100);
+
+/// Sends of the last second to one endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct Pace {
+    sent: VecDeque<Time>,
+}
+
+impl Pace {
+    /// Whether one more send stays within `most` a second.
+    #[must_use]
+    pub fn allows(&self, now: Time, most: usize) -> bool {
+        let since = now.before(WINDOW + SPREAD);
+        let recent = self.sent.iter().rev().take_while(|sent| **sent > since);
+        recent.count() < most
+    }
+
+    /// A request was sent.
+    pub fn sent(&mut self, now: Time) {
+        let since = now.before(WINDOW + SPREAD);
+        while self.sent.front().is_some_and(|sent| *sent <= since) {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(now);
+    }
+}
--- /dev/null
+++ b/crates/forward/src/request.rs
@@ -0,0 +1,43 @@
+//! What is known of a request before it is sent anywhere.
+
+use crate::prelude::*;
+
+/// A caller's request, as the listener hands it over.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Inbound {
+    /// When its head had been read.
+    pub arrived: Time,
+    /// How long the caller waits, if it says so.
+    pub deadline: Option<Duration>,
+    /// Host, in lower case, without a port.
+    pub host: String,
+    /// The caller's id for this request.
+    pub id: String,
+    /// The key it carries.
+    pub key: Option<String>,
+    /// Output tokens that the caller expects; right at the median only.
+    pub length_hint: Option<u32>,
+    /// Most output tokens.
+    pub most_output: u32,
+    /// Path, without the query.
+    pub path: String,
+    /// Tokens in the prompt.
+    pub prompt: u32,
+}
+
+/// A request that may be served, with all that its sending depends on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ticket {
+    /// Name of the customer, if the request carries a key.
+    pub customer: Option<String>,
+    /// When the caller or the route gives up.
+    pub expires: Time,
+    /// Rank; 0 comes first.
+    pub priority: u8,
+    /// The route as it stood when the request was admitted.
+    pub route: Route,
+    /// Service that it goes to.
+    pub service: String,
+    /// Version of the configuration that decided.
+    pub version: u64,
+}
--- /dev/null
+++ b/crates/forward/src/run.rs
@@ -0,0 +1,63 @@
+//! A generation in progress.
+
+use crate::{endpoint::Load, prelude::*};
+
+/// A generation in progress at an engine.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Engine that holds a copy of its KV memory.
+    pub backup: Option<EndpointKey>,
+    /// Engine that it runs at.
+    pub endpoint: EndpointKey,
+    /// Events that went to the caller.
+    pub events: u32,
+    /// Output tokens it is expected to make.
+    pub expected: u32,
+    /// Whether its move to another engine has begun.
+    pub moving: bool,
+    /// Tokens in its prompt.
+    pub prompt: u32,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Tokens in an event.
+    pub tokens_per_event: u32,
+}
+
+impl Run {
+    /// Tokens made so far.
+    #[must_use]
+    pub const fn made(&self) -> u32 {
+        self.events.saturating_mul(self.tokens_per_event)
+    }
+
+    /// KV memory expected at its end, in tokens.
+    ///
+    /// A run that has outlived its expectation is taken to go on for an eighth of what
+    /// it made: lengths are spread widely, so the longer it ran, the longer it will.
+    #[must_use]
+    pub fn need(&self) -> u32 {
+        let made = self.made();
+        self.prompt
+            .saturating_add(self.expected.max(made.saturating_add(made / 8)))
+    }
+
+    /// What it asks of its engine.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        Load {
+            reading: if self.events == 0 { self.prompt } else { 0 },
+            requests: 1,
+            tokens: self.need(),
+        }
+    }
+
+    /// What its copy takes at the backup.
+    #[must_use]
+    pub fn copy_load(&self) -> Load {
+        Load {
+            reading: 0,
+            requests: 0,
+            tokens: self.need(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/exchange.rs
@@ -0,0 +1,98 @@
+//! One send to one endpoint.
+
+use {
+    crate::{clock, prelude::*},
+    http_body_util::Full,
+    platform::head::{self, Directions, Source, Verdict},
+};
+
+/// What came of a send.
+#[derive(Debug)]
+pub enum Sent {
+    /// The endpoint answered; the body has not been read.
+    Answer(endpoint::client::Reply, Verdict),
+    /// Nothing was written.
+    NotWritten(String),
+    /// It may have been run: why nobody knows.
+    Unknown(String),
+}
+
+/// A caller's request, kept whole so that it can be sent again.
+#[derive(Clone, Debug)]
+pub struct Original {
+    /// Body.
+    pub body: Bytes,
+    /// What decisions need to know.
+    pub inbound: Inbound,
+    /// Head.
+    pub parts: Parts,
+}
+
+/// Where a request goes, and with what.
+#[derive(Clone, Debug)]
+pub struct Destination<'a> {
+    /// Engine for the copy of the KV memory.
+    pub backup: Option<EndpointKey>,
+    /// Name of the customer.
+    pub customer: Option<&'a str>,
+    /// When the caller gives up.
+    pub expires: Time,
+    /// The endpoint.
+    pub key: EndpointKey,
+    /// Where a run that goes on comes from.
+    pub source: Option<&'a Source>,
+}
+
+/// Sends a request and waits for the head of the answer, until the caller gives up or
+/// `limit` has passed.
+pub async fn send(
+    shared: &Shared,
+    original: &Original,
+    destination: &Destination<'_>,
+    limit: Duration,
+) -> Sent {
+    let Some((address, endpoint)) = shared.target(destination.key) else {
+        return Sent::NotWritten("endpoint is gone".to_string());
+    };
+    let left = destination.expires.since(clock::now());
+    let backup = destination.backup.and_then(|key| shared.target(key));
+    let directions = Directions {
+        backup: backup.map(|(address, _)| address),
+        customer: destination.customer,
+        endpoint: &endpoint,
+        left,
+        source: destination.source,
+    };
+    let request = head::outbound(&original.parts, original.body.clone(), &directions);
+    let request = match request {
+        Ok(request) => request,
+        Err(error) => return Sent::NotWritten(error.to_string()),
+    };
+    shared.sent(destination.key);
+    exchange(shared, address, request, &original.inbound.id, limit.min(left)).await
+}
+
+async fn exchange(
+    shared: &Shared,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    id: &str,
+    limit: Duration,
+) -> Sent {
+    let address = address.to_string();
+    let sending = shared.client.send(&address, request);
+    match timeout(limit, sending).await {
+        Err(_) => Sent::Unknown("no answer in time".to_string()),
+        Ok(Err(error)) if error.unwritten() => Sent::NotWritten(error.to_string()),
+        Ok(Err(error)) => Sent::Unknown(error.to_string()),
+        Ok(Ok(reply)) => {
+            let verdict = head::verdict(reply.status(), reply.headers(), id);
+            if !verdict.matches {
+                // A late second answer to an earlier request. The one that belongs here
+                // may follow it, but this connection cannot be trusted any more.
+                return Sent::Unknown("answer to another request".to_string());
+            }
+            Sent::Answer(reply, verdict)
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/listen.rs
@@ -0,0 +1,219 @@
+//! Listeners for callers, for the question of readiness, and for metrics.
+
+use {
+    crate::{clock, exchange::Original, plain, prelude::*, reply, stream},
+    http_body_util::{BodyExt as _, LengthLimitError, Limited},
+    hyper::{
+        body::Incoming,
+        server::conn::http1,
+        service::service_fn,
+    },
+    hyper_util::rt::{TokioIo, TokioTimer},
+    platform::head,
+    std::convert::Infallible,
+    tokio::net::{TcpListener, TcpStream},
+};
+
+/// Longest pause after a connection could not be accepted, for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What answers on a listener.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// Requests of callers.
+    Callers,
+    /// Metrics, on any path.
+    Metrics,
+    /// Whether callers may be sent here, on any path.
+    Ready,
+}
+
+/// A request in progress, counted until it is dropped.
+#[derive(Debug)]
+pub struct Busy(Rc<Shared>);
+
+impl Busy {
+    fn new(shared: &Rc<Shared>) -> Self {
+        shared.in_progress.set(shared.in_progress.get() + 1);
+        Self(Rc::clone(shared))
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.in_progress.set(self.0.in_progress.get() - 1);
+    }
+}
+
+/// Accepts connections for ever.
+pub async fn accept(shared: Rc<Shared>, listener: TcpListener, role: Role) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(Rc::clone(&shared), stream, role));
+            }
+            Err(error) => {
+                log::warn!(error:%; "connection not accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(shared: Rc<Shared>, stream: TcpStream, role: Role) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(error:%; "connection without nodelay");
+    }
+    let limits = {
+        let state = shared.state.borrow();
+        state.config().map(|config| config.limits).unwrap_or_default()
+    };
+    let service = {
+        let shared = Rc::clone(&shared);
+        service_fn(move |request| answer(Rc::clone(&shared), request, role))
+    };
+    let mut builder = http1::Builder::new();
+    // The library counts the time of a head from the end of the request before, so the
+    // bound for idle connections is the one to give.
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.header.max(16 << 10));
+    let serving = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(serving);
+    let ended = tokio::select! {
+        ended = serving.as_mut() => ended,
+        () = shared.stop.notified() => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(error:%; "connection ended");
+    }
+}
+
+async fn answer(
+    shared: Rc<Shared>,
+    request: Request<Incoming>,
+    role: Role,
+) -> Result<Reply, Infallible> {
+    Ok(match role {
+        Role::Callers => caller(&shared, request).await,
+        Role::Metrics => reply::whole(
+            StatusCode::OK,
+            http::HeaderMap::new(),
+            shared.meters.text().into(),
+        ),
+        Role::Ready if ready(&shared) => reply::empty(StatusCode::OK),
+        Role::Ready => reply::empty(StatusCode::SERVICE_UNAVAILABLE),
+    })
+}
+
+/// Whether callers may be sent here.
+fn ready(shared: &Shared) -> bool {
+    let now = clock::now();
+    let state = shared.state.borrow();
+    !shared.draining.get() && state.ready(now)
+}
+
+async fn caller(shared: &Rc<Shared>, request: Request<Incoming>) -> Reply {
+    let arrived = clock::now();
+    let busy = Busy::new(shared);
+    let (parts, body) = request.into_parts();
+    // What follows a body in chunks on its connection may have been meant as part of it,
+    // if the sender also gave a length; the library keeps only one of the two.
+    let chunked = parts.headers.contains_key(http::header::TRANSFER_ENCODING);
+    let (mut reply, id) = match head::inbound(&parts, arrived) {
+        Ok(inbound) => {
+            let id = inbound.id.clone();
+            (serve(shared, parts, inbound, body, busy).await, id)
+        }
+        Err(header) => {
+            log::info!(header; "request without a proper header");
+            (reply::refusal(Refusal::Bad, ""), String::new())
+        }
+    };
+    if chunked || shared.draining.get() {
+        let close = http::HeaderValue::from_static("close");
+        reply.headers_mut().insert(http::header::CONNECTION, close);
+    }
+    log::debug!(id, status = reply.status().as_u16(); "answered");
+    reply
+}
+
+async fn serve(
+    shared: &Rc<Shared>,
+    parts: Parts,
+    inbound: Inbound,
+    body: Incoming,
+    busy: Busy,
+) -> Reply {
+    let id = inbound.id.clone();
+    let arrived = inbound.arrived;
+    let path = inbound.path.clone();
+    let mut route = String::new();
+    let result = forward(shared, parts, inbound, body, busy, &mut route).await;
+    let (outcome, reply, streaming) = match result {
+        Ok(reply) => {
+            let streaming = matches!(reply.body(), Body::Parts(_));
+            ("answered", reply, streaming)
+        }
+        Err(refusal) => (refusal.label(), reply::refusal(refusal, &id), false),
+    };
+    if streaming {
+        return reply;
+    }
+    let took = clock::now().since(arrived);
+    let age = shared.state.borrow().config_freshness.age(clock::now());
+    log::info!(
+        id, route, path, outcome, status = reply.status().as_u16(), ms = took.as_millis(),
+        config_age_ms = age.unwrap_or(Duration::MAX).as_millis(); "request ended"
+    );
+    shared.meters.ended(&route, outcome, took);
+    reply
+}
+
+async fn forward(
+    shared: &Rc<Shared>,
+    parts: Parts,
+    inbound: Inbound,
+    body: Incoming,
+    busy: Busy,
+    route: &mut String,
+) -> Result<Reply, Refusal> {
+    let body = whole(shared, body).await?;
+    let now = clock::now();
+    let ticket = shared.state.borrow_mut().admit(now, &inbound)?;
+    route.clone_from(&ticket.route.name);
+    shared
+        .state
+        .borrow_mut()
+        .budget
+        .first(&ticket.service, now);
+    let original = Original {
+        body,
+        inbound,
+        parts,
+    };
+    if ticket.route.kind == Kind::Stream {
+        return stream::serve(shared, &Rc::new(original), ticket, busy).await;
+    }
+    plain::serve(shared, &original, ticket).await
+}
+
+/// Reads a body in whole, so that nothing of it can be taken for another request.
+async fn whole(shared: &Shared, body: Incoming) -> Result<Bytes, Refusal> {
+    let most = {
+        let state = shared.state.borrow();
+        state.config().map(|config| config.limits).unwrap_or_default().body
+    };
+    match Limited::new(body, most).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Err(error) => {
+            log::info!(error:%; "body cannot be read");
+            Err(Refusal::Bad)
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/meters.rs
@@ -0,0 +1,109 @@
+//! Counters and latency histograms, in Prometheus text.
+
+use {
+    crate::{journal, prelude::*},
+    opentelemetry::{
+        KeyValue,
+        metrics::{Counter, Histogram, MeterProvider as _},
+    },
+    opentelemetry_sdk::metrics::SdkMeterProvider,
+    prometheus::{Encoder as _, Registry, TextEncoder},
+};
+
+/// Bounds of latency histograms, in seconds; the targets lie between 0.1 and 2.
+const BOUNDS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8,
+];
+
+/// Everything that is exported.
+#[derive(Debug)]
+pub struct Meters {
+    endings: Counter<u64>,
+    first_event: Histogram<f64>,
+    moves: Counter<u64>,
+    registry: Registry,
+    sends: Counter<u64>,
+    store_calls: Counter<u64>,
+    total: Histogram<f64>,
+    _provider: SdkMeterProvider,
+}
+
+impl Meters {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// The exporter cannot be set up.
+    pub fn new() -> Result<Self, Error> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|error| Error::Metrics(error.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("carawayhead");
+        let counter = |name: &'static str, help: &'static str| {
+            meter.u64_counter(name).with_description(help).build()
+        };
+        let histogram = |name: &'static str, help: &'static str| {
+            let builder = meter.f64_histogram(name).with_description(help);
+            builder.with_boundaries(BOUNDS.to_vec()).build()
+        };
+        meter
+            .u64_observable_counter("log_lines_dropped")
+            .with_description("log lines dropped because standard output was not read")
+            .with_callback(|observer| observer.observe(journal::dropped(), &[]))
+            .build();
+        Ok(Self {
+            endings: counter("requests_ended", "requests by route and outcome"),
+            first_event: histogram("first_event_seconds", "time to a stream's first event"),
+            moves: counter("runs_moved", "generations that went on elsewhere, by outcome"),
+            sends: counter("requests_sent", "sends to endpoints, by service and order"),
+            store_calls: counter("store_calls", "calls to the store by outcome"),
+            total: histogram("request_seconds", "time to the end of an answer"),
+            _provider: provider,
+            registry,
+        })
+    }
+
+    /// A request has ended.
+    pub fn ended(&self, route: &str, outcome: &str, took: Duration) {
+        let labels = [
+            KeyValue::new("route", route.to_string()),
+            KeyValue::new("outcome", outcome.to_string()),
+        ];
+        self.endings.add(1, &labels);
+        self.total.record(took.as_secs_f64(), &[]);
+    }
+
+    /// The first event of a stream went out.
+    pub fn first_event(&self, took: Duration) {
+        self.first_event.record(took.as_secs_f64(), &[]);
+    }
+
+    /// A generation went on elsewhere, or did not.
+    pub fn moved(&self, outcome: &'static str) {
+        self.moves.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// A request was sent to an endpoint.
+    pub fn sent(&self, again: bool) {
+        let order = if again { "second" } else { "first" };
+        self.sends.add(1, &[KeyValue::new("order", order)]);
+    }
+
+    /// The store was called.
+    pub fn store_called(&self, outcome: &'static str) {
+        self.store_calls.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Prometheus text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!(error:%; "metrics cannot be written");
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/plain.rs
@@ -0,0 +1,215 @@
+//! Requests whose answers are taken in whole before they are passed on.
+
+use {
+    crate::{
+        clock,
+        exchange::{self, Destination, Original, Sent},
+        prelude::*,
+        reply,
+        shared::{InFlight, Waiting},
+    },
+    forward::{request::Ticket, state::Pick},
+    platform::head,
+};
+
+/// Largest answer that is taken in whole, in bytes.
+const MOST_ANSWER: usize = 16 << 20;
+
+/// Sends of one request, those that endpoints turned down included.
+pub const MOST_SENDS: u32 = 4;
+
+/// Share of the time that is left after which an idempotent request is tried elsewhere.
+/// Work takes a tenth of the route's timeout at the mean; an endpoint that has not
+/// answered by then is more likely dark than slow.
+const SECOND_TRY: f64 = 0.45;
+
+/// Share of a route's timeout that a request waits for an endpoint with room.
+const WAIT_SHARE: f64 = 0.5;
+
+/// What is known of a request that is not answered yet.
+#[derive(Debug)]
+struct Progress {
+    may_have_run: bool,
+    sends: u32,
+    tried: Vec<EndpointKey>,
+    why: String,
+}
+
+/// How an attempt ended.
+enum Attempt {
+    /// With an answer for the caller.
+    Answered(Reply),
+    /// Another endpoint may be tried.
+    Again,
+    /// No more tries.
+    Over(Refusal),
+}
+
+/// Serves a request.
+pub async fn serve(shared: &Rc<Shared>, original: &Original, ticket: Ticket) -> Result<Reply, Refusal> {
+    let mut progress = Progress {
+        may_have_run: false,
+        sends: 0,
+        tried: Vec::new(),
+        why: String::new(),
+    };
+    let mut ticket = ticket;
+    loop {
+        match attempt(shared, original, &ticket, &mut progress).await {
+            Attempt::Answered(reply) => return Ok(reply),
+            Attempt::Over(refusal) => return Err(give_up(original, &progress, refusal)),
+            Attempt::Again => {}
+        }
+        if !may_send_again(shared, &ticket, &progress) {
+            return Err(give_up(original, &progress, Refusal::Full));
+        }
+        let admitted = shared.state.borrow_mut().admit(clock::now(), &original.inbound);
+        ticket = admitted.map_err(|refusal| give_up(original, &progress, refusal))?;
+    }
+}
+
+/// The truthful refusal, whatever the last reason was.
+fn give_up(original: &Original, progress: &Progress, refusal: Refusal) -> Refusal {
+    let truthful = match refusal {
+        refusal if !progress.may_have_run => refusal,
+        Refusal::Expired | Refusal::TimedOut => Refusal::TimedOut,
+        _ => Refusal::Broken,
+    };
+    log::info!(
+        id = original.inbound.id, sends = progress.sends, why = progress.why,
+        outcome = truthful.label(); "given up"
+    );
+    truthful
+}
+
+fn may_send_again(shared: &Shared, ticket: &Ticket, progress: &Progress) -> bool {
+    let now = clock::now();
+    let allowed = shared.state.borrow_mut().budget.allows(&ticket.service, now);
+    progress.sends == 0 || (allowed && progress.sends < MOST_SENDS)
+}
+
+async fn attempt(
+    shared: &Rc<Shared>,
+    original: &Original,
+    ticket: &Ticket,
+    progress: &mut Progress,
+) -> Attempt {
+    let patience = ticket.route.timeout.mul_f64(WAIT_SHARE);
+    let until = original.inbound.arrived.after(patience).min(ticket.expires);
+    let Some((key, _)) = place(shared, ticket, 0, &progress.tried, until).await else {
+        progress.why = "no endpoint with room".to_string();
+        return Attempt::Over(Refusal::Full);
+    };
+    let _in_flight = InFlight::new(shared, key);
+    progress.tried.push(key);
+    let left = ticket.expires.since(clock::now());
+    let idempotent = ticket.route.kind == Kind::Idempotent;
+    let again = idempotent && progress.sends + 1 < ticket.route.max_attempts;
+    let limit = if again { left.mul_f64(SECOND_TRY) } else { left };
+    let destination = Destination {
+        backup: None,
+        customer: ticket.customer.as_deref(),
+        expires: ticket.expires,
+        key,
+        source: None,
+    };
+    shared.count_send(&ticket.service, progress.sends > 0);
+    progress.sends += 1;
+    let read = async {
+        match exchange::send(shared, original, &destination, limit).await {
+            Sent::Answer(reply, verdict) => {
+                let status = reply.status();
+                let headers = head::answer(reply.headers());
+                let closes = reply.whole(MOST_ANSWER).await;
+                match closes {
+                    Ok(body) => Ok((status, headers, body, verdict)),
+                    Err(error) => Err((true, error.to_string())),
+                }
+            }
+            Sent::NotWritten(why) => Err((false, why)),
+            Sent::Unknown(why) => Err((true, why)),
+        }
+    };
+    let result = timeout(limit, read)
+        .await
+        .unwrap_or_else(|_| Err((true, "answer not whole in time".to_string())));
+    let (status, headers, body, verdict) = match result {
+        Ok(answer) => answer,
+        Err((written, why)) => {
+            shared.unreachable(key);
+            progress.may_have_run |= written;
+            progress.why = why;
+            return after_failure(ticket, progress, written);
+        }
+    };
+    if verdict.not_run {
+        shared.full(key, status);
+        progress.why = format!("turned down with {status}");
+        return Attempt::Again;
+    }
+    shared.answered(key, status.is_server_error());
+    let proper = verdict.sealed && !verdict.encoded;
+    let promise = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+    if (status.is_success() && !proper) || promise {
+        progress.may_have_run = true;
+        progress.why = format!("improper answer with {status}");
+        return after_failure(ticket, progress, true);
+    }
+    let retry = idempotent
+        && status.is_server_error()
+        && progress.sends < ticket.route.max_attempts
+        && may_send_again(shared, ticket, progress);
+    if retry {
+        progress.may_have_run = true;
+        progress.why = format!("failed with {status}");
+        return Attempt::Again;
+    }
+    Attempt::Answered(reply::whole(status, headers, body))
+}
+
+/// Whether a send that failed leaves room for another one.
+fn after_failure(ticket: &Ticket, progress: &Progress, written: bool) -> Attempt {
+    let over = clock::now() >= ticket.expires;
+    let idempotent = ticket.route.kind == Kind::Idempotent;
+    let ran_enough = progress.sends >= ticket.route.max_attempts;
+    match (written, over) {
+        (_, true) => Attempt::Over(Refusal::TimedOut),
+        (false, false) => Attempt::Again,
+        (true, false) if idempotent && !ran_enough => Attempt::Again,
+        (true, false) => Attempt::Over(Refusal::Broken),
+    }
+}
+
+/// Waits for an endpoint with room; `None` if there was none until `until`.
+pub async fn place(
+    shared: &Rc<Shared>,
+    ticket: &Ticket,
+    need: u32,
+    tried: &[EndpointKey],
+    until: Time,
+) -> Option<(EndpointKey, Option<EndpointKey>)> {
+    let mut waiting = None::<Waiting>;
+    loop {
+        let room = shared.room.notified();
+        let passed_over = waiting.as_ref().is_some_and(Waiting::passed_over);
+        let now = clock::now();
+        if !passed_over {
+            let pick = shared.state.borrow().pick(now, &ticket.service, need, tried);
+            if let Pick::Send(key, backup) = pick {
+                return Some((key, backup));
+            }
+        }
+        if now >= until {
+            return None;
+        }
+        waiting.get_or_insert_with(|| Waiting::new(shared, ticket));
+        // Room also comes about by time alone, when a pause after a failure ends.
+        let pause = until.since(now).min(ROOM_CHECK);
+        if timeout(pause, room).await.is_err() {
+            continue;
+        }
+    }
+}
+
+/// How often a waiting request looks for room that nobody announced.
+const ROOM_CHECK: Duration = Duration::from_millis(25);
--- /dev/null
+++ b/crates/proxy/src/relay.rs
@@ -0,0 +1,400 @@
+//! Streams of events: from the first event to the end, across moves and lost engines.
+
+use {
+    crate::{
+        clock,
+        exchange::{self, Destination, Original, Sent},
+        listen::Busy,
+        prelude::*,
+        relocate::{self, Moved, Takeover},
+        reply::Part,
+        shared::Running,
+    },
+    endpoint::sse::{self, Cutter},
+    forward::{request::Ticket, sequence::Sequence},
+    platform::head,
+    std::pin::Pin,
+    tokio::sync::mpsc,
+};
+
+/// Silence after which an engine is asked whether it still has the run. Events come some
+/// 30 ms apart, and pauses over 180 ms already count as late; a preempted run may pause
+/// longer, so the engine is asked before anything else is tried.
+const SILENCE: Duration = Duration::from_millis(600);
+
+/// Times that a stream may go on elsewhere; an engine lives some ten seconds at the least,
+/// a generation about as long.
+const MOST_TAKEOVERS: u32 = 8;
+
+/// Longest time that a caller may take to read before it counts as gone.
+const SLOW_READER: Duration = Duration::from_secs(5);
+
+/// How long the end of a stopped run's stream is waited for; its last events are on
+/// their way when the move is answered.
+const LAST_EVENTS: Duration = Duration::from_millis(30);
+
+/// How long a takeover may take to answer. The reader has left by then.
+const TAKEOVER_WAIT: Duration = Duration::from_millis(2500);
+
+/// Pause before a move is tried again.
+const MOVE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Where events come from.
+#[derive(Debug)]
+pub struct Source {
+    /// The answer, whose body is read on.
+    pub answer: endpoint::client::Reply,
+    /// Cuts the body into events.
+    pub cutter: Cutter,
+    /// The engine.
+    pub key: EndpointKey,
+}
+
+/// A move in progress.
+type Moving = Pin<Box<dyn Future<Output = Moved>>>;
+
+/// A stream on its way to the caller.
+#[derive(Debug)]
+pub struct Relay {
+    busy: Option<Busy>,
+    next_move: Time,
+    original: Rc<Original>,
+    out: mpsc::Sender<Part>,
+    running: Running,
+    sequence: Sequence,
+    shared: Rc<Shared>,
+    source: Source,
+    takeovers: u32,
+    ticket: Ticket,
+}
+
+/// What happened next.
+enum Step {
+    CallerLeft,
+    Events(Vec<Bytes>),
+    Ended,
+    Expired,
+    Lost(String),
+    Moved(Moved),
+    Silent,
+}
+
+/// How a stream ended.
+enum Ending {
+    CallerLeft,
+    Complete,
+    Expired,
+    Lost(String),
+}
+
+impl Ending {
+    const fn label(&self) -> &'static str {
+        match self {
+            Self::CallerLeft => "caller_left",
+            Self::Complete => "complete",
+            Self::Expired => "timed_out",
+            Self::Lost(_) => "lost",
+        }
+    }
+}
+
+impl Relay {
+    /// A stream whose first events are there.
+    #[must_use]
+    pub fn new(
+        shared: &Rc<Shared>,
+        original: &Rc<Original>,
+        ticket: Ticket,
+        running: Running,
+        out: mpsc::Sender<Part>,
+        source: Source,
+        busy: Option<Busy>,
+    ) -> Self {
+        Self {
+            busy,
+            next_move: Time::default(),
+            original: Rc::clone(original),
+            out,
+            running,
+            sequence: Sequence::default(),
+            shared: Rc::clone(shared),
+            source,
+            takeovers: 0,
+            ticket,
+        }
+    }
+
+    /// Passes events on until the end.
+    pub async fn run(mut self, blocks: Vec<Bytes>, ended: bool) {
+        let ending = self.relay(blocks, ended).await;
+        if matches!(ending, Ending::Complete) && self.out.send(Part::End).await.is_err() {
+            log::debug!(id = self.original.inbound.id; "caller left at the end");
+        }
+        let took = clock::now().since(self.original.inbound.arrived);
+        let why = match &ending {
+            Ending::Lost(why) => why.as_str(),
+            _ => "",
+        };
+        log::info!(
+            id = self.original.inbound.id, route = self.ticket.route.name,
+            outcome = ending.label(), why, events = self.sequence.count(),
+            takeovers = self.takeovers, ms = took.as_millis(); "stream ended"
+        );
+        self.shared
+            .meters
+            .ended(&self.ticket.route.name, ending.label(), took);
+        drop(self.busy.take());
+    }
+
+    async fn relay(&mut self, blocks: Vec<Bytes>, ended: bool) -> Ending {
+        if let Err(ending) = self.pass_on(blocks).await {
+            return ending;
+        }
+        if ended {
+            return Ending::Complete;
+        }
+        let mut moving = None::<Moving>;
+        loop {
+            self.start_move(&mut moving);
+            let step = self.step(&mut moving).await;
+            let went_on = match step {
+                Step::CallerLeft => return Ending::CallerLeft,
+                Step::Ended => return Ending::Complete,
+                Step::Expired => return Ending::Expired,
+                Step::Events(blocks) => self.pass_on(blocks).await,
+                Step::Lost(why) => self.lost(moving.take(), &why).await,
+                Step::Moved(moved) => {
+                    moving = None;
+                    self.moved(moved).await
+                }
+                Step::Silent if moving.is_some() => Ok(()),
+                Step::Silent => self.silent().await,
+            };
+            if let Err(ending) = went_on {
+                return ending;
+            }
+        }
+    }
+
+    /// Begins to move the run if its engine is leaving.
+    fn start_move(&mut self, moving: &mut Option<Moving>) {
+        let now = clock::now();
+        if moving.is_some() || now < self.next_move || !self.is_leaving() {
+            return;
+        }
+        log::info!(id = self.original.inbound.id, events = self.sequence.count(); "move begins");
+        *moving = Some(Box::pin(relocate::relocate(
+            Rc::clone(&self.shared),
+            self.running.key,
+            self.original.inbound.id.clone(),
+        )));
+    }
+
+    fn is_leaving(&self) -> bool {
+        let state = self.shared.state.borrow();
+        let endpoint = state.endpoint(self.source.key);
+        endpoint.is_some_and(|endpoint| endpoint.leaving_since.is_some())
+    }
+
+    async fn step(&mut self, moving: &mut Option<Moving>) -> Step {
+        let left = self.ticket.expires.since(clock::now());
+        if left.is_zero() {
+            return Step::Expired;
+        }
+        let wait = left.min(SILENCE);
+        tokio::select! {
+            biased;
+            () = self.out.closed() => Step::CallerLeft,
+            part = self.source.answer.part() => self.events(part),
+            moved = ended(moving) => Step::Moved(moved),
+            () = sleep(wait) => if wait == left { Step::Expired } else { Step::Silent },
+        }
+    }
+
+    fn events(&mut self, part: Result<Option<Bytes>, endpoint::Error>) -> Step {
+        match part {
+            Err(error) => Step::Lost(error.to_string()),
+            Ok(None) if self.source.cutter.unfinished() => {
+                Step::Lost("ended inside an event".to_string())
+            }
+            Ok(None) => Step::Ended,
+            Ok(Some(part)) => match self.source.cutter.feed(part) {
+                Ok(blocks) => Step::Events(blocks),
+                Err(error) => Step::Lost(error.to_string()),
+            },
+        }
+    }
+
+    async fn pass_on(&mut self, blocks: Vec<Bytes>) -> Result<(), Ending> {
+        for block in blocks {
+            if !self.sequence.take(sse::id(&block)) {
+                continue;
+            }
+            if self.sequence.broken() {
+                return Err(Ending::Lost("an event is missing".to_string()));
+            }
+            let sent = timeout(SLOW_READER, self.out.send(Part::Data(block))).await;
+            if !matches!(sent, Ok(Ok(()))) {
+                return Err(Ending::CallerLeft);
+            }
+        }
+        if let Some(run) = self.shared.state.borrow_mut().run_mut(self.running.key) {
+            run.events = self.sequence.count();
+        }
+        Ok(())
+    }
+
+    /// The engine broke the stream off: because it was told to stop for a move, or died.
+    async fn lost(&mut self, moving: Option<Moving>, why: &str) -> Result<(), Ending> {
+        if let Some(moving) = moving
+            && let Ok(moved) = timeout(relocate::MOVE_WAIT, moving).await
+            && let Moved::Ready(takeover) | Moved::Stopped(takeover) = moved
+        {
+            return self.go_on(takeover, why).await;
+        }
+        self.from_backup(why).await
+    }
+
+    async fn moved(&mut self, moved: Moved) -> Result<(), Ending> {
+        match moved {
+            Moved::Ready(takeover) | Moved::Stopped(takeover) => {
+                self.last_events().await?;
+                self.go_on(takeover, "moved").await
+            }
+            Moved::NotYet(why) => {
+                log::info!(id = self.original.inbound.id, why; "move put off");
+                self.next_move = clock::now().after(MOVE_PAUSE);
+                Ok(())
+            }
+        }
+    }
+
+    /// Reads what a stopped run had still sent.
+    async fn last_events(&mut self) -> Result<(), Ending> {
+        while let Ok(Ok(Some(part))) = timeout(LAST_EVENTS, self.source.answer.part()).await {
+            let Ok(blocks) = self.source.cutter.feed(part) else {
+                break;
+            };
+            self.pass_on(blocks).await?;
+        }
+        Ok(())
+    }
+
+    /// No event for long: the engine may have died without a word, or the run waits.
+    async fn silent(&mut self) -> Result<(), Ending> {
+        let run = self.running.key;
+        let id = self.original.inbound.id.clone();
+        log::info!(id, events = self.sequence.count(); "stream is silent");
+        let stopped = relocate::stop(&self.shared, run, &id).await;
+        match stopped {
+            relocate::Stop::Unreachable => {
+                self.shared.unreachable(self.source.key);
+                if self.has_backup() {
+                    return self.from_backup("silent").await;
+                }
+                Ok(())
+            }
+            relocate::Stop::Gone if self.has_backup() => self.from_backup("gone").await,
+            relocate::Stop::Gone | relocate::Stop::Busy => Ok(()),
+            relocate::Stop::Stopped(takeover) => {
+                self.last_events().await?;
+                self.go_on(takeover, "silent").await
+            }
+        }
+    }
+
+    fn has_backup(&self) -> bool {
+        let state = self.shared.state.borrow();
+        state
+            .run(self.running.key)
+            .is_some_and(|run| run.backup.is_some())
+    }
+
+    async fn from_backup(&mut self, why: &str) -> Result<(), Ending> {
+        let backup = {
+            let state = self.shared.state.borrow();
+            state.run(self.running.key).and_then(|run| run.backup)
+        };
+        let target = backup.and_then(|key| Some((key, self.shared.target(key)?.0)));
+        let Some((key, address)) = target else {
+            return Err(Ending::Lost(format!("{why}; no copy")));
+        };
+        let handle = self.original.inbound.id.clone();
+        let takeover = Takeover {
+            address,
+            handle,
+            key,
+        };
+        self.go_on(takeover, why).await
+    }
+
+    /// Goes on from a copy.
+    async fn go_on(&mut self, takeover: Takeover, why: &str) -> Result<(), Ending> {
+        let began = clock::now();
+        self.takeovers += 1;
+        if self.takeovers > MOST_TAKEOVERS {
+            return Err(Ending::Lost(format!("{why}; moved too often")));
+        }
+        let backup = self.settle_at(takeover.key);
+        let source = head::Source {
+            address: takeover.address,
+            handle: takeover.handle,
+            last_event: self.sequence.last().map(str::to_string),
+        };
+        let destination = Destination {
+            backup,
+            customer: self.ticket.customer.as_deref(),
+            expires: self.ticket.expires,
+            key: takeover.key,
+            source: Some(&source),
+        };
+        self.shared.count_send(&self.ticket.service, true);
+        let sent =
+            exchange::send(&self.shared, &self.original, &destination, TAKEOVER_WAIT).await;
+        let outcome = match sent {
+            Sent::Answer(answer, verdict)
+                if answer.status() == StatusCode::OK && verdict.sealed && !verdict.not_run =>
+            {
+                self.source = Source {
+                    answer,
+                    cutter: Cutter::default(),
+                    key: takeover.key,
+                };
+                Ok(())
+            }
+            Sent::Answer(answer, _) => Err(format!("{why}; copy answered {}", answer.status())),
+            Sent::NotWritten(error) | Sent::Unknown(error) => Err(format!("{why}; copy: {error}")),
+        };
+        let took = clock::now().since(began).as_millis();
+        let error = outcome.as_ref().err().map_or("", String::as_str);
+        log::info!(
+            id = self.original.inbound.id, why, error, ms = took,
+            events = self.sequence.count(); "takeover"
+        );
+        self.shared
+            .meters
+            .moved(if outcome.is_ok() { "went_on" } else { "lost" });
+        outcome.map_err(Ending::Lost)
+    }
+
+    /// Notes the run's new engine and chooses one for its next copy.
+    fn settle_at(&self, key: EndpointKey) -> Option<EndpointKey> {
+        let mut state = self.shared.state.borrow_mut();
+        let run = state.run_mut(self.running.key)?;
+        run.endpoint = key;
+        run.backup = None;
+        let backup = state.pick_backup(clock::now(), self.running.key);
+        if let Some(run) = state.run_mut(self.running.key) {
+            run.backup = backup;
+        }
+        backup
+    }
+}
+
+/// The end of a move, if one is in progress.
+async fn ended(moving: &mut Option<Moving>) -> Moved {
+    match moving {
+        Some(moving) => moving.await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/reply.rs
@@ -0,0 +1,112 @@
+//! Answers to callers.
+
+use {
+    crate::prelude::*,
+    http_body_util::Full,
+    hyper::body::{Frame, SizeHint},
+    platform::head,
+    std::{
+        pin::Pin,
+        task::{Context, Poll},
+    },
+    tokio::sync::mpsc,
+};
+
+/// An answer to a caller.
+pub type Reply = Response<Body>;
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum Body {
+    /// Known whole.
+    Full(Full<Bytes>),
+    /// Parts as they come. It is complete only if its sender said so; a sender that
+    /// vanishes breaks the connection, so that what was cut off does not look whole.
+    Parts(mpsc::Receiver<Part>),
+}
+
+/// A part of a body.
+#[derive(Debug)]
+pub enum Part {
+    /// Bytes.
+    Data(Bytes),
+    /// The body is complete.
+    End,
+}
+
+/// The body ended before it was complete.
+#[derive(Debug)]
+pub struct Incomplete;
+
+impl Display for Incomplete {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        f.write_str("the answer ended before it was complete")
+    }
+}
+
+impl std::error::Error for Incomplete {}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = Incomplete;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Incomplete>>> {
+        match self.get_mut() {
+            Self::Full(full) => Pin::new(full)
+                .poll_frame(context)
+                .map_err(|never| match never {}),
+            Self::Parts(parts) => parts.poll_recv(context).map(|part| match part {
+                Some(Part::Data(data)) => Some(Ok(Frame::data(data))),
+                Some(Part::End) => None,
+                None => Some(Err(Incomplete)),
+            }),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Full(full) => full.size_hint(),
+            Self::Parts(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// An answer with a body that is known whole.
+#[must_use]
+pub fn whole(status: StatusCode, headers: http::HeaderMap, body: Bytes) -> Reply {
+    let mut reply = Response::new(Body::Full(Full::new(body)));
+    *reply.status_mut() = status;
+    *reply.headers_mut() = headers;
+    reply
+}
+
+/// An answer without a body or headers.
+#[must_use]
+pub fn empty(status: StatusCode) -> Reply {
+    whole(status, http::HeaderMap::new(), Bytes::new())
+}
+
+/// The answer that stands for a refusal.
+#[must_use]
+pub fn refusal(refusal: Refusal, id: &str) -> Reply {
+    let mut reply = empty(status(refusal));
+    head::own_answer(reply.headers_mut(), id, refusal.retry_after());
+    reply
+}
+
+const fn status(refusal: Refusal) -> StatusCode {
+    match refusal {
+        Refusal::Bad => StatusCode::BAD_REQUEST,
+        Refusal::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        Refusal::Broken => StatusCode::BAD_GATEWAY,
+        Refusal::Expired | Refusal::Full | Refusal::Stale | Refusal::Unconfigured => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+        Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
+        Refusal::UnknownRoute => StatusCode::NOT_FOUND,
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/serve.rs
@@ -0,0 +1,107 @@
+//! The life of an instance.
+
+use {
+    crate::{
+        clock, follow, journal,
+        listen::{self, Role},
+        prelude::*,
+        settings::Settings,
+    },
+    platform::store::Topic,
+    tokio::{
+        net::TcpListener,
+        signal::unix::{Signal, SignalKind, signal},
+        task::{LocalSet, spawn_local},
+    },
+};
+
+/// Time from a request to stop until idle connections are closed. The balancer asks once
+/// a second and needs two refusals, so new callers have stopped coming by then.
+const CLOSE_IDLE: Duration = Duration::from_millis(2600);
+
+/// Time before the kill at which the process ends by itself.
+const BEFORE_KILL: Duration = Duration::from_millis(300);
+
+/// How often it is looked whether everything has ended.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Time after closing idle connections in which their last requests come to an end.
+const SETTLE: Duration = Duration::from_millis(300);
+
+/// Runs an instance until it is told to stop.
+///
+/// # Errors
+///
+/// An address cannot be listened at, or signals cannot be received.
+pub async fn run(file: &str, settings: Settings) -> Result<(), Error> {
+    LocalSet::new().run_until(serve(file, settings)).await
+}
+
+async fn serve(file: &str, settings: Settings) -> Result<(), Error> {
+    let mut terminate = watch(SignalKind::terminate())?;
+    let mut interrupt = watch(SignalKind::interrupt())?;
+    let mut hangup = watch(SignalKind::hangup())?;
+    let shared = Shared::new(settings)?;
+    let instance = &shared.settings.instance;
+    for (address, role) in [
+        (instance.listen, Role::Callers),
+        (instance.ready, Role::Ready),
+        (instance.metrics, Role::Metrics),
+    ] {
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|error| Error::Listen(address, error))?;
+        spawn_local(listen::accept(Rc::clone(&shared), listener, role));
+    }
+    for topic in [Topic::Operators, Topic::Endpoints] {
+        spawn_local(follow::follow(Rc::clone(&shared), topic));
+    }
+    spawn_local(follow::tick(Rc::clone(&shared)));
+    log::info!(
+        listen:% = instance.listen, domain = instance.domain,
+        version = env!("CARGO_PKG_VERSION"); "started"
+    );
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(file),
+        }
+    }
+    drain(&shared).await;
+    Ok(())
+}
+
+/// Says what a changed settings file holds; what is bound stays bound.
+fn reload(file: &str) {
+    match Settings::load(file) {
+        Ok(settings) => log::info!(settings:?; "settings read again"),
+        Err(error) => log::warn!(error:%; "settings cannot be read again"),
+    }
+}
+
+/// Ends once nothing is in progress, or just before the kill.
+async fn drain(shared: &Shared) {
+    let began = clock::now();
+    let grace = Duration::from_secs_f64(shared.settings.instance.grace_s);
+    let end = began.after(grace.saturating_sub(BEFORE_KILL));
+    shared.draining.set(true);
+    log::info!(in_progress = shared.in_progress.get(); "stopping");
+    sleep(CLOSE_IDLE).await;
+    shared.stop.notify_waiters();
+    sleep(SETTLE).await;
+    while shared.in_progress.get() > 0 && clock::now() < end {
+        shared.stop.notify_waiters();
+        sleep(LOOK).await;
+    }
+    log::info!(
+        in_progress = shared.in_progress.get(), dropped_lines = journal::dropped(),
+        ms = clock::now().since(began).as_millis(); "stopped"
+    );
+    // The thread that writes the log takes a moment for the last line.
+    sleep(LOOK).await;
+}
+
+fn watch(kind: SignalKind) -> Result<Signal, Error> {
+    signal(kind).map_err(Error::Signals)
+}
--- /dev/null
+++ b/crates/proxy/src/settings.rs
@@ -0,0 +1,114 @@
+//! Settings of an instance that forwards.
+
+use {crate::prelude::*, serde::Deserialize};
+
+/// The whole file. Keys that are not known are passed over, since a platform may add some.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Settings {
+    /// The instance itself.
+    pub instance: Instance,
+    /// Bounds that hold over all instances.
+    pub joint: Joint,
+    /// The store.
+    pub store: Store,
+}
+
+/// The instance itself.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Instance {
+    /// Failure domain.
+    pub domain: String,
+    /// Seconds from a request to stop until the process is killed.
+    pub grace_s: f64,
+    /// Address and port for callers.
+    pub listen: SocketAddr,
+    /// Address and port of metrics.
+    pub metrics: SocketAddr,
+    /// Name.
+    pub name: String,
+    /// Address and port of the question whether callers may be sent here.
+    pub ready: SocketAddr,
+}
+
+/// Bounds that hold over all instances.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Joint {
+    /// Seconds of the window of second sends.
+    pub retry_window_s: f64,
+    /// Second sends within the window beyond the ratio.
+    pub retry_burst: f64,
+    /// Second sends for each first one.
+    pub retry_ratio: f64,
+    /// Milliseconds after which a key that was taken away must not be used any more.
+    pub revocation_ms: f64,
+    /// Most instances that may exist at once.
+    #[serde(default = "most_instances")]
+    pub most_instances: u32,
+}
+
+/// The store.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Store {
+    /// Address and port.
+    pub address: SocketAddr,
+}
+
+/// Instances to divide joint limits by where the settings do not say: seven with three
+/// to spare.
+const fn most_instances() -> u32 {
+    10
+}
+
+impl Settings {
+    /// Reads a file.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read, or has a fault; the error names file, key and reason.
+    pub fn load(file: &str) -> Result<Self, Error> {
+        let text = std::fs::read_to_string(file)
+            .map_err(|error| Error::Read(file.to_string(), error))?;
+        Self::parse(file, &text)
+    }
+
+    /// Reads the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// It has a fault; the error names file, key and reason.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Error> {
+        let fault = |text: String| Error::Settings(file.to_string(), text);
+        let settings =
+            toml::from_str::<Self>(text).map_err(|error| fault(error.to_string()))?;
+        let checks = [
+            ("instance.grace_s", settings.instance.grace_s),
+            ("joint.retry_burst", settings.joint.retry_burst),
+            ("joint.retry_ratio", settings.joint.retry_ratio),
+            ("joint.retry_window_s", settings.joint.retry_window_s),
+            ("joint.revocation_ms", settings.joint.revocation_ms),
+        ];
+        for (key, value) in checks {
+            if !(value.is_finite() && value >= 0.0) {
+                return Err(fault(format!("{key}: found {value}, allowed: zero or more")));
+            }
+        }
+        if settings.joint.most_instances == 0 {
+            let key = "joint.most_instances";
+            return Err(fault(format!("{key}: found 0, allowed: one or more")));
+        }
+        Ok(settings)
+    }
+
+    /// The figures that decisions need.
+    #[must_use]
+    pub fn decisions(&self) -> forward::settings::Settings {
+        forward::settings::Settings {
+            budget_window: Duration::from_secs_f64(self.joint.retry_window_s),
+            domain: self.instance.domain.clone(),
+            most_instances: self.joint.most_instances,
+            retry_burst: self.joint.retry_burst,
+            retry_ratio: self.joint.retry_ratio,
+            revocation: Duration::from_secs_f64(self.joint.revocation_ms / 1000.0),
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/stream.rs
@@ -0,0 +1,252 @@
+//! Streams of events: from the request to the first event.
+
+use {
+    crate::{
+        clock,
+        exchange::{self, Destination, Original, Sent},
+        plain::{MOST_SENDS, place},
+        prelude::*,
+        relay::{self, Relay},
+        reply,
+        shared::Running,
+    },
+    endpoint::sse::Cutter,
+    forward::{prelude::Run, request::Ticket},
+    platform::head,
+    tokio::sync::mpsc,
+};
+
+/// Share of the target for the first event in which a place is waited for; what is left
+/// is needed for reading the prompt.
+const WAIT_SHARE: f64 = 0.7;
+
+/// Parts that wait for a caller who reads slowly.
+const MOST_BUFFERED: usize = 256;
+
+/// Output tokens expected where the caller gives no bound: a few hundred are typical.
+const TYPICAL_OUTPUT: u32 = 256;
+
+/// Serves a request for a stream: its answer begins with the first event, so that a
+/// failure before it has a status.
+pub async fn serve(
+    shared: &Rc<Shared>,
+    original: &Rc<Original>,
+    ticket: Ticket,
+    busy: crate::listen::Busy,
+) -> Result<Reply, Refusal> {
+    let mut ticket = ticket;
+    let mut tried = Vec::new();
+    let mut busy = Some(busy);
+    let mut sends = 0;
+    loop {
+        let until = original
+            .inbound
+            .arrived
+            .after(ticket.route.target.mul_f64(WAIT_SHARE))
+            .min(ticket.expires);
+        let expected = expected(&original.inbound);
+        let need = original.inbound.prompt + expected;
+        let Some((key, backup)) = place(shared, &ticket, need, &tried, until).await else {
+            log::info!(id = original.inbound.id, sends, why = "no engine with room"; "given up");
+            return Err(Refusal::Full);
+        };
+        // Nothing was run so far, so the newest configuration decides.
+        ticket = shared
+            .state
+            .borrow_mut()
+            .admit(clock::now(), &original.inbound)?;
+        tried.push(key);
+        shared.count_send(&ticket.service, sends > 0);
+        sends += 1;
+        let running = begin(shared, original, &ticket, key, backup, expected);
+        let opened = open(shared, original, &ticket, key, backup).await;
+        match opened {
+            Opened::Answer(reply) => return Ok(reply),
+            Opened::Failed(refusal) => return Err(refusal),
+            Opened::Stream(opening) => {
+                let (out, parts) = mpsc::channel(MOST_BUFFERED);
+                let mut reply = Response::new(Body::Parts(parts));
+                *reply.headers_mut() = opening.headers;
+                shared
+                    .meters
+                    .first_event(clock::now().since(original.inbound.arrived));
+                let relay = Relay::new(
+                    shared,
+                    original,
+                    ticket,
+                    running,
+                    out,
+                    opening.source,
+                    busy.take(),
+                );
+                tokio::task::spawn_local(relay.run(opening.blocks, opening.ended));
+                return Ok(reply);
+            }
+            Opened::NotRun(why) => {
+                let now = clock::now();
+                let allowed = shared.state.borrow_mut().budget.allows(&ticket.service, now);
+                if !allowed || sends >= MOST_SENDS {
+                    log::info!(id = original.inbound.id, sends, why; "given up");
+                    return Err(Refusal::Full);
+                }
+            }
+        }
+    }
+}
+
+/// Output tokens to expect: the caller's own estimate, right at the median.
+fn expected(inbound: &Inbound) -> u32 {
+    let most = if inbound.most_output == 0 {
+        TYPICAL_OUTPUT
+    } else {
+        inbound.most_output
+    };
+    inbound.length_hint.map_or(most, |hint| hint.min(most))
+}
+
+fn begin(
+    shared: &Rc<Shared>,
+    original: &Original,
+    ticket: &Ticket,
+    key: EndpointKey,
+    backup: Option<EndpointKey>,
+    expected: u32,
+) -> Running {
+    let tokens_per_event = shared
+        .state
+        .borrow()
+        .service(&ticket.service)
+        .and_then(|service| service.engine)
+        .map_or(1, |engine| engine.tokens_per_event);
+    let run = Run {
+        backup,
+        endpoint: key,
+        events: 0,
+        expected,
+        moving: false,
+        prompt: original.inbound.prompt,
+        service: ticket.service.clone(),
+        tokens_per_event,
+    };
+    Running::new(shared, run)
+}
+
+/// A stream whose first events are there.
+struct Opening {
+    blocks: Vec<Bytes>,
+    ended: bool,
+    headers: http::HeaderMap,
+    source: relay::Source,
+}
+
+enum Opened {
+    Answer(Reply),
+    Failed(Refusal),
+    NotRun(String),
+    Stream(Opening),
+}
+
+/// Sends the request and waits for the first event.
+async fn open(
+    shared: &Rc<Shared>,
+    original: &Original,
+    ticket: &Ticket,
+    key: EndpointKey,
+    backup: Option<EndpointKey>,
+) -> Opened {
+    let left = ticket.expires.since(clock::now());
+    let destination = Destination {
+        backup,
+        customer: ticket.customer.as_deref(),
+        expires: ticket.expires,
+        key,
+        source: None,
+    };
+    let opened = async {
+        match exchange::send(shared, original, &destination, left).await {
+            Sent::NotWritten(why) => {
+                shared.unreachable(key);
+                Opened::NotRun(why)
+            }
+            Sent::Unknown(why) => fail(shared, original, key, &why),
+            Sent::Answer(answer, verdict) if verdict.not_run => {
+                shared.full(key, answer.status());
+                Opened::NotRun(format!("turned down with {}", answer.status()))
+            }
+            Sent::Answer(answer, verdict) if answer.status() == StatusCode::OK => {
+                if !verdict.sealed || verdict.encoded {
+                    return fail(shared, original, key, "improper answer");
+                }
+                first_event(shared, original, key, answer).await
+            }
+            Sent::Answer(answer, _) => other_answer(shared, original, key, answer).await,
+        }
+    };
+    timeout(left, opened).await.unwrap_or_else(|_| {
+        shared.unreachable(key);
+        log::info!(id = original.inbound.id, why = "no first event in time"; "given up");
+        Opened::Failed(Refusal::TimedOut)
+    })
+}
+
+fn fail(shared: &Shared, original: &Original, key: EndpointKey, why: &str) -> Opened {
+    shared.unreachable(key);
+    log::info!(id = original.inbound.id, why; "given up");
+    Opened::Failed(Refusal::Broken)
+}
+
+/// Reads until an event is whole.
+async fn first_event(
+    shared: &Shared,
+    original: &Original,
+    key: EndpointKey,
+    answer: endpoint::client::Reply,
+) -> Opened {
+    let headers = head::answer(answer.headers());
+    let mut answer = answer;
+    let mut cutter = Cutter::default();
+    loop {
+        let part = match answer.part().await {
+            Ok(part) => part,
+            Err(error) => return fail(shared, original, key, &error.to_string()),
+        };
+        let ended = part.is_none();
+        let blocks = match cutter.feed(part.unwrap_or_default()) {
+            Ok(blocks) => blocks,
+            Err(error) => return fail(shared, original, key, &error.to_string()),
+        };
+        if blocks.is_empty() && !ended {
+            continue;
+        }
+        shared.answered(key, false);
+        return Opened::Stream(Opening {
+            blocks,
+            ended,
+            headers,
+            source: relay::Source {
+                answer,
+                cutter,
+                key,
+            },
+        });
+    }
+}
+
+/// Passes on an answer that is no stream.
+async fn other_answer(
+    shared: &Shared,
+    original: &Original,
+    key: EndpointKey,
+    answer: endpoint::client::Reply,
+) -> Opened {
+    let status = answer.status();
+    shared.answered(key, status.is_server_error());
+    if matches!(status.as_u16(), 408 | 421 | 429 | 503) {
+        return fail(shared, original, key, &format!("improper answer with {status}"));
+    }
+    let headers = head::answer(answer.headers());
+    match answer.whole(endpoint::sse::MOST).await {
+        Ok(body) => Opened::Answer(reply::whole(status, headers, body)),
+        Err(error) => fail(shared, original, key, &error.to_string()),
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/streamlog/src/lib.rs
@@ -1,4 +1,4 @@
-//! Client of the platform's append-only log and its instance list.
+//! Client of the append-only log and the instance list behind the project's own interface.
 
 pub mod codec;
 pub mod error;
--- a/crates/platform/tests/codec.rs
+++ b/crates/streamlog/tests/codec.rs
@@ -2,7 +2,7 @@
 
 use {
     decision::batch::Batch,
-    platform::codec,
+    streamlog::codec,
     proptest::{collection::vec, prelude::*, test_runner::RngSeed},
 };
 
