Go on at the engine that holds a run's copy while the leaving one still runs

Cause: a third of the long streams live longer than their engine; a move of KV memory on notice queues behind others (median 0.4 s for its last part), and a pause over 180 ms makes a stream late. Change: each long run is copied to a second engine as it grows; on notice that engine takes it over (15 ms to its head) before the leaving one is let go; a move of memory remains for runs without a sound copy. Runs under 100 output tokens are not copied.

--- a/crates/forward/src/run.rs
+++ b/crates/forward/src/run.rs
@@ -13,8 +13,8 @@
     pub events: u32,
     /// Output tokens it is expected to make.
     pub expected: u32,
-    /// Whether its move to another engine has begun.
-    pub moving: bool,
+    /// Engine that a copy for its move is being made at.
+    pub target: Option<EndpointKey>,
     /// Tokens in its prompt.
     pub prompt: u32,
     /// Service that it belongs to.
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -29,6 +29,11 @@
 /// Part of the KV memory up to which copies are placed; memory above it is for runs.
 const COPY_FILL: f64 = 0.75;
 
+/// Output tokens from which on a copy is made. A shorter run lives a fraction of a second
+/// after its prompt is read, in which an engine is hardly ever lost, while the copy would
+/// take the links from longer ones.
+const COPY_FROM: u32 = 100;
+
 /// Prompt tokens that an engine reads in a millisecond.
 const READ_RATE: f64 = 14.0;
 
@@ -49,6 +54,21 @@
 /// Milliseconds of waiting at which an endpoint that fails every request is rated.
 const FAILING_COST: f64 = 400.0;
 
+/// KV memory that a request is expected to need, in tokens; zero for plain requests.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Need {
+    /// Tokens it will make.
+    pub output: u32,
+    /// Tokens in its prompt.
+    pub prompt: u32,
+}
+
+impl Need {
+    const fn tokens(self) -> u32 {
+        self.prompt.saturating_add(self.output)
+    }
+}
+
 /// Where to send a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Pick {
@@ -220,7 +240,7 @@
         }
         let used = |key: EndpointKey, runs: &SlotMap<RunKey, Run>| {
             let mut runs = runs.values();
-            runs.any(|run| run.endpoint == key || run.backup == Some(key))
+            runs.any(|run| run.endpoint == key || run.backup == Some(key) || run.target == Some(key))
         };
         let runs = &self.runs;
         self.endpoints.retain(|key, endpoint| {
@@ -317,22 +337,26 @@
         })
     }
 
-    /// Chooses an endpoint for a request of `need` tokens of KV memory (0 for plain ones).
+    /// Chooses an endpoint for a request, and an engine for its copy.
     #[must_use]
     pub fn pick(
         &self,
         now: Time,
         service: &str,
-        need: u32,
+        need: Need,
         tried: &[EndpointKey],
     ) -> Pick {
         let Some(service) = self.service(service) else {
             return Pick::Wait;
         };
         let loads = self.loads();
-        match self.cheapest(now, service, need, tried, &loads) {
+        match self.cheapest(now, service, need.tokens(), tried, &loads) {
             None => Pick::Wait,
-            Some(key) => Pick::Send(key, self.pick_copy(now, service, need, key, &loads)),
+            Some(key) => {
+                let (tokens, output) = (need.tokens(), need.output);
+                let copy = self.pick_copy(now, service, tokens, output, key, &loads);
+                Pick::Send(key, copy)
+            },
         }
     }
 
@@ -346,12 +370,13 @@
         self.cheapest(now, service, run.need(), &skip, &self.loads())
     }
 
-    /// Chooses an engine for the copy of a run's KV memory.
+    /// Chooses an engine for the copy of a run's KV memory, once it runs at `endpoint`.
     #[must_use]
-    pub fn pick_backup(&self, now: Time, run: RunKey) -> Option<EndpointKey> {
+    pub fn pick_backup(&self, now: Time, run: RunKey, endpoint: EndpointKey) -> Option<EndpointKey> {
         let run = self.runs.get(run)?;
         let service = self.service(&run.service)?;
-        self.pick_copy(now, service, run.need(), run.endpoint, &self.loads())
+        let left = run.expected.saturating_sub(run.made());
+        self.pick_copy(now, service, run.need(), left, endpoint, &self.loads())
     }
 
     /// The endpoint with room that costs the least.
@@ -383,9 +408,13 @@
         now: Time,
         service: &Service,
         need: u32,
+        output: u32,
         source: EndpointKey,
         loads: &SecondaryMap<EndpointKey, Load>,
     ) -> Option<EndpointKey> {
+        if output < COPY_FROM {
+            return None;
+        }
         let engine = service.engine.filter(|engine| engine.backups)?;
         let most = f64::from(engine.kv_tokens) * COPY_FILL;
         let mut best = None;
@@ -495,8 +524,8 @@
         };
         for run in self.runs.values() {
             add(run.endpoint, run.load());
-            if let Some(backup) = run.backup {
-                add(backup, run.copy_load());
+            for copy in [run.backup, run.target].into_iter().flatten() {
+                add(copy, run.copy_load());
             }
         }
         loads
@@ -569,20 +598,20 @@
         self.runs.remove(key);
     }
 
-    /// Generations whose engine is leaving and whose move has not begun.
+    /// Whether the engine of a generation is leaving, so that it has to go on elsewhere.
     #[must_use]
-    pub fn to_move(&self) -> Vec<RunKey> {
-        let mut due = Vec::new();
-        for (key, run) in &self.runs {
-            let leaving = self
-                .endpoints
-                .get(run.endpoint)
-                .is_some_and(|endpoint| endpoint.leaving_since.is_some());
-            if leaving && !run.moving {
-                due.push(key);
-            }
-        }
-        due
+    pub fn must_move(&self, run: RunKey) -> bool {
+        let run = self.runs.get(run);
+        let endpoint = run.and_then(|run| self.endpoints.get(run.endpoint));
+        endpoint.is_some_and(|endpoint| endpoint.leaving_since.is_some())
+    }
+
+    /// The engine that holds a generation's copy, if it can take the generation over.
+    #[must_use]
+    pub fn sound_backup(&self, now: Time, run: RunKey) -> Option<EndpointKey> {
+        let backup = self.runs.get(run)?.backup?;
+        let endpoint = self.endpoints.get(backup)?;
+        endpoint.usable(now).then_some(backup)
     }
 
     fn find(&self, id: &str) -> Option<EndpointKey> {
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -8,7 +8,10 @@
         reply,
         shared::{InFlight, Waiting},
     },
-    forward::{request::Ticket, state::Pick},
+    forward::{
+        request::Ticket,
+        state::{Need, Pick},
+    },
     platform::head,
 };
 
@@ -96,7 +99,7 @@
 ) -> Attempt {
     let patience = ticket.route.timeout.mul_f64(WAIT_SHARE);
     let until = original.inbound.arrived.after(patience).min(ticket.expires);
-    let Some((key, _)) = place(shared, ticket, 0, &progress.tried, until).await else {
+    let Some((key, _)) = place(shared, ticket, Need::default(), &progress.tried, until).await else {
         progress.why = "no endpoint with room".to_string();
         return Attempt::Over(Refusal::Full);
     };
@@ -184,7 +187,7 @@
 pub async fn place(
     shared: &Rc<Shared>,
     ticket: &Ticket,
-    need: u32,
+    need: Need,
     tried: &[EndpointKey],
     until: Time,
 ) -> Option<(EndpointKey, Option<EndpointKey>)> {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -51,7 +51,21 @@
 }
 
 /// A move in progress.
-type Moving = Pin<Box<dyn Future<Output = Moved>>>;
+type Moving = Pin<Box<dyn Future<Output = Relocated>>>;
+
+/// What came of a move.
+enum Relocated {
+    /// The engine that holds the copy goes on; the run before it is to be dropped.
+    Opened(Opened),
+    /// Its KV memory was moved, or not.
+    Moved(Moved),
+}
+
+/// A run that goes on at another engine.
+struct Opened {
+    backup: Option<EndpointKey>,
+    source: Source,
+}
 
 /// A stream on its way to the caller.
 #[derive(Debug)]
@@ -75,7 +89,7 @@
     Ended,
     Expired,
     Lost(String),
-    Moved(Moved),
+    Moved(Relocated),
     Silent,
 }
 
@@ -183,17 +197,22 @@
             return;
         }
         log::info!(id = self.original.inbound.id, events = self.sequence.count(); "move begins");
-        *moving = Some(Box::pin(relocate::relocate(
-            Rc::clone(&self.shared),
-            self.running.key,
-            self.original.inbound.id.clone(),
-        )));
+        *moving = Some(Box::pin(self.transfer().relocate(self.backup_takeover())));
+    }
+
+    /// What a send to another engine needs, without the stream itself.
+    fn transfer(&self) -> Transfer {
+        Transfer {
+            last_event: self.sequence.last().map(str::to_string),
+            original: Rc::clone(&self.original),
+            run: self.running.key,
+            shared: Rc::clone(&self.shared),
+            ticket: self.ticket.clone(),
+        }
     }
 
     fn is_leaving(&self) -> bool {
-        let state = self.shared.state.borrow();
-        let endpoint = state.endpoint(self.source.key);
-        endpoint.is_some_and(|endpoint| endpoint.leaving_since.is_some())
+        self.shared.state.borrow().must_move(self.running.key)
     }
 
     async fn step(&mut self, moving: &mut Option<Moving>) -> Step {
@@ -247,15 +266,30 @@
     /// The engine broke the stream off: because it was told to stop for a move, or died.
     async fn lost(&mut self, moving: Option<Moving>, why: &str) -> Result<(), Ending> {
         if let Some(moving) = moving
-            && let Ok(moved) = timeout(relocate::MOVE_WAIT, moving).await
-            && let Moved::Ready(takeover) | Moved::Stopped(takeover) = moved
+            && let Ok(relocated) = timeout(relocate::MOVE_WAIT, moving).await
         {
-            return self.go_on(takeover, why).await;
+            match relocated {
+                Relocated::Opened(opened) => {
+                    self.switch(opened);
+                    return Ok(());
+                }
+                Relocated::Moved(Moved::Ready(takeover) | Moved::Stopped(takeover)) => {
+                    return self.go_on(takeover, why).await;
+                }
+                Relocated::Moved(Moved::NotYet(_)) => {}
+            }
         }
         self.from_backup(why).await
     }
 
-    async fn moved(&mut self, moved: Moved) -> Result<(), Ending> {
+    async fn moved(&mut self, relocated: Relocated) -> Result<(), Ending> {
+        let moved = match relocated {
+            Relocated::Opened(opened) => {
+                self.switch(opened);
+                return Ok(());
+            }
+            Relocated::Moved(moved) => moved,
+        };
         match moved {
             Moved::Ready(takeover) | Moved::Stopped(takeover) => {
                 self.last_events().await?;
@@ -311,35 +345,98 @@
     }
 
     async fn from_backup(&mut self, why: &str) -> Result<(), Ending> {
-        let backup = {
-            let state = self.shared.state.borrow();
-            state.run(self.running.key).and_then(|run| run.backup)
-        };
-        let target = backup.and_then(|key| Some((key, self.shared.target(key)?.0)));
-        let Some((key, address)) = target else {
-            return Err(Ending::Lost(format!("{why}; no copy")));
-        };
-        let handle = self.original.inbound.id.clone();
-        let takeover = Takeover {
-            address,
-            handle,
+        match self.backup_takeover() {
+            None => Err(Ending::Lost(format!("{why}; no copy"))),
+            Some(takeover) => self.go_on(takeover, why).await,
+        }
+    }
+
+    /// The copy that was made while the run went on.
+    fn backup_takeover(&self) -> Option<Takeover> {
+        let key = self.shared.state.borrow().run(self.running.key)?.backup?;
+        Some(Takeover {
+            address: self.shared.target(key)?.0,
+            handle: self.original.inbound.id.clone(),
             key,
-        };
-        self.go_on(takeover, why).await
+        })
     }
 
-    /// Goes on from a copy.
+    /// Goes on from a copy, with the run before it stopped or dead.
     async fn go_on(&mut self, takeover: Takeover, why: &str) -> Result<(), Ending> {
-        let began = clock::now();
         self.takeovers += 1;
         if self.takeovers > MOST_TAKEOVERS {
             return Err(Ending::Lost(format!("{why}; moved too often")));
         }
-        let backup = self.settle_at(takeover.key);
+        match self.transfer().open(&takeover, why).await {
+            Ok(opened) => {
+                self.settle(opened);
+                Ok(())
+            }
+            Err(error) => Err(Ending::Lost(format!("{why}; {error}"))),
+        }
+    }
+
+    /// Goes on at an engine that has taken the run over, and drops the run before it.
+    fn switch(&mut self, opened: Opened) {
+        self.takeovers += 1;
+        self.settle(opened);
+    }
+
+    fn settle(&mut self, opened: Opened) {
+        let mut state = self.shared.state.borrow_mut();
+        if let Some(run) = state.run_mut(self.running.key) {
+            run.endpoint = opened.source.key;
+            run.backup = opened.backup;
+            run.target = None;
+        }
+        self.source = opened.source;
+    }
+}
+
+/// What a send to another engine needs.
+struct Transfer {
+    last_event: Option<String>,
+    original: Rc<Original>,
+    run: RunKey,
+    shared: Rc<Shared>,
+    ticket: Ticket,
+}
+
+impl Transfer {
+    /// Goes on at the engine that holds a copy, if there is a sound one; else moves the
+    /// run's KV memory.
+    ///
+    /// The copy lacks only the last few tokens, so the engine that holds it goes on within
+    /// some 15 ms, while a move waits for other moves on the link (a median of 0.4 s for
+    /// its last part when three engines leave at once). The run before goes on until the
+    /// other engine has answered, so nothing is lost if the copy turns out missing.
+    async fn relocate(self, backup: Option<Takeover>) -> Relocated {
+        let sound = self
+            .shared
+            .state
+            .borrow()
+            .sound_backup(clock::now(), self.run);
+        if let Some(takeover) = backup.filter(|takeover| Some(takeover.key) == sound)
+            && let Ok(opened) = self.open(&takeover, "leaving").await
+        {
+            return Relocated::Opened(opened);
+        }
+        let id = self.original.inbound.id.clone();
+        Relocated::Moved(relocate::relocate(self.shared, self.run, id).await)
+    }
+
+    /// Asks an engine to go on from a copy.
+    async fn open(&self, takeover: &Takeover, why: &str) -> Result<Opened, String> {
+        let began = clock::now();
+        let backup = self
+            .shared
+            .state
+            .borrow()
+            .pick_backup(began, self.run, takeover.key);
         let source = head::Source {
             address: takeover.address,
-            handle: takeover.handle,
-            last_event: self.sequence.last().map(str::to_string),
+            handle: takeover.handle.clone(),
+            last_event: self.last_event.clone(),
         };
         let destination = Destination {
             backup,
@@ -349,50 +446,37 @@
             source: Some(&source),
         };
         self.shared.count_send(&self.ticket.service, true);
-        let sent =
-            exchange::send(&self.shared, &self.original, &destination, TAKEOVER_WAIT).await;
-        let outcome = match sent {
+        let sent = exchange::send(&self.shared, &self.original, &destination, TAKEOVER_WAIT).await;
+        let result = match sent {
             Sent::Answer(answer, verdict)
                 if answer.status() == StatusCode::OK && verdict.sealed && !verdict.not_run =>
             {
-                self.source = Source {
-                    answer,
-                    cutter: Cutter::default(),
-                    key: takeover.key,
-                };
-                Ok(())
+                Ok(Opened {
+                    backup,
+                    source: Source {
+                        answer,
+                        cutter: Cutter::default(),
+                        key: takeover.key,
+                    },
+                })
             }
-            Sent::Answer(answer, _) => Err(format!("{why}; copy answered {}", answer.status())),
-            Sent::NotWritten(error) | Sent::Unknown(error) => Err(format!("{why}; copy: {error}")),
+            Sent::Answer(answer, _) => Err(format!("copy answered {}", answer.status())),
+            Sent::NotWritten(error) | Sent::Unknown(error) => Err(format!("copy: {error}")),
         };
-        let took = clock::now().since(began).as_millis();
-        let error = outcome.as_ref().err().map_or("", String::as_str);
+        let error = result.as_ref().err().map_or("", String::as_str);
         log::info!(
-            id = self.original.inbound.id, why, error, ms = took,
-            events = self.sequence.count(); "takeover"
+            id = self.original.inbound.id, why, error,
+            ms = clock::now().since(began).as_millis(),
+            last_event = self.last_event.as_deref().unwrap_or_default(); "takeover"
         );
-        self.shared
-            .meters
-            .moved(if outcome.is_ok() { "went_on" } else { "lost" });
-        outcome.map_err(Ending::Lost)
-    }
-
-    /// Notes the run's new engine and chooses one for its next copy.
-    fn settle_at(&self, key: EndpointKey) -> Option<EndpointKey> {
-        let mut state = self.shared.state.borrow_mut();
-        let run = state.run_mut(self.running.key)?;
-        run.endpoint = key;
-        run.backup = None;
-        let backup = state.pick_backup(clock::now(), self.running.key);
-        if let Some(run) = state.run_mut(self.running.key) {
-            run.backup = backup;
-        }
-        backup
+        let outcome = if result.is_ok() { "went_on" } else { "refused" };
+        self.shared.meters.moved(outcome);
+        result
     }
 }
 
 /// The end of a move, if one is in progress.
-async fn ended(moving: &mut Option<Moving>) -> Moved {
+async fn ended(moving: &mut Option<Moving>) -> Relocated {
     match moving {
         Some(moving) => moving.await,
         None => std::future::pending().await,
--- a/crates/proxy/src/relocate.rs
+++ b/crates/proxy/src/relocate.rs
@@ -58,7 +58,7 @@
             return Moved::NotYet("no engine with room".to_string());
         };
         if let Some(run) = shared.state.borrow_mut().run_mut(run) {
-            run.backup = Some(target_key);
+            run.target = Some(target_key);
         }
         let began = clock::now();
         match call(&shared, source, &id, target, false, MOVE_WAIT).await {
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -11,7 +11,7 @@
         shared::Running,
     },
     endpoint::sse::Cutter,
-    forward::{prelude::Run, request::Ticket},
+    forward::{prelude::Run, request::Ticket, state::Need},
     platform::head,
     tokio::sync::mpsc,
 };
@@ -45,7 +45,10 @@
             .after(ticket.route.target.mul_f64(WAIT_SHARE))
             .min(ticket.expires);
         let expected = expected(&original.inbound);
-        let need = original.inbound.prompt + expected;
+        let need = Need {
+            output: expected,
+            prompt: original.inbound.prompt,
+        };
         let Some((key, backup)) = place(shared, &ticket, need, &tried, until).await else {
             log::info!(id = original.inbound.id, sends, why = "no engine with room"; "given up");
             return Err(Refusal::Full);
@@ -123,9 +126,9 @@
         endpoint: key,
         events: 0,
         expected,
-        moving: false,
         prompt: original.inbound.prompt,
         service: ticket.service.clone(),
+        target: None,
         tokens_per_event,
     };
     Running::new(shared, run)
