Report load between instances by datagrams over QUIC

Change: each instance publishes its address and the fingerprint of a certificate made at its start, and reports its load at endpoints to the others within 25 ms of a change; choices add what fellows reported within the last two seconds. Ruled out: probing the engines' own reports (dear, and 500 ms old).

--- /dev/null
+++ b/crates/fellow/src/datagram.rs
@@ -0,0 +1,113 @@
+//! Datagrams between instances: reports that may be lost, since a newer one follows.
+
+use {crate::prelude::*, bytes::Bytes};
+
+/// How long a connection may take to open.
+const CONNECT: Duration = Duration::from_millis(800);
+
+/// Connections to fellows, sorted by address.
+type Open = Vec<(SocketAddr, Connection)>;
+
+/// The socket; clones share it.
+#[derive(Clone, Debug)]
+pub struct Datagrams {
+    endpoint: Endpoint,
+    open: Arc<Mutex<Open>>,
+}
+
+impl Datagrams {
+    /// Listens at an address; datagrams of fellows go to `heard`.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub fn listen(
+        listen: SocketAddr,
+        configs: tls::Configs,
+        heard: Sender<Bytes>,
+    ) -> Result<Self, Error> {
+        let mut endpoint = Endpoint::server(configs.server, listen)?;
+        endpoint.set_default_client_config(configs.client);
+        tokio::spawn(accept(endpoint.clone(), heard));
+        Ok(Self {
+            endpoint,
+            open: Arc::default(),
+        })
+    }
+
+    /// Opens a connection unless one is open; it is kept until it fails.
+    ///
+    /// # Errors
+    ///
+    /// The fellow cannot be reached, or its certificate is not known.
+    pub async fn connect(&self, address: SocketAddr) -> Result<(), Error> {
+        if self.known(address).is_some() {
+            return Ok(());
+        }
+        let failed = |error: &dyn Display| Error::Connection(error.to_string());
+        let connecting = self
+            .endpoint
+            .connect(address, tls::PEER_NAME)
+            .map_err(|error| failed(&error))?;
+        let connection = timeout(CONNECT, connecting)
+            .await
+            .map_err(|_| Error::Silent)?
+            .map_err(|error| failed(&error))?;
+        let mut open = self.lock();
+        let place = open.partition_point(|(other, _)| *other < address);
+        open.insert(place, (address, connection));
+        Ok(())
+    }
+
+    /// Sends a datagram, if a connection is open.
+    ///
+    /// # Errors
+    ///
+    /// No connection is open, or the datagram is too large for it.
+    pub fn send(&self, address: SocketAddr, data: Bytes) -> Result<(), Error> {
+        let connection = self.known(address).ok_or(Error::Silent)?;
+        let sent = connection.send_datagram(data);
+        sent.map_err(|error| Error::Connection(error.to_string()))
+    }
+
+    /// Closes connections to fellows that are not in `addresses`.
+    pub fn retain(&self, addresses: &[SocketAddr]) {
+        self.lock()
+            .retain(|(address, _)| addresses.contains(address));
+    }
+
+    fn known(&self, address: SocketAddr) -> Option<Connection> {
+        let mut open = self.lock();
+        open.retain(|(_, connection)| connection.close_reason().is_none());
+        let place = open
+            .binary_search_by_key(&address, |(other, _)| *other)
+            .ok()?;
+        Some(open[place].1.clone())
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Open> {
+        self.open
+            .lock()
+            .expect("the connections are never poisoned")
+    }
+}
+
+async fn accept(endpoint: Endpoint, heard: Sender<Bytes>) {
+    while let Some(incoming) = endpoint.accept().await {
+        let heard = heard.clone();
+        tokio::spawn(async move {
+            let connection = match incoming.await {
+                Ok(connection) => connection,
+                Err(error) => {
+                    log::debug!(error:%; "fellow instance not let in");
+                    return;
+                }
+            };
+            while let Ok(data) = connection.read_datagram().await {
+                if heard.send(data).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/fellow/src/pinned.rs
@@ -0,0 +1,203 @@
+//! Mutual TLS between instances that know each other's certificates by fingerprint.
+//!
+//! Where no keys can be handed out, each instance makes a certificate at its start and
+//! publishes its fingerprint with its address in a store that only instances can write
+//! to. A connection counts only if both ends show a certificate that is published.
+
+use {
+    crate::{prelude::*, tls::Configs},
+    quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig},
+    rustls::{
+        CertificateError, DigitallySignedStruct, DistinguishedName, SignatureScheme,
+        client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier},
+        crypto::{CryptoProvider, verify_tls12_signature, verify_tls13_signature},
+        pki_types::{CertificateDer, PrivateKeyDer, PrivatePkcs8KeyDer, ServerName, UnixTime},
+        server::danger::{ClientCertVerified, ClientCertVerifier},
+    },
+};
+
+/// BLAKE3 hash of a certificate.
+pub type Fingerprint = [u8; 32];
+
+/// A certificate that lives as long as the process.
+#[derive(Debug)]
+pub struct Identity {
+    certificate: CertificateDer<'static>,
+    /// What others know it by.
+    pub fingerprint: Fingerprint,
+    key: PrivatePkcs8KeyDer<'static>,
+}
+
+impl Identity {
+    /// Makes a certificate.
+    ///
+    /// # Errors
+    ///
+    /// It cannot be made.
+    pub fn new() -> Result<Self, Error> {
+        let fault = |error: rcgen::Error| {
+            Error::Certificate("own certificate".to_string(), error.to_string())
+        };
+        let names = vec![tls::PEER_NAME.to_string()];
+        let made = rcgen::generate_simple_self_signed(names).map_err(fault)?;
+        let certificate = made.cert.der().clone();
+        Ok(Self {
+            fingerprint: *blake3::hash(&certificate).as_bytes(),
+            key: PrivatePkcs8KeyDer::from(made.signing_key.serialize_der()),
+            certificate,
+        })
+    }
+}
+
+/// Fingerprints of the certificates that count, sorted; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Pins(Arc<Mutex<Vec<Fingerprint>>>);
+
+impl Pins {
+    /// Replaces them all.
+    ///
+    /// # Panics
+    ///
+    /// Another holder panicked while it changed them.
+    pub fn set(&self, mut pins: Vec<Fingerprint>) {
+        pins.sort_unstable();
+        *self.0.lock().expect("the pins are never poisoned") = pins;
+    }
+
+    fn hold(&self, certificate: &CertificateDer) -> bool {
+        let fingerprint = *blake3::hash(certificate).as_bytes();
+        let pins = self.0.lock().expect("the pins are never poisoned");
+        pins.binary_search(&fingerprint).is_ok()
+    }
+}
+
+/// Configurations of both directions.
+///
+/// # Errors
+///
+/// The certificate cannot be used.
+pub fn configs(identity: &Identity, pins: &Pins) -> Result<Configs, Error> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let verifier = Arc::new(Verifier {
+        pins: pins.clone(),
+        provider: Arc::clone(&provider),
+    });
+    let fault =
+        |error: &dyn Display| Error::Certificate("own certificate".to_string(), error.to_string());
+    let chain = vec![identity.certificate.clone()];
+    let key = || PrivateKeyDer::from(identity.key.clone_key());
+    let server = rustls::ServerConfig::builder_with_provider(Arc::clone(&provider))
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(|error| fault(&error))?
+        .with_client_cert_verifier(Arc::clone(&verifier) as Arc<dyn ClientCertVerifier>)
+        .with_single_cert(chain.clone(), key())
+        .map_err(|error| fault(&error))?;
+    let client = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(|error| fault(&error))?
+        .dangerous()
+        .with_custom_certificate_verifier(verifier)
+        .with_client_auth_cert(chain, key())
+        .map_err(|error| fault(&error))?;
+    let server = QuicServerConfig::try_from(server).map_err(|error| fault(&error))?;
+    let client = QuicClientConfig::try_from(client).map_err(|error| fault(&error))?;
+    let mut server = quinn::ServerConfig::with_crypto(Arc::new(server));
+    let mut client = quinn::ClientConfig::new(Arc::new(client));
+    server.transport_config(tls::transport());
+    client.transport_config(tls::transport());
+    Ok(Configs { client, server })
+}
+
+/// Accepts certificates by fingerprint, and checks that the other side has the key.
+#[derive(Debug)]
+struct Verifier {
+    pins: Pins,
+    provider: Arc<CryptoProvider>,
+}
+
+impl Verifier {
+    fn check(&self, certificate: &CertificateDer) -> Result<(), rustls::Error> {
+        if self.pins.hold(certificate) {
+            return Ok(());
+        }
+        let unknown = CertificateError::ApplicationVerificationFailure;
+        Err(rustls::Error::InvalidCertificate(unknown))
+    }
+}
+
+impl ServerCertVerifier for Verifier {
+    fn verify_server_cert(
+        &self,
+        certificate: &CertificateDer,
+        _intermediates: &[CertificateDer],
+        _name: &ServerName,
+        _ocsp: &[u8],
+        _now: UnixTime,
+    ) -> Result<ServerCertVerified, rustls::Error> {
+        self.check(certificate)?;
+        Ok(ServerCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer,
+        signed: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.provider.signature_verification_algorithms;
+        verify_tls12_signature(message, certificate, signed, algorithms)
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer,
+        signed: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.provider.signature_verification_algorithms;
+        verify_tls13_signature(message, certificate, signed, algorithms)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        let algorithms = &self.provider.signature_verification_algorithms;
+        algorithms.supported_schemes()
+    }
+}
+
+impl ClientCertVerifier for Verifier {
+    fn root_hint_subjects(&self) -> &[DistinguishedName] {
+        &[]
+    }
+
+    fn verify_client_cert(
+        &self,
+        certificate: &CertificateDer,
+        _intermediates: &[CertificateDer],
+        _now: UnixTime,
+    ) -> Result<ClientCertVerified, rustls::Error> {
+        self.check(certificate)?;
+        Ok(ClientCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer,
+        signed: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        ServerCertVerifier::verify_tls12_signature(self, message, certificate, signed)
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer,
+        signed: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        ServerCertVerifier::verify_tls13_signature(self, message, certificate, signed)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        ServerCertVerifier::supported_verify_schemes(self)
+    }
+}
--- a/crates/fellow/src/tls.rs
+++ b/crates/fellow/src/tls.rs
@@ -75,7 +75,7 @@
     Ok(Configs { client, server })
 }
 
-fn transport() -> Arc<quinn::TransportConfig> {
+pub(crate) fn transport() -> Arc<quinn::TransportConfig> {
     let mut transport = quinn::TransportConfig::default();
     transport.max_idle_timeout(IDLE.try_into().ok());
     Arc::new(transport)
--- a/crates/forward/src/endpoint.rs
+++ b/crates/forward/src/endpoint.rs
@@ -1,6 +1,6 @@
 //! What is known of one endpoint.
 
-use crate::{pace::Pace, prelude::*};
+use crate::{load::digest, pace::Pace, prelude::*};
 
 /// First pause after an endpoint could not be reached.
 ///
@@ -62,6 +62,8 @@
 #[derive(Clone, Debug)]
 pub struct Endpoint {
     avoid_until: Time,
+    /// Digest of its id, by which reports name it.
+    pub digest: u32,
     /// Until when a lapsed entry may still come back; the endpoint stays usable until then.
     pub doubt_until: Option<Time>,
     failures: u32,
@@ -83,6 +85,7 @@
     pub fn new(listing: Listing, now: Time) -> Self {
         Self {
             avoid_until: Time::default(),
+            digest: digest(&listing.id),
             doubt_until: None,
             failures: 0,
             failing: 0.0,
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -509,7 +509,7 @@
     ) -> Load {
         let mut load = loads.get(key).copied().unwrap_or_default();
         load.requests += endpoint.in_flight;
-        load.add(self.fellows.at(&endpoint.listing.id, now));
+        load.add(self.fellows.at(endpoint.digest, now));
         load
     }
 
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -3,7 +3,7 @@
 use {
     crate::{clock, prelude::*},
     platform::{
-        list, records,
+        instance, list, records,
         records::Order,
         store::{Keyed, Topic},
     },
@@ -14,6 +14,9 @@
 /// sending of the last read, so this bounds its age on a quiet day.
 const HOLD: Duration = Duration::from_millis(1000);
 
+/// The same for the list of instances, whose age bounds nothing.
+const HOLD_INSTANCES: Duration = Duration::from_secs(12);
+
 /// Pause between two reads. Changes come a few a second, and each read is a call that
 /// counts; a pause takes several changes into one.
 const PAUSE: Duration = Duration::from_millis(60);
@@ -30,9 +33,14 @@
     let mut position = None;
     let mut reached = true;
     loop {
+        let hold = if topic == Topic::Instances {
+            HOLD_INSTANCES
+        } else {
+            HOLD
+        };
         let result = match position {
             None => start(&shared, topic, None).await,
-            Some(from) => go_on(&shared, topic, from).await,
+            Some(from) => go_on(&shared, topic, from, hold).await,
         };
         match result {
             Ok(next) => {
@@ -106,9 +114,14 @@
 }
 
 /// Reads on; returns the offset to go on from.
-async fn go_on(shared: &Rc<Shared>, topic: Topic, from: u64) -> Result<u64, platform::Error> {
+async fn go_on(
+    shared: &Rc<Shared>,
+    topic: Topic,
+    from: u64,
+    hold: Duration,
+) -> Result<u64, platform::Error> {
     let asked = clock::now();
-    let tail = match shared.store.read(topic, from, HOLD).await {
+    let tail = match shared.store.read(topic, from, hold).await {
         Err(platform::Error::Expired(first)) => {
             log::warn!(topic:?, from, first; "history is gone");
             return start(shared, topic, Some(from)).await;
@@ -135,7 +148,7 @@
     match topic {
         Topic::Endpoints => apply_entry(shared, record),
         Topic::Operators => apply_order(shared, record),
-        Topic::Instances => {}
+        Topic::Instances => apply_instance(shared, record),
     }
 }
 
@@ -157,6 +170,19 @@
     shared.state.borrow_mut().change(clock::now(), change);
 }
 
+fn apply_instance(shared: &Shared, record: &Keyed) {
+    match instance::decode(record) {
+        Ok(entry) => {
+            let address = entry.map(|entry| entry.address);
+            log::info!(fellow = record.key, address:?, offset = record.offset; "instance listed");
+            shared.fellows.hear(&record.key, entry);
+        }
+        Err(error) => {
+            log::warn!(fellow = record.key, offset = record.offset, error:%; "record of no use");
+        }
+    }
+}
+
 fn apply_order(shared: &Shared, record: &Keyed) {
     match records::order(record) {
         Err(error) => {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod error;
 pub mod exchange;
 pub mod follow;
+pub mod gossip;
 pub mod journal;
 pub mod listen;
 pub mod meters;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -389,6 +389,8 @@
             run.backup = opened.backup;
             run.target = None;
         }
+        drop(state);
+        self.shared.load.notify_one();
         self.source = opened.source;
     }
 }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        clock, follow, journal,
+        clock, follow, gossip, journal,
         listen::{self, Role},
         prelude::*,
         settings::Settings,
@@ -53,9 +53,10 @@
             .map_err(|error| Error::Listen(address, error))?;
         spawn_local(listen::accept(Rc::clone(&shared), listener, role));
     }
-    for topic in [Topic::Operators, Topic::Endpoints] {
+    for topic in [Topic::Operators, Topic::Endpoints, Topic::Instances] {
         spawn_local(follow::follow(Rc::clone(&shared), topic));
     }
+    spawn_local(gossip::run(Rc::clone(&shared)));
     spawn_local(follow::tick(Rc::clone(&shared)));
     log::info!(
         listen:% = instance.listen, domain = instance.domain,
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -18,6 +18,8 @@
 pub struct Instance {
     /// Failure domain.
     pub domain: String,
+    /// Address and port for messages between instances.
+    pub fellows: SocketAddr,
     /// Seconds from a request to stop until the process is killed.
     pub grace_s: f64,
     /// Address and port for callers.
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -1,7 +1,7 @@
 //! What all tasks of an instance share; they run on one thread.
 
 use {
-    crate::{clock, meters::Meters, prelude::*, settings::Settings},
+    crate::{clock, gossip::Fellows, meters::Meters, prelude::*, settings::Settings},
     endpoint::Client,
     forward::{State, state::Place},
     platform::Store,
@@ -20,12 +20,14 @@
     pub client: Client,
     /// Whether the instance was told to stop.
     pub draining: Cell<bool>,
+    /// Other instances.
+    pub fellows: Fellows,
     /// Requests in progress.
     pub in_progress: Cell<usize>,
+    /// Signalled when the load of this instance has changed.
+    pub load: Notify,
     /// Counters and histograms.
     pub meters: Meters,
-    /// Signalled when generations may have to be moved.
-    pub moves: Notify,
     /// Signalled when an endpoint may have room again.
     pub room: Notify,
     /// Settings at the start.
@@ -49,9 +51,10 @@
         let random = SmallRng::from_rng(&mut rand::rng());
         Ok(Rc::new(Self {
             draining: Cell::new(false),
+            fellows: Fellows::default(),
             in_progress: Cell::new(0),
+            load: Notify::new(),
             meters: Meters::new()?,
-            moves: Notify::new(),
             room: Notify::new(),
             state: RefCell::new(State::new(settings.decisions(), random)),
             stop: Notify::new(),
@@ -152,6 +155,7 @@
     #[must_use]
     pub fn new(shared: &Rc<Shared>, run: forward::prelude::Run) -> Self {
         let key = shared.state.borrow_mut().begin(run);
+        shared.load.notify_one();
         Self {
             key,
             shared: Rc::clone(shared),
@@ -162,6 +166,7 @@
 impl Drop for Running {
     fn drop(&mut self) {
         self.shared.state.borrow_mut().end(self.key);
+        self.shared.load.notify_one();
         self.shared.room.notify_waiters();
     }
 }
