Prove knowledge at once after a start; count only sends that arrive; copies in another failure domain

Changes: the first read after a start or an outage is answered at once; a connection that was refused counts neither as a try nor for the budget; a copy goes to another failure domain than its run where there is room.

--- a/crates/forward/src/budget.rs
+++ b/crates/forward/src/budget.rs
@@ -65,6 +65,11 @@
         self.ledger(service, now).second.push_back(now);
     }
 
+    /// The last second send did not reach the endpoint after all.
+    pub fn take_back(&mut self, service: &str, now: Time) {
+        self.ledger(service, now).second.pop_back();
+    }
+
     fn ledger(&mut self, service: &str, now: Time) -> &mut Ledger {
         let since = now.before(self.window);
         let place = match self
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -12,9 +12,10 @@
 /// Margin below the revocation bound, for the way from here to an endpoint.
 const REVOCATION_MARGIN: Duration = Duration::from_millis(300);
 
-/// Age of the configuration up to which a missing route or key is believed missing.
+/// Age of the configuration up to which a missing route or key is believed missing; a
+/// little below the two seconds in which every instance in touch has a new version.
 /// Beyond it the caller is sent elsewhere, since the newer configuration may have it.
-const BELIEVE_MISSING: Duration = Duration::from_millis(1500);
+const BELIEVE_MISSING: Duration = Duration::from_millis(1950);
 
 /// A list read after this long without proof means that the store had been away.
 const STORE_AWAY: Duration = Duration::from_millis(2500);
@@ -45,6 +46,10 @@
 /// survives a partition between domains, and bytes between domains are dear.
 const DOMAIN_COST: f64 = 60.0;
 
+/// Milliseconds of waiting that it is worth to have a copy in another failure domain than
+/// the run itself: all engines of a domain are at times lost at once.
+const SHARED_FATE_COST: f64 = 100.0;
+
 /// Milliseconds of waiting that a full memory is worth avoiding.
 const MEMORY_COST: f64 = 150.0;
 
@@ -438,6 +443,8 @@
         }
         let engine = service.engine.filter(|engine| engine.backups)?;
         let most = f64::from(engine.kv_tokens) * COPY_FILL;
+        let source_domain = self.endpoints.get(source);
+        let source_domain = source_domain.map(|endpoint| endpoint.listing.domain.as_str());
         let mut best = None;
         for (key, endpoint) in &self.endpoints {
             if key == source
@@ -452,7 +459,8 @@
             if tokens > most {
                 continue;
             }
-            let cost = tokens / most * MEMORY_COST + self.domain_cost(endpoint);
+            let shared = source_domain == Some(endpoint.listing.domain.as_str());
+            let cost = tokens / most * MEMORY_COST + if shared { SHARED_FATE_COST } else { 0.0 };
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, key));
             }
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -11,8 +11,9 @@
 };
 
 /// Time that the store holds a read open when nothing is new. Knowledge is as old as the
-/// sending of the last read, so this bounds its age on a quiet day.
-const HOLD: Duration = Duration::from_secs(1);
+/// sending of the last read that returned, so on a quiet day its age swings between one
+/// and two of these; at two it is still below the age up to which it is believed.
+const HOLD: Duration = Duration::from_millis(900);
 
 /// The same for the list of instances, whose age bounds nothing.
 const HOLD_INSTANCES: Duration = Duration::from_secs(12);
@@ -32,24 +33,24 @@
 pub async fn follow(shared: Rc<Shared>, topic: Topic) {
     let mut position = None;
     let mut reached = true;
+    let mut fresh = false;
     loop {
-        let hold = if topic == Topic::Instances {
-            HOLD_INSTANCES
-        } else {
-            HOLD
-        };
+        let hold = hold(topic, fresh);
         let result = match position {
             None => start(&shared, topic, None).await,
             Some(from) => go_on(&shared, topic, from, hold).await,
         };
         match result {
             Ok(next) => {
+                fresh = position.is_some();
                 if !reached {
                     log::info!(topic:?; "store regained");
                 }
                 reached = true;
                 position = Some(next);
-                sleep(PAUSE).await;
+                if fresh {
+                    sleep(PAUSE).await;
+                }
             }
             Err(error) => {
                 shared.meters.store_called("failed");
@@ -57,6 +58,7 @@
                     log::warn!(topic:?, error:%; "store lost");
                 }
                 reached = false;
+                fresh = false;
                 let pause = rand::rng().random_range(RETRY.0..RETRY.1);
                 sleep(Duration::from_millis(pause)).await;
             }
@@ -64,6 +66,17 @@
     }
 }
 
+/// How long the store may hold the next read open. Right after the start or an outage it
+/// is to answer at once: only its answer proves how recent the knowledge is, and callers
+/// are refused until then.
+const fn hold(topic: Topic, fresh: bool) -> Duration {
+    match topic {
+        _ if !fresh => Duration::ZERO,
+        Topic::Instances => HOLD_INSTANCES,
+        Topic::Endpoints | Topic::Operators => HOLD,
+    }
+}
+
 /// Reads the newest record of each key; returns the offset to go on from.
 async fn start(
     shared: &Rc<Shared>,
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -120,7 +120,6 @@
         return Attempt::Over(Refusal::Full);
     };
     let _in_flight = InFlight::new(shared, key);
-    progress.tried.push(key);
     let left = ticket.expires.since(clock::now());
     let idempotent = ticket.route.kind == Kind::Idempotent;
     let again = idempotent && progress.sends + 1 < ticket.route.max_attempts;
@@ -158,13 +157,24 @@
         .unwrap_or_else(|_| Err((true, "answer not whole in time".to_string())));
     let (status, headers, body, verdict) = match result {
         Ok(answer) => answer,
-        Err((written, why)) => {
+        Err((false, why)) => {
+            // It never arrived, so it counts neither as a try nor for the budget; the
+            // endpoint is avoided for a while, so the next one is asked.
             shared.unreachable(key);
-            progress.may_have_run |= written;
+            progress.sends -= 1;
+            shared.take_back_send(&ticket.service, progress.sends > 0);
             progress.why = why;
-            return after_failure(ticket, progress, written);
+            return after_failure(ticket, progress, false);
+        }
+        Err((true, why)) => {
+            shared.unreachable(key);
+            progress.tried.push(key);
+            progress.may_have_run = true;
+            progress.why = why;
+            return after_failure(ticket, progress, true);
         }
     };
+    progress.tried.push(key);
     if verdict.not_run {
         shared.full(key, status);
         progress.why = format!("turned down with {status}");
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -188,6 +188,14 @@
         self.meters.sent(again);
     }
 
+    /// A send did not reach its endpoint after all.
+    pub fn take_back_send(&self, service: &str, again: bool) {
+        if again {
+            let now = clock::now();
+            self.state.borrow_mut().budget.take_back(service, now);
+        }
+    }
+
     /// An endpoint turned a request down unrun.
     pub fn full(&self, key: EndpointKey, status: StatusCode) {
         let now = clock::now();
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -62,7 +62,6 @@
             .state
             .borrow_mut()
             .admit(clock::now(), &original.inbound)?;
-        tried.push(key);
         shared.count_send(&ticket.service, sends > 0);
         sends += 1;
         let running = begin(shared, original, &ticket, key, backup, expected);
@@ -89,7 +88,13 @@
                 tokio::task::spawn_local(relay.run(opening.blocks, opening.ended));
                 return Ok(reply);
             }
+            Opened::NotReached => {
+                // It never arrived, so it counts neither as a try nor for the budget.
+                sends -= 1;
+                shared.take_back_send(&ticket.service, sends > 0);
+            }
             Opened::NotRun(why) => {
+                tried.push(key);
                 let now = clock::now();
                 let allowed = shared
                     .state
@@ -153,6 +158,7 @@
 enum Opened {
     Answer(Reply),
     Failed(Refusal),
+    NotReached,
     NotRun(String),
     Stream(Box<Opening>),
 }
@@ -177,7 +183,8 @@
         match exchange::send(shared, original, &destination, left).await {
             Sent::NotWritten(why) => {
                 shared.unreachable(key);
-                Opened::NotRun(why)
+                log::info!(id = original.inbound.id, why; "engine not reached");
+                Opened::NotReached
             }
             Sent::Unknown(why) => fail(shared, original, key, &why),
             Sent::Answer(answer, verdict) if verdict.not_run => {
