Pass records of the store on between instances; settle doubts by a read at once

Change: one instance reads each topic, by its rank among those heard of late, and passes records on over QUIC; the others read only when the reader's word is too old or records are missing. Freshness is proved by numbers that are echoed, never by a message's arrival. A request that the age of knowledge stands against has a read made at once. Ruled out: a fixed reader for each failure domain (three times the calls).

--- a/crates/fellow/src/datagram.rs
+++ b/crates/fellow/src/datagram.rs
@@ -1,6 +1,10 @@
-//! Datagrams between instances: reports that may be lost, since a newer one follows.
+//! Datagrams between instances: reports that may be lost, since a newer one follows; and
+//! streams for what must arrive whole.
 
-use {crate::prelude::*, bytes::Bytes};
+use {
+    crate::{message::MOST, prelude::*},
+    bytes::Bytes,
+};
 
 /// How long a connection may take to open.
 const CONNECT: Duration = Duration::from_millis(800);
@@ -70,6 +74,27 @@
         sent.map_err(|error| Error::Connection(error.to_string()))
     }
 
+    /// Sends data that must not be lost, of any size, in the background.
+    ///
+    /// # Errors
+    ///
+    /// No connection is open.
+    pub fn send_whole(&self, address: SocketAddr, data: Bytes) -> Result<(), Error> {
+        let connection = self.known(address).ok_or(Error::Silent)?;
+        tokio::spawn(async move {
+            let sent = async {
+                let mut stream = connection.open_uni().await?;
+                stream.write_all(&data).await?;
+                stream.finish()?;
+                Ok::<_, Box<dyn std::error::Error + Send + Sync>>(())
+            };
+            if let Err(error) = sent.await {
+                log::debug!(address:%, error:%; "data for a fellow instance not sent");
+            }
+        });
+        Ok(())
+    }
+
     /// Closes connections to fellows that are not in `addresses`.
     pub fn retain(&self, addresses: &[SocketAddr]) {
         self.lock()
@@ -103,11 +128,26 @@
                     return;
                 }
             };
+            let streams = tokio::spawn(read_streams(connection.clone(), heard.clone()));
             while let Ok(data) = connection.read_datagram().await {
                 if heard.send(data).await.is_err() {
-                    return;
+                    break;
                 }
             }
+            streams.abort();
         });
     }
 }
+
+async fn read_streams(connection: Connection, heard: Sender<Bytes>) {
+    while let Ok(mut stream) = connection.accept_uni().await {
+        match stream.read_to_end(MOST).await {
+            Ok(data) => {
+                if heard.send(data.into()).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => log::debug!(error:%; "data of a fellow instance not read"),
+        }
+    }
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod outcome;
 pub mod pace;
 pub mod prelude;
+pub mod reader;
 pub mod request;
 pub mod run;
 pub mod sequence;
--- /dev/null
+++ b/crates/forward/src/reader.rs
@@ -0,0 +1,107 @@
+//! Which instance reads the store, and what the others take from it.
+//!
+//! Each read of the store is a call that all instances together have few of, and most of
+//! them bring every instance the same records. So one instance reads each topic and
+//! passes records on; the others read for themselves only when its word is too old, or
+//! when they know that they miss records. Nobody is elected: each instance ranks itself
+//! among the fellows it hears, so that two views that differ cost a few calls too many
+//! and nothing else.
+
+use crate::prelude::*;
+
+/// Topics that are followed.
+pub const TOPICS: usize = 3;
+
+/// Time without a word after which a fellow is no longer counted on to read.
+const ALIVE: Duration = Duration::from_millis(1500);
+
+/// Time that records may be on their way before they count as missed.
+const ON_THE_WAY: Duration = Duration::from_millis(120);
+
+/// What an instance says of its knowledge of one topic.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Word {
+    /// How old its knowledge was when it said so; `None` if it knows nothing.
+    pub age: Option<Duration>,
+    /// Offset after the last record that it has.
+    pub position: u64,
+}
+
+/// What one fellow said last.
+#[derive(Clone, Debug)]
+struct Heard {
+    at: Time,
+    name: String,
+    words: [Word; TOPICS],
+}
+
+/// What all fellows said last.
+#[derive(Debug, Default)]
+pub struct Readers {
+    heard: Vec<Heard>,
+    /// Since when a fellow has been known to be further, for each topic.
+    behind_since: [Option<Time>; TOPICS],
+}
+
+impl Readers {
+    /// Takes a fellow's words in.
+    pub fn hear(&mut self, name: &str, at: Time, words: [Word; TOPICS]) {
+        let heard = Heard {
+            at,
+            name: name.to_string(),
+            words,
+        };
+        match self
+            .heard
+            .binary_search_by(|other| other.name.as_str().cmp(name))
+        {
+            Ok(place) => self.heard[place] = heard,
+            Err(place) => self.heard.insert(place, heard),
+        }
+    }
+
+    /// Whether `name` is the one to read a topic: the first by rank among those who were
+    /// heard of late.
+    #[must_use]
+    pub fn reads(&self, name: &str, topic: usize, now: Time) -> bool {
+        let own = rank(name, topic);
+        let alive = self
+            .heard
+            .iter()
+            .filter(|heard| now.since(heard.at) <= ALIVE);
+        // A fellow that has lost the store itself is no help.
+        alive
+            .filter(|heard| heard.words[topic].age.is_some_and(|age| age <= USEFUL))
+            .all(|heard| rank(&heard.name, topic) > own)
+    }
+
+    /// Whether records at `position` and beyond were passed on by a fellow and have not
+    /// arrived here.
+    pub fn misses(&mut self, topic: usize, position: u64, now: Time) -> bool {
+        let further = self
+            .heard
+            .iter()
+            .any(|heard| now.since(heard.at) <= ALIVE && heard.words[topic].position > position);
+        if !further {
+            self.behind_since[topic] = None;
+            return false;
+        }
+        let since = *self.behind_since[topic].get_or_insert(now);
+        now.since(since) >= ON_THE_WAY
+    }
+}
+
+/// Age of knowledge up to which a fellow counts as following the store.
+const USEFUL: Duration = Duration::from_secs(3);
+
+/// Place of an instance in the order of readers; each topic has an order of its own, so
+/// that the work is spread.
+fn rank(name: &str, topic: usize) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&[u8::try_from(topic).unwrap_or(u8::MAX)]);
+    hasher.update(name.as_bytes());
+    let hash = *hasher.finalize().as_bytes();
+    u64::from_le_bytes([
+        hash[0], hash[1], hash[2], hash[3], hash[4], hash[5], hash[6], hash[7],
+    ])
+}
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -18,7 +18,7 @@
 const BELIEVE_MISSING: Duration = Duration::from_millis(1950);
 
 /// A list read after this long without proof means that the store had been away.
-const STORE_AWAY: Duration = Duration::from_millis(2500);
+const STORE_AWAY: Duration = Duration::from_secs(3);
 
 /// Time in which entries that lapsed while the store was away come back.
 const RETURN_TIME: Duration = Duration::from_secs(2);
--- /dev/null
+++ b/crates/proxy/src/apply.rs
@@ -0,0 +1,112 @@
+//! Taking records of the store in.
+
+use {
+    crate::{clock, prelude::*},
+    forward::state::Change,
+    platform::{
+        instance, list, records,
+        records::Order,
+        store::{Keyed, Topic},
+    },
+};
+
+/// Takes the newest record of each key in; keys that are not among them are gone.
+pub fn all(shared: &Shared, topic: Topic, records: &[Keyed]) {
+    match topic {
+        Topic::Endpoints => drop_unlisted(shared, records),
+        Topic::Operators => take_back(shared, records),
+        Topic::Instances => {}
+    }
+    for record in records {
+        one(shared, topic, record);
+    }
+}
+
+/// Takes one record in.
+pub fn one(shared: &Shared, topic: Topic, record: &Keyed) {
+    match topic {
+        Topic::Endpoints => entry(shared, record),
+        Topic::Instances => fellow(shared, record),
+        Topic::Operators => order(shared, record),
+    }
+}
+
+fn drop_unlisted(shared: &Shared, records: &[Keyed]) {
+    let now = clock::now();
+    let mut state = shared.state.borrow_mut();
+    for id in state.listed() {
+        if !records.iter().any(|record| record.key == id) {
+            log::info!(endpoint = id; "endpoint not among the newest records");
+            state.change(now, Change::Gone(id));
+        }
+    }
+}
+
+/// Failure domains whose record is gone are in again.
+fn take_back(shared: &Shared, records: &[Keyed]) {
+    let out = records
+        .iter()
+        .filter_map(|record| match records::order(record) {
+            Ok(Order::Domain(domain, true)) => Some(domain),
+            _ => None,
+        })
+        .collect::<Vec<_>>();
+    let mut state = shared.state.borrow_mut();
+    for domain in state.domains_out().to_vec() {
+        if !out.contains(&domain) {
+            log::info!(domain; "failure domain in again by the newest records");
+            state.set_domain(&domain, false);
+        }
+    }
+}
+
+fn entry(shared: &Shared, record: &Keyed) {
+    let (change, error) = list::change(record);
+    match (&change, error) {
+        (_, Some(error)) => {
+            log::warn!(endpoint = record.key, offset = record.offset, error:%; "entry of no use");
+        }
+        (Change::Gone(id), None) => {
+            log::info!(endpoint = id, offset = record.offset; "endpoint gone from the list");
+        }
+        (Change::Set(listing), None) => log::info!(
+            endpoint = listing.id, offset = record.offset, leaving = listing.leaving,
+            service = listing.service, domain = listing.domain, address:% = listing.address,
+            cold_ms = listing.cold.as_millis(); "endpoint listed"
+        ),
+    }
+    shared.state.borrow_mut().change(clock::now(), change);
+}
+
+fn fellow(shared: &Shared, record: &Keyed) {
+    match instance::decode(record) {
+        Ok(entry) => {
+            let address = entry.map(|entry| entry.address);
+            log::info!(fellow = record.key, address:?, offset = record.offset; "instance listed");
+            shared.fellows.hear(&record.key, entry);
+        }
+        Err(error) => {
+            log::warn!(fellow = record.key, offset = record.offset, error:%; "record of no use");
+        }
+    }
+}
+
+fn order(shared: &Shared, record: &Keyed) {
+    match records::order(record) {
+        Err(error) => {
+            log::error!(key = record.key, offset = record.offset, error:%; "record of no use");
+        }
+        Ok(Order::Unknown(key)) => {
+            log::info!(key, offset = record.offset; "record of an unknown kind");
+        }
+        Ok(Order::Domain(domain, out)) => {
+            let changed = shared.state.borrow_mut().set_domain(&domain, out);
+            log::info!(domain, out, changed, offset = record.offset; "failure domain set");
+        }
+        Ok(Order::Configure(config)) => {
+            let (version, routes) = (config.version, config.routes());
+            let taken = shared.state.borrow_mut().configure(*config);
+            log::info!(version, routes, taken, offset = record.offset; "configuration read");
+        }
+    }
+}
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -1,18 +1,18 @@
-//! Tasks that follow the store's topics.
+//! Tasks that follow the store's topics, by reading it or by what a fellow reads.
 
 use {
-    crate::{clock, prelude::*},
-    platform::{
-        instance, list, records,
-        records::Order,
-        store::{Keyed, Topic},
+    crate::{
+        apply, clock, gossip,
+        prelude::*,
+        topic::{self, Progress},
     },
+    platform::store::{Keyed, Topic},
     rand::RngExt as _,
 };
 
 /// Time that the store holds a read open when nothing is new. Knowledge is as old as the
 /// sending of the last read that returned, so on a quiet day its age swings between one
-/// and two of these; at two it is still below the age up to which it is believed.
+/// and two of these.
 const HOLD: Duration = Duration::from_millis(900);
 
 /// The same for the list of instances, whose age bounds nothing.
@@ -26,29 +26,55 @@
 /// do not call in step.
 const RETRY: (u64, u64) = (40, 240);
 
+/// How often an instance that does not read looks whether it has to.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Age of the endpoint list up to which a fellow's word is enough. Changes come several
+/// times a second, so the reader's own age is mostly a fraction of a second.
+const ENOUGH_ENDPOINTS: Duration = Duration::from_millis(1900);
+
+/// The same for the configuration. The reader's own age swings up to 1.9 s, and a word
+/// takes up to 0.6 s; nothing runs under a key after 4.7 s.
+const ENOUGH: Duration = Duration::from_millis(2800);
+
+/// The same for the list of instances.
+const ENOUGH_INSTANCES: Duration = Duration::from_secs(30);
+
+/// Longest time that a request waits for a read that was wanted on its behalf.
+const VERIFY: Duration = Duration::from_millis(400);
+
 /// How often doubts of the endpoint list are looked at.
 const TICK: Duration = Duration::from_millis(250);
 
 /// Follows a topic for ever.
 pub async fn follow(shared: Rc<Shared>, topic: Topic) {
-    let mut position = None;
+    let progress = shared.topic(topic);
     let mut reached = true;
-    let mut fresh = false;
+    let mut proof_wanted = true;
     loop {
-        let hold = hold(topic, fresh);
-        let result = match position {
+        if !proof_wanted && !reads(&shared, topic) {
+            let wanted = timeout(LOOK, progress.wanted.notified()).await;
+            proof_wanted = wanted.is_ok();
+            continue;
+        }
+        let result = match progress.position.get() {
             None => start(&shared, topic, None).await,
-            Some(from) => go_on(&shared, topic, from, hold).await,
+            Some(from) => {
+                // The store answers at once where the answer is waited for.
+                let hold = if proof_wanted { Duration::ZERO } else { hold(topic) };
+                go_on(&shared, topic, from, hold).await
+            }
         };
         match result {
             Ok(next) => {
-                fresh = position.is_some();
                 if !reached {
                     log::info!(topic:?; "store regained");
                 }
                 reached = true;
-                position = Some(next);
-                if fresh {
+                proof_wanted = progress.position.get().is_none();
+                progress.position.set(Some(next));
+                progress.read.notify_waiters();
+                if !proof_wanted {
                     sleep(PAUSE).await;
                 }
             }
@@ -58,7 +84,8 @@
                     log::warn!(topic:?, error:%; "store lost");
                 }
                 reached = false;
-                fresh = false;
+                proof_wanted = true;
+                progress.read.notify_waiters();
                 let pause = rand::rng().random_range(RETRY.0..RETRY.1);
                 sleep(Duration::from_millis(pause)).await;
             }
@@ -66,17 +93,35 @@
     }
 }
 
-/// How long the store may hold the next read open. Right after the start or an outage it
-/// is to answer at once: only its answer proves how recent the knowledge is, and callers
-/// are refused until then.
-const fn hold(topic: Topic, fresh: bool) -> Duration {
+/// Whether this instance has to read a topic itself.
+fn reads(shared: &Shared, topic: Topic) -> bool {
+    let now = clock::now();
+    let progress = shared.topic(topic);
+    let Some(position) = progress.position.get() else {
+        return true;
+    };
+    let place = topic::index(topic);
+    let mut readers = shared.readers.borrow_mut();
+    !progress.freshness.get().within(now, enough(topic))
+        || readers.reads(&shared.settings.instance.name, place, now)
+        || readers.misses(place, position, now)
+}
+
+const fn hold(topic: Topic) -> Duration {
     match topic {
-        _ if !fresh => Duration::ZERO,
         Topic::Instances => HOLD_INSTANCES,
         Topic::Endpoints | Topic::Operators => HOLD,
     }
 }
 
+const fn enough(topic: Topic) -> Duration {
+    match topic {
+        Topic::Endpoints => ENOUGH_ENDPOINTS,
+        Topic::Instances => ENOUGH_INSTANCES,
+        Topic::Operators => ENOUGH,
+    }
+}
+
 /// Reads the newest record of each key; returns the offset to go on from.
 async fn start(
     shared: &Rc<Shared>,
@@ -92,40 +137,10 @@
             newest.end
         )));
     }
-    if topic == Topic::Endpoints {
-        let mut state = shared.state.borrow_mut();
-        for id in state.listed() {
-            if !newest.records.iter().any(|record| record.key == id) {
-                state.change(clock::now(), forward::state::Change::Gone(id));
-            }
-        }
-    }
-    if topic == Topic::Operators {
-        take_back(shared, &newest.records);
-    }
-    for record in &newest.records {
-        apply(shared, topic, record);
-    }
+    apply::all(shared, topic, &newest.records);
     Ok(newest.end)
 }
 
-/// Failure domains whose record is gone are in again.
-fn take_back(shared: &Shared, records: &[Keyed]) {
-    let out = records
-        .iter()
-        .filter_map(|record| match records::order(record) {
-            Ok(Order::Domain(domain, true)) => Some(domain),
-            _ => None,
-        })
-        .collect::<Vec<_>>();
-    let mut state = shared.state.borrow_mut();
-    for domain in state.domains_out().to_vec() {
-        if !out.contains(&domain) {
-            state.set_domain(&domain, false);
-        }
-    }
-}
-
 /// Reads on; returns the offset to go on from.
 async fn go_on(
     shared: &Rc<Shared>,
@@ -142,78 +157,62 @@
         tail => tail?,
     };
     shared.meters.store_called("read");
-    for record in &tail.records {
-        apply(shared, topic, record);
+    let reached = take(shared, topic, from, &tail.records).max(tail.next);
+    if !tail.records.is_empty() && reads(shared, topic) {
+        gossip::pass_on(shared, topic, from, &tail.records);
     }
-    if tail.next >= tail.end {
-        let mut state = shared.state.borrow_mut();
-        match topic {
-            Topic::Endpoints => state.prove_list(clock::now(), asked),
-            Topic::Operators => state.config_freshness.prove(asked),
-            Topic::Instances => {}
-        }
+    if reached >= tail.end {
+        prove(shared, topic, asked);
     }
-    shared.room.notify_waiters();
-    Ok(tail.next)
+    Ok(reached)
 }
 
-fn apply(shared: &Shared, topic: Topic, record: &Keyed) {
-    match topic {
-        Topic::Endpoints => apply_entry(shared, record),
-        Topic::Operators => apply_order(shared, record),
-        Topic::Instances => apply_instance(shared, record),
+/// Takes records from an offset on in, apart from those that are known already; returns
+/// the offset after the last one known.
+pub fn take(shared: &Shared, topic: Topic, from: u64, records: &[Keyed]) -> u64 {
+    let progress = shared.topic(topic);
+    let mut position = progress.position.get().unwrap_or(from);
+    if from > position {
+        // Records in between are missing; they are read from the store.
+        return position;
     }
-}
-
-fn apply_entry(shared: &Shared, record: &Keyed) {
-    let (change, error) = list::change(record);
-    match (&change, error) {
-        (_, Some(error)) => {
-            log::warn!(endpoint = record.key, offset = record.offset, error:%; "entry of no use");
-        }
-        (forward::state::Change::Gone(id), None) => {
-            log::info!(endpoint = id, offset = record.offset; "endpoint gone from the list");
+    for record in records {
+        if record.offset >= position {
+            apply::one(shared, topic, record);
+            position = record.offset + 1;
         }
-        (forward::state::Change::Set(listing), None) => log::info!(
-            endpoint = listing.id, offset = record.offset, leaving = listing.leaving,
-            service = listing.service, domain = listing.domain, address:% = listing.address,
-            cold_ms = listing.cold.as_millis(); "endpoint listed"
-        ),
     }
-    shared.state.borrow_mut().change(clock::now(), change);
+    progress.position.set(Some(position));
+    shared.room.notify_waiters();
+    position
 }
 
-fn apply_instance(shared: &Shared, record: &Keyed) {
-    match instance::decode(record) {
-        Ok(entry) => {
-            let address = entry.map(|entry| entry.address);
-            log::info!(fellow = record.key, address:?, offset = record.offset; "instance listed");
-            shared.fellows.hear(&record.key, entry);
-        }
-        Err(error) => {
-            log::warn!(fellow = record.key, offset = record.offset, error:%; "record of no use");
-        }
+/// Knowledge of a topic was complete at `when`.
+pub fn prove(shared: &Shared, topic: Topic, when: Time) {
+    let progress = shared.topic(topic);
+    let mut freshness = progress.freshness.get();
+    freshness.prove(when);
+    progress.freshness.set(freshness);
+    let mut state = shared.state.borrow_mut();
+    match topic {
+        Topic::Endpoints => state.prove_list(clock::now(), when),
+        Topic::Operators => state.config_freshness.prove(when),
+        Topic::Instances => {}
     }
 }
 
-fn apply_order(shared: &Shared, record: &Keyed) {
-    match records::order(record) {
-        Err(error) => {
-            log::error!(key = record.key, offset = record.offset, error:%; "record of no use");
-        }
-        Ok(Order::Unknown(key)) => {
-            log::info!(key, offset = record.offset; "record of an unknown kind");
-        }
-        Ok(Order::Domain(domain, out)) => {
-            let changed = shared.state.borrow_mut().set_domain(&domain, out);
-            log::info!(domain, out, changed, offset = record.offset; "failure domain set");
-        }
-        Ok(Order::Configure(config)) => {
-            let (version, routes) = (config.version, config.routes());
-            let taken = shared.state.borrow_mut().configure(*config);
-            log::info!(version, routes, taken, offset = record.offset; "configuration read");
-        }
+/// Has the configuration read at once, for a request that it would otherwise be too old
+/// for; requests that come meanwhile share the read. Nothing is tried while the store is
+/// known to be lost.
+pub async fn verify(shared: &Shared) {
+    let progress: &Progress = shared.topic(Topic::Operators);
+    if progress.position.get().is_none() {
+        // The first read is under way.
+        let _known = timeout(VERIFY, progress.read.notified()).await;
     }
+    let read = progress.read.notified();
+    progress.wanted.notify_one();
+    let _answered = timeout(VERIFY, read).await;
 }
 
 /// Settles what time alone settles.
--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -1,15 +1,19 @@
 //! Reports of load between instances.
 
 use {
-    crate::{clock, prelude::*},
+    crate::{clock, follow, prelude::*, topic},
     fellow::{
         datagram::Datagrams,
         pinned::{self, Fingerprint, Identity, Pins},
     },
-    forward::{endpoint::Load, load::digest},
+    forward::{
+        endpoint::Load,
+        load::digest,
+        reader::{TOPICS, Word},
+    },
     platform::{
         instance::{self, Entry},
-        store::Topic,
+        store::{Keyed, Topic},
     },
     serde::{Deserialize, Serialize},
     tokio::sync::mpsc,
@@ -34,14 +38,47 @@
 /// Datagrams that wait to be read.
 const MOST_HEARD: usize = 256;
 
-/// What an instance has in progress.
+/// What instances say to each other.
 #[derive(Debug, Deserialize, Serialize)]
+enum Message {
+    Records(Batch),
+    Report(Report),
+}
+
+/// Digest of the endpoint's id, then tokens, tokens being read, requests.
+type Row = (u32, u32, u32, u32);
+
+/// Age in milliseconds, if anything is known, and position.
+type RawWord = (Option<u32>, u64);
+
+/// What an instance has in progress and knows.
+#[derive(Clone, Debug, Deserialize, Serialize)]
 struct Report {
-    /// Digest of the endpoint's id, then tokens, tokens being read, requests.
-    loads: Vec<(u32, u32, u32, u32)>,
+    /// The last number heard from the instance that this is sent to. What is said here
+    /// was true after that number was given out, however long this message is on its way.
+    echo: u64,
+    loads: Vec<Row>,
     name: String,
-    /// Orders the reports of one life of an instance.
+    /// Time of the sender's clock in microseconds; orders its reports.
     number: u64,
+    words: [RawWord; TOPICS],
+}
+
+/// Records of a topic, in order.
+#[derive(Debug, Deserialize, Serialize)]
+struct Batch {
+    from: u64,
+    records: Vec<RawRecord>,
+    /// Place in [`topic::ALL`].
+    topic: u8,
+}
+
+/// A record as it stands in the store.
+#[derive(Debug, Deserialize, Serialize)]
+struct RawRecord {
+    key: String,
+    offset: u64,
+    value: Option<Vec<u8>>,
 }
 
 /// A fellow, as it published itself.
@@ -51,14 +88,20 @@
     name: String,
 }
 
-/// Fellows that are known, sorted by name.
+/// Fellows that are known.
 #[derive(Debug, Default)]
-pub struct Fellows(RefCell<Vec<Fellow>>);
+pub struct Fellows {
+    datagrams: RefCell<Option<Datagrams>>,
+    /// Number of the last report of each fellow, sorted by name.
+    echoes: RefCell<Vec<(String, u64)>>,
+    /// Sorted by name.
+    known: RefCell<Vec<Fellow>>,
+}
 
 impl Fellows {
     /// Takes a record of an instance in.
     pub fn hear(&self, name: &str, entry: Option<Entry>) {
-        let mut fellows = self.0.borrow_mut();
+        let mut fellows = self.known.borrow_mut();
         let place = fellows.binary_search_by(|fellow| fellow.name.as_str().cmp(name));
         match (place, entry) {
             (Ok(place), Some(entry)) => fellows[place].entry = entry,
@@ -74,17 +117,34 @@
     }
 
     fn fingerprints(&self) -> Vec<Fingerprint> {
-        let fellows = self.0.borrow();
+        let fellows = self.known.borrow();
         fellows
             .iter()
             .map(|fellow| fellow.entry.fingerprint)
             .collect()
     }
 
-    fn addresses(&self, own: &str) -> Vec<SocketAddr> {
-        let fellows = self.0.borrow();
+    /// Address of each other instance, and the number to be echoed to it.
+    fn others(&self, own: &str) -> Vec<(SocketAddr, u64)> {
+        let fellows = self.known.borrow();
         let others = fellows.iter().filter(|fellow| fellow.name != own);
-        others.map(|fellow| fellow.entry.address).collect()
+        others
+            .map(|fellow| (fellow.entry.address, self.echo(&fellow.name)))
+            .collect()
+    }
+
+    fn echo(&self, name: &str) -> u64 {
+        let echoes = self.echoes.borrow();
+        let place = echoes.binary_search_by(|(other, _)| other.as_str().cmp(name));
+        place.map_or(0, |place| echoes[place].1)
+    }
+
+    fn note(&self, name: &str, number: u64) {
+        let mut echoes = self.echoes.borrow_mut();
+        match echoes.binary_search_by(|(other, _)| other.as_str().cmp(name)) {
+            Ok(place) => echoes[place].1 = number,
+            Err(place) => echoes.insert(place, (name.to_string(), number)),
+        }
     }
 }
 
@@ -109,6 +169,7 @@
         address,
         fingerprint: identity.fingerprint,
     };
+    shared.fellows.datagrams.replace(Some(datagrams.clone()));
     publish(&shared, &entry).await;
     tokio::join!(
         connect(&shared, &datagrams, &pins),
@@ -142,7 +203,9 @@
 async fn connect(shared: &Shared, datagrams: &Datagrams, pins: &Pins) {
     loop {
         pins.set(shared.fellows.fingerprints());
-        let addresses = shared.fellows.addresses(&shared.settings.instance.name);
+        let others = shared.fellows.others(&shared.settings.instance.name);
+        let addresses = others.into_iter().map(|(address, _)| address);
+        let addresses = addresses.collect::<Vec<_>>();
         datagrams.retain(&addresses);
         for address in addresses {
             let datagrams = datagrams.clone();
@@ -156,70 +219,142 @@
     }
 }
 
-/// Reports the load whenever it has changed.
+/// Reports load and knowledge whenever the load has changed, and from time to time.
 async fn tell(shared: &Shared, datagrams: &Datagrams) {
-    let mut number = clock::now().micros();
     loop {
-        let changed = timeout(LONGEST, shared.load.notified()).await;
-        let loads = loads(shared);
-        if changed.is_ok() || !loads.is_empty() {
-            number += 1;
-            send(shared, datagrams, loads, number);
+        let _changed = timeout(LONGEST, shared.load.notified()).await;
+        let mut report = report(shared);
+        for (address, echo) in shared.fellows.others(&report.name) {
+            report.echo = echo;
+            let Some(data) = encode(&Message::Report(report.clone())) else {
+                continue;
+            };
+            if let Err(error) = datagrams.send(address, data) {
+                log::trace!(address:%, error:%; "report not sent");
+            }
         }
         sleep(SHORTEST).await;
     }
 }
 
-fn loads(shared: &Shared) -> Vec<(u32, u32, u32, u32)> {
+fn report(shared: &Shared) -> Report {
     let mut loads = shared.state.borrow().report();
     loads.sort_by_key(|(_, load)| std::cmp::Reverse(load.tokens));
     loads.truncate(MOST_ENDPOINTS);
     let rows = loads.into_iter();
-    rows.map(|(id, load)| (digest(&id), load.tokens, load.reading, load.requests))
-        .collect()
+    let words = topic::ALL.map(|topic| {
+        let word = shared.topic(topic).word();
+        let age = word.age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
+        (age, word.position)
+    });
+    Report {
+        echo: 0,
+        loads: rows
+            .map(|(id, load)| (digest(&id), load.tokens, load.reading, load.requests))
+            .collect(),
+        name: shared.settings.instance.name.clone(),
+        number: clock::now().micros(),
+        words,
+    }
 }
 
-fn send(shared: &Shared, datagrams: &Datagrams, loads: Vec<(u32, u32, u32, u32)>, number: u64) {
-    let name = shared.settings.instance.name.clone();
-    let report = Report {
-        loads,
-        name,
-        number,
-    };
-    let data = match postcard::to_stdvec(&report) {
-        Ok(data) => Bytes::from(data),
+fn encode(message: &Message) -> Option<Bytes> {
+    match postcard::to_stdvec(message) {
+        Ok(data) => Some(data.into()),
         Err(error) => {
-            log::error!(error:%; "report cannot be encoded");
-            return;
+            log::error!(error:%; "message to fellow instances cannot be encoded");
+            None
         }
+    }
+}
+
+/// Passes records on to all fellows, right after they were read.
+pub fn pass_on(shared: &Shared, topic: Topic, from: u64, records: &[Keyed]) {
+    let records = records.iter().map(|record| RawRecord {
+        key: record.key.clone(),
+        offset: record.offset,
+        value: record.value.as_ref().map(|value| value.to_vec()),
+    });
+    let batch = Batch {
+        from,
+        records: records.collect(),
+        topic: u8::try_from(topic::index(topic)).unwrap_or(u8::MAX),
+    };
+    let datagrams = shared.fellows.datagrams.borrow();
+    let (Some(datagrams), Some(data)) = (&*datagrams, encode(&Message::Records(batch))) else {
+        return;
     };
-    for address in shared.fellows.addresses(&report.name) {
-        if let Err(error) = datagrams.send(address, data.clone()) {
-            log::trace!(address:%, error:%; "report not sent");
+    for (address, _) in shared.fellows.others(&shared.settings.instance.name) {
+        if let Err(error) = datagrams.send_whole(address, data.clone()) {
+            log::trace!(address:%, error:%; "records not passed on");
         }
     }
 }
 
-async fn hear(shared: &Shared, mut reports: mpsc::Receiver<Bytes>) {
-    while let Some(data) = reports.recv().await {
-        let report = match postcard::from_bytes::<Report>(&data) {
-            Ok(report) => report,
-            Err(error) => {
-                log::warn!(error:%; "report of a fellow instance cannot be read");
-                continue;
-            }
-        };
-        let row = |(digest, tokens, reading, requests)| {
-            let load = Load {
-                reading,
-                requests,
-                tokens,
-            };
-            (digest, load)
+async fn hear(shared: &Shared, mut messages: mpsc::Receiver<Bytes>) {
+    while let Some(data) = messages.recv().await {
+        match postcard::from_bytes::<Message>(&data) {
+            Ok(Message::Records(batch)) => take(shared, batch),
+            Ok(Message::Report(report)) => hear_report(shared, report),
+            Err(error) => log::warn!(error:%; "message of a fellow instance cannot be read"),
+        }
+    }
+}
+
+/// Takes records in that a fellow has read.
+fn take(shared: &Shared, batch: Batch) {
+    let Some(topic) = topic::ALL.get(usize::from(batch.topic)) else {
+        log::warn!(topic = batch.topic; "records of an unknown topic");
+        return;
+    };
+    if shared.topic(*topic).position.get().is_none() {
+        // Nothing is known yet; the first read brings them.
+        return;
+    }
+    let records = batch.records.into_iter().map(|record| Keyed {
+        key: record.key,
+        offset: record.offset,
+        value: record.value.map(Bytes::from),
+    });
+    follow::take(shared, *topic, batch.from, &records.collect::<Vec<_>>());
+}
+
+fn hear_report(shared: &Shared, report: Report) {
+    let now = clock::now();
+    shared.fellows.note(&report.name, report.number);
+    let row = |(digest, tokens, reading, requests)| {
+        let load = Load {
+            reading,
+            requests,
+            tokens,
         };
-        let loads = report.loads.into_iter().map(row).collect();
-        let now = clock::now();
-        let mut state = shared.state.borrow_mut();
-        state.fellows.hear(&report.name, now, report.number, loads);
+        (digest, load)
+    };
+    let loads = report.loads.into_iter().map(row).collect();
+    let mut state = shared.state.borrow_mut();
+    state
+        .fellows
+        .hear(&report.name, now, report.number, loads);
+    drop(state);
+    let words = report.words.map(|(age, position)| Word {
+        age: age.map(|age| Duration::from_millis(u64::from(age))),
+        position,
+    });
+    shared
+        .readers
+        .borrow_mut()
+        .hear(&report.name, now, words);
+    if report.echo == 0 {
+        return;
+    }
+    // What the fellow says was true after it had heard of this time.
+    let asked = Time::from_micros(report.echo);
+    for (topic, word) in topic::ALL.into_iter().zip(words) {
+        let known = shared.topic(topic).position.get();
+        if let Some(age) = word.age
+            && known.is_some_and(|known| known >= word.position)
+        {
+            follow::prove(shared, topic, asked.before(age));
+        }
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -3,6 +3,7 @@
 //! One loop on one thread. Each request is a task that asks [`forward::State`] what may
 //! be done at the present time and carries it out; nothing is decided here.
 
+pub mod apply;
 pub mod clock;
 pub mod error;
 pub mod exchange;
@@ -20,5 +21,6 @@
 pub mod settings;
 pub mod shared;
 pub mod stream;
+pub mod topic;
 
 pub use {error::Error, serve::run, settings::Settings};
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -1,7 +1,8 @@
 //! Listeners for callers, for the question of readiness, and for metrics.
 
 use {
-    crate::{clock, exchange::Original, plain, prelude::*, reply, stream},
+    crate::{clock, exchange::Original, follow, plain, prelude::*, reply, stream},
+    forward::request::Ticket,
     http_body_util::{BodyExt as _, LengthLimitError, Limited},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
@@ -183,7 +184,7 @@
 ) -> Result<Reply, Refusal> {
     let body = whole(shared, body).await?;
     let now = clock::now();
-    let ticket = shared.state.borrow_mut().admit(now, &inbound)?;
+    let ticket = admit(shared, &inbound).await?;
     route.clone_from(&ticket.route.name);
     shared.state.borrow_mut().budget.first(&ticket.service, now);
     let original = Original {
@@ -197,6 +198,18 @@
     plain::serve(shared, &original, ticket).await
 }
 
+/// Admits a request; if only the age of what is known stands against it, after a read that
+/// settles the matter.
+async fn admit(shared: &Shared, inbound: &Inbound) -> Result<Ticket, Refusal> {
+    let first = shared.state.borrow_mut().admit(clock::now(), inbound);
+    match first {
+        Err(Refusal::Stale | Refusal::Unconfigured) => {}
+        settled => return settled,
+    }
+    follow::verify(shared).await;
+    shared.state.borrow_mut().admit(clock::now(), inbound)
+}
+
 /// Reads a body in whole, so that nothing of it can be taken for another request.
 async fn whole(shared: &Shared, body: Incoming) -> Result<Bytes, Refusal> {
     let most = {
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -1,10 +1,21 @@
 //! What all tasks of an instance share; they run on one thread.
 
 use {
-    crate::{clock, gossip::Fellows, meters::Meters, prelude::*, settings::Settings},
+    crate::{
+        clock,
+        gossip::Fellows,
+        meters::Meters,
+        prelude::*,
+        settings::Settings,
+        topic::{self, Progress},
+    },
     endpoint::Client,
-    forward::{State, state::Place},
-    platform::Store,
+    forward::{
+        State,
+        reader::{Readers, TOPICS},
+        state::Place,
+    },
+    platform::{Store, store::Topic},
     rand::{SeedableRng as _, rngs::SmallRng},
     tokio::sync::Notify,
 };
@@ -28,6 +39,8 @@
     pub load: Notify,
     /// Counters and histograms.
     pub meters: Meters,
+    /// What fellows say of their knowledge.
+    pub readers: RefCell<Readers>,
     /// Signalled when an endpoint may have room again.
     pub room: Notify,
     /// Settings at the start.
@@ -38,6 +51,8 @@
     pub stop: Notify,
     /// Client of the store.
     pub store: Store,
+    /// How far each topic of the store is known.
+    topics: [Progress; TOPICS],
 }
 
 impl Shared {
@@ -55,15 +70,23 @@
             in_progress: Cell::new(0),
             load: Notify::new(),
             meters: Meters::new()?,
+            readers: RefCell::default(),
             room: Notify::new(),
             state: RefCell::new(State::new(settings.decisions(), random)),
             stop: Notify::new(),
             store: Store::new(settings.store.address.to_string(), client.clone()),
+            topics: Default::default(),
             client,
             settings,
         }))
     }
 
+    /// How far a topic is known.
+    #[must_use]
+    pub const fn topic(&self, topic: Topic) -> &Progress {
+        &self.topics[topic::index(topic)]
+    }
+
     /// Address and id of an endpoint.
     #[must_use]
     pub fn target(&self, key: EndpointKey) -> Option<(SocketAddr, String)> {
