Move runs within the failure domain of their engine, and not those that end soon

Change: a move prefers the failure domain of the run's engine; a run that is expected to end within 0.9 s stays; copies are placed up to 0.6 of the memory.

--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -28,7 +28,7 @@
 const FILL: f64 = 0.92;
 
 /// Part of the KV memory up to which copies are placed; memory above it is for runs.
-const COPY_FILL: f64 = 0.75;
+const COPY_FILL: f64 = 0.6;
 
 /// Output tokens from which on a copy is made. A shorter run lives a fraction of a second
 /// after its prompt is read, in which an engine is hardly ever lost, while the copy would
@@ -50,6 +50,14 @@
 /// the run itself: all engines of a domain are at times lost at once.
 const SHARED_FATE_COST: f64 = 100.0;
 
+/// Milliseconds of waiting that it is worth to move a run within the failure domain of its
+/// engine: between domains the copy takes twice as long, and an engine that leaves often
+/// has no time for more than a few.
+const FAR_COPY_COST: f64 = 150.0;
+
+/// Shortest time that an engine works on after its leaving became known.
+const NOTICE: Duration = Duration::from_millis(900);
+
 /// Milliseconds of waiting that a full memory is worth avoiding.
 const MEMORY_COST: f64 = 150.0;
 
@@ -388,7 +396,24 @@
         let service = self.service(&run.service)?;
         let mut skip = tried.to_vec();
         skip.push(run.endpoint);
-        self.cheapest(now, service, run.need(), &skip, &self.loads())
+        let source = self.endpoints.get(run.endpoint)?;
+        let loads = self.loads();
+        self.cheapest_by(&skip, |key, endpoint| {
+            if !self.eligible(now, endpoint, service) {
+                return None;
+            }
+            let far = endpoint.listing.domain != source.listing.domain;
+            let cost = self.cost(now, key, endpoint, service, run.need(), &loads)?;
+            Some(cost + if far { FAR_COPY_COST } else { 0.0 })
+        })
+    }
+
+    /// Whether a generation is likely to end before an engine that has said that it leaves
+    /// is gone.
+    #[must_use]
+    pub fn ends_soon(&self, run: RunKey) -> bool {
+        let run = self.runs.get(run);
+        run.is_some_and(|run| TOKEN_TIME.saturating_mul(run.left()) < NOTICE)
     }
 
     /// Chooses an engine for the copy of a run's KV memory, once it runs at `endpoint`.
@@ -413,13 +438,27 @@
         need: u32,
         skip: &[EndpointKey],
         loads: &SecondaryMap<EndpointKey, Load>,
+    ) -> Option<EndpointKey> {
+        self.cheapest_by(skip, |key, endpoint| {
+            if !self.eligible(now, endpoint, service) {
+                return None;
+            }
+            self.cost(now, key, endpoint, service, need, loads)
+        })
+    }
+
+    /// The endpoint of the least cost, of those that have one.
+    fn cheapest_by(
+        &self,
+        skip: &[EndpointKey],
+        cost: impl Fn(EndpointKey, &Endpoint) -> Option<f64>,
     ) -> Option<EndpointKey> {
         let mut best = None;
         for (key, endpoint) in &self.endpoints {
-            if skip.contains(&key) || !self.eligible(now, endpoint, service) {
+            if skip.contains(&key) {
                 continue;
             }
-            let Some(cost) = self.cost(now, key, endpoint, service, need, loads) else {
+            let Some(cost) = cost(key, endpoint) else {
                 continue;
             };
             if best.is_none_or(|(least, _)| cost < least) {
@@ -445,27 +484,16 @@
         let most = f64::from(engine.kv_tokens) * COPY_FILL;
         let source_domain = self.endpoints.get(source);
         let source_domain = source_domain.map(|endpoint| endpoint.listing.domain.as_str());
-        let mut best = None;
-        for (key, endpoint) in &self.endpoints {
-            if key == source
-                || endpoint.listing.service != service.name
-                || !endpoint.usable(now)
-                || self.is_out(&endpoint.listing.domain)
-            {
-                continue;
-            }
+        self.cheapest_by(&[source], |key, endpoint| {
+            let usable = endpoint.listing.service == service.name
+                && endpoint.usable(now)
+                && !self.is_out(&endpoint.listing.domain);
             let load = self.load(key, endpoint, now, loads);
             let tokens = f64::from(load.tokens.saturating_add(need));
-            if tokens > most {
-                continue;
-            }
             let shared = source_domain == Some(endpoint.listing.domain.as_str());
             let cost = tokens / most * MEMORY_COST + if shared { SHARED_FATE_COST } else { 0.0 };
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, key));
-            }
-        }
-        best.map(|(_, key)| key)
+            (usable && tokens <= most).then_some(cost)
+        })
     }
 
     fn eligible(&self, now: Time, endpoint: &Endpoint, service: &Service) -> bool {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -211,6 +211,10 @@
         if moving.is_some() || now < self.next_move || !self.is_leaving() {
             return;
         }
+        if self.backup_takeover().is_none() && self.ends_soon() {
+            // Its copy would take the link from runs that cannot end in time.
+            return;
+        }
         log::info!(id = self.original.inbound.id, events = self.sequence.count(); "move begins");
         *moving = Some(Box::pin(self.transfer().relocate(self.backup_takeover())));
     }
@@ -226,6 +230,10 @@
         }
     }
 
+    fn ends_soon(&self) -> bool {
+        self.shared.state.borrow().ends_soon(self.running.key)
+    }
+
     fn is_leaving(&self) -> bool {
         self.shared.state.borrow().must_move(self.running.key)
     }
