Test instances that forward as separate processes, before stand-ins of the platform

Found by them: an instance that had just started took the store's first word for its return and doubted vanished engines for two seconds, in which their runs were lost.

--- /dev/null
+++ b/crates/carawayhead/tests/forwarding/answers.rs
@@ -0,0 +1,159 @@
+//! What callers get, and what endpoints run.
+
+use {
+    crate::instance::{Instance, until},
+    http::StatusCode,
+    platform::standin::{
+        Desk, Store,
+        caller::{Ask, ask, config},
+        desk::Conduct,
+    },
+};
+
+async fn deployment(desks: &[&Desk]) -> (Store, Instance) {
+    let store = Store::start().await;
+    store.operate("config", &config(1, &["key-1"], 5000));
+    for (number, desk) in desks.iter().enumerate() {
+        store.list(
+            &format!("d{}", number + 1),
+            &desk.entry("desk", "a", "ready"),
+        );
+    }
+    let instance = Instance::start("e1", "a", &store).await;
+    (store, instance)
+}
+
+/// A caller sends headers that only the system may set: it would name its own customer,
+/// take a reservation, or go on from another's memory. The endpoint must see the system's.
+#[tokio::test]
+async fn a_request_is_forwarded_without_what_is_not_the_callers_to_say() {
+    let desk = Desk::start("d1").await;
+    let (_store, instance) = deployment(&[&desk]).await;
+    let mut request = Ask::new("r1", "/order/7?plate=3");
+    request.extra = vec![
+        ("carawayhead-tenant", "eve"),
+        ("carawayhead-kv-hold", "h1"),
+        ("kv-from", "127.0.0.1:1/r0"),
+        ("x-note", "kept"),
+    ];
+    let got = ask(instance.callers, &request).await.expect("an answer");
+    assert_eq!((got.status, got.sealed), (StatusCode::OK, true));
+    assert_eq!(got.body, "done r1 at d1");
+    let ran = desk.ran();
+    assert_eq!(ran.len(), 1);
+    let ran = &ran[0];
+    assert_eq!(
+        (ran.path.as_str(), ran.query.as_str()),
+        ("/order/7", "plate=3")
+    );
+    assert_eq!(&*ran.body, b"body");
+    assert_eq!(ran.header("carawayhead-tenant"), Some("ada"));
+    assert_eq!(ran.header("x-note"), Some("kept"));
+    for name in ["authorization", "carawayhead-kv-hold", "kv-from"] {
+        assert_eq!(ran.header(name), None, "{name}");
+    }
+    let left = ran
+        .header("carawayhead-deadline-ms")
+        .and_then(|left| left.parse::<u32>().ok());
+    assert!(left.is_some_and(|left| left <= 5000), "{left:?}");
+}
+
+/// A key that no customer holds, a path that no route has, a body over the limit: each
+/// has its own answer, and nothing reaches an endpoint.
+#[tokio::test]
+async fn improper_requests_are_refused_by_name() {
+    let desk = Desk::start("d1").await;
+    let (_store, instance) = deployment(&[&desk]).await;
+    let mut unknown = Ask::new("r1", "/order/7");
+    unknown.key = "key-9";
+    for (request, status) in [
+        (unknown, StatusCode::UNAUTHORIZED),
+        (Ask::new("r2", "/nothing/7"), StatusCode::NOT_FOUND),
+    ] {
+        let got = ask(instance.callers, &request).await.expect("an answer");
+        assert_eq!(got.status, status);
+        assert_eq!(got.id.as_deref(), Some(request.id));
+    }
+    assert_eq!(desk.ran().len(), 0);
+}
+
+/// An endpoint books a kiln and its answer is lost. Sending the order again would book
+/// twice; saying that it has not run would have the caller do so.
+#[tokio::test]
+async fn an_order_whose_answer_is_lost_is_not_repeated() {
+    let (one, two) = (Desk::start("d1").await, Desk::start("d2").await);
+    let (_store, instance) = deployment(&[&one, &two]).await;
+    for desk in [&one, &two] {
+        desk.conduct(Conduct::Lost);
+    }
+    let got = ask(instance.callers, &Ask::new("r1", "/order/7")).await;
+    assert_eq!(got.expect("an answer").status, StatusCode::BAD_GATEWAY);
+    assert_eq!(one.ran().len() + two.ran().len(), 1);
+    // A lookup may be repeated, and is.
+    let got = ask(instance.callers, &Ask::new("r2", "/look/7")).await;
+    assert_eq!(got.expect("an answer").status, StatusCode::BAD_GATEWAY);
+    assert_eq!(one.ran().len() + two.ran().len(), 3);
+}
+
+/// One endpoint is full and says that it has not run the order; another one has room.
+#[tokio::test]
+async fn an_order_that_was_turned_down_goes_elsewhere() {
+    let (one, two) = (Desk::start("d1").await, Desk::start("d2").await);
+    let (_store, instance) = deployment(&[&one, &two]).await;
+    for (full, sound) in [(&one, &two), (&two, &one)] {
+        full.conduct(Conduct::Full);
+        sound.conduct(Conduct::Sound);
+        let got = ask(instance.callers, &Ask::new("r1", "/order/7")).await;
+        assert_eq!(got.expect("an answer").status, StatusCode::OK);
+    }
+    assert_eq!(one.ran().len() + two.ran().len(), 2);
+    for desk in [&one, &two] {
+        desk.conduct(Conduct::Full);
+    }
+    let got = ask(instance.callers, &Ask::new("r3", "/order/7")).await;
+    let got = got.expect("an answer");
+    assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(got.retry_after.is_some());
+    assert_eq!(one.ran().len() + two.ran().len(), 2);
+}
+
+/// An endpoint answers under another request's id, or a success without its seal. Passed
+/// on, a caller would take another's booking for its own.
+#[tokio::test]
+async fn an_answer_that_may_be_anothers_is_not_passed_on() {
+    let desk = Desk::start("d1").await;
+    let (_store, instance) = deployment(&[&desk]).await;
+    for conduct in [Conduct::Confused, Conduct::Unsealed] {
+        desk.conduct(conduct);
+        let got = ask(instance.callers, &Ask::new("r1", "/order/7")).await;
+        let got = got.expect("an answer");
+        assert_eq!(got.status, StatusCode::BAD_GATEWAY, "{conduct:?}");
+        assert!(!got.body.contains("done"), "{conduct:?}");
+    }
+}
+
+/// An instance is told to stop. It says at once that no callers should be sent to it,
+/// serves those who come on open connections, and ends by itself.
+#[tokio::test]
+async fn a_stopped_instance_ends_after_its_last_request() {
+    let desk = Desk::start("d1").await;
+    let (_store, mut instance) = deployment(&[&desk]).await;
+    instance.signal(rustix::process::Signal::TERM);
+    let ready = instance.ready;
+    until("it is not ready", || async move {
+        !platform::standin::caller::is_ready(ready).await
+    })
+    .await;
+    let got = ask(instance.callers, &Ask::new("r1", "/order/7")).await;
+    assert_eq!(got.expect("an answer").status, StatusCode::OK);
+    let mut ended = None;
+    for _ in 0..2000 {
+        ended = instance.ended();
+        if ended.is_some() {
+            break;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    assert!(ended.expect("it ends by itself").success());
+    assert_eq!(instance.lines_with("\"stopped\"").len(), 1);
+}
--- /dev/null
+++ b/crates/carawayhead/tests/forwarding/knowledge.rs
@@ -0,0 +1,142 @@
+//! What instances do with a store that forgets, is slow to come, or falls silent.
+
+use {
+    crate::instance::{Instance, until},
+    http::StatusCode,
+    platform::standin::{
+        Desk, Store,
+        caller::{Ask, ask, config},
+        store::Mood,
+    },
+    std::time::Duration,
+};
+
+async fn status(instance: &Instance, key: &str) -> StatusCode {
+    let mut request = Ask::new("r1", "/order/7");
+    request.key = key;
+    let got = ask(instance.callers, &request).await;
+    got.expect("an answer").status
+}
+
+/// An instance that has never heard from the store knows no route and no key. A 404 or a
+/// 401 would be final for callers who are in the right.
+#[tokio::test]
+async fn an_instance_without_a_configuration_refuses_for_now() {
+    let store = Store::start().await;
+    store.set_mood(Mood::Busy);
+    let desk = Desk::start("d1").await;
+    store.operate("config", &config(1, &["key-1"], 5000));
+    store.list("d1", &desk.entry("desk", "a", "ready"));
+    let instance = Instance::start_unready("e1", "a", &store).await;
+    assert!(!platform::standin::caller::is_ready(instance.ready).await);
+    assert_eq!(
+        status(&instance, "key-1").await,
+        StatusCode::SERVICE_UNAVAILABLE
+    );
+    store.set_mood(Mood::Sound);
+    until("it serves", || async {
+        status(&instance, "key-1").await == StatusCode::OK
+    })
+    .await;
+}
+
+/// A key is taken away while the store does not answer an instance. It cannot hear of it,
+/// so after a while nothing may run under any key; callers are told to come back.
+#[tokio::test]
+async fn keys_stop_working_when_they_cannot_be_proved() {
+    let store = Store::start().await;
+    let desk = Desk::start("d1").await;
+    store.operate("config", &config(1, &["key-1"], 5000));
+    store.list("d1", &desk.entry("desk", "a", "ready"));
+    let instance = Instance::start("e1", "a", &store).await;
+    store.set_mood(Mood::Silent);
+    store.operate("config", &config(2, &[], 5000));
+    until("keys stop working", || async {
+        status(&instance, "key-1").await == StatusCode::SERVICE_UNAVAILABLE
+    })
+    .await;
+    let ran = desk.ran().len();
+    assert_eq!(
+        status(&instance, "key-1").await,
+        StatusCode::SERVICE_UNAVAILABLE
+    );
+    assert_eq!(desk.ran().len(), ran);
+    store.set_mood(Mood::Sound);
+    until("the key is known to be gone", || async {
+        status(&instance, "key-1").await == StatusCode::UNAUTHORIZED
+    })
+    .await;
+}
+
+/// The store drops its history and hands out old records for a while. The instance must
+/// stay with what it knows, or a key that was just made would stop working.
+#[tokio::test]
+async fn lost_history_takes_nothing_back() {
+    let store = Store::start().await;
+    let desk = Desk::start("d1").await;
+    store.list("d1", &desk.entry("desk", "a", "ready"));
+    store.operate("config", &config(1, &["key-1"], 5000));
+    store.operate("config", &config(2, &["key-2"], 5000));
+    let instance = Instance::start("e1", "a", &store).await;
+    assert_eq!(status(&instance, "key-2").await, StatusCode::OK);
+    store.forget(1);
+    for _ in 0..20 {
+        assert_eq!(status(&instance, "key-2").await, StatusCode::OK);
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    store.forget(0);
+    store.operate("config", &config(3, &["key-3"], 5000));
+    until("the new version is in force", || async {
+        status(&instance, "key-3").await == StatusCode::OK
+    })
+    .await;
+}
+
+/// Two instances share the work of following the store: one reads and passes on what it
+/// reads, and both learn of each change. Who reads is tested in the core; here, that
+/// records come over and are taken in.
+#[tokio::test]
+async fn two_instances_share_what_one_reads() {
+    let store = Store::start().await;
+    let desk = Desk::start("d1").await;
+    store.operate("config", &config(1, &["key-1"], 5000));
+    store.list("d1", &desk.entry("desk", "a", "ready"));
+    let one = Instance::start("e1", "a", &store).await;
+    let two = Instance::start("e2", "b", &store).await;
+    let version = std::cell::Cell::new(1);
+    until("records come from a fellow", || async {
+        version.set(version.get() + 1);
+        let key = format!("key-{}", version.get());
+        store.operate("config", &config(version.get(), &[&key], 5000));
+        for instance in [&one, &two] {
+            until("the change is in force", || async {
+                status(instance, &key).await == StatusCode::OK
+            })
+            .await;
+        }
+        let heard = |instance: &Instance| instance.lines_with("records of a fellow").len();
+        heard(&one) + heard(&two) > 0
+    })
+    .await;
+}
+
+/// An operator asks an instance for its figures.
+#[tokio::test]
+async fn metrics_count_what_was_served() {
+    let store = Store::start().await;
+    let desk = Desk::start("d1").await;
+    store.operate("config", &config(1, &["key-1"], 5000));
+    store.list("d1", &desk.entry("desk", "a", "ready"));
+    let instance = Instance::start("e1", "a", &store).await;
+    assert_eq!(status(&instance, "key-1").await, StatusCode::OK);
+    let got = ask(instance.metrics, &Ask::new("m", "/metrics")).await;
+    let text = got.expect("figures").body;
+    for name in [
+        "requests_ended",
+        "request_seconds",
+        "requests_sent",
+        "store_calls",
+    ] {
+        assert!(text.contains(name), "{name} in {text}");
+    }
+}
--- /dev/null
+++ b/crates/carawayhead/tests/forwarding/streams.rs
@@ -0,0 +1,134 @@
+//! Generations that outlive their engine.
+
+use {
+    crate::instance::{Instance, until},
+    http::StatusCode,
+    platform::standin::{
+        Engine, Store,
+        caller::{Ask, ask, config},
+        engine::World,
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+const EVENTS: u32 = 120;
+
+struct Deployment {
+    engines: Vec<Engine>,
+    instance: Instance,
+    store: Store,
+    world: Arc<World>,
+}
+
+async fn deployment(engines: usize) -> Deployment {
+    let store = Store::start().await;
+    store.operate("config", &config(1, &["key-1"], 30_000));
+    let world = Arc::default();
+    let mut started = Vec::new();
+    for number in 1..=engines {
+        let id = format!("m{number}");
+        let engine = Engine::start(&world, &id, EVENTS, Duration::from_millis(15)).await;
+        store.list(&id, &engine.entry("model", "a", "ready"));
+        started.push(engine);
+    }
+    let instance = Instance::start("e1", "a", &store).await;
+    Deployment {
+        engines: started,
+        instance,
+        store,
+        world,
+    }
+}
+
+impl Deployment {
+    /// Waits until an engine has the run, and returns its place.
+    async fn running_at(&self) -> usize {
+        until("an engine has the run", || async {
+            self.engines.iter().any(|engine| !engine.ran().is_empty())
+        })
+        .await;
+        // Some events are to be out before something happens to the engine.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let place = self
+            .engines
+            .iter()
+            .position(|engine| !engine.ran().is_empty());
+        place.expect("an engine with the run")
+    }
+}
+
+/// Every event once and in order, and nothing else.
+fn assert_whole(body: &str) {
+    let events = (1..=EVENTS).map(|number| format!("id: {number}\ndata: token {number}\n\n"));
+    assert_eq!(body, events.collect::<String>());
+}
+
+/// An engine says that it leaves, or its entry just vanishes; it works on for a moment and
+/// is gone. The caller's report must go on at the engine that holds a copy, with no event
+/// missing, doubled or late, and no two engines at work on it for long.
+#[tokio::test]
+async fn a_stream_goes_on_when_its_engine_leaves() {
+    for vanishes in [false, true] {
+        let deployment = deployment(3).await;
+        let callers = deployment.instance.callers;
+        let stream = tokio::spawn(async move { ask(callers, &Ask::new("r1", "/draft/7")).await });
+        let place = deployment.running_at().await;
+        let id = format!("m{}", place + 1);
+        let entry = deployment.engines[place].entry("model", "a", "draining");
+        deployment
+            .store
+            .list(&id, if vanishes { "" } else { &entry });
+        until("another engine has the run", || async {
+            let others = deployment.engines.iter().enumerate();
+            let mut others = others.filter(|(other, _)| *other != place);
+            others.any(|(_, engine)| !engine.ran().is_empty())
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        deployment.engines[place].crash();
+        let got = stream.await.expect("a task").expect("an answer");
+        assert_eq!(
+            (got.status, got.complete),
+            (StatusCode::OK, true),
+            "{vanishes}"
+        );
+        assert_whole(&got.body);
+        assert!(deployment.world.most_at_once() <= 2);
+    }
+}
+
+/// An engine dies without a word in the middle of a report. The copy that was made while
+/// the run went on is all that is left of it.
+#[tokio::test]
+async fn a_stream_goes_on_when_its_engine_dies() {
+    let deployment = deployment(3).await;
+    let callers = deployment.instance.callers;
+    let stream = tokio::spawn(async move { ask(callers, &Ask::new("r1", "/draft/7")).await });
+    let place = deployment.running_at().await;
+    deployment.engines[place].crash();
+    let got = stream.await.expect("a task").expect("an answer");
+    assert_eq!((got.status, got.complete), (StatusCode::OK, true));
+    assert_whole(&got.body);
+    let takeovers = deployment.instance.lines_with("\"takeover\"");
+    assert!(!takeovers.is_empty());
+}
+
+/// The only engine dies, and there is no copy. What the caller has must not look whole.
+#[tokio::test]
+async fn a_stream_that_cannot_go_on_does_not_look_whole() {
+    let deployment = deployment(1).await;
+    let callers = deployment.instance.callers;
+    let stream = tokio::spawn(async move { ask(callers, &Ask::new("r1", "/draft/7")).await });
+    deployment.running_at().await;
+    deployment.engines[0].crash();
+    let got = stream.await.expect("a task").expect("an answer");
+    assert!(!got.complete);
+    assert!(got.body.len() < 20 * EVENTS as usize);
+    until("the log names the request and the cause", || async {
+        let lines = deployment.instance.lines_with("stream ended");
+        lines
+            .iter()
+            .any(|line| line.contains("\"r1\"") && line.contains("no copy"))
+    })
+    .await;
+}
--- a/crates/fellow/src/datagram.rs
+++ b/crates/fellow/src/datagram.rs
@@ -39,6 +39,15 @@
         })
     }
 
+    /// Where it listens.
+    ///
+    /// # Errors
+    ///
+    /// The socket is gone.
+    pub fn address(&self) -> Result<SocketAddr, Error> {
+        Ok(self.endpoint.local_addr()?)
+    }
+
     /// Opens a connection unless one is open; it is kept until it fails.
     ///
     /// # Errors
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -195,7 +195,9 @@
 
     /// The list was complete when its question was sent at `asked`.
     pub fn prove_list(&mut self, now: Time, asked: Time) {
-        if !self.list_freshness.within(now, STORE_AWAY) {
+        // The first proof of all is a start, not a return: what vanishes then has left.
+        let age = self.list_freshness.age(now);
+        if age.is_some_and(|age| age > STORE_AWAY) {
             self.store_back = Some(now);
         }
         self.list_freshness.prove(asked);
--- a/crates/forward/tests/leaving.rs
+++ b/crates/forward/tests/leaving.rs
@@ -37,6 +37,18 @@
     }
 }
 
+/// An instance has just started, and an engine's entry vanishes. The first word of the
+/// store looked like its return, so the entry was doubted for two seconds, in which the
+/// engine was gone with its runs.
+#[test]
+fn a_new_instance_believes_what_vanishes() {
+    let mut state = instance(&pair());
+    let (first, _) = sent(state.pick(at(10), "model", LONG, &[]));
+    let run = begin(&mut state, first, None);
+    state.change(at(300), Change::Gone(id(&state, first)));
+    assert!(state.must_move(run));
+}
+
 /// The store was away and dropped the entries of engines that live. Believing it at once
 /// would leave no engine to send to, and callers would be refused by a healthy system.
 #[test]
--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -157,9 +157,10 @@
     let started = Identity::new().and_then(|identity| {
         let configs = pinned::configs(&identity, &pins)?;
         let datagrams = Datagrams::listen(address, configs, heard)?;
-        Ok((identity, datagrams))
+        let address = datagrams.address()?;
+        Ok((identity, datagrams, address))
     });
-    let (identity, datagrams) = match started {
+    let (identity, datagrams, address) = match started {
         Ok(started) => started,
         Err(error) => {
             log::error!(error:%; "no exchange with fellow instances");
@@ -319,7 +320,13 @@
         offset: record.offset,
         value: record.value.map(Bytes::from),
     });
-    follow::take(shared, *topic, batch.from, &records.collect::<Vec<_>>());
+    let records = records.collect::<Vec<_>>();
+    let known = shared.topic(*topic).position.get();
+    let reached = follow::take(shared, *topic, batch.from, &records);
+    log::info!(
+        topic:? = topic, from = batch.from, records = records.len(), known:?, reached;
+        "records of a fellow"
+    );
 }
 
 fn hear_report(shared: &Shared, report: Report) {
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -51,6 +51,10 @@
         let listener = TcpListener::bind(address)
             .await
             .map_err(|error| Error::Listen(address, error))?;
+        let bound = listener
+            .local_addr()
+            .map_err(|error| Error::Listen(address, error))?;
+        log::info!(role:?, address:% = bound; "listening");
         spawn_local(listen::accept(Rc::clone(&shared), listener, role));
     }
     for topic in [Topic::Operators, Topic::Endpoints, Topic::Instances] {
