--- a/crates/proxy/tests/settings.rs
+++ b/crates/proxy/tests/settings.rs
@@ -41,7 +41,8 @@
         ),
         (GOOD.replace("retry_burst = 54", ""), "retry_burst"),
         (GOOD.replace("127.0.0.1:8080", "here"), "listen"),
-        (GOOD[..GOOD.len() - 30].to_string(), "address"),
+        (GOOD.replace("address =", "adress ="), "address"),
+        (GOOD[..GOOD.len() - 30].to_string(), "[stor"),
     ];
     for (text, key) in cases {
         let error = Settings::parse("settings.toml", &text)
