--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -73,7 +73,7 @@
         sum
     }
 
-    /// Number of fellows heard of within [`LIFE`].
+    /// Number of fellows heard of within the last two seconds.
     #[must_use]
     pub fn count(&self, now: Time) -> usize {
         self.alive(now).count()
