--- a/crates/bench/src/bin/mutate.rs
+++ b/crates/bench/src/bin/mutate.rs
@@ -1,4 +1,4 @@
-//! Breaks each guard in `mutations.toml` and shows that some history notices.
+//! Breaks each guard in `mutations.toml` and shows that some history or test notices.
 //!
 //! A guard whose removal goes unnoticed has no test.
 
@@ -81,7 +81,18 @@
         fs::create_dir_all(work)?;
         fs::copy(root.join(name), work.join(name))?;
     }
-    copy_folder(&root.join("crates"), &work.join("crates"))
+    for name in ["crates", "platform"] {
+        copy_folder(&root.join(name), &work.join(name))?;
+    }
+    Ok(())
+}
+
+/// The tests that are to notice a broken guard, by the package that it stands in.
+fn tests(file: &Path) -> Vec<&str> {
+    if file.starts_with("crates/forward") {
+        return vec!["-p", "forward"];
+    }
+    vec!["-p", "decision", "--test", "histories"]
 }
 
 fn copy_folder(from: &Path, to: &Path) -> io::Result<()> {
@@ -113,14 +124,8 @@
     let cargo = |arguments: &[&str]| {
         Command::new(env!("CARGO"))
             .args(arguments)
-            .args([
-                "--quiet",
-                "--locked",
-                "-p",
-                "decision",
-                "--test",
-                "histories",
-            ])
+            .args(["--quiet", "--locked"])
+            .args(tests(&mutation.file))
             .current_dir(work)
             .env("CARGO_TARGET_DIR", &target)
             .env("HISTORIES", histories.to_string())
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -590,6 +590,15 @@
         loads
     }
 
+    /// Load of one endpoint over all instances, as choices count it.
+    #[must_use]
+    pub fn load_at(&self, key: EndpointKey, now: Time) -> Load {
+        let endpoint = self.endpoints.get(key);
+        endpoint.map_or_else(Load::default, |endpoint| {
+            self.load(key, endpoint, now, &self.loads())
+        })
+    }
+
     /// What fellows should know of this instance's load.
     #[must_use]
     pub fn report(&self) -> Vec<(String, Load)> {
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -69,6 +69,7 @@
         Err(error) => return Sent::NotWritten(error.to_string()),
     };
     shared.sent(destination.key);
+    log_send(shared, &original.inbound.id, destination, &endpoint);
     exchange(
         shared,
         address,
@@ -79,6 +80,21 @@
     .await
 }
 
+/// One line for the choice of an endpoint, with what decided it.
+fn log_send(shared: &Shared, id: &str, destination: &Destination, endpoint: &str) {
+    let now = clock::now();
+    let state = shared.state.borrow();
+    let copy = destination.backup.and_then(|key| state.endpoint(key));
+    let load = state.load_at(destination.key, now);
+    let age = state.list_freshness.age(now).unwrap_or(Duration::MAX);
+    log::info!(
+        id, endpoint, copy = copy.map_or("", |copy| copy.listing.id.as_str()),
+        goes_on = destination.source.is_some(), requests = load.requests,
+        tokens = load.tokens, list_age_ms = age.as_millis(),
+        config = state.config().map_or(0, |config| config.version); "sent"
+    );
+}
+
 async fn exchange(
     shared: &Shared,
     address: SocketAddr,
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -35,7 +35,7 @@
 /// Follows a topic for ever.
 pub async fn follow(shared: Rc<Shared>, topic: Topic) {
     let progress = shared.topic(topic);
-    let mut reached = true;
+    progress.reached.set(true);
     let mut proof_wanted = true;
     loop {
         if !proof_wanted && !reads(&shared, topic) {
@@ -57,10 +57,9 @@
         };
         match result {
             Ok(next) => {
-                if !reached {
+                if !progress.reached.replace(true) {
                     log::info!(topic:?; "store regained");
                 }
-                reached = true;
                 proof_wanted = progress.position.get().is_none();
                 progress.position.set(Some(next));
                 progress.read.notify_waiters();
@@ -70,10 +69,9 @@
             }
             Err(error) => {
                 shared.meters.store_called("failed");
-                if reached {
+                if progress.reached.replace(false) {
                     log::warn!(topic:?, error:%; "store lost");
                 }
-                reached = false;
                 proof_wanted = true;
                 progress.read.notify_waiters();
                 let pause = rand::rng().random_range(RETRY.0..RETRY.1);
@@ -194,6 +192,9 @@
 /// known to be lost.
 pub async fn verify(shared: &Shared) {
     let progress = shared.topic(Topic::Operators);
+    if !progress.reached.get() {
+        return;
+    }
     if progress.position.get().is_none() {
         // The first read is under way.
         let _known = timeout(VERIFY, progress.read.notified()).await;
--- a/crates/proxy/src/topic.rs
+++ b/crates/proxy/src/topic.rs
@@ -30,6 +30,8 @@
     pub freshness: Cell<Freshness>,
     /// Offset after the last record taken in; `None` before the first read.
     pub position: Cell<Option<u64>>,
+    /// Whether the last call to the store was answered.
+    pub reached: Cell<bool>,
     /// Signalled when a read is wanted at once.
     pub wanted: Notify,
     /// Signalled after each read, whether it failed or not.
