Tests of load without a network; slower reads while alone among many

Patterns: prompts read side by side, runs of several leaving engines, a domain that crashes, full engines.

--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -117,6 +117,12 @@
             .all(|heard| rank(&heard.name, topic) > own)
     }
 
+    /// Whether no fellow was heard of late.
+    #[must_use]
+    pub fn alone(&self, now: Time) -> bool {
+        !self.heard.iter().any(|heard| now.since(heard.at) <= ALIVE)
+    }
+
     /// Whether records at `position` and beyond were passed on by a fellow and have not
     /// arrived here.
     pub fn misses(&mut self, topic: usize, position: u64, now: Time) -> bool {
--- /dev/null
+++ b/crates/forward/tests/load.rs
@@ -0,0 +1,149 @@
+//! Where work goes under load: patterns of the heaviest days, without a network.
+
+mod common;
+
+use {common::*, forward::load::digest, std::collections::BTreeMap};
+
+/// Six engines in each of three failure domains, as in the deployments that the figures
+/// come from.
+fn engines() -> Vec<Listing> {
+    (0..18)
+        .map(|number| listing(&format!("m{number}"), "model", ["a", "b", "c"][number % 3]))
+        .collect()
+}
+
+/// Seven instances over the three domains.
+fn instances() -> Vec<State> {
+    (0..7)
+        .map(|number| instance_in(["a", "b", "c"][number % 3], number as u64, &engines()))
+        .collect()
+}
+
+/// Every instance hears the load of every other one.
+fn exchange(instances: &mut [State], now: u64) {
+    let reports = instances.iter().map(State::report).collect::<Vec<_>>();
+    for (to, state) in instances.iter_mut().enumerate() {
+        for (from, report) in reports.iter().enumerate().filter(|(from, _)| *from != to) {
+            let rows = report.iter().map(|(id, load)| (digest(id), *load));
+            state
+                .fellows
+                .hear(&format!("e{from}"), at(now), now + 1, rows.collect());
+        }
+    }
+}
+
+/// Long prompts arrive 60 ms apart (17 a second, the sum of both kinds at a busy hour), one
+/// instance after the other; a prompt takes 210 ms to read. Returns how many prompts began
+/// to be read at an engine that was still reading another one.
+fn collisions(shared: bool) -> usize {
+    let mut instances = instances();
+    let mut reading = BTreeMap::<String, u64>::new();
+    let mut collisions = 0;
+    for arrival in 0..18_u64 {
+        let now = arrival * 60;
+        if shared {
+            exchange(&mut instances, now);
+        }
+        let state = &mut instances[usize::try_from(arrival % 7).expect("a small number")];
+        let (key, backup) = sent(state.pick(at(now), "model", LONG, &[]));
+        begin(state, key, backup);
+        let busy_until = reading.insert(id(state, key), now + 210);
+        collisions += usize::from(busy_until.is_some_and(|until| until > now));
+    }
+    collisions
+}
+
+/// Many callers come at once, through all instances. Two prompts on one engine make every
+/// stream there late, though others are idle, and instances that do not know of each other
+/// choose alike.
+#[test]
+fn instances_that_share_their_load_do_not_read_side_by_side() {
+    assert_eq!(collisions(true), 0);
+    assert!(collisions(false) > 0);
+}
+
+/// Three engines leave at once with two runs each, whose copies are gone. Moves to another
+/// domain take twice as long and the notice is short, so they stay in the domain of their
+/// engine, and no engine is given all of them.
+#[test]
+fn runs_of_leaving_engines_spread_within_their_domain() {
+    let mut state = instance(&engines());
+    let mut runs = Vec::new();
+    for name in ["m0", "m3", "m6"] {
+        let key = state
+            .endpoints()
+            .find(|(_, endpoint)| endpoint.listing.id == name);
+        let key = key.expect("a listed engine").0;
+        for _ in 0..2 {
+            runs.push(begin(&mut state, key, None));
+        }
+        let mut leaving = listing(name, "model", "a");
+        leaving.leaving = true;
+        state.change(at(1000), Change::Set(leaving));
+    }
+    let mut taken = BTreeMap::<String, usize>::new();
+    for run in runs {
+        let target = state
+            .pick_target(at(1010), run, &[])
+            .expect("an engine with room");
+        let endpoint = state.endpoint(target).expect("a listed engine");
+        assert_eq!(endpoint.listing.domain, "a");
+        *taken.entry(endpoint.listing.id.clone()).or_default() += 1;
+        if let Some(run) = state.run_mut(run) {
+            run.target = Some(target);
+        }
+    }
+    assert!(taken.values().all(|runs| *runs <= 3), "{taken:?}");
+    assert!(taken.len() >= 2, "{taken:?}");
+}
+
+/// All engines of a domain crash together. Work goes to the others at once, and a run's
+/// copy stands in another domain than the run, so that it goes on.
+#[test]
+fn a_domain_that_crashes_takes_neither_work_nor_copies_with_it() {
+    let mut state = instance(&engines());
+    let (first, backup) = sent(state.pick(at(10), "model", LONG, &[]));
+    let domain = |state: &State, key| {
+        let endpoint: &forward::prelude::Endpoint = state.endpoint(key).expect("known");
+        endpoint.listing.domain.clone()
+    };
+    let backup = backup.expect("an engine for the copy");
+    assert_ne!(domain(&state, first), domain(&state, backup));
+    let crashed = state
+        .endpoints()
+        .filter(|(_, endpoint)| endpoint.listing.domain == "a")
+        .map(|(key, _)| key)
+        .collect::<Vec<_>>();
+    for key in crashed {
+        state.endpoint_mut(key).expect("known").unreachable(at(20));
+    }
+    let (next, _) = sent(state.pick(at(21), "model", LONG, &[]));
+    assert_ne!(domain(&state, next), "a");
+}
+
+/// Engines are full. Whoever is sent there all the same is preempted or turned down after
+/// its prompt was read; short checks go before long reports when a place frees up, and
+/// among equals who came first.
+#[test]
+fn what_does_not_fit_waits_by_rank_and_turn() {
+    let mut state = instance(&[listing("m0", "model", "a")]);
+    let mut filled = 0;
+    while let Pick::Send(key, _) = state.pick(at(filled * 1500), "model", LONG, &[]) {
+        begin(&mut state, key, None);
+        filled += 1;
+    }
+    // 34,000 tokens hold eight reports of 3,900 with a part left for longer ones.
+    assert_eq!(filled, 8);
+    state.config_freshness.prove(at(12_000));
+    let ticket = state.admit(at(12_000), &inbound("/draft/x", at(12_000)));
+    let mut ticket = ticket.expect("a ticket");
+    let long = state.enqueue(&ticket);
+    ticket.route.priority = 0;
+    let check = state.enqueue(&ticket);
+    let later = state.enqueue(&ticket);
+    assert!(state.passed_over(&long) && state.passed_over(&later));
+    assert!(!state.passed_over(&check));
+    state.dequeue(&check);
+    state.dequeue(&later);
+    assert!(!state.passed_over(&long));
+}
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -20,7 +20,11 @@
 const PAUSE: Duration = Duration::from_millis(60);
 
 /// The same for the list of instances, where there are many.
-const PAUSE_INSTANCES: Duration = Duration::from_millis(1500);
+const PAUSE_INSTANCES: Duration = Duration::from_millis(800);
+
+/// Pause between two reads of one of many instances that hears no other: until they have
+/// found each other, all of them read.
+const PAUSE_ALONE: Duration = Duration::from_millis(400);
 
 /// Shortest and longest pause after a failed call, drawn anew each time so that instances
 /// do not call in step.
@@ -67,7 +71,7 @@
                 progress.position.set(Some(next));
                 progress.read.notify_waiters();
                 if !proof_wanted {
-                    sleep(pause(topic, shared.fellows.published())).await;
+                    sleep(pause(&shared, topic)).await;
                 }
             }
             Err(error) => {
@@ -114,9 +118,11 @@
 /// Pause after a read. All instances publish themselves when a deployment starts, and a
 /// read for each of them by each of them would be thousands of calls.
 /// Among few, a new instance is to be heard at once.
-const fn pause(topic: Topic, instances: usize) -> Duration {
+fn pause(shared: &Shared, topic: Topic) -> Duration {
+    let many = is_many(shared.fellows.published());
     match topic {
-        Topic::Instances if is_many(instances) => PAUSE_INSTANCES,
+        Topic::Instances if many => PAUSE_INSTANCES,
+        _ if many && shared.readers.borrow().alone(clock::now()) => PAUSE_ALONE,
         Topic::Endpoints | Topic::Instances | Topic::Operators => PAUSE,
     }
 }
