--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -265,7 +265,7 @@
         let many = is_many(others.len());
         round = round.wrapping_add(1);
         for (place, other) in others.iter().enumerate() {
-            if many && !other.near && (round + place) % FAR_ROUNDS != 0 {
+            if many && !other.near && !(round + place).is_multiple_of(FAR_ROUNDS) {
                 continue;
             }
             report.echo = other.echo;
