--- /dev/null
+++ b/crates/forward/src/admission.rs
@@ -0,0 +1,124 @@
+//! Whether a request may be served, and what the truthful answer is if not.
+
+use {
+    crate::{
+        choice::{READ_RATE, TOKEN_TIME},
+        prelude::*,
+        request::Ticket,
+        state::State,
+    },
+    rand::{RngExt as _, rngs::SmallRng},
+};
+
+/// Margin below the revocation bound, for the way from here to an endpoint.
+const REVOCATION_MARGIN: Duration = Duration::from_millis(300);
+
+/// Age of the configuration up to which a missing route or key is believed missing; a
+/// little below the two seconds in which every instance in touch has a new version.
+/// Beyond it the caller is sent elsewhere, since the newer configuration may have it.
+const BELIEVE_MISSING: Duration = Duration::from_millis(1950);
+
+/// Time for the way, the queue, and everything else that an answer takes.
+const OVERHEAD: Duration = Duration::from_millis(400);
+
+impl State {
+    /// Whether a request may be served, and how.
+    ///
+    /// # Errors
+    ///
+    /// The truthful refusal; nothing has been sent.
+    pub fn admit(&mut self, now: Time, inbound: &Inbound) -> Result<Ticket, Refusal> {
+        let believed = self.config_freshness.within(now, BELIEVE_MISSING);
+        let missing = |refusal| if believed { refusal } else { Refusal::Stale };
+        let config = self.config.as_ref().ok_or(Refusal::Unconfigured)?;
+        let route = config
+            .route(&inbound.host, &inbound.path)
+            .ok_or_else(|| missing(Refusal::UnknownRoute))?;
+        let mut customer = None;
+        if config.keyed() && !route.anonymous {
+            let key = inbound.key.as_deref().unwrap_or_default();
+            let holder = config
+                .customer(key)
+                .ok_or_else(|| missing(Refusal::UnknownKey))?;
+            let bound = self.settings.revocation.saturating_sub(REVOCATION_MARGIN);
+            if !self.config_freshness.within(now, bound) {
+                return Err(Refusal::Stale);
+            }
+            customer = Some(holder);
+        }
+        let expires = inbound.arrived.after(
+            inbound
+                .deadline
+                .map_or(route.timeout, |deadline| deadline.min(route.timeout)),
+        );
+        if now >= expires {
+            return Err(Refusal::Expired);
+        }
+        if self
+            .stops
+            .is_some_and(|stops| now.after(duration(route, inbound)) > stops)
+        {
+            return Err(Refusal::Stopping);
+        }
+        Ok(Ticket {
+            customer: customer.map(|customer| customer.name.clone()),
+            expires,
+            priority: customer
+                .and_then(|customer| customer.priority)
+                .unwrap_or(route.priority),
+            service: draw(&route.split, &mut self.random),
+            route: route.clone(),
+            version: config.version,
+        })
+    }
+
+    /// Whether callers may be sent here: everything that is needed to serve them is known
+    /// and recent enough.
+    #[must_use]
+    pub fn ready(&self, now: Time) -> bool {
+        let bound = self.settings.revocation.saturating_sub(REVOCATION_MARGIN);
+        self.config.is_some()
+            && self.list_freshness.age(now).is_some()
+            && self.config_freshness.within(now, bound)
+    }
+
+    /// The instance ends at `stops`. Requests that would not be answered by then are
+    /// refused: their callers are served by another instance, while an answer that is cut
+    /// off is lost, and a generation cannot be repeated.
+    pub const fn stop(&mut self, stops: Time) {
+        self.stops = Some(stops);
+    }
+}
+
+/// How long the answer to a request is likely to take, on the safe side.
+fn duration(route: &Route, inbound: &Inbound) -> Duration {
+    if route.kind != Kind::Stream {
+        return OVERHEAD.min(route.timeout);
+    }
+    let reading = Duration::from_secs_f64(f64::from(inbound.prompt) / READ_RATE / 1000.0);
+    // An estimate that is right at the median only is doubled.
+    let output = inbound
+        .length_hint
+        .map_or(inbound.most_output, |hint| hint.saturating_mul(2))
+        .min(inbound.most_output.max(1));
+    reading + TOKEN_TIME.saturating_mul(output) + OVERHEAD
+}
+
+/// A service by weight.
+fn draw(split: &[(String, u32)], random: &mut SmallRng) -> String {
+    let sum = split.iter().map(|(_, weight)| *weight).sum::<u32>();
+    let mut point = if sum == 0 {
+        0
+    } else {
+        random.random_range(0..sum)
+    };
+    for (name, weight) in split {
+        if point < *weight {
+            return name.clone();
+        }
+        point -= weight;
+    }
+    split
+        .first()
+        .map_or_else(String::new, |(name, _)| name.clone())
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -5,7 +5,9 @@
 //! [`State`] owns what an instance knows; its parts are plain structs that tests
 //! drive without a network.
 
+pub mod admission;
 pub mod budget;
+pub mod choice;
 pub mod config;
 pub mod endpoint;
 pub mod freshness;
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -9,13 +9,14 @@
 
 pub use forward::{
     State,
+    choice::{Need, Pick},
     config::{Config, Customer, Engine, Kind, Limits, Route, Service},
     endpoint::{Listing, Load},
     outcome::Refusal,
     prelude::{EndpointKey, Run, RunKey, Time},
     request::Inbound,
     settings::Settings,
-    state::{Change, Need, Pick},
+    state::Change,
 };
 use {
     rand::{SeedableRng as _, rngs::SmallRng},
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod shared;
 pub mod stream;
 pub mod topic;
+pub mod transfer;
 
 pub use {error::Error, serve::run, settings::Settings};
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -9,8 +9,8 @@
         shared::{InFlight, Waiting},
     },
     forward::{
+        choice::{Need, Pick},
         request::Ticket,
-        state::{Need, Pick},
     },
     platform::head,
 };
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -3,16 +3,16 @@
 use {
     crate::{
         clock,
-        exchange::{self, Destination, Original, Sent},
+        exchange::Original,
         listen::Busy,
         prelude::*,
-        relocate::{self, Moved, Takeover},
+        relocate::{self, Takeover},
         reply::Part,
         shared::Running,
+        transfer::{Opened, Relocated, Source, Transfer},
     },
-    endpoint::sse::{self, Cutter},
+    endpoint::sse,
     forward::{request::Ticket, sequence::Sequence},
-    platform::head,
     std::pin::Pin,
     tokio::sync::mpsc,
 };
@@ -33,46 +33,12 @@
 /// their way when the move is answered.
 const LAST_EVENTS: Duration = Duration::from_millis(30);
 
-/// How long a takeover may take to answer. The reader has left by then.
-const TAKEOVER_WAIT: Duration = Duration::from_millis(2500);
-
-/// How long a run may be at work at its engine and be asked for at another one. An engine
-/// answers within 15 ms; both may work on it for 400 ms.
-const OVERLAP: Duration = Duration::from_millis(250);
-
 /// Pause before a move is tried again.
 const MOVE_PAUSE: Duration = Duration::from_millis(100);
 
-/// Where events come from.
-#[derive(Debug)]
-pub struct Source {
-    /// The answer, whose body is read on.
-    pub answer: endpoint::client::Reply,
-    /// Cuts the body into events.
-    pub cutter: Cutter,
-    /// The engine.
-    pub key: EndpointKey,
-}
-
 /// A move in progress.
 type Moving = Pin<Box<dyn Future<Output = Relocated>>>;
 
-/// What came of a move.
-enum Relocated {
-    /// The engine that holds the copy goes on; the run before it is to be dropped.
-    Opened(Box<Opened>),
-    /// The run goes on where it is; a move may be tried again.
-    NotYet(String),
-    /// Another engine was asked and has not said whether it goes on.
-    Unsure(EndpointKey),
-}
-
-/// A run that goes on at another engine.
-struct Opened {
-    backup: Option<EndpointKey>,
-    source: Source,
-}
-
 /// A stream on its way to the caller.
 #[derive(Debug)]
 pub struct Relay {
@@ -415,100 +381,6 @@
     }
 }
 
-/// What a send to another engine needs.
-struct Transfer {
-    last_event: Rc<RefCell<Option<String>>>,
-    original: Rc<Original>,
-    run: RunKey,
-    shared: Rc<Shared>,
-    ticket: Ticket,
-}
-
-impl Transfer {
-    /// Goes on at the engine that holds a copy, if there is a sound one; else moves the
-    /// run's KV memory.
-    ///
-    /// The copy lacks only the last few tokens, so the engine that holds it goes on within
-    /// some 15 ms, while a move waits for other moves on the link (a median of 0.4 s for
-    /// its last part when three engines leave at once). The run before goes on until the
-    /// other engine has answered, so nothing is lost if the copy turns out missing.
-    async fn relocate(self, backup: Option<Takeover>) -> Relocated {
-        let sound = self
-            .shared
-            .state
-            .borrow()
-            .sound_backup(clock::now(), self.run);
-        if let Some(takeover) = backup.filter(|takeover| Some(takeover.key) == sound) {
-            match timeout(OVERLAP, self.open(&takeover, "leaving")).await {
-                Ok(Ok(opened)) => return Relocated::Opened(Box::new(opened)),
-                Ok(Err(_)) => {}
-                Err(_) => return Relocated::Unsure(takeover.key),
-            }
-        }
-        let id = &self.original.inbound.id;
-        match relocate::relocate(&self.shared, self.run, id).await {
-            Moved::NotYet(why) => Relocated::NotYet(why),
-            Moved::Ready(takeover) => {
-                match timeout(OVERLAP, self.open(&takeover, "copied")).await {
-                    Ok(Ok(opened)) => Relocated::Opened(Box::new(opened)),
-                    Ok(Err(why)) => Relocated::NotYet(why),
-                    Err(_) => Relocated::Unsure(takeover.key),
-                }
-            }
-        }
-    }
-
-    /// Asks an engine to go on from a copy.
-    async fn open(&self, takeover: &Takeover, why: &str) -> Result<Opened, String> {
-        let began = clock::now();
-        let last_event = self.last_event.borrow().clone();
-        let backup = self
-            .shared
-            .state
-            .borrow()
-            .pick_backup(began, self.run, takeover.key);
-        let source = head::Source {
-            address: takeover.address,
-            handle: takeover.handle.clone(),
-            last_event: last_event.clone(),
-        };
-        let destination = Destination {
-            backup,
-            customer: self.ticket.customer.as_deref(),
-            expires: self.ticket.expires,
-            key: takeover.key,
-            source: Some(&source),
-        };
-        self.shared.count_send(&self.ticket.service, true);
-        let sent = exchange::send(&self.shared, &self.original, &destination, TAKEOVER_WAIT).await;
-        let result = match sent {
-            Sent::Answer(answer, verdict)
-                if answer.status() == StatusCode::OK && verdict.sealed && !verdict.not_run =>
-            {
-                Ok(Opened {
-                    backup,
-                    source: Source {
-                        answer,
-                        cutter: Cutter::default(),
-                        key: takeover.key,
-                    },
-                })
-            }
-            Sent::Answer(answer, _) => Err(format!("copy answered {}", answer.status())),
-            Sent::NotWritten(error) | Sent::Unknown(error) => Err(format!("copy: {error}")),
-        };
-        let error = result.as_ref().err().map_or("", String::as_str);
-        log::info!(
-            id = self.original.inbound.id, why, error,
-            ms = clock::now().since(began).as_millis(),
-            last_event = last_event.as_deref().unwrap_or_default(); "takeover"
-        );
-        let outcome = if result.is_ok() { "went_on" } else { "refused" };
-        self.shared.meters.moved(outcome);
-        result
-    }
-}
-
 /// The end of a move, if one is in progress.
 async fn ended(moving: &mut Option<Moving>) -> Relocated {
     match moving {
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -6,12 +6,13 @@
         exchange::{self, Destination, Original, Sent},
         plain::{MOST_SENDS, place},
         prelude::*,
-        relay::{self, Relay},
+        relay::Relay,
         reply,
         shared::Running,
+        transfer,
     },
     endpoint::sse::Cutter,
-    forward::{prelude::Run, request::Ticket, state::Need},
+    forward::{choice::Need, prelude::Run, request::Ticket},
     platform::head,
     tokio::sync::mpsc,
 };
@@ -152,7 +153,7 @@
     blocks: Vec<Bytes>,
     ended: bool,
     headers: http::HeaderMap,
-    source: relay::Source,
+    source: transfer::Source,
 }
 
 enum Opened {
@@ -241,7 +242,7 @@
             blocks,
             ended,
             headers,
-            source: relay::Source {
+            source: transfer::Source {
                 answer,
                 cutter,
                 key,
--- /dev/null
+++ b/crates/proxy/src/transfer.rs
@@ -0,0 +1,155 @@
+//! Asking another engine to go on with a run.
+
+use {
+    crate::{
+        clock,
+        exchange::{self, Destination, Original, Sent},
+        prelude::*,
+        relocate::{self, Moved, Takeover},
+    },
+    endpoint::sse::Cutter,
+    forward::request::Ticket,
+    platform::head,
+};
+
+/// How long a takeover may take to answer. The reader has left by then.
+const TAKEOVER_WAIT: Duration = Duration::from_millis(2500);
+
+/// How long a run may be at work at its engine and be asked for at another one. An engine
+/// answers within 15 ms; both may work on it for 400 ms.
+const OVERLAP: Duration = Duration::from_millis(250);
+
+/// Where events come from.
+#[derive(Debug)]
+pub struct Source {
+    /// The answer, whose body is read on.
+    pub answer: endpoint::client::Reply,
+    /// Cuts the body into events.
+    pub cutter: Cutter,
+    /// The engine.
+    pub key: EndpointKey,
+}
+
+/// What came of a move.
+#[derive(Debug)]
+pub enum Relocated {
+    /// The engine that holds the copy goes on; the run before it is to be dropped.
+    Opened(Box<Opened>),
+    /// The run goes on where it is; a move may be tried again.
+    NotYet(String),
+    /// Another engine was asked and has not said whether it goes on.
+    Unsure(EndpointKey),
+}
+
+/// A run that goes on at another engine.
+#[derive(Debug)]
+pub struct Opened {
+    /// Engine that keeps its next copy.
+    pub backup: Option<EndpointKey>,
+    /// Where its events come from.
+    pub source: Source,
+}
+
+/// What a send to another engine needs.
+#[derive(Debug)]
+pub struct Transfer {
+    /// Id of the last event that was passed on, kept up to date.
+    pub last_event: Rc<RefCell<Option<String>>>,
+    /// The caller's request.
+    pub original: Rc<Original>,
+    /// The run.
+    pub run: RunKey,
+    /// What all tasks share.
+    pub shared: Rc<Shared>,
+    /// The request's ticket.
+    pub ticket: Ticket,
+}
+
+impl Transfer {
+    /// Goes on at the engine that holds a copy, if there is a sound one; else moves the
+    /// run's KV memory.
+    ///
+    /// The copy lacks only the last few tokens, so the engine that holds it goes on within
+    /// some 15 ms, while a move waits for other moves on the link (a median of 0.4 s for
+    /// its last part when three engines leave at once). The run before goes on until the
+    /// other engine has answered, so nothing is lost if the copy turns out missing.
+    pub async fn relocate(self, backup: Option<Takeover>) -> Relocated {
+        let sound = self
+            .shared
+            .state
+            .borrow()
+            .sound_backup(clock::now(), self.run);
+        if let Some(takeover) = backup.filter(|takeover| Some(takeover.key) == sound) {
+            match timeout(OVERLAP, self.open(&takeover, "leaving")).await {
+                Ok(Ok(opened)) => return Relocated::Opened(Box::new(opened)),
+                Ok(Err(_)) => {}
+                Err(_) => return Relocated::Unsure(takeover.key),
+            }
+        }
+        let id = &self.original.inbound.id;
+        match relocate::relocate(&self.shared, self.run, id).await {
+            Moved::NotYet(why) => Relocated::NotYet(why),
+            Moved::Ready(takeover) => {
+                match timeout(OVERLAP, self.open(&takeover, "copied")).await {
+                    Ok(Ok(opened)) => Relocated::Opened(Box::new(opened)),
+                    Ok(Err(why)) => Relocated::NotYet(why),
+                    Err(_) => Relocated::Unsure(takeover.key),
+                }
+            }
+        }
+    }
+
+    /// Asks an engine to go on from a copy.
+    ///
+    /// # Errors
+    ///
+    /// It refused, or did not answer; the text says which.
+    pub async fn open(&self, takeover: &Takeover, why: &str) -> Result<Opened, String> {
+        let began = clock::now();
+        let last_event = self.last_event.borrow().clone();
+        let backup = self
+            .shared
+            .state
+            .borrow()
+            .pick_backup(began, self.run, takeover.key);
+        let source = head::Source {
+            address: takeover.address,
+            handle: takeover.handle.clone(),
+            last_event: last_event.clone(),
+        };
+        let destination = Destination {
+            backup,
+            customer: self.ticket.customer.as_deref(),
+            expires: self.ticket.expires,
+            key: takeover.key,
+            source: Some(&source),
+        };
+        self.shared.count_send(&self.ticket.service, true);
+        let sent = exchange::send(&self.shared, &self.original, &destination, TAKEOVER_WAIT).await;
+        let result = match sent {
+            Sent::Answer(answer, verdict)
+                if answer.status() == StatusCode::OK && verdict.sealed && !verdict.not_run =>
+            {
+                Ok(Opened {
+                    backup,
+                    source: Source {
+                        answer,
+                        cutter: Cutter::default(),
+                        key: takeover.key,
+                    },
+                })
+            }
+            Sent::Answer(answer, _) => Err(format!("copy answered {}", answer.status())),
+            Sent::NotWritten(error) | Sent::Unknown(error) => Err(format!("copy: {error}")),
+        };
+        let error = result.as_ref().err().map_or("", String::as_str);
+        log::info!(
+            id = self.original.inbound.id, why, error,
+            ms = clock::now().since(began).as_millis(),
+            last_event = last_event.as_deref().unwrap_or_default(); "takeover"
+        );
+        let outcome = if result.is_ok() { "went_on" } else { "refused" };
+        self.shared.meters.moved(outcome);
+        result
+    }
+}
