--- a/crates/carawayhead/tests/forwarding/instance.rs
+++ b/crates/carawayhead/tests/forwarding/instance.rs
@@ -23,6 +23,8 @@
     pub callers: SocketAddr,
     /// Where it says whether callers may be sent to it.
     pub ready: SocketAddr,
+    /// Its settings file.
+    pub settings: std::path::PathBuf,
     /// Where its metrics are.
     pub metrics: SocketAddr,
 }
@@ -92,6 +94,7 @@
             callers: address("Callers"),
             metrics: address("Metrics"),
             ready: address("Ready"),
+            settings: file,
             child,
             lines,
         }
--- a/crates/carawayhead/tests/forwarding/knowledge.rs
+++ b/crates/carawayhead/tests/forwarding/knowledge.rs
@@ -140,3 +140,28 @@
         assert!(text.contains(name), "{name} in {text}");
     }
 }
+
+/// Operators change the settings while instances run, with a signal or without, and once
+/// by a file that is half written. The change must be taken in and the half file passed
+/// over, or an instance would run with bounds that nobody chose.
+#[tokio::test]
+async fn changed_settings_are_taken_in() {
+    let store = Store::start().await;
+    store.operate("config", &config(1, &["key-1"], 5000));
+    let instance = Instance::start("e1", "a", &store).await;
+    let text = std::fs::read_to_string(&instance.settings).expect("settings");
+    std::fs::write(&instance.settings, &text[..text.len() / 2]).expect("a file");
+    instance.signal(rustix::process::Signal::HUP);
+    until("the fault is named", || async {
+        !instance.lines_with("cannot be read again").is_empty()
+    })
+    .await;
+    let changed = text.replace("retry_burst = 50", "retry_burst = 20");
+    std::fs::write(&instance.settings, changed).expect("a file");
+    until("the change is taken in", || async {
+        let lines = instance.lines_with("settings changed");
+        lines.iter().any(|line| line.contains("retry_burst: 20"))
+    })
+    .await;
+    assert!(platform::standin::caller::is_ready(instance.ready).await);
+}
--- a/crates/forward/src/budget.rs
+++ b/crates/forward/src/budget.rs
@@ -37,13 +37,22 @@
     /// The instance's part by its settings.
     #[must_use]
     pub fn new(settings: &Settings) -> Self {
-        Self {
-            burst: settings.retry_burst,
+        let mut budget = Self {
+            burst: 0.0,
             instances: settings.most_instances.max(1),
             ledgers: Vec::new(),
-            ratio: settings.retry_ratio / 2.0,
-            window: settings.budget_window,
-        }
+            ratio: 0.0,
+            window: Duration::ZERO,
+        };
+        budget.adjust(settings);
+        budget
+    }
+
+    /// Takes changed settings in; what was sent counts on.
+    pub const fn adjust(&mut self, settings: &Settings) {
+        self.burst = settings.retry_burst;
+        self.ratio = settings.retry_ratio / 2.0;
+        self.window = settings.budget_window;
     }
 
     /// Divides the burst by this many instances from now on.
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -79,6 +79,13 @@
         }
     }
 
+    /// Takes changed settings in.
+    pub fn adjust(&mut self, settings: Settings) {
+        self.budget.adjust(&settings);
+        self.instances = self.instances.max(settings.most_instances);
+        self.settings = settings;
+    }
+
     /// So many instances have published themselves.
     ///
     /// Joint limits are divided by a quarter more, for those that have not been heard of
--- a/crates/forward/tests/limits.rs
+++ b/crates/forward/tests/limits.rs
@@ -112,3 +112,21 @@
     state.count_instances(80);
     assert_eq!(sends(&mut state, 60_000), 0);
 }
+
+/// The operators lower the bounds while instances run. Old parts would go on being used
+/// until each instance is restarted; what was sent before counts against the new ones.
+#[test]
+fn changed_settings_are_in_force_at_once() {
+    let mut state = instance(&[]);
+    for now in 0..3 {
+        assert!(state.budget.allows("desk", at(now)));
+        state.budget.second("desk", at(now));
+    }
+    let mut lower = settings("a");
+    lower.retry_burst = 30.0;
+    lower.revocation = millis(2000);
+    state.adjust(lower);
+    assert!(!state.budget.allows("desk", at(10)));
+    let refused = state.admit(at(1800), &inbound("/desk/x", at(1800)));
+    assert_eq!(refused.map(|_| ()), Err(Refusal::Stale));
+}
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -22,6 +22,10 @@
 /// Time before the kill at which the process ends by itself.
 const BEFORE_KILL: Duration = Duration::from_millis(300);
 
+/// How often the settings file is looked at, since it may change without a signal. It is
+/// some 500 bytes in memory.
+const LOOK_AT_SETTINGS: Duration = Duration::from_secs(3);
+
 /// How often it is looked whether everything has ended.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -66,22 +70,34 @@
         listen:% = instance.listen, domain = instance.domain,
         version = env!("CARGO_PKG_VERSION"); "started"
     );
+    let mut settings = shared.settings.clone();
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(file),
+            _ = hangup.recv() => {}
+            () = sleep(LOOK_AT_SETTINGS) => {}
         }
+        settings = reload(&shared, file, settings);
     }
     drain(&shared).await;
     Ok(())
 }
 
-/// Says what a changed settings file holds; what is bound stays bound.
-fn reload(file: &str) {
+/// Takes a changed settings file in; what is bound stays bound. A file with a fault changes
+/// nothing: it may be half written, and is looked at again.
+fn reload(shared: &Shared, file: &str, known: Settings) -> Settings {
     match Settings::load(file) {
-        Ok(settings) => log::info!(settings:?; "settings read again"),
-        Err(error) => log::warn!(error:%; "settings cannot be read again"),
+        Ok(settings) if settings == known => known,
+        Ok(settings) => {
+            log::info!(settings:?; "settings changed");
+            shared.state.borrow_mut().adjust(settings.decisions());
+            settings
+        }
+        Err(error) => {
+            log::warn!(error:%; "settings cannot be read again");
+            known
+        }
     }
 }
 
