Admit a request again right before its send, and keep the service that was drawn for it

Cause: a stream that waited was admitted anew with a second draw of its service, after an endpoint of the first had been chosen; a plain request was sent by what was known when it came. Found by reading; a test fails without it. Ruled out: drawing by the request's id, which would shift when weights change. Also: the function of a plain try is cut into placing, sending and judging.

--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -72,6 +72,30 @@
         })
     }
 
+    /// Admits a request again, by what is known now. It stays with the service that was
+    /// drawn for it as long as its route still goes there; a new draw would send it to an
+    /// endpoint that was chosen for another service.
+    ///
+    /// # Errors
+    ///
+    /// The truthful refusal.
+    pub fn readmit(
+        &mut self,
+        now: Time,
+        inbound: &Inbound,
+        ticket: &Ticket,
+    ) -> Result<Ticket, Refusal> {
+        let mut renewed = self.admit(now, inbound)?;
+        let split = &renewed.route.split;
+        if split
+            .iter()
+            .any(|(name, weight)| *name == ticket.service && *weight > 0)
+        {
+            renewed.service.clone_from(&ticket.service);
+        }
+        Ok(renewed)
+    }
+
     /// Whether callers may be sent here: everything that is needed to serve them is known
     /// and recent enough.
     #[must_use]
--- a/crates/forward/tests/knowledge.rs
+++ b/crates/forward/tests/knowledge.rs
@@ -105,3 +105,38 @@
     assert_eq!(late.map(|_| ()), Err(Refusal::Stopping));
     assert!(Refusal::Stopping.not_run());
 }
+
+/// A request waits for a place while its route is moved to another service, or its traffic
+/// is split anew. It must not reach an endpoint of a service that the route no longer goes
+/// to, nor change service by a second draw after an endpoint was chosen.
+#[test]
+fn a_waiting_request_follows_its_route() {
+    let split = |version: u64, split: &[(&str, u32)]| {
+        let mut route = route("/desk/", Kind::NonIdempotent, "desk");
+        route.anonymous = true;
+        route.split = split
+            .iter()
+            .map(|(name, weight)| (name.to_string(), *weight))
+            .collect();
+        Config::new(
+            version,
+            Limits::default(),
+            vec![route],
+            Vec::new(),
+            Vec::new(),
+        )
+    };
+    let mut state = instance(&[]);
+    state.configure(split(2, &[("one", 90), ("two", 10)]));
+    let inbound = inbound("/desk/x", at(0));
+    for _ in 0..50 {
+        let ticket = state.admit(at(10), &inbound).expect("a ticket");
+        let renewed = state.readmit(at(20), &inbound, &ticket).expect("a ticket");
+        assert_eq!(renewed.service, ticket.service);
+    }
+    let mut ticket = state.admit(at(30), &inbound).expect("a ticket");
+    ticket.service = "two".to_string();
+    state.configure(split(3, &[("one", 100), ("two", 0)]));
+    let renewed = state.readmit(at(40), &inbound, &ticket).expect("a ticket");
+    assert_eq!((renewed.service.as_str(), renewed.version), ("one", 3));
+}
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -12,7 +12,7 @@
         choice::{Need, Pick},
         request::Ticket,
     },
-    platform::head,
+    platform::head::{self, Verdict},
 };
 
 /// Largest answer that is taken in whole, in bytes.
@@ -48,6 +48,21 @@
     Over(Refusal),
 }
 
+/// An answer, taken in whole.
+struct Whole {
+    body: Bytes,
+    headers: http::HeaderMap,
+    status: StatusCode,
+    verdict: Verdict,
+}
+
+/// Why there is no answer.
+struct Failure {
+    why: String,
+    /// Whether anything was written to the endpoint.
+    written: bool,
+}
+
 /// Serves a request.
 ///
 /// # Errors
@@ -66,7 +81,7 @@
     };
     let mut ticket = ticket;
     loop {
-        match attempt(shared, original, &ticket, &mut progress).await {
+        match attempt(shared, original, &mut ticket, &mut progress).await {
             Attempt::Answered(reply) => return Ok(reply),
             Attempt::Over(refusal) => return Err(give_up(original, &progress, refusal)),
             Attempt::Again => {}
@@ -74,11 +89,6 @@
         if !may_send_again(shared, &ticket, &progress) {
             return Err(give_up(original, &progress, Refusal::Full));
         }
-        let admitted = shared
-            .state
-            .borrow_mut()
-            .admit(clock::now(), &original.inbound);
-        ticket = admitted.map_err(|refusal| give_up(original, &progress, refusal))?;
     }
 }
 
@@ -109,25 +119,58 @@
 async fn attempt(
     shared: &Rc<Shared>,
     original: &Original,
-    ticket: &Ticket,
+    ticket: &mut Ticket,
     progress: &mut Progress,
 ) -> Attempt {
     let patience = ticket.route.timeout.mul_f64(WAIT_SHARE);
     let until = original.inbound.arrived.after(patience).min(ticket.expires);
-    let Some((key, _)) = place(shared, ticket, Need::default(), &progress.tried, until).await
-    else {
+    let placed = place(shared, ticket, Need::default(), &progress.tried, until).await;
+    let Some((key, _)) = placed else {
         progress.why = "no endpoint with room".to_string();
         return Attempt::Over(Refusal::Full);
     };
+    match shared.readmit(original, ticket) {
+        Ok(true) => {}
+        Ok(false) => return Attempt::Again,
+        Err(refusal) => return Attempt::Over(refusal),
+    }
     let _in_flight = InFlight::new(shared, key);
+    shared.count_send(&ticket.service, progress.sends > 0);
+    progress.sends += 1;
+    match send(shared, original, ticket, progress, key).await {
+        Ok(answer) => {
+            progress.tried.push(key);
+            judge(shared, ticket, progress, key, answer)
+        }
+        Err(failure) => {
+            shared.unreachable(key);
+            progress.why = failure.why;
+            if failure.written {
+                progress.tried.push(key);
+                progress.may_have_run = true;
+            } else {
+                // It never arrived, so it counts neither as a try nor for the budget; the
+                // endpoint is avoided for a while, so the next one is asked.
+                progress.sends -= 1;
+                shared.take_back_send(&ticket.service, progress.sends > 0);
+            }
+            after_failure(ticket, progress, failure.written)
+        }
+    }
+}
+
+/// Sends the request and takes the answer in whole.
+async fn send(
+    shared: &Shared,
+    original: &Original,
+    ticket: &Ticket,
+    progress: &Progress,
+    key: EndpointKey,
+) -> Result<Whole, Failure> {
     let left = ticket.expires.since(clock::now());
     let idempotent = ticket.route.kind == Kind::Idempotent;
-    let again = idempotent && progress.sends + 1 < ticket.route.max_attempts;
-    let limit = if again {
-        left.mul_f64(SECOND_TRY)
-    } else {
-        left
-    };
+    let again = idempotent && progress.sends < ticket.route.max_attempts;
+    let limit = left.mul_f64(if again { SECOND_TRY } else { 1.0 });
     let destination = Destination {
         backup: None,
         customer: ticket.customer.as_deref(),
@@ -135,60 +178,54 @@
         key,
         source: None,
     };
-    shared.count_send(&ticket.service, progress.sends > 0);
-    progress.sends += 1;
+    let unknown = |why: String| Failure { why, written: true };
     let read = async {
         match exchange::send(shared, original, &destination, limit).await {
             Sent::Answer(reply, verdict) => {
                 let status = reply.status();
                 let headers = head::answer(reply.headers());
-                let closes = reply.whole(MOST_ANSWER).await;
-                match closes {
-                    Ok(body) => Ok((status, headers, body, verdict)),
-                    Err(error) => Err((true, error.to_string())),
-                }
+                let body = reply.whole(MOST_ANSWER).await;
+                Ok(Whole {
+                    body: body.map_err(|error| unknown(error.to_string()))?,
+                    headers,
+                    status,
+                    verdict,
+                })
             }
-            Sent::NotWritten(why) => Err((false, why)),
-            Sent::Unknown(why) => Err((true, why)),
-        }
-    };
-    let result = timeout(limit, read)
-        .await
-        .unwrap_or_else(|_| Err((true, "answer not whole in time".to_string())));
-    let (status, headers, body, verdict) = match result {
-        Ok(answer) => answer,
-        Err((false, why)) => {
-            // It never arrived, so it counts neither as a try nor for the budget; the
-            // endpoint is avoided for a while, so the next one is asked.
-            shared.unreachable(key);
-            progress.sends -= 1;
-            shared.take_back_send(&ticket.service, progress.sends > 0);
-            progress.why = why;
-            return after_failure(ticket, progress, false);
-        }
-        Err((true, why)) => {
-            shared.unreachable(key);
-            progress.tried.push(key);
-            progress.may_have_run = true;
-            progress.why = why;
-            return after_failure(ticket, progress, true);
+            Sent::NotWritten(why) => Err(Failure {
+                why,
+                written: false,
+            }),
+            Sent::Unknown(why) => Err(unknown(why)),
         }
     };
-    progress.tried.push(key);
-    if verdict.not_run {
+    let whole = timeout(limit, read).await;
+    whole.unwrap_or_else(|_| Err(unknown("answer not whole in time".to_string())))
+}
+
+/// Whether an answer goes to the caller.
+fn judge(
+    shared: &Shared,
+    ticket: &Ticket,
+    progress: &mut Progress,
+    key: EndpointKey,
+    answer: Whole,
+) -> Attempt {
+    let status = answer.status;
+    if answer.verdict.not_run {
         shared.full(key, status);
         progress.why = format!("turned down with {status}");
         return Attempt::Again;
     }
     shared.answered(key, status.is_server_error());
-    let proper = verdict.sealed && !verdict.encoded;
+    let proper = answer.verdict.sealed && !answer.verdict.encoded;
     let promise = matches!(status.as_u16(), 408 | 421 | 429 | 503);
     if (status.is_success() && !proper) || promise {
         progress.may_have_run = true;
         progress.why = format!("improper answer with {status}");
         return after_failure(ticket, progress, true);
     }
-    let retry = idempotent
+    let retry = ticket.route.kind == Kind::Idempotent
         && status.is_server_error()
         && progress.sends < ticket.route.max_attempts
         && may_send_again(shared, ticket, progress);
@@ -197,7 +234,7 @@
         progress.why = format!("failed with {status}");
         return Attempt::Again;
     }
-    Attempt::Answered(reply::whole(status, headers, body))
+    Attempt::Answered(reply::whole(status, answer.headers, answer.body))
 }
 
 /// Whether a send that failed leaves room for another one.
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         clock,
+        exchange::Original,
         gossip::Fellows,
         meters::Meters,
         prelude::*,
@@ -13,6 +14,7 @@
     forward::{
         State,
         reader::{Readers, TOPICS},
+        request::Ticket,
         state::Place,
     },
     platform::{Store, store::Topic},
@@ -211,6 +213,20 @@
         self.meters.sent(again);
     }
 
+    /// Admits a request again right before its send, by what is known then. Returns whether
+    /// the service is still the one that an endpoint was chosen for.
+    ///
+    /// # Errors
+    ///
+    /// It may not be served any more.
+    pub fn readmit(&self, original: &Original, ticket: &mut Ticket) -> Result<bool, Refusal> {
+        let mut state = self.state.borrow_mut();
+        let renewed = state.readmit(clock::now(), &original.inbound, ticket)?;
+        let same = renewed.service == ticket.service;
+        *ticket = renewed;
+        Ok(same)
+    }
+
     /// A send did not reach its endpoint after all.
     pub fn take_back_send(&self, service: &str, again: bool) {
         if again {
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -59,10 +59,9 @@
             return Err(Refusal::Full);
         };
         // Nothing was run so far, so the newest configuration decides.
-        ticket = shared
-            .state
-            .borrow_mut()
-            .admit(clock::now(), &original.inbound)?;
+        if !shared.readmit(original, &mut ticket)? {
+            continue;
+        }
         shared.count_send(&ticket.service, sends > 0);
         sends += 1;
         let running = begin(shared, original, &ticket, key, backup, expected);
