Drop entries of instances that have been silent for five minutes

Found by reading. Change: the instance that reads the list drops them; one that lives and finds its entry gone writes it again. Ruled out: entries with a clock (wall time jumps), rewriting them regularly (calls).

--- a/crates/carawayhead/tests/forwarding/knowledge.rs
+++ b/crates/carawayhead/tests/forwarding/knowledge.rs
@@ -165,3 +165,19 @@
     .await;
     assert!(platform::standin::caller::is_ready(instance.ready).await);
 }
+
+/// An instance was cut off for so long that its entry was dropped. It lives, so it must be
+/// found again by the others, or it would choose engines without knowing their load.
+#[tokio::test]
+async fn a_dropped_instance_publishes_itself_again() {
+    let store = Store::start().await;
+    store.operate("config", &config(1, &["key-1"], 5000));
+    let _instance = Instance::start("e1", "a", &store).await;
+    until("it is published", || async { store.instances() == ["e1"] }).await;
+    store.drop_instance("e1");
+    assert!(store.instances().is_empty());
+    until("it is published again", || async {
+        store.instances() == ["e1"]
+    })
+    .await;
+}
--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -36,6 +36,10 @@
 /// The same for the list of instances, whose age bounds nothing.
 pub const ENOUGH_INSTANCES: Duration = Duration::from_secs(30);
 
+/// Time without a word after which an instance's entry is dropped. A partition lasts
+/// minutes as a rule; an hour costs two writes.
+const ENTRY_LIFE: Duration = Duration::from_mins(5);
+
 /// What an instance knows itself of a topic.
 #[derive(Clone, Copy, Debug)]
 pub struct Own<'a> {
@@ -117,6 +121,27 @@
             .all(|heard| rank(&heard.name, topic) > own)
     }
 
+    /// Whether the entry of a fellow that has been listed since `listed` is to be dropped:
+    /// its holder has not been heard of for long.
+    ///
+    /// Instances are replaced under new names all the time. Their entries would pile up
+    /// without end, each with a connection that is tried again and a part of every joint
+    /// limit; one would notice limits that shrink day by day. A holder that lives behind a
+    /// partition finds its entry gone and writes it again.
+    #[must_use]
+    pub fn is_dead(&self, name: &str, listed: Time, now: Time) -> bool {
+        let place = self
+            .heard
+            .binary_search_by(|other| other.name.as_str().cmp(name));
+        let heard = place.map_or(listed, |place| self.heard[place].at.max(listed));
+        now.since(heard) > ENTRY_LIFE
+    }
+
+    /// Forgets a fellow whose entry is gone.
+    pub fn forget(&mut self, name: &str) {
+        self.heard.retain(|heard| heard.name != name);
+    }
+
     /// Whether no fellow was heard of late.
     #[must_use]
     pub fn alone(&self, now: Time) -> bool {
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -90,7 +90,7 @@
     ///
     /// Joint limits are divided by a quarter more, for those that have not been heard of
     /// yet, and never by less than the settings say. Entries of instances that are gone
-    /// stay, which errs on the safe side.
+    /// stay for minutes, which errs on the safe side.
     pub fn count_instances(&mut self, published: usize) {
         let published = u32::try_from(published).unwrap_or(u32::MAX);
         let instances = published.saturating_add(published.div_ceil(4));
--- a/crates/forward/tests/readers.rs
+++ b/crates/forward/tests/readers.rs
@@ -125,3 +125,20 @@
         assert_eq!(reading, 1, "domain {domain}");
     }
 }
+
+/// Instances are replaced under new names, hundreds a day. Their entries must go, or parts
+/// of joint limits shrink for ever; an instance that was only cut off for a while must not
+/// lose its place, nor one that has just been listed.
+#[test]
+fn entries_of_dead_instances_are_dropped() {
+    let mut readers = Readers::default();
+    readers.hear("e2", at(10_000), true, word(300, 7));
+    let minutes = |minutes: u64| at(minutes * 60_000);
+    assert!(!readers.is_dead("e2", at(0), minutes(5)));
+    assert!(readers.is_dead("e2", at(0), minutes(6)));
+    assert!(!readers.is_dead("e2", minutes(4), minutes(6)));
+    assert!(!readers.is_dead("e9", at(0), minutes(5)));
+    assert!(readers.is_dead("e9", at(0), minutes(6)));
+    readers.forget("e2");
+    assert!(readers.is_dead("e2", at(0), minutes(6)));
+}
--- a/crates/proxy/src/apply.rs
+++ b/crates/proxy/src/apply.rs
@@ -83,6 +83,13 @@
         Ok(entry) => {
             let address = entry.as_ref().map(|entry| entry.address);
             log::info!(fellow = record.key, address:?, offset = record.offset; "instance listed");
+            let own = record.key == shared.settings.instance.name;
+            if own && entry.is_none() {
+                shared.republish.notify_one();
+            }
+            if entry.is_none() {
+                shared.readers.borrow_mut().forget(&record.key);
+            }
             shared.fellows.hear(&record.key, entry);
             let published = shared.fellows.published();
             shared.state.borrow_mut().count_instances(published);
--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -9,7 +9,7 @@
     forward::{
         endpoint::Load,
         load::digest,
-        reader::{TOPICS, Word, is_many},
+        reader::{Readers, TOPICS, Word, is_many},
     },
     platform::{
         instance::{self, Entry},
@@ -40,6 +40,9 @@
 /// Pause before the own entry is written again after a failed call.
 const PUBLISH_RETRY: Duration = Duration::from_millis(400);
 
+/// How often entries of silent instances are looked for.
+const LOOK_FOR_DEAD: Duration = Duration::from_secs(20);
+
 /// Endpoints in one report, the busiest first, so that it fits into a datagram.
 const MOST_ENDPOINTS: usize = 90;
 
@@ -93,6 +96,8 @@
 #[derive(Clone, Debug, PartialEq)]
 struct Fellow {
     entry: Entry,
+    /// When its entry was read.
+    listed: Time,
     name: String,
 }
 
@@ -121,13 +126,24 @@
         let mut fellows = self.known.borrow_mut();
         let place = fellows.binary_search_by(|fellow| fellow.name.as_str().cmp(name));
         match (place, entry) {
-            (Ok(place), Some(entry)) => fellows[place].entry = entry,
+            (Ok(place), Some(entry)) => {
+                fellows[place].entry = entry;
+                fellows[place].listed = clock::now();
+            }
             (Ok(place), None) => {
                 fellows.remove(place);
             }
             (Err(place), Some(entry)) => {
                 let name = name.to_string();
-                fellows.insert(place, Fellow { entry, name });
+                let listed = clock::now();
+                fellows.insert(
+                    place,
+                    Fellow {
+                        entry,
+                        listed,
+                        name,
+                    },
+                );
             }
             (Err(_), None) => {}
         }
@@ -160,6 +176,16 @@
             .collect()
     }
 
+    /// Fellows whose entries are to be dropped.
+    fn dead(&self, readers: &Readers, own: &str, now: Time) -> Vec<String> {
+        let fellows = self.known.borrow();
+        let dead = fellows
+            .iter()
+            .filter(|fellow| fellow.name != own)
+            .filter(|fellow| readers.is_dead(&fellow.name, fellow.listed, now));
+        dead.map(|fellow| fellow.name.clone()).collect()
+    }
+
     /// Whether a fellow stands in a failure domain.
     fn is_in(&self, name: &str, domain: &str) -> bool {
         let fellows = self.known.borrow();
@@ -206,14 +232,45 @@
         fingerprint: identity.fingerprint,
     };
     shared.fellows.datagrams.replace(Some(datagrams.clone()));
-    publish(&shared, &entry).await;
     tokio::join!(
+        keep_published(&shared, &entry),
+        drop_dead(&shared),
         connect(&shared, &datagrams, &pins),
         tell(&shared, &datagrams),
         hear(&shared, reports),
     );
 }
 
+/// Publishes this instance, and again whenever its entry was dropped.
+async fn keep_published(shared: &Shared, entry: &Entry) {
+    loop {
+        publish(shared, entry).await;
+        shared.republish.notified().await;
+    }
+}
+
+/// Drops entries of instances that have been silent for long, if this instance is the one
+/// that reads the list of instances.
+async fn drop_dead(shared: &Shared) {
+    let own = &shared.settings.instance.name;
+    let place = topic::index(Topic::Instances);
+    loop {
+        sleep(LOOK_FOR_DEAD).await;
+        let now = clock::now();
+        if !shared.readers.borrow().reads(own, place, now) {
+            continue;
+        }
+        let dead = shared.fellows.dead(&shared.readers.borrow(), own, now);
+        for name in dead {
+            let put = shared.store.put(Topic::Instances, &name, b"");
+            match put.await {
+                Ok(()) => log::info!(fellow = name; "entry of a silent instance dropped"),
+                Err(error) => log::warn!(fellow = name, error:%; "entry not dropped"),
+            }
+        }
+    }
+}
+
 async fn publish(shared: &Shared, entry: &Entry) {
     let name = &shared.settings.instance.name;
     let value = instance::encode(entry);
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -43,6 +43,8 @@
     pub meters: Meters,
     /// What fellows say of their knowledge.
     pub readers: RefCell<Readers>,
+    /// Signalled when this instance has to publish itself again.
+    pub republish: Notify,
     /// Signalled when an endpoint may have room again.
     pub room: Notify,
     /// Settings at the start.
@@ -73,6 +75,7 @@
             load: Notify::new(),
             meters: Meters::new()?,
             readers: RefCell::default(),
+            republish: Notify::new(),
             room: Notify::new(),
             state: RefCell::new(State::new(settings.decisions(), random)),
             stop: Notify::new(),
