--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -219,7 +219,7 @@
     pub fn enqueue(&mut self, ticket: &Ticket) -> Place {
         self.next_waiter += 1;
         let place = Place {
-            priority: ticket.route.priority,
+            priority: ticket.priority,
             service: ticket.service.clone(),
             turn: self.next_waiter,
         };
--- a/crates/forward/tests/load.rs
+++ b/crates/forward/tests/load.rs
@@ -138,7 +138,7 @@
     let ticket = state.admit(at(12_000), &inbound("/draft/x", at(12_000)));
     let mut ticket = ticket.expect("a ticket");
     let long = state.enqueue(&ticket);
-    ticket.route.priority = 0;
+    ticket.priority = 0;
     let check = state.enqueue(&ticket);
     let later = state.enqueue(&ticket);
     assert!(state.passed_over(&long) && state.passed_over(&later));
@@ -163,3 +163,31 @@
     assert!(!past(230)); // 920 of 900 expected tokens, of at most 2,000
     assert!(past(490));
 }
+
+/// A customer has a rank of its own, which goes before the route's. Callers of an urgent
+/// customer waited behind those of others where both used the same route.
+#[test]
+fn a_customers_rank_goes_before_the_routes() {
+    let mut state = instance(&[]);
+    let ranked = |name: &str, key: &str, priority| Customer {
+        keys: vec![key.to_string()],
+        name: name.to_string(),
+        priority,
+    };
+    let customers = vec![
+        ranked("ada", "key-1", None),
+        ranked("bea", "key-2", Some(0)),
+    ];
+    let routes = vec![route("/desk/", Kind::NonIdempotent, "desk")];
+    let config = Config::new(2, Limits::default(), routes, Vec::new(), customers);
+    state.configure(config);
+    let mut place = |key: &str| {
+        let mut request = inbound("/desk/x", at(10));
+        request.key = Some(key.to_string());
+        let ticket = state.admit(at(10), &request).expect("a ticket");
+        state.enqueue(&ticket)
+    };
+    let (first, urgent) = (place("key-1"), place("key-2"));
+    assert!(state.passed_over(&first));
+    assert!(!state.passed_over(&urgent));
+}
