Drive the decisions on forwarding through random histories

Cause: the package had unit and property tests of single parts, and none in which late reads, freezes, cuts, words of fellows and changes by operators meet. A fellow's word was judged in the loop, where no test without a network could reach it. Ruled out: folding this into the histories of 'decision', whose world has claims and no list. Change: Word::proves in the core; a world of four instances with the truth beside them.

--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -27,6 +27,19 @@
     pub position: u64,
 }
 
+impl Word {
+    /// Since when this instance's knowledge is proved by the word, if it has all the records
+    /// that its sender had: the sender said so after it had heard of the time `echo`.
+    ///
+    /// When the word arrives proves nothing. It may have waited in a buffer through a
+    /// freeze, and a key that was taken away meanwhile would be used on.
+    #[must_use]
+    pub fn proves(self, echo: Time, position: u64) -> Option<Time> {
+        let age = self.age?;
+        (position >= self.position).then(|| echo.before(age))
+    }
+}
+
 /// Age of knowledge up to which a fellow's word is enough. The reader's own age swings up
 /// to 1 s and a word takes up to half a second, so it is hardly ever passed while the
 /// reader follows the store; and a change that only others can read yet is known here
--- /dev/null
+++ b/crates/forward/tests/histories.rs
@@ -0,0 +1,82 @@
+//! Long randomised runs of the shipped decisions on knowledge of differing age.
+//!
+//! `HISTORIES` sets their number, `SEED` what they are drawn from, so that a long
+//! run is `HISTORIES=1000000 SEED=7 cargo test --release -p forward --test histories`.
+
+mod common;
+mod world;
+
+use {
+    proptest::{
+        collection::vec,
+        prelude::*,
+        test_runner::{RngSeed, TestRunner},
+    },
+    std::cell::Cell,
+    world::{ENGINES, INSTANCES, KEYS, Op, World},
+};
+
+/// Histories run where the environment names no number.
+const HISTORIES: u32 = 3000;
+
+/// Seed where the environment names none.
+const SEED: u64 = 20_261_203;
+
+fn setting<T: std::str::FromStr>(name: &str, default: T) -> T {
+    let value = std::env::var(name)
+        .ok()
+        .and_then(|value| value.parse().ok());
+    value.unwrap_or(default)
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let place = 0..INSTANCES;
+    let engine = 0..ENGINES;
+    prop_oneof![
+        12 => (place.clone(), 0..2_usize).prop_map(|(place, topic)| Op::Ask(place, topic)),
+        12 => (place.clone(), 0..2_usize).prop_map(|(place, topic)| Op::Answer(place, topic)),
+        2 => (place.clone(), 500..8000_u64).prop_map(|(place, millis)| Op::Cut(place, millis)),
+        1 => (0..3_usize, any::<bool>()).prop_map(|(domain, out)| Op::Domain(domain, out)),
+        2 => (place.clone(), 500..7000_u64).prop_map(|(place, millis)| Op::Freeze(place, millis)),
+        3 => (0..KEYS, any::<bool>()).prop_map(|(key, held)| Op::Key(key, held)),
+        1 => engine.clone().prop_map(Op::Leave),
+        24 => (place.clone(), 0..KEYS).prop_map(|(place, key)| Op::Request(place, key)),
+        2 => engine.clone().prop_map(Op::Start),
+        8 => (place.clone(), place, 1..3000_u64, any::<bool>())
+            .prop_map(|(from, to, way, records)| Op::Tell(from, to, way, records)),
+        16 => (1..400_u64).prop_map(Op::Tick),
+        2 => (400..5000_u64).prop_map(Op::Tick),
+        1 => engine.prop_map(Op::Vanish),
+    ]
+}
+
+/// Instances read the store late, freeze with answers in their buffers, are cut off and
+/// learn from each other by words that are long on the way, while operators take keys and
+/// failure domains away and engines leave and start again. A customer would notice a key
+/// that still works after it was taken away, an operator work in a domain that is out, a
+/// caller a 401 under a key that has long been held.
+#[test]
+fn no_history_breaks_a_promise() {
+    let config = ProptestConfig {
+        cases: setting("HISTORIES", HISTORIES),
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(setting("SEED", SEED)),
+        ..ProptestConfig::default()
+    };
+    println!("seed {}", setting("SEED", SEED));
+    let sent = Cell::new(0);
+    let mut runner = TestRunner::new(config);
+    let result = runner.run(&vec(op(), 1..150), |ops| {
+        let mut world = World::new(1);
+        for op in ops {
+            world.step(op);
+        }
+        sent.set(sent.get() + world.sent().values().sum::<usize>());
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+    println!("{} requests were sent", sent.get());
+    assert!(sent.get() > 0, "the histories sent nothing");
+}
--- /dev/null
+++ b/crates/forward/tests/world/mod.rs
@@ -0,0 +1,445 @@
+//! Instances that learn late, freeze and are cut off, driven through the shipped decisions,
+//! beside the truth that they are measured against.
+
+use {
+    crate::common::*,
+    forward::{reader::Word, request::Ticket},
+    rand::{SeedableRng as _, rngs::SmallRng},
+    std::collections::BTreeMap,
+};
+
+/// Instances in a history.
+pub const INSTANCES: usize = 4;
+
+/// Endpoints of the model service, in three failure domains.
+pub const ENGINES: usize = 6;
+
+/// Keys that may be given out and taken away.
+pub const KEYS: usize = 4;
+
+/// Requests a second that a cold engine bears, from all instances together.
+const COLD_RATE: usize = 28;
+
+/// After this long a key that was taken away must not be used any more.
+const REVOCATION: u64 = 5000;
+
+/// Longest doubt whether an entry that vanished is gone, with the pause between two looks.
+const DOUBT: u64 = 2250;
+
+/// Time within which every instance in touch has to know a new version.
+const APPLIED: u64 = 2000;
+
+/// Age of knowledge below which a request under a key has to be served.
+const OWED: u64 = 4600;
+
+/// One step of a history.
+#[derive(Clone, Copy, Debug)]
+pub enum Op {
+    /// The store's answer to a question of an instance arrives.
+    Answer(usize, usize),
+    /// An instance asks the store for a topic.
+    Ask(usize, usize),
+    /// An instance is cut off from the store for some milliseconds.
+    Cut(usize, u64),
+    /// Operators take a failure domain out, or back in.
+    Domain(usize, bool),
+    /// An instance stands still for some milliseconds.
+    Freeze(usize, u64),
+    /// Operators give a key out, or take it away.
+    Key(usize, bool),
+    /// An engine says that it leaves.
+    Leave(usize),
+    /// A caller's request reaches an instance with a key.
+    Request(usize, usize),
+    /// An engine starts again, under the same id.
+    Start(usize),
+    /// What an instance knows is told to another, after some milliseconds on the way, with
+    /// the records that it has read or without them.
+    Tell(usize, usize, u64, bool),
+    /// Time passes.
+    Tick(u64),
+    /// An engine's entry vanishes.
+    Vanish(usize),
+}
+
+/// What a record of the store says.
+#[derive(Clone, Debug)]
+enum Fact {
+    Configure(Config),
+    Domain(String, bool),
+    Endpoint(Change),
+}
+
+/// A question that the store has answered, on its way back.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    asked: u64,
+    end: usize,
+}
+
+#[derive(Debug)]
+struct Instance {
+    cut_until: u64,
+    frozen_until: u64,
+    /// When it learnt that an engine leaves, and whether the engine said so itself.
+    left: [Option<(u64, bool)>; ENGINES],
+    position: [usize; 2],
+    pending: [Option<Answer>; 2],
+    /// Time that each topic is proved for by this harness's own reckoning.
+    proven: [Option<u64>; 2],
+    state: State,
+    version: u64,
+}
+
+/// A word of one instance to another, on its way.
+#[derive(Clone, Debug)]
+struct Letter {
+    arrives: u64,
+    echo: u64,
+    records: Option<usize>,
+    to: usize,
+    word: Word,
+}
+
+/// Since when something has been so.
+type Since = Option<u64>;
+
+/// Instances, the store's log, and the truth.
+#[derive(Debug)]
+pub struct World {
+    domains_out: [Since; 3],
+    instances: Vec<Instance>,
+    /// Since when each key has been held, or taken away.
+    keys: [(bool, u64); KEYS],
+    letters: Vec<Letter>,
+    log: [Vec<Fact>; 2],
+    now: u64,
+    /// Requests that were sent: to which engine, when.
+    sends: Vec<(usize, u64)>,
+    version: u64,
+    born: u64,
+}
+
+const OPERATORS: usize = 0;
+const ENDPOINTS: usize = 1;
+
+fn domain(place: usize) -> String {
+    ["a", "b", "c"][place % 3].to_string()
+}
+
+fn engine_name(engine: usize) -> String {
+    format!("m{engine}")
+}
+
+fn key_name(key: usize) -> String {
+    format!("key-{key}")
+}
+
+impl World {
+    /// A deployment at its start: all keys are held, all engines listed.
+    pub fn new(seed: u64) -> Self {
+        let instances = (0..INSTANCES)
+            .map(|place| Instance {
+                cut_until: 0,
+                frozen_until: 0,
+                left: [None; ENGINES],
+                pending: [None; 2],
+                position: [0; 2],
+                proven: [None; 2],
+                state: State::new(
+                    settings(&domain(place)),
+                    SmallRng::seed_from_u64(seed.wrapping_add(place as u64)),
+                ),
+                version: 0,
+            })
+            .collect();
+        let mut world = Self {
+            born: 1,
+            domains_out: [None; 3],
+            instances,
+            keys: [(true, 0); KEYS],
+            letters: Vec::new(),
+            log: [Vec::new(), Vec::new()],
+            now: 0,
+            sends: Vec::new(),
+            version: 0,
+        };
+        world.publish();
+        for engine in 0..ENGINES {
+            world.list(engine, false);
+        }
+        world
+    }
+
+    /// Takes one step.
+    pub fn step(&mut self, op: Op) {
+        match op {
+            Op::Tick(millis) => self.tick(millis),
+            Op::Freeze(place, millis) => {
+                let until = self.now + millis;
+                let instance = &mut self.instances[place];
+                instance.frozen_until = instance.frozen_until.max(until);
+            }
+            Op::Cut(place, millis) => {
+                let until = self.now + millis;
+                let instance = &mut self.instances[place];
+                instance.cut_until = instance.cut_until.max(until);
+            }
+            Op::Ask(place, topic) => self.ask(place, topic),
+            Op::Answer(place, topic) => self.answer(place, topic),
+            Op::Tell(from, to, way, records) => self.tell(from, to, way, records),
+            Op::Key(key, held) => {
+                if self.keys[key].0 != held {
+                    self.keys[key] = (held, self.now);
+                    self.publish();
+                }
+            }
+            Op::Domain(place, out) => {
+                if self.domains_out[place].is_some() != out {
+                    self.domains_out[place] = out.then_some(self.now);
+                    self.log[OPERATORS].push(Fact::Domain(domain(place), out));
+                }
+            }
+            Op::Leave(engine) => self.list(engine, true),
+            Op::Vanish(engine) => {
+                let gone = Change::Gone(engine_name(engine));
+                self.log[ENDPOINTS].push(Fact::Endpoint(gone));
+            }
+            Op::Start(engine) => {
+                self.born += 1;
+                self.list(engine, false);
+            }
+            Op::Request(place, key) => self.request(place, key),
+        }
+    }
+
+    fn awake(&self, place: usize) -> bool {
+        self.now >= self.instances[place].frozen_until
+    }
+
+    fn connected(&self, place: usize) -> bool {
+        self.now >= self.instances[place].cut_until
+    }
+
+    fn publish(&mut self) {
+        self.version += 1;
+        let held = (0..KEYS).filter(|key| self.keys[*key].0).map(key_name);
+        let config = config_with(self.version, held.collect());
+        self.log[OPERATORS].push(Fact::Configure(config));
+    }
+
+    fn list(&mut self, engine: usize, leaving: bool) {
+        let mut listing = listing(&engine_name(engine), "model", &domain(engine));
+        listing.leaving = leaving;
+        listing.born = Some(self.born);
+        self.log[ENDPOINTS].push(Fact::Endpoint(Change::Set(listing)));
+    }
+
+    fn tick(&mut self, millis: u64) {
+        self.now += millis;
+        for place in 0..INSTANCES {
+            if self.awake(place) {
+                self.instances[place].state.tick(at(self.now));
+            }
+        }
+        let mut letters = std::mem::take(&mut self.letters);
+        letters.retain(|letter| {
+            if letter.arrives > self.now || !self.awake(letter.to) {
+                return true;
+            }
+            self.read_letter(letter);
+            false
+        });
+        self.letters = letters;
+    }
+
+    fn ask(&mut self, place: usize, topic: usize) {
+        if !self.awake(place) || !self.connected(place) {
+            return;
+        }
+        let end = self.log[topic].len();
+        let asked = self.now;
+        self.instances[place].pending[topic].get_or_insert(Answer { asked, end });
+    }
+
+    /// An answer may have waited in a buffer for as long as its instance was cut or frozen.
+    fn answer(&mut self, place: usize, topic: usize) {
+        if !self.awake(place) || !self.connected(place) {
+            return;
+        }
+        let Some(answer) = self.instances[place].pending[topic].take() else {
+            return;
+        };
+        self.learn(place, topic, answer.end);
+        self.prove(place, topic, answer.asked);
+    }
+
+    fn learn(&mut self, place: usize, topic: usize, end: usize) {
+        let now = at(self.now);
+        let instance = &mut self.instances[place];
+        for fact in &self.log[topic][instance.position[topic].min(end)..end] {
+            match fact.clone() {
+                Fact::Configure(config) => {
+                    instance.state.configure(config);
+                }
+                Fact::Domain(domain, out) => {
+                    instance.state.set_domain(&domain, out);
+                }
+                Fact::Endpoint(change) => {
+                    let (engine, left) = match &change {
+                        Change::Gone(name) => (engine_of(name), Some((self.now, false))),
+                        Change::Set(listing) if listing.leaving => {
+                            (engine_of(&listing.id), Some((self.now, true)))
+                        }
+                        Change::Set(listing) => (engine_of(&listing.id), None),
+                    };
+                    let announced = instance.left[engine].is_some_and(|(_, announced)| announced);
+                    if !announced || left.is_none() {
+                        instance.left[engine] = left;
+                    }
+                    instance.state.change(now, change);
+                }
+            }
+        }
+        instance.position[topic] = instance.position[topic].max(end);
+    }
+
+    fn prove(&mut self, place: usize, topic: usize, asked: u64) {
+        let now = at(self.now);
+        let instance = &mut self.instances[place];
+        instance.proven[topic] = instance.proven[topic].max(Some(asked));
+        if topic == OPERATORS {
+            instance.state.config_freshness.prove(at(asked));
+        } else {
+            instance.state.prove_list(now, at(asked));
+        }
+    }
+
+    /// `from` has just heard from `to`, and says how old its knowledge is.
+    fn tell(&mut self, from: usize, to: usize, way: u64, records: bool) {
+        if from == to || !self.awake(from) || !self.awake(to) {
+            return;
+        }
+        let teller = &self.instances[from];
+        let age = teller.state.config_freshness.age(at(self.now));
+        self.letters.push(Letter {
+            arrives: self.now + way,
+            echo: self.now,
+            records: records.then_some(teller.position[OPERATORS]),
+            to,
+            word: Word {
+                age,
+                position: teller.position[OPERATORS] as u64,
+            },
+        });
+    }
+
+    fn read_letter(&mut self, letter: &Letter) {
+        if let Some(end) = letter.records {
+            self.learn(letter.to, OPERATORS, end);
+        }
+        let position = self.instances[letter.to].position[OPERATORS] as u64;
+        if let Some(asked) = letter.word.proves(at(letter.echo), position) {
+            self.prove(letter.to, OPERATORS, asked.micros() / 1000);
+        }
+    }
+
+    fn request(&mut self, place: usize, key: usize) {
+        if !self.awake(place) {
+            return;
+        }
+        let now = at(self.now);
+        let mut inbound = inbound("/draft/x", now);
+        inbound.key = Some(key_name(key));
+        match self.instances[place].state.admit(now, &inbound) {
+            Ok(ticket) => self.send(place, key, &ticket),
+            Err(refusal) => self.check_refusal(place, key, refusal),
+        }
+    }
+
+    fn send(&mut self, place: usize, key: usize, ticket: &Ticket) {
+        let instance = &mut self.instances[place];
+        assert!(ticket.version >= instance.version, "a version was taken back");
+        instance.version = ticket.version;
+        let (held, since) = self.keys[key];
+        assert!(
+            held || self.now <= since + REVOCATION,
+            "a request ran {} ms after its key was taken away",
+            self.now - since
+        );
+        let now = at(self.now);
+        let Pick::Send(endpoint, copy) = instance.state.pick(now, &ticket.service, LONG, &[])
+        else {
+            return;
+        };
+        let state = &mut instance.state;
+        let name = id(state, endpoint);
+        state.endpoint_mut(endpoint).expect("picked").pace.sent(now);
+        let copy = copy.map(|copy| id(&instance.state, copy));
+        let engine = engine_of(&name);
+        self.check_place(place, engine);
+        if let Some(copy) = copy {
+            self.check_place(place, engine_of(&copy));
+        }
+        self.sends.push((engine, self.now));
+        self.check_pace(engine);
+    }
+
+    /// Nothing goes to an engine that the instance had to know to be leaving, or to a
+    /// domain that it had to know to be out.
+    fn check_place(&self, place: usize, engine: usize) {
+        let proven = self.instances[place].proven[OPERATORS];
+        if let Some(since) = self.domains_out[engine % 3] {
+            let known = proven.is_some_and(|asked| asked > since);
+            assert!(!known, "sent to a domain that is out");
+        }
+        if let Some((since, announced)) = self.instances[place].left[engine] {
+            let doubted = !announced && self.now < since + DOUBT;
+            assert!(doubted, "sent to an engine that left");
+        }
+    }
+
+    fn check_pace(&self, engine: usize) {
+        let recent = self
+            .sends
+            .iter()
+            .filter(|(other, sent)| *other == engine && *sent + 1000 > self.now);
+        assert!(recent.count() <= COLD_RATE, "a cold engine is overrun");
+    }
+
+    fn check_refusal(&self, place: usize, key: usize, refusal: Refusal) {
+        assert!(refusal.not_run(), "nothing was sent, yet {refusal:?}");
+        let (held, since) = self.keys[key];
+        let proven = self.instances[place].proven[OPERATORS];
+        match refusal {
+            Refusal::UnknownKey => assert!(
+                !held || self.now <= since + APPLIED,
+                "a key that has been held for {} ms is unknown",
+                self.now - since
+            ),
+            Refusal::Stale => assert!(
+                proven.is_none_or(|asked| asked + OWED < self.now) || !held || {
+                    let unread = since + APPLIED > self.now;
+                    unread || proven.is_some_and(|asked| asked <= since)
+                },
+                "refused as stale with recent knowledge"
+            ),
+            Refusal::Unconfigured => assert!(proven.is_none(), "a configuration was lost"),
+            other => panic!("refused as {other:?}"),
+        }
+    }
+
+    /// Requests that were sent, by engine.
+    pub fn sent(&self) -> BTreeMap<usize, usize> {
+        let mut sent = BTreeMap::new();
+        for (engine, _) in &self.sends {
+            *sent.entry(*engine).or_default() += 1;
+        }
+        sent
+    }
+}
+
+fn engine_of(name: &str) -> usize {
+    name[1..].parse().expect("a number after the first letter")
+}
+
--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -459,14 +459,11 @@
     if report.echo == 0 {
         return;
     }
-    // What the fellow says was true after it had heard of this time.
-    let asked = Time::from_micros(report.echo);
+    let echo = Time::from_micros(report.echo);
     for (topic, word) in topic::ALL.into_iter().zip(words) {
         let known = shared.topic(topic).position.get();
-        if let Some(age) = word.age
-            && known.is_some_and(|known| known >= word.position)
-        {
-            follow::prove(shared, topic, asked.before(age));
+        if let Some(asked) = known.and_then(|position| word.proves(echo, position)) {
+            follow::prove(shared, topic, asked);
         }
     }
 }
