--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -1,21 +1,25 @@
-//! Reports of load between instances.
+//! Words between instances: reports of load and knowledge, and records that were read.
 
 use {
-    crate::{clock, follow, prelude::*, settings::Instance, topic},
+    crate::{
+        clock, follow,
+        message::{Batch, Message, RawRecord, Report},
+        prelude::*,
+        topic,
+    },
     fellow::{
         datagram::Datagrams,
-        pinned::{self, Fingerprint, Identity, Pins},
+        pinned::{self, Identity, Pins},
     },
     forward::{
         endpoint::Load,
         load::digest,
-        reader::{Readers, TOPICS, Word, is_many},
+        reader::{Word, is_many},
     },
     platform::{
         instance::{self, Entry},
         store::{Keyed, Topic},
     },
-    serde::{Deserialize, Serialize},
     tokio::sync::mpsc,
 };
 
@@ -46,178 +50,9 @@
 /// Endpoints in one report, the busiest first, so that it fits into a datagram.
 const MOST_ENDPOINTS: usize = 90;
 
-/// Effort of packing records, 0 to 10. The least that finds repetitions makes a fifth of a
-/// configuration; more effort takes longer than it saves on the link.
-const PACKING: u8 = 1;
-
-/// Most bytes of a batch of records once unpacked; a read brings a megabyte at most.
-const MOST_UNPACKED: usize = 4 << 20;
-
 /// Datagrams that wait to be read.
 const MOST_HEARD: usize = 256;
 
-/// What instances say to each other.
-#[derive(Debug, Deserialize, Serialize)]
-enum Message {
-    /// A [`Batch`], packed. A configuration of twenty kilobytes to 28 fellows held a link
-    /// of 10 Mbit/s for half a second, in which events of streams came late to callers.
-    Records(Vec<u8>),
-    Report(Report),
-}
-
-/// Digest of the endpoint's id, then tokens, tokens of copies among them, tokens being
-/// read, requests.
-type Row = (u32, u32, u32, u32, u32);
-
-/// Age in milliseconds, if anything is known, and position.
-type RawWord = (Option<u32>, u64);
-
-/// What an instance has in progress and knows.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-struct Report {
-    /// The last number heard from the instance that this is sent to. What is said here
-    /// was true after that number was given out, however long this message is on its way.
-    echo: u64,
-    loads: Vec<Row>,
-    name: String,
-    /// Time of the sender's clock in microseconds; orders its reports.
-    number: u64,
-    words: [RawWord; TOPICS],
-}
-
-/// Records of a topic, in order.
-#[derive(Debug, Deserialize, Serialize)]
-struct Batch {
-    from: u64,
-    records: Vec<RawRecord>,
-    /// Place in [`topic::ALL`].
-    topic: u8,
-}
-
-/// A record as it stands in the store.
-#[derive(Debug, Deserialize, Serialize)]
-struct RawRecord {
-    key: String,
-    offset: u64,
-    value: Option<Vec<u8>>,
-}
-
-/// A fellow, as it published itself.
-#[derive(Clone, Debug, PartialEq)]
-struct Fellow {
-    entry: Entry,
-    /// When its entry was read.
-    listed: Time,
-    name: String,
-}
-
-/// Another instance, as seen from the own one.
-struct Other {
-    address: SocketAddr,
-    /// Number to be echoed to it.
-    echo: u64,
-    /// Whether it stands in the own failure domain.
-    near: bool,
-}
-
-/// Fellows that are known.
-#[derive(Debug, Default)]
-pub struct Fellows {
-    datagrams: RefCell<Option<Datagrams>>,
-    /// Number of the last report of each fellow, sorted by name.
-    echoes: RefCell<Vec<(String, u64)>>,
-    /// Sorted by name.
-    known: RefCell<Vec<Fellow>>,
-}
-
-impl Fellows {
-    /// Takes a record of an instance in.
-    pub fn hear(&self, name: &str, entry: Option<Entry>) {
-        let mut fellows = self.known.borrow_mut();
-        let place = fellows.binary_search_by(|fellow| fellow.name.as_str().cmp(name));
-        match (place, entry) {
-            (Ok(place), Some(entry)) => {
-                fellows[place].entry = entry;
-                fellows[place].listed = clock::now();
-            }
-            (Ok(place), None) => {
-                fellows.remove(place);
-            }
-            (Err(place), Some(entry)) => {
-                let name = name.to_string();
-                let listed = clock::now();
-                fellows.insert(
-                    place,
-                    Fellow {
-                        entry,
-                        listed,
-                        name,
-                    },
-                );
-            }
-            (Err(_), None) => {}
-        }
-    }
-
-    fn fingerprints(&self) -> Vec<Fingerprint> {
-        let fellows = self.known.borrow();
-        fellows
-            .iter()
-            .map(|fellow| fellow.entry.fingerprint)
-            .collect()
-    }
-
-    /// Instances that have published themselves, this one included.
-    #[must_use]
-    pub fn published(&self) -> usize {
-        self.known.borrow().len()
-    }
-
-    /// The other instances, as seen from the own one.
-    fn others(&self, own: &Instance) -> Vec<Other> {
-        let fellows = self.known.borrow();
-        let others = fellows.iter().filter(|fellow| fellow.name != own.name);
-        others
-            .map(|fellow| Other {
-                address: fellow.entry.address,
-                echo: self.echo(&fellow.name),
-                near: fellow.entry.domain == own.domain,
-            })
-            .collect()
-    }
-
-    /// Fellows whose entries are to be dropped.
-    fn dead(&self, readers: &Readers, own: &str, now: Time) -> Vec<String> {
-        let fellows = self.known.borrow();
-        let dead = fellows
-            .iter()
-            .filter(|fellow| fellow.name != own)
-            .filter(|fellow| readers.is_dead(&fellow.name, fellow.listed, now));
-        dead.map(|fellow| fellow.name.clone()).collect()
-    }
-
-    /// Whether a fellow stands in a failure domain.
-    fn is_in(&self, name: &str, domain: &str) -> bool {
-        let fellows = self.known.borrow();
-        let place = fellows.binary_search_by(|fellow| fellow.name.as_str().cmp(name));
-        place.is_ok_and(|place| fellows[place].entry.domain == domain)
-    }
-
-    fn echo(&self, name: &str) -> u64 {
-        let echoes = self.echoes.borrow();
-        let place = echoes.binary_search_by(|(other, _)| other.as_str().cmp(name));
-        place.map_or(0, |place| echoes[place].1)
-    }
-
-    fn note(&self, name: &str, number: u64) {
-        let mut echoes = self.echoes.borrow_mut();
-        match echoes.binary_search_by(|(other, _)| other.as_str().cmp(name)) {
-            Ok(place) => echoes[place].1 = number,
-            Err(place) => echoes.insert(place, (name.to_string(), number)),
-        }
-    }
-}
-
 /// Publishes this instance, then tells fellows of its load and hears of theirs, for ever.
 pub async fn run(shared: Rc<Shared>) {
     let (heard, reports) = mpsc::channel(MOST_HEARD);
@@ -340,7 +175,7 @@
             }
             report.echo = other.echo;
             let address = other.address;
-            let Some(data) = encode(&Message::Report(report.clone())) else {
+            let Some(data) = Message::Report(report.clone()).encode() else {
                 continue;
             };
             if let Err(error) = datagrams.send(address, data) {
@@ -383,32 +218,6 @@
     }
 }
 
-fn encode(message: &Message) -> Option<Bytes> {
-    match postcard::to_stdvec(message) {
-        Ok(data) => Some(data.into()),
-        Err(error) => {
-            log::error!(error:%; "message to fellow instances cannot be encoded");
-            None
-        }
-    }
-}
-
-/// Packs records for the way to fellows.
-fn pack(batch: &Batch) -> Vec<u8> {
-    let data = postcard::to_stdvec(batch).unwrap_or_else(|error| {
-        log::error!(error:%; "records cannot be encoded");
-        Vec::new()
-    });
-    miniz_oxide::deflate::compress_to_vec(&data, PACKING)
-}
-
-/// Reads records that a fellow packed.
-fn unpack(data: &[u8]) -> Result<Batch, String> {
-    let data = miniz_oxide::inflate::decompress_to_vec_with_limit(data, MOST_UNPACKED);
-    let data = data.map_err(|error| error.to_string())?;
-    postcard::from_bytes(&data).map_err(|error| error.to_string())
-}
-
 /// Passes records on to all fellows, right after they were read.
 pub fn pass_on(shared: &Shared, topic: Topic, from: u64, records: &[Keyed]) {
     let records = records.iter().map(|record| RawRecord {
@@ -422,8 +231,8 @@
         topic: u8::try_from(topic::index(topic)).unwrap_or(u8::MAX),
     };
     let datagrams = shared.fellows.datagrams.borrow();
-    let (Some(datagrams), Some(data)) = (&*datagrams, encode(&Message::Records(pack(&batch))))
-    else {
+    let data = batch.pack().and_then(|message| message.encode());
+    let (Some(datagrams), Some(data)) = (&*datagrams, data) else {
         return;
     };
     let others = shared.fellows.others(&shared.settings.instance);
@@ -439,7 +248,7 @@
 async fn hear(shared: &Shared, mut messages: mpsc::Receiver<Bytes>) {
     while let Some(data) = messages.recv().await {
         match postcard::from_bytes::<Message>(&data) {
-            Ok(Message::Records(data)) => match unpack(&data) {
+            Ok(Message::Records(data)) => match Batch::unpack(&data) {
                 Ok(batch) => take(shared, batch),
                 Err(error) => log::warn!(error:%; "records of a fellow instance cannot be read"),
             },
--- /dev/null
+++ b/crates/proxy/src/message.rs
@@ -0,0 +1,104 @@
+//! What instances say to each other, and its encoding.
+
+use {
+    crate::prelude::*,
+    forward::reader::TOPICS,
+    serde::{Deserialize, Serialize},
+};
+
+/// Effort of packing records, 0 to 10. The least that finds repetitions makes a fifth of a
+/// configuration; more effort takes longer than it saves on the link.
+const PACKING: u8 = 1;
+
+/// Most bytes of a batch of records once unpacked; a read brings a megabyte at most.
+const MOST_UNPACKED: usize = 4 << 20;
+
+/// What instances say to each other.
+#[derive(Debug, Deserialize, Serialize)]
+pub enum Message {
+    /// A [`Batch`], packed. A configuration of twenty kilobytes to 28 fellows held a link
+    /// of 10 Mbit/s for half a second, in which events of streams came late to callers.
+    Records(Vec<u8>),
+    /// What an instance has in progress and knows.
+    Report(Report),
+}
+
+/// Digest of the endpoint's id, then tokens, tokens of copies among them, tokens being
+/// read, requests.
+pub type Row = (u32, u32, u32, u32, u32);
+
+/// Age in milliseconds, if anything is known, and position.
+pub type RawWord = (Option<u32>, u64);
+
+/// What an instance has in progress and knows.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Report {
+    /// The last number heard from the instance that this is sent to. What is said here
+    /// was true after that number was given out, however long this message is on its way.
+    pub echo: u64,
+    /// What it has in progress at endpoints.
+    pub loads: Vec<Row>,
+    /// Its name.
+    pub name: String,
+    /// Time of the sender's clock in microseconds; orders its reports.
+    pub number: u64,
+    /// What it knows of each topic.
+    pub words: [RawWord; TOPICS],
+}
+
+/// Records of a topic, in order.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Batch {
+    /// Offset of the first one.
+    pub from: u64,
+    /// The records.
+    pub records: Vec<RawRecord>,
+    /// Place in [`crate::topic::ALL`].
+    pub topic: u8,
+}
+
+/// A record as it stands in the store.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct RawRecord {
+    /// Key.
+    pub key: String,
+    /// Place in the topic.
+    pub offset: u64,
+    /// Value; none if the key was dropped.
+    pub value: Option<Vec<u8>>,
+}
+
+impl Message {
+    /// Encodes it; `None`, with a line in the log, if that cannot be done.
+    #[must_use]
+    pub fn encode(&self) -> Option<Bytes> {
+        encode(self).map(Bytes::from)
+    }
+}
+
+impl Batch {
+    /// Packs it for the way to fellows.
+    #[must_use]
+    pub fn pack(&self) -> Option<Message> {
+        let data = encode(self)?;
+        let packed = miniz_oxide::deflate::compress_to_vec(&data, PACKING);
+        Some(Message::Records(packed))
+    }
+
+    /// Reads what a fellow packed.
+    ///
+    /// # Errors
+    ///
+    /// The data is no batch, or too large once unpacked.
+    pub fn unpack(data: &[u8]) -> Result<Self, String> {
+        let data = miniz_oxide::inflate::decompress_to_vec_with_limit(data, MOST_UNPACKED);
+        let data = data.map_err(|error| error.to_string())?;
+        postcard::from_bytes(&data).map_err(|error| error.to_string())
+    }
+}
+
+fn encode(value: &impl Serialize) -> Option<Vec<u8>> {
+    postcard::to_stdvec(value)
+        .inspect_err(|error| log::error!(error:%; "message to fellow instances cannot be encoded"))
+        .ok()
+}
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -4,7 +4,7 @@
     crate::{
         clock,
         exchange::Original,
-        gossip::Fellows,
+        fellows::Fellows,
         meters::Meters,
         prelude::*,
         settings::Settings,
