Soak the real program under random faults

Cause: promises were tested under faults one at a time in processes, and many at once only without a network. Change: a test program that runs three instances as processes before a store, four engines and two desks, each way through a proxy on loopback that delays, cuts one way, silences or resets; signals (stop, pause, kill, reload), operators' changes and bad conduct of back ends come in series and overlap, drawn from a seed. Callers keep their connections until the process is gone. Checked from what callers and back ends see: at most one run, true refusals, whole answers that belong to their requests, streams in order, no run under a key six seconds after it was taken away, no request cut by planned work alone, service again.

--- a/crates/carawayhead/tests/forwarding/instance.rs
+++ b/crates/carawayhead/tests/forwarding/instance.rs
@@ -1,5 +1,7 @@
 //! One instance as a process of its own.
 
+#![allow(dead_code, reason = "each test program uses a part of it")]
+
 use {
     platform::standin::{caller, store::Store},
     std::{
@@ -42,19 +44,23 @@
 
     /// Starts one and waits until it listens.
     pub async fn start_unready(name: &str, domain: &str, store: &Store) -> Self {
+        Self::start_at(name, domain, store.address).await
+    }
+
+    /// Starts one that reaches the store at an address, and waits until it listens.
+    pub async fn start_at(name: &str, domain: &str, store: SocketAddr) -> Self {
         let folder = std::env::temp_dir();
         let file = folder.join(format!(
             "forwarding-{}-{name}-{}.toml",
             std::process::id(),
-            store.address.port()
+            store.port()
         ));
         let any = "127.0.0.1:0";
         let settings = format!(
             "[instance]\ndomain = \"{domain}\"\nfellows = \"{any}\"\ngrace_s = 8\n\
              listen = \"{any}\"\nmetrics = \"{any}\"\nname = \"{name}\"\nready = \"{any}\"\n\
              [joint]\nretry_burst = 50\nretry_ratio = 0.2\nretry_window_s = 10\n\
-             revocation_ms = 5000\n[store]\naddress = \"{}\"\n",
-            store.address
+             revocation_ms = 5000\n[store]\naddress = \"{store}\"\n"
         );
         std::fs::write(&file, settings).expect("a settings file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_carawayhead"))
--- /dev/null
+++ b/crates/carawayhead/tests/soak/callers.rs
@@ -0,0 +1,119 @@
+//! Callers that send one request after the other, and what they got.
+
+use {
+    crate::deployment::EVENTS,
+    platform::standin::caller::{Ask, Got, Session},
+    rand::{RngExt as _, SeedableRng as _, rngs::SmallRng},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
+    tokio::{sync::watch, time::sleep},
+};
+
+/// Paths of the three routes.
+const PATHS: [&str; 3] = ["/draft/x", "/look/x", "/order/x"];
+
+/// A request and its end.
+#[derive(Clone, Debug)]
+pub struct Record {
+    pub began: Instant,
+    pub ended: Instant,
+    /// What came back; `None` if the connection ended before an answer.
+    pub got: Option<Got>,
+    pub id: String,
+    pub key: &'static str,
+    pub path: &'static str,
+}
+
+/// Where instances listen now.
+pub type Addresses = watch::Receiver<Vec<SocketAddr>>;
+
+/// Sends requests until told to stop, on connections that are used until they end.
+pub async fn call(
+    number: usize,
+    seed: u64,
+    addresses: Addresses,
+    stop: watch::Receiver<bool>,
+    records: Arc<Mutex<Vec<Record>>>,
+) {
+    let mut random = SmallRng::seed_from_u64(seed ^ (number as u64 + 1));
+    let mut session = None::<Session>;
+    let mut count = 0_u32;
+    while !*stop.borrow() {
+        if session.is_none() {
+            let listening = addresses.borrow().clone();
+            if listening.is_empty() {
+                sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+            session = Session::open(listening[random.random_range(0..listening.len())]).await;
+        }
+        let open = match &mut session {
+            Some(session) => session.is_open().await,
+            None => false,
+        };
+        if !open {
+            session = None;
+            sleep(Duration::from_millis(10)).await;
+            continue;
+        }
+        count += 1;
+        let id = format!("c{number}-{count}");
+        let key = ["key-1", "key-2"][random.random_range(0..2)];
+        let path = PATHS[random.random_range(0..PATHS.len())];
+        let mut ask = Ask::new(&id, path);
+        ask.key = key;
+        ask.deadline_ms = 3000;
+        let began = Instant::now();
+        let got = match &mut session {
+            Some(session) => session.ask(&ask).await,
+            None => None,
+        };
+        if got.as_ref().is_none_or(|got| !got.complete) {
+            session = None;
+        }
+        let ended = Instant::now();
+        records.lock().expect("not poisoned").push(Record {
+            began,
+            ended,
+            got,
+            id,
+            key,
+            path,
+        });
+        sleep(Duration::from_millis(random.random_range(5..40))).await;
+    }
+}
+
+/// Checks that the events of a stream are there once, in order, and all of them if it
+/// ended as complete.
+pub fn check_events(record: &Record, got: &Got) -> Result<(), String> {
+    let ids = got
+        .body
+        .split("\n\n")
+        .filter(|event| event.ends_with(|end: char| end.is_ascii_digit()));
+    let numbers = ids.filter_map(|event| {
+        let line = event.lines().find(|line| line.starts_with("id: "))?;
+        line[4..].parse::<u32>().ok()
+    });
+    let numbers = numbers.collect::<Vec<_>>();
+    let whole = if got.complete {
+        EVENTS as usize
+    } else {
+        numbers.len()
+    };
+    let expected = (1..=u32::try_from(whole).unwrap_or(u32::MAX)).collect::<Vec<_>>();
+    // The last event of a stream that broke off may be cut.
+    let cut = !got.complete
+        && numbers.len() > 1
+        && numbers[..numbers.len() - 1] == expected[..expected.len() - 1];
+    if numbers == expected || cut {
+        return Ok(());
+    }
+    Err(format!(
+        "{}: events {numbers:?}, complete: {}",
+        record.id, got.complete
+    ))
+}
--- a/crates/forward/tests/load.rs
+++ b/crates/forward/tests/load.rs
@@ -81,12 +81,13 @@
 fn many_instances_that_choose_at_once_choose_differently() {
     let mut instances = crowd();
     let mut met = 0;
-    for second in 0..20_u64 {
-        exchange(&mut instances, second * 1000);
+    for second in 0..20 {
+        let now = second as u64 * 1000;
+        exchange(&mut instances, now);
         let mut chosen = Vec::new();
         for place in 0..10 {
-            let state = &mut instances[(second as usize * 7 + place * 3) % 30];
-            let (key, _) = sent(state.pick(at(second * 1000 + 20), "model", LONG, &[]));
+            let state = &mut instances[(second * 7 + place * 3) % 30];
+            let (key, _) = sent(state.pick(at(now + 20), "model", LONG, &[]));
             let name = id(state, key);
             met += usize::from(chosen.contains(&name));
             chosen.push(name);
