--- a/crates/carawayhead/tests/forwarding/streams.rs
+++ b/crates/carawayhead/tests/forwarding/streams.rs
@@ -74,7 +74,7 @@
         let stream = tokio::spawn(async move { ask(callers, &Ask::new("r1", "/draft/7")).await });
         let place = deployment.running_at().await;
         let id = format!("m{}", place + 1);
-        let entry = deployment.engines[place].entry("model", "a", "draining");
+        let entry = deployment.engines[place].leaving_entry("model", "a");
         deployment
             .store
             .list(&id, if vanishes { "" } else { &entry });
--- a/crates/carawayhead/tests/soak/deployment.rs
+++ b/crates/carawayhead/tests/soak/deployment.rs
@@ -158,7 +158,7 @@
     /// An engine says that it leaves.
     pub fn announce(&self, place: usize) {
         let engine = &self.engines[place];
-        let entry = engine.server.entry("model", engine.domain, "draining");
+        let entry = engine.server.leaving_entry("model", engine.domain);
         self.store.list(&engine.id, &entry);
     }
 
--- a/crates/carawayhead/tests/soak/script.rs
+++ b/crates/carawayhead/tests/soak/script.rs
@@ -119,8 +119,7 @@
             3 => self.change_key(deployment),
             4 if !self.pending(|undo| matches!(undo, Undo::Domain(_))) => {
                 let place = self.random.random_range(0..DOMAINS.len());
-                let key = format!("evacuate/{}", DOMAINS[place]);
-                deployment.store.operate(&key, "{}");
+                deployment.store.set_domain(DOMAINS[place], true);
                 self.later(500, 2500, Undo::Domain(place));
             }
             5 if !self.pending(|undo| matches!(undo, Undo::Leave(_))) => {
@@ -258,10 +257,7 @@
             match undo {
                 Undo::Conduct(place) => deployment.desks[place].server.conduct(Conduct::Sound),
                 Undo::DeskLink(place) => deployment.desks[place].proxy.set(Link::Sound),
-                Undo::Domain(place) => {
-                    let key = format!("evacuate/{}", DOMAINS[place]);
-                    deployment.store.operate(&key, "");
-                }
+                Undo::Domain(place) => deployment.store.set_domain(DOMAINS[place], false),
                 Undo::EngineLink(place) => deployment.engines[place].proxy.set(Link::Sound),
                 Undo::Leave(place) => deployment.replace(place).await,
                 Undo::Mood => deployment.store.set_mood(Mood::Sound),
