Pass on what instances read that found their knowledge old

Cause: since only the reader passes records on, an instance that the store turns away together with the reader got nothing of what the others then read for themselves. Change: whoever reads since its knowledge is old passes on what is new to it. Figures: test and guard without a network; the test fails with the reader alone.

--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -179,6 +179,17 @@
         }
     }
 
+    /// Whether records that a read for `cause` has brought are passed on to fellows.
+    ///
+    /// The reader passes on what it reads, and so does whoever found that its knowledge had
+    /// grown old: the store has turned the reader away then, and perhaps others, who get
+    /// them in no other way. One would notice a route that was moved, or a key that was
+    /// taken away, still in use there three seconds later.
+    #[must_use]
+    pub fn passes_on(&self, cause: Cause, own: Own<'_>, now: Time) -> bool {
+        cause == Cause::Old || self.reads(own, now)
+    }
+
     /// Whether the entry of a fellow that has been listed since `listed` is to be dropped:
     /// its holder has not been heard of for long.
     ///
--- a/crates/forward/tests/readers.rs
+++ b/crates/forward/tests/readers.rs
@@ -99,6 +99,30 @@
     }
 }
 
+/// The store turns the reader away, and one more instance with it. The others read for
+/// themselves once the reader's word is too old; what they find must reach the one that was
+/// turned away, which went on with a route that had been moved for over three seconds
+/// (rmpe-stl-grown, scale-2 --seed 583556312409). Those who merely missed records do not
+/// pass them on: their fellows have them.
+#[test]
+fn records_reach_an_instance_that_the_store_turns_away() {
+    for name in NAMES {
+        let mut readers = Readers::default();
+        for other in NAMES.into_iter().filter(|other| *other != name) {
+            readers.hear(other, at(6700), true, word(1750, 7));
+        }
+        let own = own(name, 4950, 7);
+        let cause = readers.must_read(own, at(6700)).expect("a cause");
+        assert!(readers.passes_on(cause, own, at(6700)), "{name}");
+    }
+    let follower = NAMES
+        .into_iter()
+        .find(|name| !hears(name, 5000).reads(own(name, 4900, 7), at(5000)))
+        .expect("a follower");
+    let readers = hears(follower, 5000);
+    assert!(!readers.passes_on(Cause::Missing, own(follower, 4900, 6), at(5000)));
+}
+
 /// The list of instances is read rarely, so that what is known of it is often twenty
 /// seconds old. Every instance took the others for cut off from the store then, and read
 /// the list itself.
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -79,7 +79,7 @@
                 } else {
                     hold(topic)
                 };
-                go_on(&shared, topic, from, hold).await
+                go_on(&shared, topic, from, hold, cause).await
             }
         };
         match result {
@@ -180,6 +180,7 @@
     topic: Topic,
     from: u64,
     hold: Duration,
+    cause: Cause,
 ) -> Result<u64, platform::Error> {
     let asked = clock::now();
     let tail = match shared.store.read(topic, from, hold).await {
@@ -190,10 +191,13 @@
         tail => tail?,
     };
     shared.meters.store_called("read");
+    let known = shared.topic(topic).position.get();
     let reached = take(shared, topic, from, &tail.records).max(tail.next);
-    // Where all read for themselves, as when the store comes back, each would pass the
-    // same records on to each, and the links would be full of them.
-    if !tail.records.is_empty() && shared.readers.borrow().reads(own(shared, topic), asked) {
+    // Where many read for themselves, as when the store comes back, those to whom a fellow
+    // has passed the records on meanwhile do not do so again; the links would be full of them.
+    let news = !tail.records.is_empty() && known.is_none_or(|known| known < reached);
+    let own = own(shared, topic);
+    if news && shared.readers.borrow().passes_on(cause, own, asked) {
         gossip::pass_on(shared, topic, from, &tail.records);
     }
     if reached >= tail.end {
