Histories in which machines lose their power and their clocks

Change: an instance may lose its power; its clock and life start anew, and fellows go on echoing what they heard before.

--- a/crates/forward/tests/world/mod.rs
+++ b/crates/forward/tests/world/mod.rs
@@ -50,8 +50,12 @@
     Freeze(usize, u64),
     /// Operators give a key out, or take it away.
     Key(usize, bool),
+    /// A report of one instance reaches another, which will echo its number.
+    Hear(usize, usize),
     /// An engine says that it leaves.
     Leave(usize),
+    /// A machine loses its power and comes back: it knows nothing, and its clock starts anew.
+    PowerLoss(usize),
     /// A caller's request reaches an instance with a key.
     Request(usize, usize),
     /// An engine starts again, under the same id.
@@ -82,8 +86,13 @@
 
 #[derive(Debug)]
 struct Instance {
+    /// When its machine was started; its clock counts from here.
+    booted: u64,
     cut_until: u64,
     frozen_until: u64,
+    /// Numbers that it heard last, by instance.
+    heard: [Mark; INSTANCES],
+    life: u64,
     /// When it learnt that an engine leaves, and whether the engine said so itself.
     left: [Option<(u64, bool)>; ENGINES],
     position: [usize; 2],
@@ -98,7 +107,7 @@
 #[derive(Clone, Debug)]
 struct Letter {
     arrives: u64,
-    echo: u64,
+    echo: Mark,
     records: Option<usize>,
     to: usize,
     word: Word,
@@ -115,6 +124,7 @@
     /// Since when each key has been held, or taken away.
     keys: [(bool, u64); KEYS],
     letters: Vec<Letter>,
+    lives: u64,
     log: [Vec<Fact>; 2],
     now: u64,
     /// Requests that were sent: to which engine, when.
@@ -138,23 +148,30 @@
     format!("key-{key}")
 }
 
+impl Instance {
+    fn new(place: usize, life: u64, booted: u64) -> Self {
+        let random = SmallRng::seed_from_u64(life);
+        Self {
+            booted,
+            cut_until: 0,
+            frozen_until: 0,
+            heard: [Mark::default(); INSTANCES],
+            left: [None; ENGINES],
+            life,
+            pending: [None; 2],
+            position: [0; 2],
+            proven: [None; 2],
+            state: State::new(settings(&domain(place)), random),
+            version: 0,
+        }
+    }
+}
+
 impl World {
     /// A deployment at its start: all keys are held, all engines listed.
     pub fn new(seed: u64) -> Self {
         let instances = (0..INSTANCES)
-            .map(|place| Instance {
-                cut_until: 0,
-                frozen_until: 0,
-                left: [None; ENGINES],
-                pending: [None; 2],
-                position: [0; 2],
-                proven: [None; 2],
-                state: State::new(
-                    settings(&domain(place)),
-                    SmallRng::seed_from_u64(seed.wrapping_add(place as u64)),
-                ),
-                version: 0,
-            })
+            .map(|place| Instance::new(place, seed.wrapping_add(place as u64), 0))
             .collect();
         let mut world = Self {
             born: 1,
@@ -162,6 +179,7 @@
             instances,
             keys: [(true, 0); KEYS],
             letters: Vec::new(),
+            lives: INSTANCES as u64,
             log: [Vec::new(), Vec::new()],
             now: 0,
             sends: Vec::new(),
@@ -203,7 +221,17 @@
                     self.log[OPERATORS].push(Fact::Domain(domain(place), out));
                 }
             }
+            Op::Hear(place, from) => {
+                self.instances[place].heard[from] = Mark {
+                    at: self.local(from),
+                    life: self.instances[from].life,
+                };
+            }
             Op::Leave(engine) => self.list(engine, true),
+            Op::PowerLoss(place) => {
+                self.lives += 1;
+                self.instances[place] = Instance::new(place, self.lives, self.now);
+            }
             Op::Vanish(engine) => {
                 let gone = Change::Gone(engine_name(engine));
                 self.log[ENDPOINTS].push(Fact::Endpoint(gone));
@@ -216,6 +244,11 @@
         }
     }
 
+    /// The present by an instance's own clock.
+    fn local(&self, place: usize) -> Time {
+        at(self.now - self.instances[place].booted)
+    }
+
     fn awake(&self, place: usize) -> bool {
         self.now >= self.instances[place].frozen_until
     }
@@ -242,7 +275,8 @@
         self.now += millis;
         for place in 0..INSTANCES {
             if self.awake(place) {
-                self.instances[place].state.tick(at(self.now));
+                let now = self.local(place);
+                self.instances[place].state.tick(now);
             }
         }
         let mut letters = std::mem::take(&mut self.letters);
@@ -278,7 +312,7 @@
     }
 
     fn learn(&mut self, place: usize, topic: usize, end: usize) {
-        let now = at(self.now);
+        let now = self.local(place);
         let instance = &mut self.instances[place];
         for fact in &self.log[topic][instance.position[topic].min(end)..end] {
             match fact.clone() {
@@ -308,26 +342,27 @@
     }
 
     fn prove(&mut self, place: usize, topic: usize, asked: u64) {
-        let now = at(self.now);
+        let now = self.local(place);
         let instance = &mut self.instances[place];
         instance.proven[topic] = instance.proven[topic].max(Some(asked));
+        let asked = at(asked.saturating_sub(instance.booted));
         if topic == OPERATORS {
-            instance.state.config_freshness.prove(at(asked));
+            instance.state.config_freshness.prove(asked);
         } else {
-            instance.state.prove_list(now, at(asked));
+            instance.state.prove_list(now, asked);
         }
     }
 
-    /// `from` has just heard from `to`, and says how old its knowledge is.
+    /// `from` says how old its knowledge is, with the number that it heard last from `to`.
     fn tell(&mut self, from: usize, to: usize, way: u64, records: bool) {
         if from == to || !self.awake(from) || !self.awake(to) {
             return;
         }
         let teller = &self.instances[from];
-        let age = teller.state.config_freshness.age(at(self.now));
+        let age = teller.state.config_freshness.age(self.local(from));
         self.letters.push(Letter {
             arrives: self.now + way,
-            echo: self.now,
+            echo: teller.heard[to],
             records: records.then_some(teller.position[OPERATORS]),
             to,
             word: Word {
@@ -342,12 +377,9 @@
             self.learn(letter.to, OPERATORS, end);
         }
         let position = self.instances[letter.to].position[OPERATORS] as u64;
-        let echo = Mark {
-            at: at(letter.echo),
-            life: 1,
-        };
-        if let Some(asked) = letter.word.proves(echo, 1, position) {
-            self.prove(letter.to, OPERATORS, asked.micros() / 1000);
+        let Instance { booted, life, .. } = self.instances[letter.to];
+        if let Some(asked) = letter.word.proves(letter.echo, life, position) {
+            self.prove(letter.to, OPERATORS, booted + asked.micros() / 1000);
         }
     }
 
@@ -355,7 +387,7 @@
         if !self.awake(place) {
             return;
         }
-        let now = at(self.now);
+        let now = self.local(place);
         let mut inbound = inbound("/draft/x", now);
         inbound.key = Some(key_name(key));
         match self.instances[place].state.admit(now, &inbound) {
@@ -377,7 +409,8 @@
             "a request ran {} ms after its key was taken away",
             self.now - since
         );
-        let now = at(self.now);
+        let now = self.local(place);
+        let instance = &mut self.instances[place];
         let Pick::Send(endpoint, copy) = instance.state.pick(now, &ticket.service, LONG, &[])
         else {
             return;
