--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,9 +2,6 @@
 
 use {bpaf::Bpaf, std::process::ExitCode};
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 /// Measurements on loopback; build the workspace with --release first
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options)]
