Let callers resume the streams that may be resumed

Ruled out: believing the header everywhere; on other routes an engine would leave events out. Change: the setting is decoded; the caller's last event is passed on for such routes and dropped for all others; the events that the caller has are not passed on again. Such streams are idempotent: sent again before their first event, and begun again behind their last event at any engine when there is no copy to go on from, within the route's attempts and the joint budget, by the newest configuration. What has come of a request (sends, runs, endpoints tried) is one type for plain requests and streams.

--- a/crates/carawayhead/tests/forwarding/streams.rs
+++ b/crates/carawayhead/tests/forwarding/streams.rs
@@ -21,13 +21,22 @@
 }
 
 async fn deployment(engines: usize) -> Deployment {
+    deployment_of(engines, EVENTS, Duration::from_millis(15)).await
+}
+
+/// One whose streams have three events, `gap` apart.
+async fn slow_deployment(engines: usize, gap: Duration) -> Deployment {
+    deployment_of(engines, 3, gap).await
+}
+
+async fn deployment_of(engines: usize, events: u32, gap: Duration) -> Deployment {
     let store = Store::start().await;
     store.operate("config", &config(1, &["key-1"], 30_000));
     let world = Arc::default();
     let mut started = Vec::new();
     for number in 1..=engines {
         let id = format!("m{number}");
-        let engine = Engine::start(&world, &id, EVENTS, Duration::from_millis(15)).await;
+        let engine = Engine::start(&world, &id, events, gap).await;
         store.list(&id, &engine.entry("model", "a", "ready"));
         started.push(engine);
     }
@@ -41,6 +50,20 @@
 }
 
 impl Deployment {
+    /// Waits until an engine serves the request with an id, and returns its place.
+    async fn serving(&self, id: &str) -> usize {
+        let place = || {
+            self.engines.iter().position(|engine| {
+                let ran = engine.ran();
+                ran.iter()
+                    .any(|call| call.header("carawayhead-request-id") == Some(id))
+            })
+        };
+        until("an engine has the run", || async { place().is_some() }).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        place().expect("an engine with the run")
+    }
+
     /// Waits until an engine has the run, and returns its place.
     async fn running_at(&self) -> usize {
         until("an engine has the run", || async {
@@ -132,3 +155,81 @@
     })
     .await;
 }
+
+/// The events of a stream behind one of them.
+fn events_behind(last: u32) -> String {
+    let events =
+        (last + 1..=EVENTS).map(|number| format!("id: {number}\ndata: token {number}\n\n"));
+    events.collect()
+}
+
+/// A caller whose connection broke comes back to another instance with the last event that
+/// it has. Where streams can be resumed it gets what follows; elsewhere its word counts for
+/// nothing, and it gets the whole stream.
+#[tokio::test]
+async fn a_caller_resumes_its_stream_where_that_is_allowed() {
+    let deployment = deployment(2).await;
+    for (path, expected) in [
+        ("/tag/7", events_behind(40)),
+        ("/draft/7", events_behind(0)),
+    ] {
+        let mut request = Ask::new(path, path);
+        request.extra.push(("last-event-id", "40"));
+        let got = ask(deployment.instance.callers, &request).await;
+        let got = got.expect("an answer");
+        assert_eq!((got.status, got.complete), (StatusCode::OK, true), "{path}");
+        assert_eq!(got.body, expected, "{path}");
+    }
+}
+
+/// The engine of a resumable stream dies, and no copy of its memory was kept, since few
+/// tokens are expected or memory is short. Another engine can begin behind the last event
+/// that the caller has, also one that the caller itself had named before.
+#[tokio::test]
+async fn a_resumable_stream_goes_on_without_a_copy() {
+    let deployment = deployment(3).await;
+    for (number, first) in [(1, 0), (2, 20)] {
+        let callers = deployment.instance.callers;
+        let stream = tokio::spawn(async move {
+            let id = format!("r{number}");
+            let mut request = Ask::new(&id, "/tag/7");
+            request.extra.push(("carawayhead-length-hint", "40"));
+            if first > 0 {
+                request.extra.push(("last-event-id", "20"));
+            }
+            ask(callers, &request).await
+        });
+        let id = format!("r{number}");
+        let place = deployment.serving(&id).await;
+        deployment.engines[place].crash();
+        let got = stream.await.expect("a task").expect("an answer");
+        assert_eq!((got.status, got.complete), (StatusCode::OK, true));
+        assert_eq!(got.body, events_behind(first));
+    }
+}
+
+/// The engine dies after it took a resumable stream's request and before the first event.
+/// Nothing has reached the caller, so another engine serves it from the start; the caller
+/// notices a longer wait.
+#[tokio::test]
+async fn a_resumable_stream_begins_again_before_its_first_event() {
+    let deployment = slow_deployment(2, Duration::from_millis(400)).await;
+    let callers = deployment.instance.callers;
+    let stream = tokio::spawn(async move { ask(callers, &Ask::new("r1", "/tag/7")).await });
+    until("an engine has the run", || async {
+        deployment
+            .engines
+            .iter()
+            .any(|engine| !engine.ran().is_empty())
+    })
+    .await;
+    let place = deployment
+        .engines
+        .iter()
+        .position(|engine| !engine.ran().is_empty());
+    deployment.engines[place.expect("an engine")].crash();
+    let got = stream.await.expect("a task").expect("an answer");
+    assert_eq!((got.status, got.complete), (StatusCode::OK, true));
+    let events = (1..=3).map(|number| format!("id: {number}\ndata: token {number}\n\n"));
+    assert_eq!(got.body, events.collect::<String>());
+}
--- a/crates/forward/src/config.rs
+++ b/crates/forward/src/config.rs
@@ -9,7 +9,7 @@
     Idempotent,
     /// Runs at most once for each id.
     NonIdempotent,
-    /// A stream of events; as non-idempotent as [`Kind::NonIdempotent`].
+    /// A stream of events; non-idempotent unless [`Route::resumable`].
     Stream,
 }
 
@@ -32,6 +32,8 @@
     pub prefix: String,
     /// Rank; 0 comes first.
     pub priority: u8,
+    /// Whether a stream may begin again behind any of its events, at any engine.
+    pub resumable: bool,
     /// Services with the weight of each; one entry if traffic is not split.
     pub split: Vec<(String, u32)>,
     /// Time to the answer, or to a stream's first event, that callers hope for.
@@ -40,6 +42,18 @@
     pub timeout: Duration,
 }
 
+impl Route {
+    /// Whether a request may run more than once.
+    #[must_use]
+    pub const fn idempotent(&self) -> bool {
+        match self.kind {
+            Kind::Idempotent => true,
+            Kind::NonIdempotent => false,
+            Kind::Stream => self.resumable,
+        }
+    }
+}
+
 /// What a model engine can do, as far as choices depend on it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Engine {
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -15,6 +15,8 @@
     pub id: String,
     /// The key it carries.
     pub key: Option<String>,
+    /// Id of the last event of the stream that the caller already has, by its own word.
+    pub last_event: Option<String>,
     /// Output tokens that the caller expects; right at the median only.
     pub length_hint: Option<u32>,
     /// Most output tokens.
@@ -41,3 +43,22 @@
     /// Version of the configuration that decided.
     pub version: u64,
 }
+
+impl Ticket {
+    /// Whether a request that may have run `runs` times may be sent once more.
+    #[must_use]
+    pub const fn may_run_again(&self, runs: u32) -> bool {
+        self.route.idempotent() && runs < self.route.max_attempts
+    }
+
+    /// The event that a caller resumes its stream behind. Only where streams can be resumed
+    /// is a caller believed: an engine that began elsewhere in another stream would leave
+    /// events out.
+    #[must_use]
+    pub fn resumes_behind<'a>(&self, inbound: &'a Inbound) -> Option<&'a str> {
+        inbound
+            .last_event
+            .as_deref()
+            .filter(|_| self.route.resumable)
+    }
+}
--- a/crates/forward/src/sequence.rs
+++ b/crates/forward/src/sequence.rs
@@ -15,6 +15,16 @@
 }
 
 impl Sequence {
+    /// A stream whose caller already has the events up to `last`.
+    #[must_use]
+    pub fn behind(last: Option<&str>) -> Self {
+        Self {
+            last: last.map(str::to_string),
+            last_number: last.and_then(|last| last.parse().ok()),
+            ..Self::default()
+        }
+    }
+
     /// Takes an event in by its id; tells whether it is to be passed on.
     pub fn take(&mut self, id: Option<&str>) -> bool {
         let Some(id) = id else {
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -39,6 +39,8 @@
     pub expires: Time,
     /// The endpoint.
     pub key: EndpointKey,
+    /// Id of the last event that the caller has, if the stream goes on behind it.
+    pub last_event: Option<&'a str>,
     /// Where a run that goes on comes from.
     pub source: Option<&'a Source>,
 }
@@ -60,6 +62,7 @@
         backup: backup.map(|(address, _)| address),
         customer: destination.customer,
         endpoint: &endpoint,
+        last_event: destination.last_event,
         left,
         source: destination.source,
     };
@@ -89,7 +92,8 @@
     let age = state.list_freshness.age(now).unwrap_or(Duration::MAX);
     log::info!(
         id, endpoint, copy = copy.map_or("", |copy| copy.listing.id.as_str()),
-        goes_on = destination.source.is_some(), requests = load.requests,
+        goes_on = destination.source.is_some(),
+        last_event = destination.last_event.unwrap_or_default(), requests = load.requests,
         tokens = load.tokens, list_age_ms = age.as_millis(),
         config = state.config().map_or(0, |config| config.version); "sent"
     );
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod meters;
 pub mod plain;
 pub mod prelude;
+pub mod progress;
 pub mod relay;
 pub mod relocate;
 pub mod reply;
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -5,6 +5,7 @@
         clock,
         exchange::{self, Destination, Original, Sent},
         prelude::*,
+        progress::Progress,
         reply,
         shared::{InFlight, Waiting},
     },
@@ -18,9 +19,6 @@
 /// Largest answer that is taken in whole, in bytes.
 const MOST_ANSWER: usize = 16 << 20;
 
-/// Sends of one request, those that endpoints turned down included.
-pub const MOST_SENDS: u32 = 4;
-
 /// Share of the time that is left after which an idempotent request is tried elsewhere.
 /// Work takes a tenth of the route's timeout at the mean; an endpoint that has not
 /// answered by then is more likely dark than slow.
@@ -29,15 +27,6 @@
 /// Share of a route's timeout that a request waits for an endpoint with room.
 const WAIT_SHARE: f64 = 0.5;
 
-/// What is known of a request that is not answered yet.
-#[derive(Debug)]
-struct Progress {
-    may_have_run: bool,
-    sends: u32,
-    tried: Vec<EndpointKey>,
-    why: String,
-}
-
 /// How an attempt ended.
 enum Attempt {
     /// With an answer for the caller.
@@ -73,49 +62,21 @@
     original: &Original,
     ticket: Ticket,
 ) -> Result<Reply, Refusal> {
-    let mut progress = Progress {
-        may_have_run: false,
-        sends: 0,
-        tried: Vec::new(),
-        why: String::new(),
-    };
+    let mut progress = Progress::default();
     let mut ticket = ticket;
+    let id = &original.inbound.id;
     loop {
         match attempt(shared, original, &mut ticket, &mut progress).await {
             Attempt::Answered(reply) => return Ok(reply),
-            Attempt::Over(refusal) => return Err(give_up(original, &progress, refusal)),
+            Attempt::Over(refusal) => return Err(progress.give_up(id, refusal)),
             Attempt::Again => {}
         }
-        if !may_send_again(shared, &ticket, &progress) {
-            return Err(give_up(original, &progress, Refusal::Full));
+        if !progress.may_send(shared, &ticket) {
+            return Err(progress.give_up(id, Refusal::Full));
         }
     }
 }
 
-/// The truthful refusal, whatever the last reason was.
-fn give_up(original: &Original, progress: &Progress, refusal: Refusal) -> Refusal {
-    let truthful = match refusal {
-        refusal if !progress.may_have_run => refusal,
-        Refusal::Expired | Refusal::TimedOut => Refusal::TimedOut,
-        _ => Refusal::Broken,
-    };
-    log::info!(
-        id = original.inbound.id, sends = progress.sends, why = progress.why,
-        outcome = truthful.label(); "given up"
-    );
-    truthful
-}
-
-fn may_send_again(shared: &Shared, ticket: &Ticket, progress: &Progress) -> bool {
-    let now = clock::now();
-    let allowed = shared
-        .state
-        .borrow_mut()
-        .budget
-        .allows(&ticket.service, now);
-    progress.sends == 0 || (allowed && progress.sends < MOST_SENDS)
-}
-
 async fn attempt(
     shared: &Rc<Shared>,
     original: &Original,
@@ -138,17 +99,13 @@
     shared.count_send(&ticket.service, progress.sends > 0);
     progress.sends += 1;
     match send(shared, original, ticket, progress, key).await {
-        Ok(answer) => {
-            progress.tried.push(key);
-            judge(shared, ticket, progress, key, answer)
-        }
+        Ok(answer) => judge(shared, ticket, progress, key, answer),
         Err(failure) => {
             shared.unreachable(key);
-            progress.why = failure.why;
             if failure.written {
-                progress.tried.push(key);
-                progress.may_have_run = true;
+                progress.ran(key, failure.why);
             } else {
+                progress.why = failure.why;
                 // It never arrived, so it counts neither as a try nor for the budget; the
                 // endpoint is avoided for a while, so the next one is asked.
                 progress.sends -= 1;
@@ -168,14 +125,14 @@
     key: EndpointKey,
 ) -> Result<Whole, Failure> {
     let left = ticket.expires.since(clock::now());
-    let idempotent = ticket.route.kind == Kind::Idempotent;
-    let again = idempotent && progress.sends < ticket.route.max_attempts;
+    let again = ticket.may_run_again(progress.runs + 1);
     let limit = left.mul_f64(if again { SECOND_TRY } else { 1.0 });
     let destination = Destination {
         backup: None,
         customer: ticket.customer.as_deref(),
         expires: ticket.expires,
         key,
+        last_event: None,
         source: None,
     };
     let unknown = |why: String| Failure { why, written: true };
@@ -214,24 +171,21 @@
     let status = answer.status;
     if answer.verdict.not_run {
         shared.full(key, status);
-        progress.why = format!("turned down with {status}");
+        progress.turned_down(key, format!("turned down with {status}"));
         return Attempt::Again;
     }
     shared.answered(key, status.is_server_error());
     let proper = answer.verdict.sealed && !answer.verdict.encoded;
     let promise = matches!(status.as_u16(), 408 | 421 | 429 | 503);
     if (status.is_success() && !proper) || promise {
-        progress.may_have_run = true;
-        progress.why = format!("improper answer with {status}");
+        progress.ran(key, format!("improper answer with {status}"));
         return after_failure(ticket, progress, true);
     }
-    let retry = ticket.route.kind == Kind::Idempotent
-        && status.is_server_error()
-        && progress.sends < ticket.route.max_attempts
-        && may_send_again(shared, ticket, progress);
+    let retry = status.is_server_error()
+        && ticket.may_run_again(progress.runs + 1)
+        && progress.may_send(shared, ticket);
     if retry {
-        progress.may_have_run = true;
-        progress.why = format!("failed with {status}");
+        progress.ran(key, format!("failed with {status}"));
         return Attempt::Again;
     }
     Attempt::Answered(reply::whole(status, answer.headers, answer.body))
@@ -240,12 +194,10 @@
 /// Whether a send that failed leaves room for another one.
 fn after_failure(ticket: &Ticket, progress: &Progress, written: bool) -> Attempt {
     let over = clock::now() >= ticket.expires;
-    let idempotent = ticket.route.kind == Kind::Idempotent;
-    let ran_enough = progress.sends >= ticket.route.max_attempts;
     match (written, over) {
         (_, true) => Attempt::Over(Refusal::TimedOut),
         (false, false) => Attempt::Again,
-        (true, false) if idempotent && !ran_enough => Attempt::Again,
+        (true, false) if ticket.may_run_again(progress.runs) => Attempt::Again,
         (true, false) => Attempt::Over(Refusal::Broken),
     }
 }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -5,14 +5,16 @@
         clock,
         exchange::Original,
         listen::Busy,
+        plain::place,
         prelude::*,
+        progress::Progress,
         relocate::{self, Takeover},
         reply::Part,
         shared::Running,
-        transfer::{Opened, Relocated, Source, Transfer},
+        transfer::{self, Opened, Relocated, Source, Transfer},
     },
     endpoint::sse,
-    forward::{request::Ticket, sequence::Sequence},
+    forward::{choice::Need, request::Ticket, sequence::Sequence},
     std::pin::Pin,
     tokio::sync::mpsc,
 };
@@ -33,6 +35,10 @@
 /// their way when the move is answered.
 const LAST_EVENTS: Duration = Duration::from_millis(30);
 
+/// Longest time that a place is waited for to begin a stream again. Callers bear a pause of
+/// two seconds at the least, of which the prompt takes half a second to be read again.
+const RESUME_WAIT: Duration = Duration::from_millis(1200);
+
 /// Pause before a move is tried again.
 const MOVE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -50,6 +56,7 @@
     next_move: Time,
     original: Rc<Original>,
     out: mpsc::Sender<Part>,
+    progress: Progress,
     running: Running,
     sequence: Sequence,
     shared: Rc<Shared>,
@@ -90,6 +97,10 @@
 
 impl Relay {
     /// A stream whose first events are there.
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "each is a part that only its maker has; all are moved in"
+    )]
     #[must_use]
     pub fn new(
         shared: &Rc<Shared>,
@@ -99,18 +110,22 @@
         out: mpsc::Sender<Part>,
         source: Source,
         busy: Option<Busy>,
+        progress: Progress,
     ) -> Self {
+        let behind = ticket.resumes_behind(&original.inbound);
+        let sequence = Sequence::behind(behind);
         Self {
             busy,
             first: clock::now().since(original.inbound.arrived),
             last_at: clock::now(),
-            last_event: Rc::default(),
+            last_event: Rc::new(RefCell::new(behind.map(str::to_string))),
             longest_pause: Duration::ZERO,
             next_move: Time::default(),
             original: Rc::clone(original),
             out,
+            progress,
             running,
-            sequence: Sequence::default(),
+            sequence,
             shared: Rc::clone(shared),
             source,
             takeovers: 0,
@@ -265,7 +280,7 @@
             self.switch(*opened);
             return Ok(());
         }
-        self.resume_from_backup(why).await
+        self.go_on_elsewhere(why).await
     }
 
     async fn moved(&mut self, relocated: Relocated) -> Result<(), Ending> {
@@ -305,12 +320,14 @@
         match stopped {
             relocate::Stop::Unreachable => {
                 self.shared.unreachable(self.source.key);
-                if self.has_backup() {
-                    return self.resume_from_backup("silent").await;
+                if self.has_backup() || self.may_run_again() {
+                    return self.go_on_elsewhere("silent").await;
                 }
                 Ok(())
             }
-            relocate::Stop::Gone if self.has_backup() => self.resume_from_backup("gone").await,
+            relocate::Stop::Gone if self.has_backup() || self.may_run_again() => {
+                self.go_on_elsewhere("gone").await
+            }
             relocate::Stop::Gone | relocate::Stop::Busy => Ok(()),
             relocate::Stop::Stopped(takeover) => {
                 self.last_events().await?;
@@ -326,13 +343,81 @@
             .is_some_and(|run| run.backup.is_some())
     }
 
-    async fn resume_from_backup(&mut self, why: &str) -> Result<(), Ending> {
+    /// The engine is lost: goes on from the copy, else begins again behind the last event
+    /// where that is allowed.
+    async fn go_on_elsewhere(&mut self, why: &str) -> Result<(), Ending> {
         match self.backup_takeover() {
-            None => Err(Ending::Lost(format!("{why}; no copy"))),
+            None => self.begin_again(why, format!("{why}; no copy")).await,
             Some(takeover) => self.go_on(takeover, why).await,
         }
     }
 
+    /// Begins again behind the last event, if the stream is resumable; else it is lost.
+    async fn begin_again(&mut self, why: &str, lost: String) -> Result<(), Ending> {
+        self.progress.ran(self.source.key, why.to_string());
+        while self.progress.may_send(&self.shared, &self.ticket) {
+            match self.resume(why).await {
+                Ok(Some(opened)) => {
+                    self.settle(opened);
+                    return Ok(());
+                }
+                Ok(None) => {}
+                Err(why) => return Err(Ending::Lost(why)),
+            }
+        }
+        Err(Ending::Lost(lost))
+    }
+
+    /// Whether the stream may begin again behind its last event once this run is given up.
+    fn may_run_again(&self) -> bool {
+        self.ticket.may_run_again(self.progress.runs + 1)
+    }
+
+    /// Asks another engine to begin behind the last event; `None` if it would not.
+    async fn resume(&mut self, why: &str) -> Result<Option<Opened>, String> {
+        let until = clock::now().after(RESUME_WAIT).min(self.ticket.expires);
+        let left = self.left();
+        let placed = place(
+            &self.shared,
+            &self.ticket,
+            left,
+            &self.progress.tried,
+            until,
+        )
+        .await;
+        let Some((key, _)) = placed else {
+            return Err(format!("{why}; no engine with room"));
+        };
+        match self.shared.readmit(&self.original, &mut self.ticket) {
+            Ok(true) => {}
+            Ok(false) => return Err(format!("{why}; its route goes to another service")),
+            Err(refusal) => return Err(format!("{why}; {}", refusal.label())),
+        }
+        self.progress.sends += 1;
+        match self.transfer().resume(key, why).await {
+            Ok(opened) => Ok(Some(opened)),
+            Err(transfer::Failure::NotRun(why)) => {
+                self.progress.turned_down(key, why);
+                Ok(None)
+            }
+            Err(transfer::Failure::Unknown(why)) => {
+                self.shared.unreachable(key);
+                self.progress.ran(key, why);
+                Ok(None)
+            }
+        }
+    }
+
+    /// What the rest of the run needs.
+    fn left(&self) -> Need {
+        let state = self.shared.state.borrow();
+        let run = state.run(self.running.key);
+        run.map_or_else(Need::default, |run| Need {
+            output: run.left(),
+            prompt: run.prompt.saturating_add(run.made()),
+        })
+    }
+
     /// The copy that was made while the run went on.
     fn backup_takeover(&self) -> Option<Takeover> {
         let key = {
@@ -358,7 +443,7 @@
                 self.settle(opened);
                 Ok(())
             }
-            Err(error) => Err(Ending::Lost(format!("{why}; {error}"))),
+            Err(error) => self.begin_again(why, format!("{why}; {error}")).await,
         }
     }
 
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -4,8 +4,9 @@
     crate::{
         clock,
         exchange::{self, Destination, Original, Sent},
-        plain::{MOST_SENDS, place},
+        plain::place,
         prelude::*,
+        progress::Progress,
         relay::Relay,
         reply,
         shared::Running,
@@ -21,6 +22,10 @@
 /// is needed for reading the prompt.
 const WAIT_SHARE: f64 = 0.7;
 
+/// Share of the time that is left after which a stream that may be sent again is tried at
+/// another engine: one that has made no event by then is more likely dark than slow.
+const SECOND_TRY: f64 = 0.45;
+
 /// Parts that wait for a caller who reads slowly.
 const MOST_BUFFERED: usize = 256;
 
@@ -40,9 +45,9 @@
     busy: crate::listen::Busy,
 ) -> Result<Reply, Refusal> {
     let mut ticket = ticket;
-    let mut tried = Vec::new();
+    let mut progress = Progress::default();
     let mut busy = Some(busy);
-    let mut sends = 0;
+    let id = &original.inbound.id;
     loop {
         let until = original
             .inbound
@@ -54,21 +59,29 @@
             output: expected,
             prompt: original.inbound.prompt,
         };
-        let Some((key, backup)) = place(shared, &ticket, need, &tried, until).await else {
-            log::info!(id = original.inbound.id, sends, why = "no engine with room"; "given up");
-            return Err(Refusal::Full);
+        let placed = place(shared, &ticket, need, &progress.tried, until).await;
+        let Some((key, backup)) = placed else {
+            progress.why = "no engine with room".to_string();
+            return Err(progress.give_up(id, Refusal::Full));
         };
-        // Nothing was run so far, so the newest configuration decides.
-        if !shared.readmit(original, &mut ticket)? {
-            continue;
+        // No event has reached the caller, so the newest configuration decides.
+        match shared.readmit(original, &mut ticket) {
+            Ok(true) => {}
+            Ok(false) => continue,
+            Err(refusal) => return Err(progress.give_up(id, refusal)),
         }
-        shared.count_send(&ticket.service, sends > 0);
-        sends += 1;
+        shared.count_send(&ticket.service, progress.sends > 0);
+        progress.sends += 1;
         let running = begin(shared, original, &ticket, key, backup, expected);
-        let opened = open(shared, original, &ticket, key, backup).await;
+        let opened = open(shared, original, &ticket, &progress, key, backup).await;
         match opened {
             Opened::Answer(reply) => return Ok(reply),
-            Opened::Failed(refusal) => return Err(refusal),
+            Opened::Unknown(refusal, why) => {
+                progress.ran(key, why);
+                if clock::now() >= ticket.expires || !progress.may_send(shared, &ticket) {
+                    return Err(progress.give_up(id, refusal));
+                }
+            }
             Opened::Stream(opening) => {
                 let (out, parts) = mpsc::channel(MOST_BUFFERED);
                 let mut reply = Response::new(Body::Parts(parts));
@@ -84,26 +97,20 @@
                     out,
                     opening.source,
                     busy.take(),
+                    progress,
                 );
                 tokio::task::spawn_local(relay.run(opening.blocks, opening.ended));
                 return Ok(reply);
             }
             Opened::NotReached => {
                 // It never arrived, so it counts neither as a try nor for the budget.
-                sends -= 1;
-                shared.take_back_send(&ticket.service, sends > 0);
+                progress.sends -= 1;
+                shared.take_back_send(&ticket.service, progress.sends > 0);
             }
             Opened::NotRun(why) => {
-                tried.push(key);
-                let now = clock::now();
-                let allowed = shared
-                    .state
-                    .borrow_mut()
-                    .budget
-                    .allows(&ticket.service, now);
-                if !allowed || sends >= MOST_SENDS {
-                    log::info!(id = original.inbound.id, sends, why; "given up");
-                    return Err(Refusal::Full);
+                progress.turned_down(key, why);
+                if !progress.may_send(shared, &ticket) {
+                    return Err(progress.give_up(id, Refusal::Full));
                 }
             }
         }
@@ -158,10 +165,11 @@
 
 enum Opened {
     Answer(Reply),
-    Failed(Refusal),
     NotReached,
     NotRun(String),
     Stream(Box<Opening>),
+    /// It may have run: what to tell the caller, and why.
+    Unknown(Refusal, String),
 }
 
 /// Sends the request and waits for the first event.
@@ -169,70 +177,67 @@
     shared: &Rc<Shared>,
     original: &Original,
     ticket: &Ticket,
+    progress: &Progress,
     key: EndpointKey,
     backup: Option<EndpointKey>,
 ) -> Opened {
     let left = ticket.expires.since(clock::now());
+    let again = ticket.may_run_again(progress.runs + 1);
+    let limit = left.mul_f64(if again { SECOND_TRY } else { 1.0 });
     let destination = Destination {
         backup,
         customer: ticket.customer.as_deref(),
         expires: ticket.expires,
         key,
+        last_event: ticket.resumes_behind(&original.inbound),
         source: None,
     };
     let opened = async {
-        match exchange::send(shared, original, &destination, left).await {
+        match exchange::send(shared, original, &destination, limit).await {
             Sent::NotWritten(why) => {
                 shared.unreachable(key);
                 log::info!(id = original.inbound.id, why; "engine not reached");
                 Opened::NotReached
             }
-            Sent::Unknown(why) => fail(shared, original, key, &why),
+            Sent::Unknown(why) => fail(shared, key, why),
             Sent::Answer(answer, verdict) if verdict.not_run => {
                 shared.full(key, answer.status());
                 Opened::NotRun(format!("turned down with {}", answer.status()))
             }
             Sent::Answer(answer, verdict) if answer.status() == StatusCode::OK => {
                 if !verdict.sealed || verdict.encoded {
-                    return fail(shared, original, key, "improper answer");
+                    return fail(shared, key, "improper answer".to_string());
                 }
-                first_event(shared, original, key, answer).await
+                first_event(shared, key, answer).await
             }
-            Sent::Answer(answer, _) => other_answer(shared, original, key, answer).await,
+            Sent::Answer(answer, _) => other_answer(shared, key, answer).await,
         }
     };
-    timeout(left, opened).await.unwrap_or_else(|_| {
+    timeout(limit, opened).await.unwrap_or_else(|_| {
         shared.unreachable(key);
-        log::info!(id = original.inbound.id, why = "no first event in time"; "given up");
-        Opened::Failed(Refusal::TimedOut)
+        Opened::Unknown(Refusal::TimedOut, "no first event in time".to_string())
     })
 }
 
-fn fail(shared: &Shared, original: &Original, key: EndpointKey, why: &str) -> Opened {
+fn fail(shared: &Shared, key: EndpointKey, why: String) -> Opened {
     shared.unreachable(key);
-    log::info!(id = original.inbound.id, why; "given up");
-    Opened::Failed(Refusal::Broken)
+    Opened::Unknown(Refusal::Broken, why)
 }
 
 /// Reads until an event is whole.
-async fn first_event(
-    shared: &Shared,
-    original: &Original,
-    key: EndpointKey,
-    answer: endpoint::client::Reply,
-) -> Opened {
+async fn first_event(shared: &Shared, key: EndpointKey, answer: endpoint::client::Reply) -> Opened {
     let headers = head::answer(answer.headers());
     let mut answer = answer;
     let mut cutter = Cutter::default();
     loop {
         let part = match answer.part().await {
             Ok(part) => part,
-            Err(error) => return fail(shared, original, key, &error.to_string()),
+            Err(error) => return fail(shared, key, error.to_string()),
         };
         let ended = part.is_none();
         let blocks = match cutter.feed(part.unwrap_or_default()) {
             Ok(blocks) => blocks,
-            Err(error) => return fail(shared, original, key, &error.to_string()),
+            Err(error) => return fail(shared, key, error.to_string()),
         };
         if blocks.is_empty() && !ended {
             continue;
@@ -254,23 +259,17 @@
 /// Passes on an answer that is no stream.
 async fn other_answer(
     shared: &Shared,
-    original: &Original,
     key: EndpointKey,
     answer: endpoint::client::Reply,
 ) -> Opened {
     let status = answer.status();
     shared.answered(key, status.is_server_error());
     if matches!(status.as_u16(), 408 | 421 | 429 | 503) {
-        return fail(
-            shared,
-            original,
-            key,
-            &format!("improper answer with {status}"),
-        );
+        return fail(shared, key, format!("improper answer with {status}"));
     }
     let headers = head::answer(answer.headers());
     match answer.whole(endpoint::sse::MOST).await {
         Ok(body) => Opened::Answer(reply::whole(status, headers, body)),
-        Err(error) => fail(shared, original, key, &error.to_string()),
+        Err(error) => fail(shared, key, error.to_string()),
     }
 }
--- a/crates/proxy/src/transfer.rs
+++ b/crates/proxy/src/transfer.rs
@@ -50,6 +50,22 @@
     pub source: Source,
 }
 
+/// Why an engine does not go on with a run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// It has not run anything.
+    NotRun(String),
+    /// It may be at work.
+    Unknown(String),
+}
+
+impl Display for Failure {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let (Self::NotRun(why) | Self::Unknown(why)) = self;
+        f.write_str(why)
+    }
+}
+
 /// What a send to another engine needs.
 #[derive(Debug)]
 pub struct Transfer {
@@ -105,24 +121,39 @@
     ///
     /// It refused, or did not answer; the text says which.
     pub async fn open(&self, takeover: &Takeover, why: &str) -> Result<Opened, String> {
-        let began = clock::now();
-        let last_event = self.last_event.borrow().clone();
-        let backup = self
-            .shared
-            .state
-            .borrow()
-            .pick_backup(began, self.run, takeover.key);
         let source = head::Source {
             address: takeover.address,
             handle: takeover.handle.clone(),
-            last_event: last_event.clone(),
         };
+        let opened = self.ask(takeover.key, Some(&source), why).await;
+        opened.map_err(|error| format!("copy {error}"))
+    }
+
+    /// Asks an engine to begin a resumable stream behind the last event of the caller's.
+    ///
+    /// # Errors
+    ///
+    /// It refused, or did not answer.
+    pub async fn resume(&self, key: EndpointKey, why: &str) -> Result<Opened, Failure> {
+        self.ask(key, None, why).await
+    }
+
+    async fn ask(
+        &self,
+        key: EndpointKey,
+        source: Option<&head::Source>,
+        why: &str,
+    ) -> Result<Opened, Failure> {
+        let began = clock::now();
+        let last_event = self.last_event.borrow().clone();
+        let backup = self.shared.state.borrow().pick_backup(began, self.run, key);
         let destination = Destination {
             backup,
             customer: self.ticket.customer.as_deref(),
             expires: self.ticket.expires,
-            key: takeover.key,
-            source: Some(&source),
+            key,
+            last_event: last_event.as_deref(),
+            source,
         };
         self.shared.count_send(&self.ticket.service, true);
         let sent = exchange::send(&self.shared, &self.original, &destination, TAKEOVER_WAIT).await;
@@ -135,16 +166,22 @@
                     source: Source {
                         answer,
                         cutter: Cutter::default(),
-                        key: takeover.key,
+                        key,
                     },
                 })
             }
-            Sent::Answer(answer, _) => Err(format!("copy answered {}", answer.status())),
-            Sent::NotWritten(error) | Sent::Unknown(error) => Err(format!("copy: {error}")),
+            Sent::Answer(answer, verdict) if verdict.not_run => {
+                Err(Failure::NotRun(format!("answered {}", answer.status())))
+            }
+            Sent::Answer(answer, _) => {
+                Err(Failure::Unknown(format!("answered {}", answer.status())))
+            }
+            Sent::NotWritten(error) => Err(Failure::NotRun(error)),
+            Sent::Unknown(error) => Err(Failure::Unknown(error)),
         };
-        let error = result.as_ref().err().map_or("", String::as_str);
+        let error = result.as_ref().err().map(ToString::to_string);
         log::info!(
-            id = self.original.inbound.id, why, error,
+            id = self.original.inbound.id, why, error = error.unwrap_or_default(),
             ms = clock::now().since(began).as_millis(),
             last_event = last_event.as_deref().unwrap_or_default(); "takeover"
         );
