--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -3,7 +3,7 @@
 //! Costs are in milliseconds of waiting, so that they can be added up.
 
 use {
-    crate::{endpoint::Load, prelude::*, reader::is_many, state::State},
+    crate::{endpoint::Load, prelude::*, reader::is_many, run::memory, state::State},
     rand::{RngExt as _, SeedableRng as _, rngs::SmallRng},
     slotmap::{Key as _, SecondaryMap},
 };
@@ -74,7 +74,7 @@
 /// reads none is still taken first.
 const SPREAD_COST: f64 = 200.0;
 
-/// KV memory that a request is expected to need, in tokens; zero for plain requests.
+/// What a request is expected to need, in tokens; zero for plain requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Need {
     /// Tokens it will make.
@@ -84,8 +84,8 @@
 }
 
 impl Need {
-    const fn tokens(self) -> u32 {
-        self.prompt.saturating_add(self.output)
+    fn tokens(self) -> u32 {
+        memory(self.prompt, self.output)
     }
 }
 
--- a/crates/forward/src/endpoint.rs
+++ b/crates/forward/src/endpoint.rs
@@ -43,7 +43,7 @@
 pub struct Load {
     /// Part of [`Self::tokens`] that copies of runs at other engines need.
     pub copies: u32,
-    /// KV memory that its requests are expected to need at their end, in tokens.
+    /// KV memory that its requests are expected to need together, in tokens.
     pub tokens: u32,
     /// Prompt tokens of requests that have made no token yet.
     pub reading: u32,
--- a/crates/forward/src/run.rs
+++ b/crates/forward/src/run.rs
@@ -2,6 +2,25 @@
 
 use crate::{endpoint::Load, prelude::*};
 
+/// Part of the output still to come that counts as KV memory needed.
+///
+/// The runs of an engine end one after the other, and each gives its whole memory back,
+/// so together they never need what each of them needs at its end. Counted in full, room
+/// that is there is refused to prompts and to runs whose engine leaves.
+const GROWTH: f64 = 0.25;
+
+/// KV memory to count for a run that holds `held` tokens and makes `left` more.
+#[must_use]
+pub fn memory(held: u32, left: u32) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a part of a count that fits"
+    )]
+    let growth = (f64::from(left) * GROWTH) as u32;
+    held.saturating_add(growth)
+}
+
 /// A generation in progress at an engine.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -32,19 +51,22 @@
         self.events.saturating_mul(self.tokens_per_event)
     }
 
-    /// KV memory expected at its end, in tokens.
-    ///
-    /// A run that has outlived its expectation is taken to go on for an eighth of what
-    /// it made: lengths are spread widely, so the longer it ran, the longer it will.
+    /// KV memory that it holds, in tokens.
+    #[must_use]
+    pub const fn held(&self) -> u32 {
+        self.prompt.saturating_add(self.made())
+    }
+
+    /// KV memory to count for it, in tokens.
     #[must_use]
     pub fn need(&self) -> u32 {
-        self.prompt
-            .saturating_add(self.made())
-            .saturating_add(self.left())
+        memory(self.held(), self.left())
     }
 
-    /// Output tokens still expected; one that has outlived its expectation is taken to go
-    /// on for an eighth of what it made.
+    /// Output tokens still expected.
+    ///
+    /// A run that has outlived its expectation is taken to go on for an eighth of what
+    /// it made: lengths are spread widely, so the longer it ran, the longer it will.
     #[must_use]
     pub fn left(&self) -> u32 {
         let made = self.made();
