Go on at the copy when a stream falls quiet; wait for an engine that is out of reach

Hypothesis: a stream that is silent for half of the pause that its route allows has lost its engine or the way to it. Change: after half of the route's pause the engine with the copy is asked; a stream without a copy in reach waits for its engine until its connection breaks or the caller leaves.

--- a/crates/carawayhead/tests/forwarding/streams.rs
+++ b/crates/carawayhead/tests/forwarding/streams.rs
@@ -136,6 +136,52 @@
     assert!(!takeovers.is_empty());
 }
 
+/// The way to an engine is cut without a reset: its events just stop. The engine with the
+/// copy is asked long before the silence itself would be taken for a loss, so that the
+/// caller sees no late event.
+#[tokio::test]
+async fn a_stream_whose_engine_falls_quiet_goes_on_at_its_copy() {
+    let deployment = deployment(3).await;
+    let callers = deployment.instance.callers;
+    let stream = tokio::spawn(async move { ask(callers, &Ask::new("r1", "/draft/7")).await });
+    let place = deployment.running_at().await;
+    deployment.engines[place].freeze();
+    let got = stream.await.expect("a task").expect("an answer");
+    assert_eq!((got.status, got.complete), (StatusCode::OK, true));
+    assert_whole(&got.body);
+    let takeovers = deployment.instance.lines_with("\"takeover\"");
+    assert!(
+        takeovers.iter().any(|line| line.contains("\"quiet\"")),
+        "{takeovers:?}"
+    );
+}
+
+/// A partition parts a stream from its engine for some seconds, and the engine with its
+/// copy is dead. The stream's connection has not broken, so what its engine made comes late
+/// once it is heard of again, and the caller has its whole answer.
+#[tokio::test]
+async fn a_stream_waits_for_its_engine_when_the_copy_is_dead() {
+    let deployment = deployment(3).await;
+    let callers = deployment.instance.callers;
+    let stream = tokio::spawn(async move { ask(callers, &Ask::new("r1", "/draft/7")).await });
+    let place = deployment.running_at().await;
+    let sent = deployment.instance.lines_with("\"sent\"");
+    let holder = (0..3).find(|engine| sent[0].contains(&format!("\"copy\":\"m{}\"", engine + 1)));
+    deployment.engines[holder.expect("a copy")].crash();
+    deployment.engines[place].freeze();
+    until("the stream waits", || async {
+        !deployment
+            .instance
+            .lines_with("waits for its engine")
+            .is_empty()
+    })
+    .await;
+    deployment.engines[place].thaw();
+    let got = stream.await.expect("a task").expect("an answer");
+    assert_eq!((got.status, got.complete), (StatusCode::OK, true));
+    assert_whole(&got.body);
+}
+
 /// The only engine dies, and there is no copy. What the caller has must not look whole.
 #[tokio::test]
 async fn a_stream_that_cannot_go_on_does_not_look_whole() {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -24,6 +24,14 @@
 /// longer, so the engine is asked before anything else is tried.
 const SILENCE: Duration = Duration::from_millis(600);
 
+/// Part of the longest pause that a route allows after which a stream goes on at the engine
+/// with its copy. When the way to an engine is cut without a reset, nothing is heard of it:
+/// events just stop. The other engine needs some 25 ms, so callers see no late event.
+const QUIET_SHARE: f64 = 0.5;
+
+/// Longest pause between events where a route names none.
+const USUAL_GAP: Duration = Duration::from_millis(180);
+
 /// Times that a stream may go on elsewhere; an engine lives some ten seconds at the least,
 /// a generation about as long.
 const MOST_TAKEOVERS: u32 = 8;
@@ -48,6 +56,8 @@
 /// A stream on its way to the caller.
 #[derive(Debug)]
 pub struct Relay {
+    /// Whether the engine with the copy was asked in this silence.
+    asked_copy: bool,
     busy: Option<Busy>,
     first: Duration,
     last_at: Time,
@@ -55,6 +65,8 @@
     longest_pause: Duration,
     next_move: Time,
     original: Rc<Original>,
+    /// Since when the engine is silent, counted anew after each attempt to go on elsewhere.
+    quiet_since: Time,
     out: mpsc::Sender<Part>,
     progress: Progress,
     running: Running,
@@ -73,6 +85,7 @@
     Expired,
     Lost(String),
     Moved(Relocated),
+    Quiet,
     Silent,
 }
 
@@ -115,6 +128,7 @@
         let behind = ticket.resumes_behind(&original.inbound);
         let sequence = Sequence::behind(behind);
         Self {
+            asked_copy: false,
             busy,
             first: clock::now().since(original.inbound.arrived),
             last_at: clock::now(),
@@ -122,6 +136,7 @@
             longest_pause: Duration::ZERO,
             next_move: Time::default(),
             original: Rc::clone(original),
+            quiet_since: clock::now(),
             out,
             progress,
             running,
@@ -177,8 +192,18 @@
                     moving = None;
                     self.moved(moved).await
                 }
-                Step::Silent if moving.is_some() => Ok(()),
-                Step::Silent => self.silent().await,
+                Step::Quiet => {
+                    self.go_on_at_copy(&mut moving);
+                    Ok(())
+                }
+                Step::Silent => {
+                    self.quiet_since = clock::now();
+                    if moving.is_some() {
+                        Ok(())
+                    } else {
+                        self.silent().await
+                    }
+                }
             };
             if let Err(ending) = went_on {
                 return ending;
@@ -200,6 +225,27 @@
         *moving = Some(Box::pin(self.transfer().relocate(self.backup_takeover())));
     }
 
+    /// Asks the engine with the copy to go on, as nothing comes from the run's own.
+    fn go_on_at_copy(&mut self, moving: &mut Option<Moving>) {
+        self.asked_copy = true;
+        if moving.is_some() {
+            return;
+        }
+        if let Some(takeover) = self.sound_takeover() {
+            *moving = Some(Box::pin(self.transfer().go_on(takeover, "quiet")));
+        }
+    }
+
+    /// The copy, if its engine is in good health.
+    fn sound_takeover(&self) -> Option<Takeover> {
+        let sound = {
+            let state = self.shared.state.borrow();
+            state.sound_backup(clock::now(), self.running.key)
+        };
+        self.backup_takeover()
+            .filter(|takeover| Some(takeover.key) == sound)
+    }
+
     /// What a send to another engine needs, without the stream itself.
     fn transfer(&self) -> Transfer {
         Transfer {
@@ -220,20 +266,33 @@
     }
 
     async fn step(&mut self, moving: &mut Option<Moving>) -> Step {
-        let left = self.ticket.expires.since(clock::now());
+        let now = clock::now();
+        let left = self.ticket.expires.since(now);
         if left.is_zero() {
             return Step::Expired;
         }
-        let wait = left.min(SILENCE);
+        let quiet = self.quiet().filter(|_| !self.asked_copy);
+        let until = self.quiet_since.after(quiet.unwrap_or(SILENCE));
+        let wait = left.min(until.since(now));
         tokio::select! {
             biased;
             () = self.out.closed() => Step::CallerLeft,
             part = self.source.answer.part() => self.events(part),
             moved = ended(moving) => Step::Moved(moved),
-            () = sleep(wait) => if wait == left { Step::Expired } else { Step::Silent },
+            () = sleep(wait) => match quiet {
+                _ if wait == left => Step::Expired,
+                Some(_) => Step::Quiet,
+                None => Step::Silent,
+            },
         }
     }
 
+    /// Silence after which the engine with the copy is asked.
+    fn quiet(&self) -> Option<Duration> {
+        let gap = self.ticket.route.gap.unwrap_or(USUAL_GAP);
+        Some(gap.mul_f64(QUIET_SHARE)).filter(|quiet| *quiet < SILENCE)
+    }
+
     fn events(&mut self, part: Result<Option<Bytes>, endpoint::Error>) -> Step {
         match part {
             Err(error) => Step::Lost(error.to_string()),
@@ -264,6 +323,8 @@
         self.last_event
             .replace(self.sequence.last().map(str::to_string));
         let now = clock::now();
+        self.quiet_since = now;
+        self.asked_copy = false;
         self.longest_pause = self.longest_pause.max(now.since(self.last_at));
         self.last_at = now;
         if let Some(run) = self.shared.state.borrow_mut().run_mut(self.running.key) {
@@ -320,15 +381,10 @@
         match stopped {
             relocate::Stop::Unreachable => {
                 self.shared.unreachable(self.source.key);
-                if self.has_backup() || self.may_run_again() {
-                    return self.go_on_elsewhere("silent").await;
-                }
-                Ok(())
-            }
-            relocate::Stop::Gone if self.has_backup() || self.may_run_again() => {
-                self.go_on_elsewhere("gone").await
+                self.go_on_or_wait("silent").await
             }
-            relocate::Stop::Gone | relocate::Stop::Busy => Ok(()),
+            relocate::Stop::Gone => self.go_on_or_wait("gone").await,
+            relocate::Stop::Busy => Ok(()),
             relocate::Stop::Stopped(takeover) => {
                 self.last_events().await?;
                 self.go_on(takeover, "silent").await
@@ -336,11 +392,29 @@
         }
     }
 
-    fn has_backup(&self) -> bool {
-        let state = self.shared.state.borrow();
-        state
-            .run(self.running.key)
-            .is_some_and(|run| run.backup.is_some())
+    /// The engine cannot be reached, or has the run no more. It may be at work behind a
+    /// partition, or have ended the run with its last events still on their way, which come
+    /// late when that heals. So the stream is lost only once another engine may have gone on
+    /// with it, or its connection breaks.
+    async fn go_on_or_wait(&mut self, why: &str) -> Result<(), Ending> {
+        let refused = match self.backup_takeover() {
+            None => "no copy".to_string(),
+            Some(takeover) => match self.transfer().open(&takeover, why).await {
+                Ok(opened) => {
+                    self.switch(opened);
+                    return Ok(());
+                }
+                Err(transfer::Failure::NotRun(why)) => why,
+                Err(transfer::Failure::Unknown(error)) => {
+                    return self.begin_again(why, format!("{why}; copy {error}")).await;
+                }
+            },
+        };
+        if self.may_run_again() {
+            return self.begin_again(why, refused).await;
+        }
+        log::info!(id = self.original.inbound.id, why = refused; "waits for its engine");
+        Ok(())
     }
 
     /// The engine is lost: goes on from the copy, else begins again behind the last event
@@ -443,7 +517,7 @@
                 self.settle(opened);
                 Ok(())
             }
-            Err(error) => self.begin_again(why, format!("{why}; {error}")).await,
+            Err(error) => self.begin_again(why, format!("{why}; copy {error}")).await,
         }
     }
 
@@ -462,6 +536,8 @@
         }
         drop(state);
         self.shared.load.notify_one();
+        self.quiet_since = clock::now();
+        self.asked_copy = false;
         self.source = opened.source;
     }
 }
--- a/crates/proxy/src/transfer.rs
+++ b/crates/proxy/src/transfer.rs
@@ -96,22 +96,29 @@
             .borrow()
             .sound_backup(clock::now(), self.run);
         if let Some(takeover) = backup.filter(|takeover| Some(takeover.key) == sound) {
-            match timeout(OVERLAP, self.open(&takeover, "leaving")).await {
-                Ok(Ok(opened)) => return Relocated::Opened(Box::new(opened)),
-                Ok(Err(_)) => {}
-                Err(_) => return Relocated::Unsure(takeover.key),
+            match self.within_overlap(&takeover, "leaving").await {
+                Relocated::NotYet(_) => {}
+                settled => return settled,
             }
         }
         let id = &self.original.inbound.id;
         match relocate::relocate(&self.shared, self.run, id).await {
             Moved::NotYet(why) => Relocated::NotYet(why),
-            Moved::Ready(takeover) => {
-                match timeout(OVERLAP, self.open(&takeover, "copied")).await {
-                    Ok(Ok(opened)) => Relocated::Opened(Box::new(opened)),
-                    Ok(Err(why)) => Relocated::NotYet(why),
-                    Err(_) => Relocated::Unsure(takeover.key),
-                }
-            }
+            Moved::Ready(takeover) => self.within_overlap(&takeover, "copied").await,
+        }
+    }
+
+    /// Goes on at the engine that holds a copy, or not at all.
+    pub async fn go_on(self, takeover: Takeover, why: &'static str) -> Relocated {
+        self.within_overlap(&takeover, why).await
+    }
+
+    /// Asks an engine to go on while the run before it may still be at work.
+    async fn within_overlap(&self, takeover: &Takeover, why: &str) -> Relocated {
+        match timeout(OVERLAP, self.open(takeover, why)).await {
+            Ok(Ok(opened)) => Relocated::Opened(Box::new(opened)),
+            Ok(Err(why)) => Relocated::NotYet(why.to_string()),
+            Err(_) => Relocated::Unsure(takeover.key),
         }
     }
 
@@ -119,14 +126,13 @@
     ///
     /// # Errors
     ///
-    /// It refused, or did not answer; the text says which.
-    pub async fn open(&self, takeover: &Takeover, why: &str) -> Result<Opened, String> {
+    /// It refused, or did not answer.
+    pub async fn open(&self, takeover: &Takeover, why: &str) -> Result<Opened, Failure> {
         let source = head::Source {
             address: takeover.address,
             handle: takeover.handle.clone(),
         };
-        let opened = self.ask(takeover.key, Some(&source), why).await;
-        opened.map_err(|error| format!("copy {error}"))
+        self.ask(takeover.key, Some(&source), why).await
     }
 
     /// Asks an engine to begin a resumable stream behind the last event of the caller's.
