Ask engines whether they leave while the store is silent

Change: an instance asks the engines that have runs of its own for their report, twice a second, once the list is older than 1.2 s (it is read or relayed each second); one that does not answer is asked again after two seconds.

--- a/crates/forward/src/endpoint.rs
+++ b/crates/forward/src/endpoint.rs
@@ -72,6 +72,8 @@
 /// An endpoint with what this instance has seen of it.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
+    /// From when on it may be asked whether it leaves.
+    pub(crate) ask_from: Time,
     avoid_until: Time,
     /// Digest of its id, by which reports name it.
     pub digest: u32,
@@ -95,6 +97,7 @@
     #[must_use]
     pub fn new(listing: Listing, now: Time) -> Self {
         Self {
+            ask_from: Time::default(),
             avoid_until: Time::default(),
             digest: digest(&listing.id),
             doubt_until: None,
@@ -129,6 +132,11 @@
         self.leaving_since.is_none() && now >= self.avoid_until
     }
 
+    /// It said that it leaves.
+    pub fn leaves(&mut self, now: Time) {
+        self.leaving_since.get_or_insert(now);
+    }
+
     /// It answered, well or with a failure of its own.
     pub fn answered(&mut self, failed: bool) {
         self.failures = 0;
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod endpoint;
 pub mod freshness;
+pub mod inquiry;
 pub mod load;
 pub mod outcome;
 pub mod pace;
--- /dev/null
+++ b/crates/forward/tests/inquiries.rs
@@ -0,0 +1,44 @@
+//! Asking engines whether they leave while the store is silent.
+
+mod common;
+
+use common::*;
+
+/// The store goes away, and an engine says only in its own report that it leaves. Nobody
+/// asked, so its runs were lost with it a second and a half later. Engines with runs of
+/// this instance are asked, the others are not, and nobody while the list is fresh.
+#[test]
+fn engines_with_runs_are_asked_while_the_store_is_silent() {
+    let engines = [listing("m1", "model", "a"), listing("m2", "model", "b")];
+    let mut state = instance(&engines);
+    let (first, _) = sent(state.pick(at(10), "model", LONG, &[]));
+    let run = begin(&mut state, first, None);
+    state.prove_list(at(1000), at(990));
+    assert!(state.inquiries(at(2000)).is_empty());
+    let asked_at = (2000..2600).find(|now| !state.inquiries(at(*now)).is_empty());
+    let asked_at = asked_at.expect("an inquiry well before an engine's notice is over");
+    assert!(state.inquiries(at(asked_at + 100)).is_empty());
+    assert_eq!(state.inquiries(at(asked_at + 600)), [first]);
+    assert!(!state.must_move(run));
+    let endpoint = state.endpoint_mut(first).expect("a listed engine");
+    endpoint.leaves(at(asked_at + 610));
+    assert!(state.must_move(run));
+    assert!(state.inquiries(at(asked_at + 2000)).is_empty());
+}
+
+/// A failure domain is cut off, and the store with it. Engines behind the cut do not
+/// answer; asked all the time, each question would open a connection that goes nowhere.
+#[test]
+fn an_engine_that_does_not_answer_is_asked_rarely() {
+    let mut state = instance(&[listing("m1", "model", "a")]);
+    let (first, _) = sent(state.pick(at(10), "model", LONG, &[]));
+    begin(&mut state, first, None);
+    let mut asked = 0;
+    for now in (3000..9000).step_by(100) {
+        for key in state.inquiries(at(now)) {
+            asked += 1;
+            state.unanswered(at(now + 50), key);
+        }
+    }
+    assert!(asked <= 3, "{asked} questions in six seconds");
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fellows;
 pub mod follow;
 pub mod gossip;
+pub mod inquire;
 pub mod journal;
 pub mod listen;
 pub mod message;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        clock, follow, gossip, journal,
+        clock, follow, gossip, inquire, journal,
         listen::{self, Role},
         prelude::*,
         settings::Settings,
@@ -66,6 +66,7 @@
     }
     spawn_local(gossip::run(Rc::clone(&shared)));
     spawn_local(follow::tick(Rc::clone(&shared)));
+    spawn_local(inquire::run(Rc::clone(&shared)));
     log::info!(
         listen:% = instance.listen, domain = instance.domain,
         version = env!("CARGO_PKG_VERSION"); "started"
