--- a/crates/carawayhead/tests/forwarding/answers.rs
+++ b/crates/carawayhead/tests/forwarding/answers.rs
@@ -95,6 +95,29 @@
     assert_eq!(one.ran().len() + two.ran().len(), 3);
 }
 
+/// A lookup fails with the endpoint's own failure, and the second try finds no endpoint or
+/// one that drops it. The first failure is an answer that was ready: the caller gets it,
+/// and not a failure of this instance's own.
+#[tokio::test]
+async fn an_endpoints_own_failure_is_delivered_if_nothing_better_comes() {
+    for second in [None, Some(Conduct::Lost), Some(Conduct::Full)] {
+        let desks = [Desk::start("d1").await, Desk::start("d2").await];
+        desks[0].conduct(Conduct::Failing);
+        desks[1].conduct(second.unwrap_or_default());
+        let listed = if second.is_some() { 2 } else { 1 };
+        let listed = desks[..listed].iter().collect::<Vec<_>>();
+        let (_store, instance) = deployment(&listed).await;
+        // Which of the two is asked first is left to chance; both orders end alike.
+        let got = ask(instance.callers, &Ask::new("r1", "/look/7")).await;
+        let got = got.expect("an answer");
+        assert_eq!(
+            (got.status, got.sealed, got.body.as_str()),
+            (StatusCode::INTERNAL_SERVER_ERROR, true, "done r1 at d1"),
+            "{second:?}"
+        );
+    }
+}
+
 /// One endpoint is full and says that it has not run the order; another one has room.
 #[tokio::test]
 async fn an_order_that_was_turned_down_goes_elsewhere() {
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -68,11 +68,11 @@
     loop {
         match attempt(shared, original, &mut ticket, &mut progress).await {
             Attempt::Answered(reply) => return Ok(reply),
-            Attempt::Over(refusal) => return Err(progress.give_up(id, refusal)),
+            Attempt::Over(refusal) => return progress.end(id, refusal),
             Attempt::Again => {}
         }
         if !progress.may_send(shared, &ticket) {
-            return Err(progress.give_up(id, Refusal::Full));
+            return progress.end(id, Refusal::Full);
         }
     }
 }
@@ -186,6 +186,7 @@
         && progress.may_send(shared, ticket);
     if retry {
         progress.ran(key, format!("failed with {status}"));
+        progress.failure = Some(reply::whole(status, answer.headers, answer.body));
         return Attempt::Again;
     }
     Attempt::Answered(reply::whole(status, answer.headers, answer.body))
--- a/crates/proxy/src/progress.rs
+++ b/crates/proxy/src/progress.rs
@@ -11,6 +11,8 @@
 /// What has come of a request that is not answered yet.
 #[derive(Debug, Default)]
 pub struct Progress {
+    /// An endpoint's own failure, passed on if no other endpoint does better.
+    pub failure: Option<Reply>,
     /// Sends after which the request may have run.
     pub runs: u32,
     /// Sends that reached an endpoint.
@@ -47,6 +49,17 @@
         self.sends == 0 || (self.sends < MOST_SENDS && allowed(&mut shared.state.borrow_mut()))
     }
 
+    /// How the request ends without a success: with an endpoint's own failure, or the truthful
+    /// refusal.
+    ///
+    /// # Errors
+    ///
+    /// No endpoint has answered.
+    pub fn end(&mut self, id: &str, refusal: Refusal) -> Result<Reply, Refusal> {
+        let failure = self.failure.take();
+        failure.ok_or_else(|| self.give_up(id, refusal))
+    }
+
     /// Gives the request up with the truthful refusal, whatever the last reason was.
     #[must_use]
     pub fn give_up(&self, id: &str, refusal: Refusal) -> Refusal {
