Tell from log lines why requests ended as they did

The lines on ends carry the route's target and longest pause, without which late answers could not be told from others. Tests: losses are put down to what went before them; late, refused and open requests are told apart; lines of collectors are read and broken ones counted.

--- a/crates/carawayhead/src/command/mod.rs
+++ b/crates/carawayhead/src/command/mod.rs
@@ -3,6 +3,7 @@
 pub mod check;
 #[cfg(feature = "stand-ins")]
 pub mod demo;
+pub mod explain;
 pub mod forward;
 pub mod publish;
 pub mod secrets;
@@ -54,6 +55,17 @@
         #[bpaf(positional("DOMAIN"))]
         domain: String,
     },
+    /// Tell why requests ended as they did, from the log lines of instances that forward
+    ///
+    /// Example: carawayhead explain instances/*.log
+    #[bpaf(command)]
+    Explain {
+        /// Print JSON
+        json: bool,
+        /// Files of log lines
+        #[bpaf(positional("FILE"), some("name at least one file"))]
+        files: Vec<String>,
+    },
     /// Run one entry instance that forwards requests by host and path
     ///
     /// Example: carawayhead forward --settings /etc/carawayhead/instance.toml
@@ -166,6 +178,7 @@
         #[cfg(feature = "stand-ins")]
         Command::Demo => block(demo::run()),
         Command::Drain { domain, log } => block(set_domain(&log, &domain, true)),
+        Command::Explain { files, json } => explain::run(&files, json),
         Command::Forward { settings } => forward::run(&settings),
         Command::History { json, log } => block(show::history(&publish::config_stream(&log), json)),
         Command::Key => {
--- /dev/null
+++ b/crates/explain/src/table.rs
@@ -0,0 +1,107 @@
+//! Causes with their counts, moments and examples.
+
+use {
+    crate::{Cause, Requests},
+    serde::Serialize,
+    std::fmt::{self, Display, Formatter},
+};
+
+/// Ids shown for a cause.
+const EXAMPLES: usize = 3;
+
+/// Requests that ended for one cause.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Row {
+    /// The cause, in words.
+    pub cause: String,
+    /// Number of requests.
+    pub count: usize,
+    /// Some of their ids.
+    pub examples: Vec<String>,
+    /// Wall time of the first end, in milliseconds.
+    pub first: u64,
+    /// Wall time of the last end, in milliseconds.
+    pub last: u64,
+    /// The second with the most ends, as wall time in seconds, and their number.
+    pub worst_second: (u64, usize),
+}
+
+/// All causes, the most frequent first.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Table {
+    /// One row for each cause.
+    pub rows: Vec<Row>,
+    /// Log lines that could not be read.
+    pub unreadable_lines: usize,
+}
+
+impl Table {
+    /// Sums requests up by cause.
+    #[must_use]
+    pub fn new(requests: &Requests) -> Self {
+        let mut ends = Vec::new();
+        for (id, request) in requests {
+            let cause = request.cause.clone().unwrap_or(Cause::Open);
+            ends.push((cause, request.last, id.as_str()));
+        }
+        ends.sort();
+        let groups = ends.chunk_by(|one, other| one.0 == other.0);
+        let mut rows = groups.map(row).collect::<Vec<_>>();
+        rows.sort_by(|one, other| (other.count, &one.cause).cmp(&(one.count, &other.cause)));
+        Self {
+            rows,
+            unreadable_lines: requests.unreadable,
+        }
+    }
+}
+
+/// A row for ends of one cause, sorted by time.
+fn row(ends: &[(Cause, u64, &str)]) -> Row {
+    let times = ends.iter().map(|(_, at, _)| *at);
+    let examples = ends.iter().take(EXAMPLES);
+    let seconds = ends.chunk_by(|one, other| one.1 / 1000 == other.1 / 1000);
+    let worst = seconds.max_by_key(|ends| ends.len());
+    Row {
+        cause: ends[0].0.to_string(),
+        count: ends.len(),
+        examples: examples.map(|(_, _, id)| (*id).to_string()).collect(),
+        first: times.clone().min().unwrap_or_default(),
+        last: times.max().unwrap_or_default(),
+        worst_second: worst.map_or((0, 0), |ends| (ends[0].1 / 1000, ends.len())),
+    }
+}
+
+impl Display for Table {
+    /// Markdown; times count from the earliest end.
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let start = self.rows.iter().map(|row| row.first).min();
+        let start = start.unwrap_or_default();
+        writeln!(
+            f,
+            "| cause | requests | from s | to s | most in a second | examples |"
+        )?;
+        writeln!(f, "|---|---:|---:|---:|---|---|")?;
+        for row in &self.rows {
+            let (second, most) = row.worst_second;
+            let second = second.saturating_sub(start / 1000);
+            writeln!(
+                f,
+                "| {} | {} | {} | {} | {most} at {second} s | {} |",
+                row.cause,
+                row.count,
+                seconds(row.first - start),
+                seconds(row.last - start),
+                row.examples.join(" "),
+            )?;
+        }
+        if self.unreadable_lines > 0 {
+            writeln!(f, "\n{} lines could not be read.", self.unreadable_lines)?;
+        }
+        Ok(())
+    }
+}
+
+/// Milliseconds as seconds with one place.
+fn seconds(millis: u64) -> String {
+    format!("{}.{}", millis / 1000, millis % 1000 / 100)
+}
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -142,6 +142,13 @@
     reply
 }
 
+/// What the log says of a request's route, once it is known.
+#[derive(Debug, Default)]
+struct RouteNote {
+    name: String,
+    target: Duration,
+}
+
 async fn serve(
     shared: &Rc<Shared>,
     parts: Parts,
@@ -152,7 +159,7 @@
     let id = inbound.id.clone();
     let arrived = inbound.arrived;
     let path = inbound.path.clone();
-    let mut route = String::new();
+    let mut route = RouteNote::default();
     let result = forward(shared, parts, inbound, body, busy, &mut route).await;
     let (outcome, reply, streaming) = match result {
         Ok(reply) => {
@@ -167,10 +174,11 @@
     let took = clock::now().since(arrived);
     let age = shared.state.borrow().config_freshness.age(clock::now());
     log::info!(
-        id, route, path, outcome, status = reply.status().as_u16(), ms = took.as_millis(),
+        id, route = route.name, path, outcome, status = reply.status().as_u16(),
+        ms = took.as_millis(), target_ms = route.target.as_millis(),
         config_age_ms = age.unwrap_or(Duration::MAX).as_millis(); "request ended"
     );
-    shared.meters.ended(&route, outcome, took);
+    shared.meters.ended(&route.name, outcome, took);
     reply
 }
 
@@ -180,12 +188,13 @@
     inbound: Inbound,
     body: Incoming,
     busy: Busy,
-    route: &mut String,
+    route: &mut RouteNote,
 ) -> Result<Reply, Refusal> {
     let body = whole(shared, body).await?;
     let now = clock::now();
     let ticket = admit(shared, &inbound).await?;
-    route.clone_from(&ticket.route.name);
+    route.name.clone_from(&ticket.route.name);
+    route.target = ticket.route.target;
     shared.state.borrow_mut().budget.first(&ticket.service, now);
     let original = Original {
         body,
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -163,6 +163,8 @@
             id = self.original.inbound.id, route = self.ticket.route.name,
             outcome = ending.label(), why, events = self.sequence.count(),
             takeovers = self.takeovers, first_ms = self.first.as_millis(),
+            target_ms = self.ticket.route.target.as_millis(),
+            gap_ms = self.ticket.route.gap.unwrap_or(USUAL_GAP).as_millis(),
             pause_ms = self.longest_pause.as_millis(), ms = took.as_millis(); "stream ended"
         );
         self.shared
