Part what a stream does on a loss from its relay

Leaving, silence and loss stand in a module of their own, and what a stream begins with is one struct. No change of behaviour.

--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -1,20 +1,21 @@
 //! Streams of events: from the first event to the end, across moves and lost engines.
 
+mod loss;
+
 use {
     crate::{
         clock,
         exchange::Original,
         listen::Busy,
-        plain::place,
         prelude::*,
         progress::Progress,
-        relocate::{self, Takeover},
+        relocate::Takeover,
         reply::Part,
         shared::Running,
-        transfer::{self, Opened, Relocated, Source, Transfer},
+        transfer::{Relocated, Source, Transfer},
     },
     endpoint::sse,
-    forward::{choice::Need, request::Ticket, sequence::Sequence},
+    forward::{request::Ticket, sequence::Sequence},
     std::pin::Pin,
     tokio::sync::mpsc,
 };
@@ -32,24 +33,9 @@
 /// Longest pause between events where a route names none.
 const USUAL_GAP: Duration = Duration::from_millis(180);
 
-/// Times that a stream may go on elsewhere; an engine lives some ten seconds at the least,
-/// a generation about as long.
-const MOST_TAKEOVERS: u32 = 8;
-
 /// Longest time that a caller may take to read before it counts as gone.
 const SLOW_READER: Duration = Duration::from_secs(5);
 
-/// How long the end of a stopped run's stream is waited for; its last events are on
-/// their way when the move is answered.
-const LAST_EVENTS: Duration = Duration::from_millis(30);
-
-/// Longest time that a place is waited for to begin a stream again. Callers bear a pause of
-/// two seconds at the least, of which the prompt takes half a second to be read again.
-const RESUME_WAIT: Duration = Duration::from_millis(1200);
-
-/// Pause before a move is tried again.
-const MOVE_PAUSE: Duration = Duration::from_millis(100);
-
 /// A move in progress.
 type Moving = Pin<Box<dyn Future<Output = Relocated>>>;
 
@@ -77,6 +63,25 @@
     ticket: Ticket,
 }
 
+/// What a stream begins with.
+#[derive(Debug)]
+pub struct Start {
+    /// Counts the request as in progress.
+    pub busy: Option<Busy>,
+    /// The caller's request.
+    pub original: Rc<Original>,
+    /// Where events go.
+    pub out: mpsc::Sender<Part>,
+    /// What has come of the request so far.
+    pub progress: Progress,
+    /// The run at its engine.
+    pub running: Running,
+    /// Where events come from.
+    pub source: Source,
+    /// The request's ticket.
+    pub ticket: Ticket,
+}
+
 /// What happened next.
 enum Step {
     CallerLeft,
@@ -110,41 +115,29 @@
 
 impl Relay {
     /// A stream whose first events are there.
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "each is a part that only its maker has; all are moved in"
-    )]
     #[must_use]
-    pub fn new(
-        shared: &Rc<Shared>,
-        original: &Rc<Original>,
-        ticket: Ticket,
-        running: Running,
-        out: mpsc::Sender<Part>,
-        source: Source,
-        busy: Option<Busy>,
-        progress: Progress,
-    ) -> Self {
-        let behind = ticket.resumes_behind(&original.inbound);
-        let sequence = Sequence::behind(behind);
+    pub fn new(shared: &Rc<Shared>, start: Start) -> Self {
+        let now = clock::now();
+        let inbound = &start.original.inbound;
+        let behind = start.ticket.resumes_behind(inbound);
         Self {
             asked_copy: false,
-            busy,
-            first: clock::now().since(original.inbound.arrived),
-            last_at: clock::now(),
+            busy: start.busy,
+            first: now.since(inbound.arrived),
+            last_at: now,
             last_event: Rc::new(RefCell::new(behind.map(str::to_string))),
             longest_pause: Duration::ZERO,
             next_move: Time::default(),
-            original: Rc::clone(original),
-            quiet_since: clock::now(),
-            out,
-            progress,
-            running,
-            sequence,
+            out: start.out,
+            progress: start.progress,
+            quiet_since: now,
+            running: start.running,
+            sequence: Sequence::behind(behind),
             shared: Rc::clone(shared),
-            source,
+            source: start.source,
             takeovers: 0,
-            ticket,
+            original: start.original,
+            ticket: start.ticket,
         }
     }
 
@@ -334,214 +327,6 @@
         }
         Ok(())
     }
-
-    /// The engine broke the stream off: because it was told to stop for a move, or died.
-    async fn lost(&mut self, moving: Option<Moving>, why: &str) -> Result<(), Ending> {
-        if let Some(moving) = moving
-            && let Ok(Relocated::Opened(opened)) = timeout(relocate::MOVE_WAIT, moving).await
-        {
-            self.switch(*opened);
-            return Ok(());
-        }
-        self.go_on_elsewhere(why).await
-    }
-
-    async fn moved(&mut self, relocated: Relocated) -> Result<(), Ending> {
-        match relocated {
-            Relocated::Opened(opened) => self.switch(*opened),
-            Relocated::Unsure(key) => {
-                // Both engines may work on the run now. The one that can be reached is
-                // stopped, and the run goes on from there at a third one.
-                self.shared.unreachable(key);
-                return self.silent().await;
-            }
-            Relocated::NotYet(why) => {
-                log::info!(id = self.original.inbound.id, why; "move put off");
-                self.next_move = clock::now().after(MOVE_PAUSE);
-            }
-        }
-        Ok(())
-    }
-
-    /// Reads what a stopped run had still sent.
-    async fn last_events(&mut self) -> Result<(), Ending> {
-        while let Ok(Ok(Some(part))) = timeout(LAST_EVENTS, self.source.answer.part()).await {
-            let Ok(blocks) = self.source.cutter.feed(part) else {
-                break;
-            };
-            self.pass_on(blocks).await?;
-        }
-        Ok(())
-    }
-
-    /// No event for long: the engine may have died without a word, or the run waits.
-    async fn silent(&mut self) -> Result<(), Ending> {
-        let run = self.running.key;
-        let id = self.original.inbound.id.clone();
-        log::info!(id, events = self.sequence.count(); "stream is silent");
-        let stopped = relocate::stop(&self.shared, run, &id).await;
-        match stopped {
-            relocate::Stop::Unreachable => {
-                self.shared.unreachable(self.source.key);
-                self.go_on_or_wait("silent").await
-            }
-            relocate::Stop::Gone => self.go_on_or_wait("gone").await,
-            relocate::Stop::Busy => Ok(()),
-            relocate::Stop::Stopped(takeover) => {
-                self.last_events().await?;
-                self.go_on(takeover, "silent").await
-            }
-        }
-    }
-
-    /// The engine cannot be reached, or has the run no more. It may be at work behind a
-    /// partition, or have ended the run with its last events still on their way, which come
-    /// late when that heals. So the stream is lost only once another engine may have gone on
-    /// with it, or its connection breaks.
-    async fn go_on_or_wait(&mut self, why: &str) -> Result<(), Ending> {
-        let refused = match self.backup_takeover() {
-            None => "no copy".to_string(),
-            Some(takeover) => match self.transfer().open(&takeover, why).await {
-                Ok(opened) => {
-                    self.switch(opened);
-                    return Ok(());
-                }
-                Err(transfer::Failure::NotRun(why)) => why,
-                Err(transfer::Failure::Unknown(error)) => {
-                    return self.begin_again(why, format!("{why}; copy {error}")).await;
-                }
-            },
-        };
-        if self.may_run_again() {
-            return self.begin_again(why, refused).await;
-        }
-        log::info!(id = self.original.inbound.id, why = refused; "waits for its engine");
-        Ok(())
-    }
-
-    /// The engine is lost: goes on from the copy, else begins again behind the last event
-    /// where that is allowed.
-    async fn go_on_elsewhere(&mut self, why: &str) -> Result<(), Ending> {
-        match self.backup_takeover() {
-            None => self.begin_again(why, format!("{why}; no copy")).await,
-            Some(takeover) => self.go_on(takeover, why).await,
-        }
-    }
-
-    /// Begins again behind the last event, if the stream is resumable; else it is lost.
-    async fn begin_again(&mut self, why: &str, lost: String) -> Result<(), Ending> {
-        self.progress.ran(self.source.key, why.to_string());
-        while self.progress.may_send(&self.shared, &self.ticket) {
-            match self.resume(why).await {
-                Ok(Some(opened)) => {
-                    self.settle(opened);
-                    return Ok(());
-                }
-                Ok(None) => {}
-                Err(why) => return Err(Ending::Lost(why)),
-            }
-        }
-        Err(Ending::Lost(lost))
-    }
-
-    /// Whether the stream may begin again behind its last event once this run is given up.
-    fn may_run_again(&self) -> bool {
-        self.ticket.may_run_again(self.progress.runs + 1)
-    }
-
-    /// Asks another engine to begin behind the last event; `None` if it would not.
-    async fn resume(&mut self, why: &str) -> Result<Option<Opened>, String> {
-        let until = clock::now().after(RESUME_WAIT).min(self.ticket.expires);
-        let left = self.left();
-        let placed = place(
-            &self.shared,
-            &self.ticket,
-            left,
-            &self.progress.tried,
-            until,
-        )
-        .await;
-        let Some((key, _)) = placed else {
-            return Err(format!("{why}; no engine with room"));
-        };
-        match self.shared.readmit(&self.original, &mut self.ticket) {
-            Ok(true) => {}
-            Ok(false) => return Err(format!("{why}; its route goes to another service")),
-            Err(refusal) => return Err(format!("{why}; {}", refusal.label())),
-        }
-        self.progress.sends += 1;
-        match self.transfer().resume(key, why).await {
-            Ok(opened) => Ok(Some(opened)),
-            Err(transfer::Failure::NotRun(why)) => {
-                self.progress.turned_down(key, why);
-                Ok(None)
-            }
-            Err(transfer::Failure::Unknown(why)) => {
-                self.shared.unreachable(key);
-                self.progress.ran(key, why);
-                Ok(None)
-            }
-        }
-    }
-
-    /// What the rest of the run needs.
-    fn left(&self) -> Need {
-        let state = self.shared.state.borrow();
-        let run = state.run(self.running.key);
-        run.map_or_else(Need::default, |run| Need {
-            output: run.left(),
-            prompt: run.prompt.saturating_add(run.made()),
-        })
-    }
-
-    /// The copy that was made while the run went on.
-    fn backup_takeover(&self) -> Option<Takeover> {
-        let key = {
-            let state = self.shared.state.borrow();
-            let key = state.run(self.running.key)?.backup?;
-            state.may_go_on_at(clock::now(), key).then_some(key)?
-        };
-        Some(Takeover {
-            address: self.shared.target(key)?.0,
-            handle: self.original.inbound.id.clone(),
-            key,
-        })
-    }
-
-    /// Goes on from a copy, with the run before it stopped or dead.
-    async fn go_on(&mut self, takeover: Takeover, why: &str) -> Result<(), Ending> {
-        self.takeovers += 1;
-        if self.takeovers > MOST_TAKEOVERS {
-            return Err(Ending::Lost(format!("{why}; moved too often")));
-        }
-        match self.transfer().open(&takeover, why).await {
-            Ok(opened) => {
-                self.settle(opened);
-                Ok(())
-            }
-            Err(error) => self.begin_again(why, format!("{why}; copy {error}")).await,
-        }
-    }
-
-    /// Goes on at an engine that has taken the run over, and drops the run before it.
-    fn switch(&mut self, opened: Opened) {
-        self.takeovers += 1;
-        self.settle(opened);
-    }
-
-    fn settle(&mut self, opened: Opened) {
-        let mut state = self.shared.state.borrow_mut();
-        if let Some(run) = state.run_mut(self.running.key) {
-            run.endpoint = opened.source.key;
-            run.backup = opened.backup;
-            run.target = None;
-        }
-        drop(state);
-        self.shared.load.notify_one();
-        self.quiet_since = clock::now();
-        self.asked_copy = false;
-        self.source = opened.source;
-    }
 }
 
 /// The end of a move, if one is in progress.
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -7,7 +7,7 @@
         plain::place,
         prelude::*,
         progress::Progress,
-        relay::Relay,
+        relay::{Relay, Start},
         reply,
         shared::Running,
         transfer,
@@ -89,16 +89,16 @@
                 shared
                     .meters
                     .first_event(clock::now().since(original.inbound.arrived));
-                let relay = Relay::new(
-                    shared,
-                    original,
-                    ticket,
-                    running,
+                let start = Start {
+                    busy: busy.take(),
+                    original: Rc::clone(original),
                     out,
-                    opening.source,
-                    busy.take(),
                     progress,
-                );
+                    running,
+                    source: opening.source,
+                    ticket,
+                };
+                let relay = Relay::new(shared, start);
                 tokio::task::spawn_local(relay.run(opening.blocks, opening.ended));
                 return Ok(reply);
             }
