--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -90,7 +90,9 @@
     Expired,
     Lost(String),
     Moved(Relocated),
+    /// No event for a part of the pause that the route allows.
     Quiet,
+    /// No event for long.
     Silent,
 }
 
