Test that the room of new engines is left to runs

With copies allowed up to 0.75 of an engine, engines that are filled evenly have no room for a copy anyway, so the test of that load no longer depended on the bound for all runs. Ruled out: that the bound is needless; where a few new engines have room it alone keeps copies out. Change: a test of just that load. The broken guard is noticed.

--- a/crates/forward/tests/load.rs
+++ b/crates/forward/tests/load.rs
@@ -166,6 +166,24 @@
     );
 }
 
+/// Runs need most of all KV memory, and a few engines that have just started have room. The
+/// next prompts meet there; a copy of each run in progress would leave them nowhere.
+#[test]
+fn the_room_of_new_engines_is_left_to_runs() {
+    let mut state = instance(&engines());
+    let keys = state.endpoints().map(|(key, _)| key).collect::<Vec<_>>();
+    let (new, old) = keys.split_at(3);
+    for key in old {
+        for _ in 0..9 {
+            begin(&mut state, *key, None);
+        }
+    }
+    let run = begin(&mut state, old[0], None);
+    assert_eq!(state.pick_backup(at(10), run, old[0]), None);
+    let (next, _) = sent(state.pick(at(10), "model", LONG, &[]));
+    assert!(new.contains(&next));
+}
+
 /// Three engines leave at once with two runs each, whose copies are gone. Moves to another
 /// domain take twice as long and the notice is short, so they stay in the domain of their
 /// engine, and no engine is given all of them.
