--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -249,8 +249,7 @@
 }
 
 /// Whether there are so many fellows that only those of the own failure domain are told
-/// of everything at once. Words to all cost instances times instances: at 85 instances
-/// they took 0.43 GB between domains a minute and 3 % of a core each.
+/// of everything at once. Words to all cost instances times instances.
 #[must_use]
 pub const fn is_many(fellows: usize) -> bool {
     fellows > MANY
