--- a/crates/fellow/src/datagram.rs
+++ b/crates/fellow/src/datagram.rs
@@ -16,8 +16,26 @@
 /// Code with which a connection is closed that is no longer used.
 const REPLACED: quinn::VarInt = quinn::VarInt::from_u32(0);
 
+/// A connection to a fellow.
+#[derive(Debug)]
+struct Opened {
+    address: SocketAddr,
+    connection: Connection,
+    /// Which of the two instances opened it.
+    side: Side,
+}
+
+/// Which of two instances opened their connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Side {
+    /// The fellow.
+    Other,
+    /// This instance.
+    Own,
+}
+
 /// Connections to fellows, sorted by address.
-type Open = Vec<(SocketAddr, Connection)>;
+type Open = Vec<Opened>;
 
 /// The socket; clones share it.
 #[derive(Clone, Debug)]
@@ -76,20 +94,25 @@
             .await
             .map_err(|_elapsed| Error::Silent)?
             .map_err(|error| failed(&error))?;
-        self.keep(address, connection);
+        self.keep(address, connection, Side::Own);
         Ok(())
     }
 
     /// Uses a connection to a fellow from now on, in place of one from before.
-    fn keep(&self, address: SocketAddr, connection: Connection) {
+    fn keep(&self, address: SocketAddr, connection: Connection, side: Side) {
         tokio::spawn(read(connection.clone(), self.heard.clone()));
+        let opened = Opened {
+            address,
+            connection,
+            side,
+        };
         let mut open = self.lock();
-        match open.binary_search_by_key(&address, |(other, _)| *other) {
+        match open.binary_search_by_key(&address, |other| other.address) {
             Ok(place) => {
-                let (_, before) = std::mem::replace(&mut open[place], (address, connection));
-                before.close(REPLACED, b"replaced");
+                let before = std::mem::replace(&mut open[place], opened);
+                before.connection.close(REPLACED, b"replaced");
             }
-            Err(place) => open.insert(place, (address, connection)),
+            Err(place) => open.insert(place, opened),
         }
     }
 
@@ -125,24 +148,40 @@
         Ok(())
     }
 
-    /// Closes connections to fellows that are not in `addresses`.
-    pub fn retain(&self, addresses: &[SocketAddr]) {
-        self.lock().retain(|(address, connection)| {
-            let wanted = addresses.contains(address);
-            if !wanted {
-                connection.close(REPLACED, b"not listed");
+    /// Closes connections but for those to keep, by address and side, and forgets those
+    /// that have failed.
+    pub fn retain(&self, keep: impl Fn(SocketAddr, Side) -> bool) {
+        self.lock().retain(|opened| {
+            let is_open = opened.connection.close_reason().is_none();
+            let kept = is_open && keep(opened.address, opened.side);
+            if is_open && !kept {
+                opened.connection.close(REPLACED, b"not wanted");
             }
-            wanted
+            kept
         });
     }
 
+    /// Closes the connection to a fellow, so that the next one is opened anew.
+    pub fn close(&self, address: SocketAddr) {
+        self.retain(|other, _| other != address);
+    }
+
+    /// Whether a connection to a fellow is open.
+    #[must_use]
+    pub fn is_open(&self, address: SocketAddr) -> bool {
+        self.known(address).is_some()
+    }
+
     fn known(&self, address: SocketAddr) -> Option<Connection> {
         let mut open = self.lock();
-        open.retain(|(_, connection)| connection.close_reason().is_none());
         let place = open
-            .binary_search_by_key(&address, |(other, _)| *other)
+            .binary_search_by_key(&address, |opened| opened.address)
             .ok()?;
-        Some(open[place].1.clone())
+        if open[place].connection.close_reason().is_some() {
+            open.remove(place);
+            return None;
+        }
+        Some(open[place].connection.clone())
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Open> {
@@ -158,7 +197,9 @@
         tokio::spawn(async move {
             match incoming.await {
                 // A fellow sends from the address that it listens at.
-                Ok(connection) => datagrams.keep(connection.remote_address(), connection),
+                Ok(connection) => {
+                    datagrams.keep(connection.remote_address(), connection, Side::Other);
+                }
                 Err(error) => log::debug!(error:%; "fellow instance not let in"),
             }
         });
--- /dev/null
+++ b/crates/forward/src/aggregate/domains.rs
@@ -0,0 +1,152 @@
+//! Sums of other failure domains.
+//!
+//! Two aggregators of a domain may speak at once, each for the members that report to it.
+//! Only one of them counts: the first by rank, unless it speaks for far fewer members than
+//! another does, as one that has just come back from a freeze.
+
+use {
+    super::{LIFE, add_rows, at, members::Rank},
+    crate::{endpoint::Load, load::Report, prelude::*},
+};
+
+/// A part of a domain's sum, as it comes in one message.
+#[derive(Clone, Debug, Default)]
+pub struct Part {
+    /// First and last digest that it covers; one that is not among the rows has no load.
+    pub covers: (u32, u32),
+    /// Instances that the sum is made of.
+    pub members: u32,
+    /// Orders the sender's messages within its life.
+    pub number: u64,
+    /// Life of the sender's process.
+    pub life: u64,
+    /// Load by digest of the endpoint, sorted.
+    pub rows: Report,
+}
+
+/// What one aggregator said of its domain.
+#[derive(Debug)]
+struct Sum {
+    at: Time,
+    life: u64,
+    members: u32,
+    number: u64,
+    rank: Rank,
+    rows: Report,
+    sender: String,
+}
+
+/// What the aggregators of one domain said.
+#[derive(Debug)]
+struct Domain {
+    name: String,
+    /// Sorted by rank.
+    sums: Vec<Sum>,
+}
+
+impl Domain {
+    fn chosen(&self) -> Option<&Sum> {
+        let most = self.sums.iter().map(|sum| sum.members).max()?;
+        self.sums
+            .iter()
+            .find(|sum| speaks_for_enough(sum.members, most))
+    }
+}
+
+/// Whether an aggregator speaks for nearly as many members as the one with the most.
+pub(super) const fn speaks_for_enough(members: u32, most: u32) -> bool {
+    members.saturating_mul(5) >= most.saturating_mul(4)
+}
+
+/// Sums of the other failure domains.
+#[derive(Debug, Default)]
+pub struct Domains {
+    /// Sorted by name.
+    domains: Vec<Domain>,
+}
+
+impl Domains {
+    /// Takes a part of the sum of a domain in; `rank` is the sender's. One
+    /// that was overtaken by a later one changes nothing.
+    pub fn hear(&mut self, now: Time, name: &str, sender: &str, rank: Rank, part: &Part) {
+        let domain = match self
+            .domains
+            .binary_search_by(|other| other.name.as_str().cmp(name))
+        {
+            Ok(found) => &mut self.domains[found],
+            Err(found) => {
+                let name = name.to_string();
+                let sums = Vec::new();
+                self.domains.insert(found, Domain { name, sums });
+                &mut self.domains[found]
+            }
+        };
+        let known = domain.sums.iter().position(|sum| sum.sender == sender);
+        if let Some(known) = known
+            && domain.sums[known].life != part.life
+        {
+            domain.sums.remove(known);
+        }
+        let known = domain.sums.iter().position(|sum| sum.sender == sender);
+        let known = known.unwrap_or_else(|| {
+            let found = domain.sums.partition_point(|sum| sum.rank < rank);
+            let sum = Sum {
+                at: now,
+                life: part.life,
+                members: 0,
+                number: 0,
+                rank,
+                rows: Vec::new(),
+                sender: sender.to_string(),
+            };
+            domain.sums.insert(found, sum);
+            found
+        });
+        let sum = &mut domain.sums[known];
+        if sum.number > part.number {
+            return;
+        }
+        sum.at = now;
+        sum.members = part.members;
+        sum.number = part.number;
+        let (from, to) = part.covers;
+        sum.rows
+            .retain(|(digest, _)| *digest < from || *digest > to);
+        add_rows(&mut sum.rows, &part.rows);
+    }
+
+    /// Drops sums that have outlived their time.
+    pub fn expire(&mut self, now: Time) {
+        for domain in &mut self.domains {
+            domain.sums.retain(|sum| now.since(sum.at) <= LIFE);
+        }
+    }
+
+    /// Aggregators that were heard of late.
+    #[must_use]
+    pub fn senders(&self) -> Vec<String> {
+        let sums = self.domains.iter().flat_map(|domain| &domain.sums);
+        sums.map(|sum| sum.sender.clone()).collect()
+    }
+
+    /// Load of the other domains at an endpoint.
+    #[must_use]
+    pub fn at(&self, digest: u32) -> Load {
+        let mut load = Load::default();
+        for sum in self.chosen() {
+            load.add(at(&sum.rows, digest));
+        }
+        load
+    }
+
+    /// Adds the sums of all domains to rows.
+    pub fn add_to(&self, sums: &mut Report) {
+        for sum in self.chosen() {
+            add_rows(sums, &sum.rows);
+        }
+    }
+
+    fn chosen(&self) -> impl Iterator<Item = &Sum> {
+        self.domains.iter().filter_map(Domain::chosen)
+    }
+}
--- /dev/null
+++ b/crates/forward/src/aggregate/view.rs
@@ -0,0 +1,210 @@
+//! What a member holds of its aggregators' sums.
+
+use {
+    super::{at, domains::speaks_for_enough, members::Rank, table::Changes},
+    crate::{endpoint::Load, load::Report, prelude::*},
+    std::collections::VecDeque,
+};
+
+/// Age up to which the rows of an aggregator are used, counted from the report that it
+/// answers. A message may have waited in a buffer through a freeze, so its arrival says
+/// nothing.
+pub const FRESH: Duration = Duration::from_millis(1200);
+
+/// Time without an answer after which rows are asked of the next aggregator; two answers
+/// fit into it, and what is held stays in use meanwhile.
+const SUSPECT: Duration = Duration::from_millis(600);
+
+/// Reports that are kept until they are answered.
+const REPORTS: usize = 16;
+
+/// An aggregator's answer to a report.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    /// Rows that have changed, if they were asked for.
+    pub changes: Option<Changes>,
+    /// Number of the report that is answered; the sum counts it.
+    pub echo: u64,
+    /// Life of the aggregator's process.
+    pub life: u64,
+    /// Members that report to the aggregator.
+    pub members: u32,
+}
+
+/// What one aggregator told.
+#[derive(Debug)]
+struct View {
+    aggregator: String,
+    /// When the report was sent that was answered last.
+    asked: Time,
+    life: u64,
+    members: u32,
+    /// What this instance reported itself, which the rows count.
+    own: Report,
+    rank: Rank,
+    /// Sorted by digest.
+    rows: Report,
+    /// The same as [`Self::asked`] for the last answer with rows.
+    rows_asked: Option<Time>,
+    version: u64,
+}
+
+impl View {
+    /// Takes changed rows in; those of an answer that was overtaken change nothing.
+    fn take(&mut self, changes: Changes) {
+        if changes.version < self.version {
+            return;
+        }
+        if changes.anew {
+            self.rows.clear();
+        }
+        self.version = changes.version;
+        for (digest, load) in changes.rows {
+            set(&mut self.rows, digest, load);
+        }
+    }
+
+    fn is_fresh(&self, now: Time) -> bool {
+        self.rows_asked
+            .is_some_and(|asked| now.since(asked) <= FRESH)
+    }
+}
+
+/// Answers of aggregators to the reports of this instance.
+#[derive(Debug, Default)]
+pub struct Views {
+    /// Reports that may still be answered, the oldest first.
+    reports: VecDeque<(u64, Report)>,
+    /// Sorted by rank.
+    views: Vec<View>,
+}
+
+impl Views {
+    /// A report is sent; its number is the time of the sending in microseconds.
+    pub fn reported(&mut self, number: u64, mut rows: Report) {
+        rows.sort_unstable_by_key(|(digest, _)| *digest);
+        if self.reports.len() >= REPORTS {
+            self.reports.pop_front();
+        }
+        self.reports.push_back((number, rows));
+    }
+
+    /// Takes the answer of an aggregator in; `rank` is its rank. Returns
+    /// whether it was of use.
+    pub fn hear(&mut self, aggregator: &str, rank: Rank, answer: Answer) -> bool {
+        let Some((number, own)) = self
+            .reports
+            .iter()
+            .find(|(number, _)| *number == answer.echo)
+        else {
+            return false;
+        };
+        let (asked, own) = (Time::from_micros(*number), own.clone());
+        let found = self
+            .views
+            .iter()
+            .position(|view| view.aggregator == aggregator);
+        let found = found.unwrap_or_else(|| {
+            let found = self.views.partition_point(|view| view.rank < rank);
+            let view = View {
+                aggregator: aggregator.to_string(),
+                asked,
+                life: answer.life,
+                members: 0,
+                own: Vec::new(),
+                rank,
+                rows: Vec::new(),
+                rows_asked: None,
+                version: 0,
+            };
+            self.views.insert(found, view);
+            found
+        });
+        let view = &mut self.views[found];
+        if view.life != answer.life {
+            view.life = answer.life;
+            view.rows.clear();
+            view.rows_asked = None;
+            view.version = 0;
+        } else if view.asked > asked {
+            return false;
+        }
+        view.asked = asked;
+        view.members = answer.members;
+        if let Some(changes) = answer.changes {
+            view.own = own;
+            view.rows_asked = Some(asked);
+            view.take(changes);
+        }
+        true
+    }
+
+    /// Life and version of what is held of an aggregator.
+    #[must_use]
+    pub fn version(&self, aggregator: &str) -> (u64, u64) {
+        let mut views = self.views.iter();
+        let view = views.find(|view| view.aggregator == aggregator);
+        view.map_or((0, 0), |view| (view.life, view.version))
+    }
+
+    /// The aggregator to ask for rows: the first by rank among those that answer, unless it
+    /// speaks for far fewer members than another.
+    #[must_use]
+    pub fn preferred(&self, now: Time) -> Option<&str> {
+        first(
+            self.views
+                .iter()
+                .filter(|view| now.since(view.asked) <= SUSPECT),
+        )
+    }
+
+    /// The aggregator whose rows are used.
+    #[must_use]
+    pub fn best(&self, now: Time) -> Option<&str> {
+        first(self.views.iter().filter(|view| view.is_fresh(now)))
+    }
+
+    /// Whether rows of at most an age are held, or nobody answers who could send newer ones.
+    #[must_use]
+    pub fn is_recent(&self, now: Time, age: Duration) -> bool {
+        let preferred = self.preferred(now);
+        let mut views = self.views.iter();
+        let view = views.find(|view| Some(view.aggregator.as_str()) == preferred);
+        view.is_none_or(|view| view.rows_asked.is_some_and(|asked| now.since(asked) <= age))
+    }
+
+    /// Load of all other instances at an endpoint by the word of an aggregator.
+    #[must_use]
+    pub fn at(&self, aggregator: &str, digest: u32) -> Load {
+        let mut views = self.views.iter();
+        let Some(view) = views.find(|view| view.aggregator == aggregator) else {
+            return Load::default();
+        };
+        let mut load = at(&view.rows, digest);
+        load.subtract(at(&view.own, digest));
+        load
+    }
+
+    /// Forgets an aggregator whose entry is gone.
+    pub fn forget(&mut self, aggregator: &str) {
+        self.views.retain(|view| view.aggregator != aggregator);
+    }
+}
+
+fn first<'a>(views: impl Iterator<Item = &'a View> + Clone) -> Option<&'a str> {
+    let most = views.clone().map(|view| view.members).max()?;
+    let mut views = views;
+    let first = views.find(|view| speaks_for_enough(view.members, most));
+    first.map(|view| view.aggregator.as_str())
+}
+
+fn set(rows: &mut Report, digest: u32, load: Load) {
+    match rows.binary_search_by_key(&digest, |(other, _)| *other) {
+        Ok(place) if load == Load::default() => {
+            rows.remove(place);
+        }
+        Ok(place) => rows[place].1 = load,
+        Err(_) if load == Load::default() => {}
+        Err(place) => rows.insert(place, (digest, load)),
+    }
+}
--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -3,7 +3,7 @@
 //! Costs are in milliseconds of waiting, so that they can be added up.
 
 use {
-    crate::{endpoint::Load, prelude::*, reader::is_many, run::memory, state::State},
+    crate::{endpoint::Load, prelude::*, run::memory, state::State},
     rand::{RngExt as _, SeedableRng as _, rngs::SmallRng},
     slotmap::{Key as _, SecondaryMap},
 };
@@ -120,7 +120,7 @@
     /// Chooses an endpoint for a request, and an engine for its copy.
     #[must_use]
     pub fn pick(&mut self, now: Time, service: &str, need: Need, tried: &[EndpointKey]) -> Pick {
-        let draw = self.draw(now);
+        let draw = self.draw();
         let Some(service) = self.service(service) else {
             return Pick::Wait;
         };
@@ -143,7 +143,7 @@
         run: RunKey,
         tried: &[EndpointKey],
     ) -> Option<EndpointKey> {
-        let draw = self.draw(now);
+        let draw = self.draw();
         let run = self.runs.get(run)?;
         let service = self.service(&run.service)?;
         let mut skip = tried.to_vec();
@@ -203,8 +203,8 @@
     }
 
     /// What is added to each endpoint's cost in one choice; nothing among few instances.
-    fn draw(&mut self, now: Time) -> Draw {
-        let spread = if is_many(self.fellows.count(now)) {
+    fn draw(&mut self) -> Draw {
+        let spread = if self.members.are_many() {
             SPREAD_COST
         } else {
             0.0
@@ -357,7 +357,7 @@
     ) -> Load {
         let mut load = loads.get(key).copied().unwrap_or_default();
         load.requests += endpoint.in_flight;
-        load.add(self.fellows.at(endpoint.digest));
+        load.add(self.sums.others(&self.fellows, endpoint.digest));
         load
     }
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -6,6 +6,7 @@
 //! drive without a network.
 
 pub mod admission;
+pub mod aggregate;
 pub mod budget;
 pub mod choice;
 pub mod config;
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -84,6 +84,21 @@
         }
     }
 
+    /// What a fellow reported last.
+    #[must_use]
+    pub fn report(&self, name: &str) -> &[(u32, Load)] {
+        let place = self
+            .heard
+            .binary_search_by(|other| other.name.as_str().cmp(name));
+        place.map_or(&[], |place| self.heard[place].report.as_slice())
+    }
+
+    /// Sum of all reports, sorted by digest.
+    #[must_use]
+    pub const fn sums(&self) -> &Report {
+        &self.sums
+    }
+
     /// Load of all fellows at an endpoint.
     #[must_use]
     pub fn at(&self, digest: u32) -> Load {
--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -1,5 +1,8 @@
 //! Which instance reads the store, and what the others take from it.
 //!
+//! Where instances are few the reader tells all others. Where they are many it is one of
+//! the aggregators, which tell each other, and each its members.
+//!
 //! Each read of the store is a call that all instances together have few of, and most of
 //! them bring every instance the same records. So one instance reads each topic and
 //! passes records on; the others read for themselves only when its word is too old, or
@@ -7,7 +10,7 @@
 //! among the fellows it hears, so that two views that differ cost a few calls too many
 //! and nothing else.
 
-use crate::{freshness::Freshness, prelude::*};
+use crate::{aggregate::members::Role, freshness::Freshness, prelude::*};
 
 /// Topics that are followed.
 pub const TOPICS: usize = 3;
@@ -18,6 +21,10 @@
 /// Time that records may be on their way before they count as missed.
 const ON_THE_WAY: Duration = Duration::from_millis(120);
 
+/// The same where they come by way of aggregators, which send them again to a member that
+/// reports that it lacks them.
+const ON_THE_LONG_WAY: Duration = Duration::from_millis(500);
+
 /// What an instance says of its knowledge of one topic.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Word {
@@ -108,6 +115,8 @@
     pub name: &'a str,
     /// Offset after the last record that it has.
     pub position: u64,
+    /// Its part in what instances tell each other.
+    pub role: Role,
     /// Number of the topic, below [`TOPICS`].
     pub topic: usize,
 }
@@ -115,10 +124,10 @@
 /// What one fellow said last.
 #[derive(Clone, Debug)]
 struct Heard {
+    /// Whether it spoke as an aggregator.
+    aggregates: bool,
     at: Time,
     name: String,
-    /// Whether it stands in this instance's failure domain.
-    near: bool,
     words: [Word; TOPICS],
 }
 
@@ -132,11 +141,11 @@
 
 impl Readers {
     /// Takes a fellow's words in.
-    pub fn hear(&mut self, name: &str, at: Time, near: bool, words: [Word; TOPICS]) {
+    pub fn hear(&mut self, name: &str, at: Time, aggregates: bool, words: [Word; TOPICS]) {
         let heard = Heard {
+            aggregates,
             at,
             name: name.to_string(),
-            near,
             words,
         };
         match self
@@ -161,24 +170,29 @@
         if !own.freshness.within(now, own.enough) {
             return Some(Cause::Old);
         }
-        self.misses(own.topic, own.position, now)
+        let on_the_way = match own.role {
+            Role::Equal => ON_THE_WAY,
+            Role::Aggregator | Role::Member => ON_THE_LONG_WAY,
+        };
+        self.misses(own.topic, own.position, now, on_the_way)
             .then_some(Cause::Missing)
     }
 
     /// Whether the instance is the one to read a topic: the first by rank among those who
-    /// were heard of late and follow the store; where there are many, among those of its
-    /// failure domain.
+    /// were heard of late and follow the store; where there are many, among the aggregators
+    /// of all failure domains.
     ///
     /// While nobody follows the store, the first of all reads, and the others ask rarely:
     /// 85 instances that all asked an absent store as often as its reader made 3,000 calls
     /// in nine seconds, and none of them brought anything.
     #[must_use]
     pub fn reads(&self, own: Own<'_>, now: Time) -> bool {
-        let many = is_many(self.heard.len());
-        let rivals = self
-            .heard
-            .iter()
-            .filter(|heard| now.since(heard.at) <= ALIVE && (heard.near || !many));
+        if own.role == Role::Member {
+            return false;
+        }
+        let rivals = self.heard.iter().filter(|heard| {
+            now.since(heard.at) <= ALIVE && (own.role == Role::Equal || heard.aggregates)
+        });
         let follows = |heard: &&Heard| {
             heard.words[own.topic]
                 .age
@@ -232,9 +246,16 @@
         !self.heard.iter().any(|heard| now.since(heard.at) <= ALIVE)
     }
 
-    /// Whether records at `position` and beyond were passed on by a fellow and have not
-    /// arrived here.
-    pub fn misses(&mut self, topic: usize, position: u64, now: Time) -> bool {
+    /// Whether an aggregator was heard of late.
+    #[must_use]
+    pub fn has_aggregator(&self, now: Time) -> bool {
+        let mut heard = self.heard.iter();
+        heard.any(|heard| heard.aggregates && now.since(heard.at) <= ALIVE)
+    }
+
+    /// Whether records at `position` and beyond are known to a fellow and have not arrived
+    /// here within the time that they may be on their way.
+    fn misses(&mut self, topic: usize, position: u64, now: Time, on_the_way: Duration) -> bool {
         let further = self
             .heard
             .iter()
@@ -244,20 +265,10 @@
             return false;
         }
         let since = *self.behind_since[topic].get_or_insert(now);
-        now.since(since) >= ON_THE_WAY
+        now.since(since) >= on_the_way
     }
 }
 
-/// Whether there are so many fellows that only those of the own failure domain are told
-/// of everything at once. Words to all cost instances times instances.
-#[must_use]
-pub const fn is_many(fellows: usize) -> bool {
-    fellows > MANY
-}
-
-/// Fellows up to which words to all cost less than a reader in each failure domain.
-const MANY: usize = 16;
-
 /// Place of an instance in the order of readers; each topic has an order of its own, so
 /// that the work is spread.
 fn rank(name: &str, topic: usize) -> u64 {
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -3,7 +3,14 @@
 //! What is decided on it stands in [`crate::admission`] and [`crate::choice`].
 
 use {
-    crate::{budget::Budget, freshness::Freshness, load::Fellows, prelude::*, request::Ticket},
+    crate::{
+        aggregate::{Sums, members::Members},
+        budget::Budget,
+        freshness::Freshness,
+        load::Fellows,
+        prelude::*,
+        request::Ticket,
+    },
     rand::rngs::SmallRng,
     slotmap::SlotMap,
 };
@@ -33,17 +40,21 @@
     pub config_freshness: Freshness,
     domains_out: Vec<String>,
     pub(crate) endpoints: SlotMap<EndpointKey, Endpoint>,
-    /// Load of other instances.
+    /// Load of other instances, by their own reports.
     pub fellows: Fellows,
     /// Instances that joint limits are divided by.
     pub(crate) instances: u32,
     /// Age of the endpoint list.
     pub list_freshness: Freshness,
+    /// All instances.
+    pub members: Members,
     pub(crate) random: SmallRng,
     pub(crate) runs: SlotMap<RunKey, Run>,
     pub(crate) settings: Settings,
     pub(crate) stops: Option<Time>,
     store_back: Option<Time>,
+    /// Load of other instances, by sums.
+    pub sums: Sums,
     waiting: Vec<Place>,
     next_waiter: u64,
 }
@@ -69,12 +80,14 @@
             fellows: Fellows::default(),
             instances: settings.most_instances.max(1),
             list_freshness: Freshness::default(),
+            members: Members::default(),
             next_waiter: 0,
             random,
             runs: SlotMap::with_key(),
             settings,
             stops: None,
             store_back: None,
+            sums: Sums::default(),
             waiting: Vec::new(),
         }
     }
--- /dev/null
+++ b/crates/forward/tests/aggregates.rs
@@ -0,0 +1,464 @@
+//! Load told by sums: five failure domains of sixty instances in simulated time.
+
+mod common;
+
+use {
+    common::*,
+    forward::{
+        aggregate::{
+            Sums, add_rows,
+            domains::Part,
+            members::{Members, Rank, Role},
+            table::Changes,
+            view::Answer,
+        },
+        load::{Fellows, Report},
+    },
+    rand::{RngExt as _, SeedableRng as _, rngs::SmallRng},
+};
+
+/// Milliseconds of a step; every message takes one.
+const STEP: u64 = 20;
+
+/// Steps between two reports of a member.
+const REPORT_STEPS: u64 = 10;
+
+/// Steps between two sums of an aggregator.
+const SUM_STEPS: u64 = 3;
+
+/// Rank of an instance of whom only the order matters.
+const FIRST: Rank = (std::cmp::Reverse(500), 0);
+
+/// Steps between two checks of all sums.
+const CHECK_STEPS: u64 = 10;
+
+const DOMAINS: [&str; 5] = ["a", "b", "c", "d", "e"];
+const ENDPOINTS: u32 = 128;
+
+/// Bound on the time for which a sum may lack or keep what is no longer so.
+const STALE_MS: u64 = 4000;
+
+/// What one instance knows and does.
+struct Node {
+    domain: usize,
+    fellows: Fellows,
+    /// Neither hears nor says anything.
+    frozen: bool,
+    heard: u64,
+    life: u64,
+    members: Members,
+    name: String,
+    own: Report,
+    said: u64,
+    sums: Sums,
+}
+
+#[derive(Clone)]
+enum Message {
+    Answer(Answer),
+    Report(u64, Report, Option<(u64, u64)>),
+    Sum(Part),
+}
+
+/// Three hundred instances, and what is on its way between them.
+struct Fleet {
+    /// From one domain to another nothing passes.
+    cut: Vec<(usize, usize)>,
+    nodes: Vec<Node>,
+    now: u64,
+    on_the_way: Vec<(usize, usize, Message)>,
+    random: SmallRng,
+}
+
+impl Fleet {
+    fn new(per_domain: usize, seed: u64) -> Self {
+        let count = DOMAINS.len() * per_domain;
+        let name = |place: usize| format!("e{place:03}");
+        let nodes = (0..count).map(|place| {
+            let mut members = Members::default();
+            for other in 0..count {
+                // Three of each domain are stronger than the others.
+                let processor = if other < 3 * DOMAINS.len() { 500 } else { 120 };
+                members.set(&name(other), DOMAINS[other % DOMAINS.len()], processor);
+            }
+            Node {
+                domain: place % DOMAINS.len(),
+                fellows: Fellows::default(),
+                frozen: false,
+                heard: 0,
+                life: 1,
+                members,
+                name: name(place),
+                own: Vec::new(),
+                said: 0,
+                sums: Sums::default(),
+            }
+        });
+        let mut fleet = Self {
+            cut: Vec::new(),
+            nodes: nodes.collect(),
+            now: 1000,
+            on_the_way: Vec::new(),
+            random: SmallRng::seed_from_u64(seed),
+        };
+        for place in 0..count {
+            fleet.load(place);
+        }
+        fleet
+    }
+
+    /// Gives an instance another load of its own.
+    fn load(&mut self, place: usize) {
+        let mut own = Vec::new();
+        for _ in 0..3 {
+            let digest = self.random.random_range(0..ENDPOINTS) * 1000;
+            let load = Load {
+                copies: 0,
+                reading: 0,
+                requests: 1,
+                tokens: 3000,
+            };
+            add_rows(&mut own, &vec![(digest, load)]);
+        }
+        self.nodes[place].own = own;
+    }
+
+    fn run(&mut self, millis: u64, mut check: impl FnMut(&Self)) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.step();
+            check(self);
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        for (from, to, message) in std::mem::take(&mut self.on_the_way) {
+            let (from_domain, to_domain) = (self.nodes[from].domain, self.nodes[to].domain);
+            if !self.cut.contains(&(from_domain, to_domain)) && !self.nodes[to].frozen {
+                self.nodes[to].heard += 1;
+                self.hear(from, to, message);
+            }
+        }
+        for place in 0..self.nodes.len() {
+            let turn = self.now / STEP + place as u64;
+            if self.nodes[place].frozen {
+                continue;
+            }
+            let role = self.settle(place);
+            match role {
+                Role::Aggregator if turn.is_multiple_of(SUM_STEPS) => self.sum(place),
+                Role::Member if turn.is_multiple_of(REPORT_STEPS) => self.report(place),
+                Role::Aggregator | Role::Equal | Role::Member => {}
+            }
+        }
+    }
+
+    fn settle(&mut self, place: usize) -> Role {
+        let now = at(self.now);
+        let node = &mut self.nodes[place];
+        let _silent = node.members.settle(now);
+        let role = node.members.role(&node.name);
+        node.sums.settle(now, role != Role::Member);
+        role
+    }
+
+    fn report(&mut self, place: usize) {
+        let (now, micros) = (at(self.now), self.now * 1000);
+        let node = &mut self.nodes[place];
+        node.sums.views.reported(micros, node.own.clone());
+        let links = node.members.links(&node.name, now);
+        for link in links.into_iter().filter(|link| link.near) {
+            let name = node.members.name(link.key).to_string();
+            node.members.asked(link.key, now, true);
+            let preferred = node.sums.views.preferred(now);
+            let wanted = preferred.is_none_or(|preferred| preferred == name);
+            let holds = wanted.then(|| node.sums.views.version(&name));
+            let message = Message::Report(micros, node.own.clone(), holds);
+            node.said += 1;
+            self.on_the_way.push((place, number(&name), message));
+        }
+    }
+
+    fn sum(&mut self, place: usize) {
+        self.report(place);
+        let now = at(self.now);
+        let node = &mut self.nodes[place];
+        node.fellows.expire(now);
+        node.sums.publish(now, &node.fellows, node.own.clone());
+        let mut rows = node.fellows.sums().clone();
+        add_rows(&mut rows, &node.own);
+        let part = Part {
+            covers: (0, u32::MAX),
+            life: node.life,
+            members: u32::try_from(node.fellows.count(now) + 1).expect("few"),
+            number: self.now * 1000,
+            rows,
+        };
+        let mut names = node.sums.domains.senders();
+        let links = node.members.links(&node.name, now);
+        for link in links.into_iter().filter(|link| !link.near) {
+            node.members.asked(link.key, now, true);
+            names.push(node.members.name(link.key).to_string());
+        }
+        names.sort();
+        names.dedup();
+        for name in names {
+            node.said += 1;
+            let message = Message::Sum(part.clone());
+            self.on_the_way.push((place, number(&name), message));
+        }
+    }
+
+    fn hear(&mut self, from: usize, to: usize, message: Message) {
+        let now = at(self.now);
+        let (sender, domain) = (self.nodes[from].name.clone(), self.nodes[from].domain);
+        let node = &mut self.nodes[to];
+        match message {
+            Message::Report(micros, rows, holds) => {
+                node.sums
+                    .report(now, &mut node.fellows, &sender, micros, rows);
+                let changes = holds.map(|(life, version)| {
+                    let since = if life == node.life { version } else { 0 };
+                    node.sums.table.changes(since, 200)
+                });
+                let answer = Answer {
+                    changes,
+                    echo: micros,
+                    life: node.life,
+                    members: u32::try_from(node.fellows.count(now) + 1).expect("few"),
+                };
+                node.said += 1;
+                self.on_the_way.push((to, from, Message::Answer(answer)));
+            }
+            Message::Answer(answer) => {
+                node.members.heard(&sender);
+                let rank = node.members.rank(&sender).expect("a member");
+                node.sums.views.hear(&sender, rank, answer);
+            }
+            Message::Sum(part) => {
+                node.members.heard(&sender);
+                let rank = node.members.rank(&sender).expect("a member");
+                let domain = DOMAINS[domain];
+                node.sums.domains.hear(now, domain, &sender, rank, &part);
+            }
+        }
+    }
+
+    /// Requests at all endpoints together, of all instances but one.
+    fn truth(&self, but: usize) -> u32 {
+        let others = self.nodes.iter().enumerate();
+        let others = others.filter(|(place, _)| *place != but);
+        others.map(|(_, node)| requests(&node.own)).sum()
+    }
+
+    /// The same as an instance knows it.
+    fn known(&self, place: usize) -> u32 {
+        let node = &self.nodes[place];
+        let endpoints = (0..ENDPOINTS).map(|endpoint| endpoint * 1000);
+        let loads = endpoints.map(|digest| node.sums.others(&node.fellows, digest));
+        loads.map(|load| load.requests).sum()
+    }
+
+    /// That no instance counts the load of any other twice.
+    fn nothing_counts_twice(&self) {
+        if !(self.now / STEP).is_multiple_of(CHECK_STEPS) {
+            return;
+        }
+        let places = (0..self.nodes.len()).filter(|place| !self.nodes[*place].frozen);
+        for place in places {
+            let (known, truth) = (self.known(place), self.truth(place));
+            assert!(
+                known <= truth,
+                "{place} at {}: {known} of {truth}",
+                self.now
+            );
+        }
+    }
+
+    /// Instances that do not know the load of all others.
+    fn unsure(&self) -> Vec<usize> {
+        let places = (0..self.nodes.len()).filter(|place| !self.nodes[*place].frozen);
+        let unsure = places.filter(|place| self.known(*place) != self.truth(*place));
+        unsure.collect()
+    }
+
+    fn aggregators(&self, domain: usize) -> Vec<usize> {
+        let places = (0..self.nodes.len()).filter(|place| self.nodes[*place].domain == domain);
+        let role = |place: &usize| {
+            let node = &self.nodes[*place];
+            node.members.role(&node.name)
+        };
+        places
+            .filter(|place| role(place) == Role::Aggregator)
+            .collect()
+    }
+}
+
+fn requests(rows: &Report) -> u32 {
+    rows.iter().map(|(_, load)| load.requests).sum()
+}
+
+fn number(name: &str) -> usize {
+    name[1..].parse().expect("a number")
+}
+
+/// Where work goes in a crowded fleet depends on the work of all others. With a part of it
+/// missing, prompts meet at engines that are full; with a part counted twice, engines that
+/// have room are left idle.
+#[test]
+fn every_instance_knows_the_load_of_all_others() {
+    let mut fleet = Fleet::new(60, 1);
+    fleet.run(2000, Fleet::nothing_counts_twice);
+    assert_eq!(fleet.unsure(), Vec::<usize>::new());
+    for place in 0..40 {
+        fleet.load(place * 7);
+    }
+    fleet.run(1000, |_| {});
+    assert_eq!(fleet.unsure(), Vec::<usize>::new());
+}
+
+/// What an instance says and hears must not grow with the fleet: at three hundred instances
+/// that told all others, words alone took more of the machines than the requests did.
+#[test]
+fn words_of_a_member_do_not_grow_with_the_fleet() {
+    let words = [10, 60].map(|per_domain| {
+        let mut fleet = Fleet::new(per_domain, 2);
+        fleet.run(2000, |_| {});
+        let member = fleet.nodes.last().expect("a member");
+        assert_eq!(member.members.role(&member.name), Role::Member);
+        member.said + member.heard
+    });
+    assert!(words[1] <= words[0] + 4, "{words:?}");
+}
+
+/// Both aggregators of a failure domain lose their power. Their members turn to the next
+/// ones by rank, and the sums of the domain are whole again before what they spoke of ends.
+#[test]
+fn lost_aggregators_are_replaced() {
+    let mut fleet = Fleet::new(60, 3);
+    fleet.run(2000, |_| {});
+    let lost = fleet.aggregators(2);
+    assert_eq!(lost.len(), 2);
+    for place in lost {
+        fleet.nodes[place].frozen = true;
+        fleet.nodes[place].own = Vec::new();
+    }
+    // What the two had themselves is counted until it outlives its time.
+    fleet.run(STALE_MS, |_| {});
+    fleet.run(1000, Fleet::nothing_counts_twice);
+    assert_eq!(fleet.unsure(), Vec::<usize>::new());
+}
+
+/// An aggregator wakes from a freeze and takes up where it stopped, beside the one that has
+/// taken over. Two sums of one domain must not be added, nor the old one taken for the new.
+#[test]
+fn a_frozen_aggregator_that_comes_back_doubles_nothing() {
+    let mut fleet = Fleet::new(60, 4);
+    fleet.run(2000, |_| {});
+    let frozen = fleet.aggregators(1)[0];
+    fleet.nodes[frozen].frozen = true;
+    fleet.run(5000, Fleet::nothing_counts_twice);
+    fleet.nodes[frozen].frozen = false;
+    fleet.run(8000, Fleet::nothing_counts_twice);
+    assert_eq!(fleet.unsure(), Vec::<usize>::new());
+}
+
+/// Words pass from one failure domain to another in one direction only. The domain that is
+/// not heard counts for nothing after a while; nothing counts twice, and all is known again
+/// after the cut.
+#[test]
+fn a_domain_cut_one_way_is_left_out_and_comes_back() {
+    let mut fleet = Fleet::new(60, 5);
+    fleet.run(2000, |_| {});
+    fleet.cut.push((0, 3));
+    fleet.run(6000, Fleet::nothing_counts_twice);
+    let from: u32 = (0..fleet.nodes.len())
+        .filter(|place| fleet.nodes[*place].domain == 0)
+        .map(|place| requests(&fleet.nodes[place].own))
+        .sum();
+    let member = fleet.nodes.len() - 2;
+    assert_eq!(fleet.nodes[member].domain, 3);
+    assert_eq!(fleet.known(member), fleet.truth(member) - from);
+    fleet.cut.clear();
+    fleet.run(8000, Fleet::nothing_counts_twice);
+    assert_eq!(fleet.unsure(), Vec::<usize>::new());
+}
+
+/// An aggregator starts anew with an empty table. Members that held rows of its former life
+/// must forget them, or endpoints that were full then look full for ever.
+#[test]
+fn rows_of_a_former_life_are_forgotten() {
+    let mut views = Sums::default().views;
+    let row = |tokens| {
+        let load = Load {
+            tokens,
+            ..Load::default()
+        };
+        (5, load)
+    };
+    let answer = |echo, life, changes| Answer {
+        changes: Some(changes),
+        echo,
+        life,
+        members: 60,
+    };
+    views.reported(1_000_000, Vec::new());
+    let changes = Changes {
+        anew: true,
+        rows: vec![row(900)],
+        version: 40,
+    };
+    assert!(views.hear("e1", FIRST, answer(1_000_000, 1, changes)));
+    assert_eq!(views.at("e1", 5).tokens, 900);
+    views.reported(1_200_000, Vec::new());
+    let changes = Changes {
+        anew: true,
+        rows: Vec::new(),
+        version: 2,
+    };
+    assert!(views.hear("e1", FIRST, answer(1_200_000, 2, changes)));
+    assert_eq!(views.at("e1", 5).tokens, 0);
+}
+
+/// An answer lies in a buffer through a freeze. Taken for new when it arrives, its rows
+/// would send prompts to engines that have filled up since.
+#[test]
+fn an_answer_is_as_old_as_the_report_that_it_answers() {
+    let mut sums = Sums::default();
+    sums.views.reported(1_000_000, Vec::new());
+    let answer = Answer {
+        changes: Some(Changes::default()),
+        echo: 1_000_000,
+        life: 1,
+        members: 60,
+    };
+    assert!(sums.views.hear("e1", FIRST, answer));
+    assert_eq!(sums.views.best(at(2000)), Some("e1"));
+    assert_eq!(sums.views.best(at(9000)), None);
+}
+
+/// A member counts its own work itself. If the sum that it hears counted that work again,
+/// it would keep away from the engines that it uses.
+#[test]
+fn a_member_takes_its_own_report_off_the_sum() {
+    let load = |tokens| Load {
+        tokens,
+        ..Load::default()
+    };
+    let mut views = Sums::default().views;
+    views.reported(1_000_000, vec![(5, load(3000))]);
+    let changes = Changes {
+        anew: true,
+        rows: vec![(5, load(7000))],
+        version: 1,
+    };
+    let answer = Answer {
+        changes: Some(changes),
+        echo: 1_000_000,
+        life: 1,
+        members: 60,
+    };
+    assert!(views.hear("e1", FIRST, answer));
+    assert_eq!(views.at("e1", 5).tokens, 4000);
+}
--- a/crates/proxy/src/apply.rs
+++ b/crates/proxy/src/apply.rs
@@ -4,7 +4,8 @@
     crate::{clock, prelude::*},
     forward::state::Change,
     platform::{
-        instance, list, records,
+        instance::{self, Entry},
+        list, records,
         records::Order,
         store::{Keyed, Topic},
     },
@@ -15,7 +16,7 @@
     match topic {
         Topic::Endpoints => drop_unlisted(shared, records),
         Topic::Operators => take_back(shared, records),
-        Topic::Instances => {}
+        Topic::Instances => forget_unlisted(shared, records),
     }
     for record in records {
         one(shared, topic, record);
@@ -42,6 +43,22 @@
     }
 }
 
+/// Instances whose entry is gone are forgotten. If it is the own one, it is written again:
+/// fellows that have not heard of an instance do not let it in.
+fn forget_unlisted(shared: &Shared, records: &[Keyed]) {
+    let listed = |name: &str| records.iter().any(|record| record.key == name);
+    let own = &shared.settings.instance.name;
+    if !listed(own) {
+        shared.republish.notify_one();
+    }
+    for name in shared.fellows.names() {
+        if name != *own && !listed(&name) {
+            log::info!(fellow = name; "instance not among the newest records");
+            list(shared, &name, None);
+        }
+    }
+}
+
 /// Failure domains whose record is gone are in again.
 fn take_back(shared: &Shared, records: &[Keyed]) {
     let out = records
@@ -87,12 +104,7 @@
             if own && entry.is_none() {
                 shared.republish.notify_one();
             }
-            if entry.is_none() {
-                shared.readers.borrow_mut().forget(&record.key);
-            }
-            shared.fellows.hear(&record.key, entry);
-            let published = shared.fellows.published();
-            shared.state.borrow_mut().count_instances(published);
+            list(shared, &record.key, entry);
         }
         Err(error) => {
             log::warn!(fellow = record.key, offset = record.offset, error:%; "record of no use");
@@ -100,6 +112,27 @@
     }
 }
 
+/// Takes the entry of an instance in, or forgets the instance.
+fn list(shared: &Shared, name: &str, entry: Option<Entry>) {
+    {
+        let mut state = shared.state.borrow_mut();
+        if let Some(entry) = &entry {
+            state.members.set(name, &entry.domain, entry.processor);
+        } else {
+            state.members.remove(name);
+            state.sums.views.forget(name);
+            shared.readers.borrow_mut().forget(name);
+        }
+        let published = state.members.count();
+        state.count_instances(published);
+    };
+    if let Some(address) = shared.fellows.hear(name, entry)
+        && let Some(datagrams) = &*shared.fellows.datagrams.borrow()
+    {
+        datagrams.close(address);
+    }
+}
+
 fn order(shared: &Shared, record: &Keyed) {
     match records::order(record) {
         Err(error) => {
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -1,8 +1,16 @@
 //! Tasks that follow the store's topics, by reading it or by what a fellow reads.
 
 use {
-    crate::{apply, clock, gossip, prelude::*, topic},
-    forward::reader::{Cause, ENOUGH, ENOUGH_INSTANCES, Own, is_many},
+    crate::{
+        apply, clock,
+        gossip::{self, records},
+        prelude::*,
+        topic,
+    },
+    forward::{
+        aggregate::members::Role,
+        reader::{Cause, ENOUGH, ENOUGH_INSTANCES, Own},
+    },
     platform::store::{Keyed, Topic},
     rand::RngExt as _,
 };
@@ -34,6 +42,21 @@
 /// tells the others as soon as the store is back, so that they need not ask as often.
 const DOUBLINGS: u32 = 2;
 
+/// The same for a member that hears an aggregator.
+const DOUBLINGS_OF_MEMBER: u32 = 4;
+
+/// Age of the list of instances up to which a member that hears no aggregator is content; the
+/// entries that it knows may be those of processes that are gone.
+const ENOUGH_UNLINKED: Duration = Duration::from_secs(2);
+
+/// Time that the first read of the list of instances waits, so that instances which start
+/// together find each other by one read.
+const PUBLISHING: (u64, u64) = (400, 600);
+
+/// Most that members wait longer than others before they read for themselves, each another
+/// time: where the store turns everybody away hundreds of them would ask it at once.
+const PATIENCE_MS: u64 = 1000;
+
 /// How often an instance that does not read looks whether it has to.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -51,6 +74,10 @@
 pub async fn follow(shared: Rc<Shared>, topic: Topic) {
     let progress = shared.topic(topic);
     progress.reached.set(true);
+    if topic == Topic::Instances {
+        let pause = rand::rng().random_range(PUBLISHING.0..PUBLISHING.1);
+        sleep(Duration::from_millis(pause)).await;
+    }
     let mut proof_wanted = true;
     let mut failures = 0;
     loop {
@@ -74,7 +101,8 @@
             None => start(&shared, topic, None).await,
             Some(from) => {
                 // The store answers at once where the answer is waited for.
-                let hold = if proof_wanted {
+                let member = gossip::role(&shared) == Role::Member;
+                let hold = if proof_wanted || (member && topic != Topic::Instances) {
                     Duration::ZERO
                 } else {
                     hold(topic)
@@ -105,13 +133,21 @@
                 progress.read.notify_waiters();
                 let pause = rand::rng().random_range(RETRY.0..RETRY.1);
                 let doublings = if cause == Cause::Reader { 0 } else { failures };
-                failures = (failures + 1).min(DOUBLINGS);
+                failures = (failures + 1).min(doublings_most(&shared));
                 sleep(Duration::from_millis(pause << doublings)).await;
             }
         }
     }
 }
 
+fn doublings_most(shared: &Shared) -> u32 {
+    let linked = shared.readers.borrow().has_aggregator(clock::now());
+    if linked && gossip::role(shared) == Role::Member {
+        return DOUBLINGS_OF_MEMBER;
+    }
+    DOUBLINGS
+}
+
 /// Why this instance has to read a topic itself, if it has to.
 fn cause(shared: &Shared, topic: Topic) -> Option<Cause> {
     if shared.topic(topic).position.get().is_none() {
@@ -124,14 +160,22 @@
 /// What this instance knows of a topic itself.
 pub fn own(shared: &Shared, topic: Topic) -> Own<'_> {
     let progress = shared.topic(topic);
+    let role = gossip::role(shared);
+    let linked = shared.readers.borrow().has_aggregator(clock::now());
+    let enough = match topic {
+        Topic::Instances if role == Role::Member && !linked => ENOUGH_UNLINKED,
+        Topic::Instances => ENOUGH_INSTANCES,
+        Topic::Endpoints | Topic::Operators if role == Role::Member && linked => {
+            ENOUGH + Duration::from_millis(shared.life % PATIENCE_MS)
+        }
+        Topic::Endpoints | Topic::Operators => ENOUGH,
+    };
     Own {
-        enough: match topic {
-            Topic::Instances => ENOUGH_INSTANCES,
-            Topic::Endpoints | Topic::Operators => ENOUGH,
-        },
+        enough,
         freshness: progress.freshness.get(),
         name: &shared.settings.instance.name,
         position: progress.position.get().unwrap_or_default(),
+        role,
         topic: topic::index(topic),
     }
 }
@@ -147,7 +191,7 @@
 /// read for each of them by each of them would be thousands of calls.
 /// Among few, a new instance is to be heard at once.
 fn pause(shared: &Shared, topic: Topic) -> Duration {
-    let many = is_many(shared.fellows.published());
+    let many = gossip::role(shared) != Role::Equal;
     match topic {
         Topic::Instances if many => PAUSE_INSTANCES,
         _ if many && shared.readers.borrow().alone(clock::now()) => PAUSE_ALONE,
@@ -198,7 +242,7 @@
     let news = !tail.records.is_empty() && known.is_none_or(|known| known < reached);
     let own = own(shared, topic);
     if news && shared.readers.borrow().passes_on(cause, own, asked) {
-        gossip::pass_on(shared, topic, from, &tail.records);
+        records::pass_on(shared, topic, from, &tail.records);
     }
     if reached >= tail.end {
         prove(shared, topic, asked);
@@ -215,6 +259,7 @@
         // Records in between are missing; they are read from the store.
         return position;
     }
+    records::keep(shared, topic, from, records);
     for record in records {
         if record.offset >= position {
             apply::one(shared, topic, record);
--- /dev/null
+++ b/crates/proxy/src/gossip/entry.rs
@@ -0,0 +1,76 @@
+//! The entry of this instance in the store, and those of instances that are gone.
+
+use {
+    super::role,
+    crate::{clock, follow, prelude::*},
+    forward::aggregate::members::Role,
+    platform::{
+        instance::{self, Entry},
+        store::Topic,
+    },
+};
+
+/// Pause before the own entry is written again after a failed call.
+const PUBLISH_RETRY: Duration = Duration::from_millis(400);
+
+/// How often entries of silent instances are looked for.
+const LOOK_FOR_DEAD: Duration = Duration::from_secs(20);
+
+/// Publishes this instance, and again whenever its entry was dropped.
+pub async fn keep_published(shared: &Shared, entry: &Entry) {
+    loop {
+        publish(shared, entry).await;
+        shared.republish.notified().await;
+    }
+}
+
+/// Drops entries of instances that have been silent for long. Among few instances the one
+/// that reads the list of instances does so, among many each aggregator for its failure
+/// domain.
+pub async fn drop_dead(shared: &Shared) {
+    let own = &shared.settings.instance;
+    loop {
+        sleep(LOOK_FOR_DEAD).await;
+        let now = clock::now();
+        let known = follow::own(shared, Topic::Instances);
+        let (many, drops) = match role(shared) {
+            Role::Aggregator => (true, true),
+            Role::Equal => (false, shared.readers.borrow().reads(known, now)),
+            Role::Member => (true, false),
+        };
+        if !drops {
+            continue;
+        }
+        let dead = shared
+            .fellows
+            .dead(&shared.readers.borrow(), own, many, now);
+        for name in dead {
+            let put = shared.store.put(Topic::Instances, &name, b"");
+            match put.await {
+                Ok(()) => log::info!(fellow = name; "entry of a silent instance dropped"),
+                Err(error) => log::warn!(fellow = name, error:%; "entry not dropped"),
+            }
+        }
+    }
+}
+
+async fn publish(shared: &Shared, entry: &Entry) {
+    let name = &shared.settings.instance.name;
+    let value = instance::encode(entry);
+    loop {
+        let put = shared.store.put(Topic::Instances, name, value.as_bytes());
+        match put.await {
+            Ok(()) => {
+                shared.meters.store_called("put");
+                log::info!(address:% = entry.address; "instance published");
+                return;
+            }
+            // The record may stand all the same; writing it twice changes nothing.
+            Err(error) => {
+                shared.meters.store_called("failed");
+                log::warn!(error:%; "instance not published");
+            }
+        }
+        sleep(PUBLISH_RETRY).await;
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/gossip/links.rs
@@ -0,0 +1,92 @@
+//! Connections to fellow instances.
+
+use {
+    super::role,
+    crate::{clock, prelude::*},
+    fellow::{
+        datagram::{Datagrams, Side},
+        pinned::Pins,
+    },
+    forward::aggregate::members::Role,
+};
+
+/// Pause before a fellow that could not be reached is tried again.
+const RECONNECT: Duration = Duration::from_millis(700);
+
+/// Rounds after which an instance opens a connection that the other one should have opened;
+/// views of who talks to whom differ at times.
+const OPENED_BY_OTHER: u32 = 2;
+
+/// Keeps connections to those that this instance talks to. Where both talk to each other,
+/// the one with the lower address opens it.
+pub async fn keep(shared: &Shared, datagrams: &Datagrams, pins: &Pins, own: SocketAddr) {
+    let mut missing = Vec::<(SocketAddr, u32)>::new();
+    loop {
+        pins.set(shared.fellows.fingerprints());
+        settle(shared, datagrams);
+        let role = role(shared);
+        let listed = shared.fellows.addresses(&shared.settings.instance.name);
+        let wanted = wanted(shared);
+        datagrams.retain(|address, side| {
+            let accepted = side == Side::Other || role == Role::Equal;
+            listed.binary_search(&address).is_ok()
+                && (accepted || wanted.iter().any(|(other, _)| *other == address))
+        });
+        let closed = wanted
+            .iter()
+            .filter(|(address, _)| !datagrams.is_open(*address));
+        let closed = closed.copied().collect::<Vec<_>>();
+        missing.retain(|(address, _)| closed.iter().any(|(other, _)| other == address));
+        for (address, mutual) in closed {
+            let known = missing.iter().position(|(other, _)| *other == address);
+            let place = known.unwrap_or_else(|| {
+                missing.push((address, 0));
+                missing.len() - 1
+            });
+            let rounds = missing[place].1;
+            missing[place].1 += 1;
+            let is_equal = role == Role::Equal;
+            let opens = !mutual || own < address || (!is_equal && rounds >= OPENED_BY_OTHER);
+            if opens {
+                open(datagrams, address);
+            }
+        }
+        sleep(RECONNECT).await;
+    }
+}
+
+/// Passes over fellows that owe an answer, and closes their connections: one that has been
+/// restarted at its address does not say so, and what is sent to it is lost for seconds.
+pub fn settle(shared: &Shared, datagrams: &Datagrams) {
+    let now = clock::now();
+    let mut state = shared.state.borrow_mut();
+    let silent = state.members.settle(now);
+    for key in silent {
+        let name = state.members.name(key);
+        log::info!(fellow = name; "fellow instance passed over, it does not answer");
+        if let Some(address) = shared.fellows.address(name) {
+            datagrams.close(address);
+        }
+    }
+}
+
+/// Addresses of those that this instance talks to, and whether they talk to it.
+fn wanted(shared: &Shared) -> Vec<(SocketAddr, bool)> {
+    let state = shared.state.borrow();
+    let own = &shared.settings.instance.name;
+    let links = state.members.links(own, clock::now()).into_iter();
+    let wanted = links.filter_map(|link| {
+        let address = shared.fellows.address(state.members.name(link.key))?;
+        Some((address, link.mutual))
+    });
+    wanted.collect()
+}
+
+fn open(datagrams: &Datagrams, address: SocketAddr) {
+    let datagrams = datagrams.clone();
+    tokio::task::spawn_local(async move {
+        if let Err(error) = datagrams.connect(address).await {
+            log::debug!(address:%, error:%; "fellow instance not reached");
+        }
+    });
+}
--- /dev/null
+++ b/crates/proxy/src/gossip/mod.rs
@@ -0,0 +1,70 @@
+//! Words between instances: load, the age of knowledge, and records that were read.
+//!
+//! * [`entry`]: how an instance makes itself known in the store;
+//! * [`links`]: to whom it keeps connections;
+//! * [`tell`]: what it says, and how often;
+//! * [`hear`]: what it takes from the words of others;
+//! * [`records`]: how records of the store travel.
+//!
+//! Who says what to whom is decided in [`forward::aggregate`].
+
+pub mod entry;
+pub mod hear;
+pub mod links;
+pub mod records;
+pub mod tell;
+
+use {
+    crate::prelude::*,
+    fellow::{
+        datagram::Datagrams,
+        pinned::{self, Identity, Pins},
+    },
+    forward::aggregate::members::Role,
+    platform::instance::Entry,
+    tokio::sync::mpsc,
+};
+
+/// Datagrams that wait to be read.
+const MOST_HEARD: usize = 256;
+
+/// Publishes this instance, then tells fellows of its load and hears of theirs, for ever.
+pub async fn run(shared: Rc<Shared>) {
+    let (heard, messages) = mpsc::channel(MOST_HEARD);
+    let pins = Pins::default();
+    let instance = &shared.settings.instance;
+    let started = Identity::new().and_then(|identity| {
+        let configs = pinned::configs(&identity, &pins)?;
+        let datagrams = Datagrams::listen(instance.fellows, configs, heard)?;
+        let address = datagrams.address()?;
+        Ok((identity, datagrams, address))
+    });
+    let (identity, datagrams, address) = match started {
+        Ok(started) => started,
+        Err(error) => {
+            log::error!(error:%; "no exchange with fellow instances");
+            return;
+        }
+    };
+    let entry = Entry {
+        address,
+        domain: instance.domain.clone(),
+        fingerprint: identity.fingerprint,
+        processor: instance.processor_thousandths(),
+    };
+    shared.fellows.datagrams.replace(Some(datagrams.clone()));
+    tokio::join!(
+        entry::keep_published(&shared, &entry),
+        entry::drop_dead(&shared),
+        links::keep(&shared, &datagrams, &pins, address),
+        tell::run(&shared, &datagrams),
+        hear::run(&shared, &datagrams, messages),
+    );
+}
+
+/// Part of this instance in what instances tell each other.
+#[must_use]
+pub fn role(shared: &Shared) -> Role {
+    let state = shared.state.borrow();
+    state.members.role(&shared.settings.instance.name)
+}
--- /dev/null
+++ b/crates/proxy/src/gossip/records.rs
@@ -0,0 +1,183 @@
+//! Records of the store on their way between instances.
+
+use {
+    super::role,
+    crate::{
+        clock, follow,
+        message::{Batch, RawRecord, Report},
+        prelude::*,
+        topic,
+    },
+    forward::aggregate::members::Role,
+    platform::store::{Keyed, Topic},
+    std::collections::VecDeque,
+};
+
+/// Bytes of records of a topic that are kept for members which lack some.
+const MOST_KEPT: usize = 128 << 10;
+
+/// Pause before a member gets the records that it lacks again.
+const SEND_AGAIN: Duration = Duration::from_millis(300);
+
+/// The last records of a topic without a gap, for members that lack some.
+#[derive(Debug, Default)]
+pub struct History {
+    bytes: usize,
+    records: VecDeque<Keyed>,
+    /// Offset after the last record.
+    next: u64,
+    /// When each member was sent what it lacks, sorted by name.
+    sent: Vec<(String, Time)>,
+}
+
+impl History {
+    /// Takes records in that begin at an offset.
+    fn add(&mut self, from: u64, records: &[Keyed]) {
+        if from > self.next {
+            self.records.clear();
+            self.bytes = 0;
+        }
+        for record in records.iter().filter(|record| record.offset >= self.next) {
+            self.bytes += size(record);
+            self.records.push_back(record.clone());
+        }
+        let after = records.last().map_or(from, |record| record.offset + 1);
+        self.next = self.next.max(after);
+        while self.bytes > MOST_KEPT {
+            let Some(dropped) = self.records.pop_front() else {
+                return;
+            };
+            self.bytes -= size(&dropped);
+        }
+    }
+
+    /// The records from an offset on, unless some of them are not kept.
+    fn since(&self, from: u64) -> Option<Vec<Keyed>> {
+        let first = self.records.front()?.offset;
+        if from < first || from >= self.next {
+            return None;
+        }
+        let since = self.records.iter().filter(|record| record.offset >= from);
+        Some(since.cloned().collect())
+    }
+
+    /// Whether a member may be sent records now; it is taken as sent.
+    fn due(&mut self, member: &str, now: Time) -> bool {
+        match self
+            .sent
+            .binary_search_by(|(other, _)| other.as_str().cmp(member))
+        {
+            Ok(place) if now.since(self.sent[place].1) < SEND_AGAIN => return false,
+            Ok(place) => self.sent[place].1 = now,
+            Err(place) => self.sent.insert(place, (member.to_string(), now)),
+        }
+        true
+    }
+}
+
+fn size(record: &Keyed) -> usize {
+    record.key.len() + record.value.as_ref().map_or(0, Bytes::len)
+}
+
+/// Passes records on that this instance has read: to all fellows if they are few, else to
+/// aggregators and, as one, to members.
+pub fn pass_on(shared: &Shared, topic: Topic, from: u64, records: &[Keyed]) {
+    let names = shared.links().into_iter().map(|link| {
+        let state = shared.state.borrow();
+        state.members.name(link.key).to_string()
+    });
+    let mut names = names.collect::<Vec<_>>();
+    if role(shared) == Role::Aggregator {
+        names.extend(shared.state.borrow().sums.domains.senders());
+        names.extend(shared.fellows.listeners(clock::now()));
+    }
+    send(shared, topic, from, records, names);
+}
+
+/// Takes records in that a fellow has read, and passes on what is new here: those of an
+/// aggregator to members, those of a member that had to read itself to all.
+pub fn take(shared: &Shared, batch: Batch) {
+    let Some(topic) = topic::ALL.get(usize::from(batch.topic)).copied() else {
+        log::warn!(topic = batch.topic; "records of an unknown topic");
+        return;
+    };
+    let Some(known) = shared.topic(topic).position.get() else {
+        // Nothing is known yet; the first read brings them.
+        return;
+    };
+    let records = batch.records.into_iter().map(|record| Keyed {
+        key: record.key,
+        offset: record.offset,
+        value: record.value.map(Bytes::from),
+    });
+    let records = records.collect::<Vec<_>>();
+    let reached = follow::take(shared, topic, batch.from, &records);
+    log::info!(
+        topic:?, from = batch.from, records = records.len(), known, reached;
+        "records of a fellow"
+    );
+    if reached <= known || role(shared) != Role::Aggregator {
+        return;
+    }
+    let listeners = shared.fellows.listeners(clock::now());
+    if listeners.contains(&batch.sender) {
+        pass_on(shared, topic, batch.from, &records);
+    } else {
+        send(shared, topic, batch.from, &records, listeners);
+    }
+}
+
+/// Keeps records for members that lack some; only an aggregator needs to.
+pub fn keep(shared: &Shared, topic: Topic, from: u64, records: &[Keyed]) {
+    let mut history = shared.history[topic::index(topic)].borrow_mut();
+    if role(shared) == Role::Aggregator {
+        history.add(from, records);
+    } else {
+        *history = History::default();
+    }
+}
+
+/// Sends a member the records that it lacks by its report.
+pub fn send_missing(shared: &Shared, report: &Report) {
+    let now = clock::now();
+    for (topic, (age, position)) in topic::ALL.into_iter().zip(report.words) {
+        let known = shared.topic(topic).position.get().unwrap_or_default();
+        if age.is_none() || position >= known {
+            continue;
+        }
+        let mut history = shared.history[topic::index(topic)].borrow_mut();
+        let Some(records) = history.since(position) else {
+            continue;
+        };
+        if history.due(&report.name, now) {
+            let to = vec![report.name.clone()];
+            send(shared, topic, position, &records, to);
+        }
+    }
+}
+
+fn send(shared: &Shared, topic: Topic, from: u64, records: &[Keyed], mut names: Vec<String>) {
+    let raw = records.iter().map(|record| RawRecord {
+        key: record.key.clone(),
+        offset: record.offset,
+        value: record.value.as_ref().map(|value| value.to_vec()),
+    });
+    let batch = Batch {
+        from,
+        records: raw.collect(),
+        sender: shared.settings.instance.name.clone(),
+        topic: u8::try_from(topic::index(topic)).unwrap_or(u8::MAX),
+    };
+    let datagrams = shared.fellows.datagrams.borrow();
+    let data = batch.pack().and_then(|message| message.encode());
+    let (Some(datagrams), Some(data)) = (&*datagrams, data) else {
+        return;
+    };
+    names.sort_unstable();
+    names.dedup();
+    for address in names.iter().filter_map(|name| shared.fellows.address(name)) {
+        if let Err(error) = datagrams.send_whole(address, data.clone()) {
+            log::trace!(address:%, error:%; "records not passed on");
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/gossip/tell.rs
@@ -0,0 +1,264 @@
+//! What an instance says of its load and its knowledge.
+
+use {
+    super::{links, role},
+    crate::{
+        clock,
+        message::{Answer, Message, RawChanges, RawWord, Report, Row, Sum, row},
+        prelude::*,
+        topic,
+    },
+    fellow::datagram::Datagrams,
+    forward::{
+        aggregate::members::{Link, Role},
+        load::{self, digest},
+        reader::TOPICS,
+    },
+};
+
+/// Shortest pause between two reports. A request is placed on what the others reported
+/// last, so it is a few times shorter than the time between two arrivals at a quiet hour.
+const SHORTEST: Duration = Duration::from_millis(25);
+
+/// The same for a member, which has a fraction of the load.
+const SHORTEST_OF_MEMBER: Duration = Duration::from_millis(50);
+
+/// Longest pause between two reports. What a report says of knowledge is proved by the
+/// number that it echoes, so two pauses add to the age of knowledge.
+const LONGEST: Duration = Duration::from_millis(250);
+
+/// Pause between two sums of an aggregator.
+const SUM_PAUSE: Duration = Duration::from_millis(60);
+
+/// Datagrams of one answer; what does not fit follows with the next one.
+const MOST_PARTS: usize = 4;
+
+/// Age of an aggregator's rows that is recent enough for a choice.
+const RECENT: Duration = Duration::from_millis(20);
+
+/// Longest time that a choice waits for newer rows; an answer takes some milliseconds.
+const REFRESH_WAIT: Duration = Duration::from_millis(15);
+
+/// Endpoints in one report, the busiest first, so that it fits into a datagram.
+const MOST_ENDPOINTS: usize = 90;
+
+/// Rows in one part of a sum or one answer, so that it fits into a datagram.
+const MOST_ROWS: usize = 64;
+
+/// Tells for ever.
+pub async fn run(shared: &Shared, datagrams: &Datagrams) {
+    loop {
+        let role = role(shared);
+        match role {
+            Role::Aggregator => sleep(SUM_PAUSE).await,
+            Role::Equal => changed(shared, LONGEST.saturating_sub(SHORTEST)).await,
+            Role::Member => {
+                let most = LONGEST.saturating_sub(SHORTEST_OF_MEMBER);
+                tokio::select! {
+                    () = changed(shared, most) => {}
+                    () = shared.rows_wanted.notified() => {}
+                }
+            }
+        }
+        links::settle(shared, datagrams);
+        shared.settle(role);
+        match role {
+            Role::Aggregator => {
+                let loads = own_loads(shared);
+                shared.publish(loads.clone());
+                let links = shared.links();
+                report(shared, datagrams, &links, &loads);
+                sum(shared, datagrams, &links, &loads);
+            }
+            Role::Equal => {
+                let links = shared.links();
+                report(shared, datagrams, &links, &own_loads(shared));
+                sleep(SHORTEST).await;
+            }
+            Role::Member => {
+                let loads = own_loads(shared);
+                let links = shared.links();
+                report(shared, datagrams, &links, &loads);
+                let _wanted = timeout(SHORTEST_OF_MEMBER, shared.rows_wanted.notified()).await;
+            }
+        }
+    }
+}
+
+/// Asks the aggregator for its newest rows, for a choice that is made now.
+///
+/// Members choose seldom and together often: with rows that came along with the last report,
+/// those that choose within the same quarter of a second take the same engine.
+pub async fn refresh(shared: &Shared) {
+    let now = clock::now();
+    if role(shared) != Role::Member || shared.state.borrow().sums.views.is_recent(now, RECENT) {
+        return;
+    }
+    let told = shared.told.notified();
+    shared.rows_wanted.notify_one();
+    let _told = timeout(REFRESH_WAIT, told).await;
+}
+
+/// Waits until the load has changed, for a bounded time.
+async fn changed(shared: &Shared, most: Duration) {
+    let _changed = timeout(most, shared.load.notified()).await;
+}
+
+/// Load of this instance, sorted by digest.
+fn own_loads(shared: &Shared) -> load::Report {
+    let mut loads = shared.state.borrow().report();
+    loads.sort_by_key(|(_, load)| std::cmp::Reverse(load.tokens));
+    loads.truncate(MOST_ENDPOINTS);
+    let mut loads = loads
+        .into_iter()
+        .map(|(id, load)| (digest(&id), load))
+        .collect::<Vec<_>>();
+    loads.sort_unstable_by_key(|(digest, _)| *digest);
+    loads
+}
+
+/// What this instance says of its knowledge of each topic.
+fn words(shared: &Shared) -> [RawWord; TOPICS] {
+    topic::ALL.map(|topic| {
+        let word = shared.topic(topic).word();
+        let age = word
+            .age
+            .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
+        (age, word.position)
+    })
+}
+
+/// Reports the load to those of the links that add it up, or to all if instances are few.
+fn report(shared: &Shared, datagrams: &Datagrams, links: &[Link], loads: &load::Report) {
+    let now = clock::now();
+    let role = role(shared);
+    let number = now.micros();
+    let many = role != Role::Equal;
+    let rows = loads.iter().copied().map(row).collect::<Vec<_>>();
+    let mut report = Report {
+        echo: (0, 0),
+        holds: None,
+        life: shared.life,
+        loads: rows,
+        name: shared.settings.instance.name.clone(),
+        number,
+        words: words(shared),
+    };
+    let mut reported = false;
+    for link in links.iter().filter(|link| link.near || !many) {
+        let name = shared.state.borrow().members.name(link.key).to_string();
+        let Some(address) = shared.fellows.address(&name) else {
+            continue;
+        };
+        report.echo = shared.fellows.echo(&name);
+        if role == Role::Member {
+            report.holds = shared.held(&name, now);
+        }
+        if many && !reported {
+            let mut state = shared.state.borrow_mut();
+            state.sums.views.reported(number, loads.clone());
+            reported = true;
+        }
+        if many {
+            shared.asked(datagrams, link.key, address);
+        }
+        send(datagrams, address, &Message::Report(report.clone()));
+    }
+}
+
+/// Tells the aggregators of other failure domains the sum of this one.
+fn sum(shared: &Shared, datagrams: &Datagrams, links: &[Link], own: &load::Report) {
+    let now = clock::now();
+    let mut names = shared.state.borrow().sums.domains.senders();
+    for link in links.iter().filter(|link| !link.near) {
+        let name = shared.state.borrow().members.name(link.key).to_string();
+        if let Some(address) = shared.fellows.address(&name) {
+            shared.asked(datagrams, link.key, address);
+        }
+        names.push(name);
+    }
+    names.sort_unstable();
+    names.dedup();
+    let (loads, members) = shared.domain_sum(own, now);
+    let words = words(shared);
+    for name in names {
+        let Some(address) = shared.fellows.address(&name) else {
+            continue;
+        };
+        for (covers, rows) in parts(&loads) {
+            let sum = Sum {
+                covers,
+                echo: shared.fellows.echo(&name),
+                life: shared.life,
+                loads: rows,
+                members,
+                name: shared.settings.instance.name.clone(),
+                number: now.micros(),
+                words,
+            };
+            send(datagrams, address, &Message::Sum(sum));
+        }
+    }
+}
+
+/// Cuts sorted rows into parts that fit into datagrams, each with the digests it covers.
+fn parts(loads: &load::Report) -> Vec<((u32, u32), Vec<Row>)> {
+    let mut parts = Vec::new();
+    let mut from = 0;
+    let mut chunks = loads.chunks(MOST_ROWS).peekable();
+    while let Some(chunk) = chunks.next() {
+        let next = chunks.peek().and_then(|next| next.first());
+        let to = next.map_or(u32::MAX, |(digest, _)| digest - 1);
+        parts.push(((from, to), chunk.iter().copied().map(row).collect()));
+        from = to.saturating_add(1);
+    }
+    if parts.is_empty() {
+        parts.push(((0, u32::MAX), Vec::new()));
+    }
+    parts
+}
+
+/// Answers the report of a member.
+pub fn answer(shared: &Shared, datagrams: &Datagrams, report: &Report) {
+    let Some(address) = shared.fellows.address(&report.name) else {
+        return;
+    };
+    let now = clock::now();
+    let mut answer = Answer {
+        changes: None,
+        echo: (report.life, report.number),
+        life: shared.life,
+        members: shared.speaks_for(now),
+        name: shared.settings.instance.name.clone(),
+        number: now.micros(),
+        words: words(shared),
+    };
+    let Some((life, version)) = report.holds else {
+        send(datagrams, address, &Message::Answer(answer));
+        return;
+    };
+    let mut version = if life == shared.life { version } else { 0 };
+    for _ in 0..MOST_PARTS {
+        let changes = shared.state.borrow().sums.table.changes(version, MOST_ROWS);
+        let complete = changes.rows.len() < MOST_ROWS;
+        version = changes.version;
+        answer.changes = Some(RawChanges {
+            anew: changes.anew,
+            loads: changes.rows.into_iter().map(row).collect(),
+            version,
+        });
+        send(datagrams, address, &Message::Answer(answer.clone()));
+        if complete {
+            return;
+        }
+    }
+}
+
+fn send(datagrams: &Datagrams, address: SocketAddr, message: &Message) {
+    let Some(data) = message.encode() else {
+        return;
+    };
+    if let Err(error) = datagrams.send(address, data) {
+        log::trace!(address:%, error:%; "message not sent");
+    }
+}
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::prelude::*,
-    forward::reader::TOPICS,
+    forward::{endpoint::Load, reader::TOPICS},
     serde::{Deserialize, Serialize},
 };
 
@@ -16,11 +16,15 @@
 /// What instances say to each other.
 #[derive(Debug, Deserialize, Serialize)]
 pub enum Message {
+    /// An aggregator's answer to a report of a member of its failure domain.
+    Answer(Answer),
     /// A [`Batch`], packed. A configuration of twenty kilobytes to 28 fellows held a link
     /// of 10 Mbit/s for half a second, in which events of streams came late to callers.
     Records(Vec<u8>),
     /// What an instance has in progress and knows.
     Report(Report),
+    /// What an aggregator tells those of other failure domains.
+    Sum(Sum),
 }
 
 /// Digest of the endpoint's id, then tokens, tokens of copies among them, tokens being
@@ -44,10 +48,64 @@
     pub name: String,
     /// Time of the sender's clock in microseconds; orders its reports.
     pub number: u64,
+    /// Life of the aggregator and version of its sums that the sender holds, if it wants the
+    /// rows that have changed since.
+    pub holds: Option<(u64, u64)>,
     /// What it knows of each topic.
     pub words: [RawWord; TOPICS],
 }
 
+/// The load that instances of a failure domain have at endpoints, or a part of it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Sum {
+    /// First and last digest that it covers.
+    pub covers: (u32, u32),
+    /// As in a [`Report`].
+    pub echo: (u64, u64),
+    /// As in a [`Report`].
+    pub life: u64,
+    /// Load of the domain, the sender's own included.
+    pub loads: Vec<Row>,
+    /// Instances that it is made of.
+    pub members: u32,
+    /// As in a [`Report`].
+    pub name: String,
+    /// As in a [`Report`].
+    pub number: u64,
+    /// As in a [`Report`].
+    pub words: [RawWord; TOPICS],
+}
+
+/// An aggregator's answer to a report.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Answer {
+    /// Rows of the load of all instances that have changed, if they were asked for.
+    pub changes: Option<RawChanges>,
+    /// Life and number of the report.
+    pub echo: (u64, u64),
+    /// As in a [`Report`].
+    pub life: u64,
+    /// Instances that report to the aggregator, itself included.
+    pub members: u32,
+    /// As in a [`Report`].
+    pub name: String,
+    /// As in a [`Report`].
+    pub number: u64,
+    /// As in a [`Report`].
+    pub words: [RawWord; TOPICS],
+}
+
+/// Rows of an aggregator's table that have changed.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct RawChanges {
+    /// Whether what was held before is to be forgotten.
+    pub anew: bool,
+    /// The rows.
+    pub loads: Vec<Row>,
+    /// Version with these rows.
+    pub version: u64,
+}
+
 /// Records of a topic, in order.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct Batch {
@@ -55,6 +113,8 @@
     pub from: u64,
     /// The records.
     pub records: Vec<RawRecord>,
+    /// Name of the instance that passes them on.
+    pub sender: String,
     /// Place in [`crate::topic::ALL`].
     pub topic: u8,
 }
@@ -70,6 +130,30 @@
     pub value: Option<Vec<u8>>,
 }
 
+/// A row as it goes over the wire.
+#[must_use]
+pub const fn row((digest, load): (u32, Load)) -> Row {
+    (
+        digest,
+        load.tokens,
+        load.copies,
+        load.reading,
+        load.requests,
+    )
+}
+
+/// A row as decisions know it.
+#[must_use]
+pub const fn load((digest, tokens, copies, reading, requests): Row) -> (u32, Load) {
+    let load = Load {
+        copies,
+        reading,
+        requests,
+        tokens,
+    };
+    (digest, load)
+}
+
 impl Message {
     /// Encodes it; `None`, with a line in the log, if that cannot be done.
     #[must_use]
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -4,6 +4,7 @@
     crate::{
         clock,
         exchange::{self, Destination, Original, Sent},
+        gossip,
         prelude::*,
         progress::Progress,
         reply,
@@ -215,6 +216,9 @@
     loop {
         let room = shared.room.notified();
         let passed_over = waiting.as_ref().is_some_and(Waiting::passed_over);
+        if !passed_over && need.prompt > 0 {
+            gossip::tell::refresh(shared).await;
+        }
         let now = clock::now();
         if !passed_over {
             let pick = shared
--- a/crates/proxy/src/relocate.rs
+++ b/crates/proxy/src/relocate.rs
@@ -1,7 +1,7 @@
 //! Moving the KV memory of runs between engines.
 
 use {
-    crate::{clock, prelude::*},
+    crate::{clock, gossip, prelude::*},
     platform::engine::{self, Move},
 };
 
@@ -58,6 +58,7 @@
 pub async fn relocate(shared: &Rc<Shared>, run: RunKey, id: &str) -> Moved {
     let mut tried = Vec::new();
     loop {
+        gossip::tell::refresh(shared).await;
         let Some(ends) = ends(shared, run, &tried) else {
             return Moved::NotYet("no engine with room".to_string());
         };
@@ -86,6 +87,7 @@
 
 /// Stops a run that is silent and moves it to another engine.
 pub async fn stop(shared: &Rc<Shared>, run: RunKey, id: &str) -> Stop {
+    gossip::tell::refresh(shared).await;
     let Some(ends) = ends(shared, run, &[]) else {
         return Stop::Busy;
     };
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -28,6 +28,9 @@
     pub metrics: SocketAddr,
     /// Name.
     pub name: String,
+    /// Share of a core that it has; where instances are many, the strongest add up load.
+    #[serde(default = "whole_core")]
+    pub processor: f64,
     /// Address and port of the question whether callers may be sent here.
     pub ready: SocketAddr,
 }
@@ -55,12 +58,30 @@
     pub address: SocketAddr,
 }
 
+const fn whole_core() -> f64 {
+    1.0
+}
+
 /// Instances to divide joint limits by where the settings do not say: seven with three
 /// to spare.
 const fn most_instances() -> u32 {
     10
 }
 
+impl Instance {
+    /// Share of a core in thousandths, as it is published.
+    #[must_use]
+    pub fn processor_thousandths(&self) -> u32 {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "checked to be zero or more; a cast saturates"
+        )]
+        let thousandths = (self.processor * 1000.0) as u32;
+        thousandths
+    }
+}
+
 impl Settings {
     /// Reads a file.
     ///
@@ -83,6 +104,7 @@
         let settings = toml::from_str::<Self>(text).map_err(|error| fault(error.to_string()))?;
         let checks = [
             ("instance.grace_s", settings.instance.grace_s),
+            ("instance.processor", settings.instance.processor),
             ("joint.retry_burst", settings.joint.retry_burst),
             ("joint.retry_ratio", settings.joint.retry_ratio),
             ("joint.retry_window_s", settings.joint.retry_window_s),
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -5,14 +5,21 @@
         clock,
         exchange::Original,
         fellows::Fellows,
+        gossip::records::History,
         meters::Meters,
         prelude::*,
         settings::Settings,
         topic::{self, Progress},
     },
     endpoint::Client,
+    fellow::datagram::Datagrams,
     forward::{
         State,
+        aggregate::{
+            add_rows,
+            members::{Link, MemberKey, Role},
+        },
+        load::Report,
         reader::{Readers, TOPICS},
         request::Ticket,
         state::Place,
@@ -37,6 +44,8 @@
     pub fellows: Fellows,
     /// Requests in progress.
     pub in_progress: Cell<usize>,
+    /// Records for members that lack some, for each topic.
+    pub history: [RefCell<History>; TOPICS],
     /// Sets this life of the instance apart from earlier ones; never zero.
     pub life: u64,
     /// Signalled when the load of this instance has changed.
@@ -49,6 +58,8 @@
     pub republish: Notify,
     /// Signalled when an endpoint may have room again.
     pub room: Notify,
+    /// Signalled when a choice needs an aggregator's newest rows.
+    pub rows_wanted: Notify,
     /// Settings at the start.
     pub settings: Settings,
     /// What the instance knows.
@@ -57,6 +68,8 @@
     pub stop: Notify,
     /// Client of the store.
     pub store: Store,
+    /// Signalled when an aggregator has answered.
+    pub told: Notify,
     /// How far each topic of the store is known.
     topics: [Progress; TOPICS],
 }
@@ -73,6 +86,7 @@
         Ok(Rc::new(Self {
             draining: Cell::new(false),
             fellows: Fellows::default(),
+            history: Default::default(),
             in_progress: Cell::new(0),
             life: rand::rng().random_range(1..=u64::MAX),
             load: Notify::new(),
@@ -80,9 +94,11 @@
             readers: RefCell::default(),
             republish: Notify::new(),
             room: Notify::new(),
+            rows_wanted: Notify::new(),
             state: RefCell::new(State::new(settings.decisions(), random)),
             stop: Notify::new(),
             store: Store::new(settings.store.address.to_string(), client.clone()),
+            told: Notify::new(),
             topics: Default::default(),
             client,
             settings,
@@ -260,3 +276,81 @@
         }
     }
 }
+
+impl Shared {
+    /// Fellows to talk to.
+    #[must_use]
+    pub fn links(&self) -> Vec<Link> {
+        let state = self.state.borrow();
+        let own = &self.settings.instance.name;
+        state.members.links(own, clock::now())
+    }
+
+    /// Whether a fellow stands in the own failure domain.
+    #[must_use]
+    pub fn is_near(&self, name: &str) -> bool {
+        let state = self.state.borrow();
+        let domain = state.members.domain(name);
+        domain == Some(&self.settings.instance.domain)
+    }
+
+    /// A fellow is talked to and owes an answer.
+    pub fn asked(&self, datagrams: &Datagrams, key: MemberKey, address: SocketAddr) {
+        let connected = datagrams.is_open(address);
+        let mut state = self.state.borrow_mut();
+        state.members.asked(key, clock::now(), connected);
+    }
+
+    /// Life and version of an aggregator's sums that are held, if its rows are wanted: those
+    /// of the aggregator that is preferred, or of all while none answers.
+    #[must_use]
+    pub fn held(&self, aggregator: &str, now: Time) -> Option<(u64, u64)> {
+        let state = self.state.borrow();
+        let views = &state.sums.views;
+        let preferred = views.preferred(now);
+        let wanted = preferred.is_none_or(|preferred| preferred == aggregator);
+        wanted.then(|| views.version(aggregator))
+    }
+
+    /// Instances that this one speaks for as an aggregator; none once it is to stop.
+    #[must_use]
+    pub fn speaks_for(&self, now: Time) -> u32 {
+        if self.draining.get() {
+            return 0;
+        }
+        let members = self.state.borrow().fellows.count(now) + 1;
+        u32::try_from(members).unwrap_or(u32::MAX)
+    }
+
+    /// Load of the own failure domain, and the instances that it is made of.
+    #[must_use]
+    pub fn domain_sum(&self, own: &Report, now: Time) -> (Report, u32) {
+        let members = self.speaks_for(now);
+        let state = self.state.borrow();
+        let mut loads = state.fellows.sums().clone();
+        add_rows(&mut loads, own);
+        (loads, members)
+    }
+
+    /// Takes the report of a member in.
+    pub fn take_report(&self, now: Time, member: &str, number: u64, loads: Report) {
+        let mut state = self.state.borrow_mut();
+        let State { fellows, sums, .. } = &mut *state;
+        sums.report(now, fellows, member, number, loads);
+    }
+
+    /// Takes the present sums into the table that members are told from.
+    pub fn publish(&self, own: Report) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let State { fellows, sums, .. } = &mut *state;
+        fellows.expire(now);
+        sums.publish(now, fellows, own);
+    }
+
+    /// Settles where the load of other instances is taken from.
+    pub fn settle(&self, role: Role) {
+        let mut state = self.state.borrow_mut();
+        state.sums.settle(clock::now(), role != Role::Member);
+    }
+}
