Report at once when a run begins or a choice asks for rows

Hypothesis: members told of a run up to 50 ms after it had begun, and a choice that asked for rows within 50 ms of the last report waited in vain, since the pause between reports took the signal and went on waiting.

Change: one wait before each report, ended at once by either signal.

--- a/crates/proxy/src/gossip/tell.rs
+++ b/crates/proxy/src/gossip/tell.rs
@@ -52,13 +52,7 @@
         match role {
             Role::Aggregator => sleep(SUM_PAUSE).await,
             Role::Equal => changed(shared, LONGEST.saturating_sub(SHORTEST)).await,
-            Role::Member => {
-                let most = LONGEST.saturating_sub(SHORTEST_OF_MEMBER);
-                tokio::select! {
-                    () = changed(shared, most) => {}
-                    () = shared.rows_wanted.notified() => {}
-                }
-            }
+            Role::Member => due(shared).await,
         }
         links::settle(shared, datagrams);
         shared.settle(role);
@@ -79,7 +73,6 @@
                 let loads = own_loads(shared);
                 let links = shared.links();
                 report(shared, datagrams, &links, &loads);
-                let _wanted = timeout(SHORTEST_OF_MEMBER, shared.rows_wanted.notified()).await;
             }
         }
     }
@@ -95,10 +88,23 @@
         return;
     }
     let told = shared.told.notified();
-    shared.rows_wanted.notify_one();
+    shared.report_now.notify_one();
     let _told = timeout(REFRESH_WAIT, told).await;
 }
 
+/// Waits until a member's next report is due: at once if it cannot wait, else when the load
+/// has changed and some time has passed since the last one.
+async fn due(shared: &Shared) {
+    let now = timeout(SHORTEST_OF_MEMBER, shared.report_now.notified());
+    if now.await.is_ok() {
+        return;
+    }
+    tokio::select! {
+        () = changed(shared, LONGEST.saturating_sub(SHORTEST_OF_MEMBER)) => {}
+        () = shared.report_now.notified() => {}
+    }
+}
+
 /// Waits until the load has changed, for a bounded time.
 async fn changed(shared: &Shared, most: Duration) {
     let _changed = timeout(most, shared.load.notified()).await;
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -58,8 +58,9 @@
     pub republish: Notify,
     /// Signalled when an endpoint may have room again.
     pub room: Notify,
-    /// Signalled when a choice needs an aggregator's newest rows.
-    pub rows_wanted: Notify,
+    /// Signalled when a report cannot wait: a generation has begun, or a choice needs an
+    /// aggregator's newest rows.
+    pub report_now: Notify,
     /// Settings at the start.
     pub settings: Settings,
     /// What the instance knows.
@@ -94,7 +95,7 @@
             readers: RefCell::default(),
             republish: Notify::new(),
             room: Notify::new(),
-            rows_wanted: Notify::new(),
+            report_now: Notify::new(),
             state: RefCell::new(State::new(settings.decisions(), random)),
             stop: Notify::new(),
             store: Store::new(settings.store.address.to_string(), client.clone()),
@@ -203,6 +204,7 @@
     pub fn new(shared: &Rc<Shared>, run: forward::prelude::Run) -> Self {
         let key = shared.state.borrow_mut().begin(run);
         shared.load.notify_one();
+        shared.report_now.notify_one();
         Self {
             key,
             shared: Rc::clone(shared),
