Tell other failure domains at once where work has begun

Hypothesis: a sum every 60 ms leaves choices of other domains that much behind, and more often whole sums cost bytes between domains. Rows at which a run has begun are few.

Change: an aggregator gathers such rows for 8 ms and tells them alone; whole sums go every 120 ms.

--- a/crates/forward/src/aggregate/domains.rs
+++ b/crates/forward/src/aggregate/domains.rs
@@ -5,15 +5,16 @@
 //! another does, as one that has just come back from a freeze.
 
 use {
-    super::{LIFE, add_rows, at, members::Rank},
+    super::{LIFE, add_rows, at, members::Rank, set},
     crate::{endpoint::Load, load::Report, prelude::*},
 };
 
 /// A part of a domain's sum, as it comes in one message.
 #[derive(Clone, Debug, Default)]
 pub struct Part {
-    /// First and last digest that it covers; one that is not among the rows has no load.
-    pub covers: (u32, u32),
+    /// First and last digest that it covers, where one that is not among the rows has no
+    /// load; none if only the rows have changed.
+    pub covers: Option<(u32, u32)>,
     /// Instances that the sum is made of.
     pub members: u32,
     /// Orders the sender's messages within its life.
@@ -109,10 +110,13 @@
         sum.at = now;
         sum.members = part.members;
         sum.number = part.number;
-        let (from, to) = part.covers;
-        sum.rows
-            .retain(|(digest, _)| *digest < from || *digest > to);
-        add_rows(&mut sum.rows, &part.rows);
+        if let Some((from, to)) = part.covers {
+            sum.rows
+                .retain(|(digest, _)| *digest < from || *digest > to);
+        }
+        for (digest, load) in &part.rows {
+            set(&mut sum.rows, *digest, *load);
+        }
     }
 
     /// Drops sums that have outlived their time.
--- a/crates/forward/src/aggregate/mod.rs
+++ b/crates/forward/src/aggregate/mod.rs
@@ -131,3 +131,15 @@
         }
     }
 }
+
+/// Sets the load at an endpoint in rows that are sorted by digest.
+pub(crate) fn set(rows: &mut Report, digest: u32, load: Load) {
+    match rows.binary_search_by_key(&digest, |(other, _)| *other) {
+        Ok(place) if load == Load::default() => {
+            rows.remove(place);
+        }
+        Ok(place) => rows[place].1 = load,
+        Err(_) if load == Load::default() => {}
+        Err(place) => rows.insert(place, (digest, load)),
+    }
+}
--- a/crates/forward/src/aggregate/view.rs
+++ b/crates/forward/src/aggregate/view.rs
@@ -1,7 +1,7 @@
 //! What a member holds of its aggregators' sums.
 
 use {
-    super::{at, domains::speaks_for_enough, members::Rank, table::Changes},
+    super::{at, domains::speaks_for_enough, members::Rank, set, table::Changes},
     crate::{endpoint::Load, load::Report, prelude::*},
     std::collections::VecDeque,
 };
@@ -197,14 +197,3 @@
     let first = views.find(|view| speaks_for_enough(view.members, most));
     first.map(|view| view.aggregator.as_str())
 }
-
-fn set(rows: &mut Report, digest: u32, load: Load) {
-    match rows.binary_search_by_key(&digest, |(other, _)| *other) {
-        Ok(place) if load == Load::default() => {
-            rows.remove(place);
-        }
-        Ok(place) => rows[place].1 = load,
-        Err(_) if load == Load::default() => {}
-        Err(place) => rows.insert(place, (digest, load)),
-    }
-}
--- a/crates/forward/tests/aggregates.rs
+++ b/crates/forward/tests/aggregates.rs
@@ -189,7 +189,7 @@
         let mut rows = node.fellows.sums().clone();
         add_rows(&mut rows, &node.own);
         let part = Part {
-            covers: (0, u32::MAX),
+            covers: Some((0, u32::MAX)),
             life: node.life,
             members: u32::try_from(node.fellows.count(now) + 1).expect("few"),
             number: self.now * 1000,
@@ -462,3 +462,31 @@
     assert!(views.hear("e1", FIRST, answer));
     assert_eq!(views.at("e1", 5).tokens, 4000);
 }
+
+/// Work that begins in another failure domain is told at once, row by row, between two whole
+/// sums. Taken for a whole sum it would empty all other endpoints, and every choice would
+/// meet at those that look idle.
+#[test]
+fn rows_that_have_grown_change_no_others() {
+    let load = |requests| Load {
+        requests,
+        ..Load::default()
+    };
+    let part = |number, covers, rows| Part {
+        covers,
+        life: 1,
+        members: 60,
+        number,
+        rows,
+    };
+    let mut sums = Sums::default();
+    let whole = part(1, Some((0, u32::MAX)), vec![(5, load(2)), (7, load(3))]);
+    sums.domains.hear(at(10), "b", "e1", FIRST, &whole);
+    let grown = part(2, None, vec![(7, load(4))]);
+    sums.domains.hear(at(20), "b", "e1", FIRST, &grown);
+    assert_eq!(sums.domains.at(5).requests, 2);
+    assert_eq!(sums.domains.at(7).requests, 4);
+    let late = part(1, Some((0, u32::MAX)), vec![(5, load(2)), (7, load(3))]);
+    sums.domains.hear(at(30), "b", "e1", FIRST, &late);
+    assert_eq!(sums.domains.at(7).requests, 4);
+}
--- a/crates/proxy/src/gossip/tell.rs
+++ b/crates/proxy/src/gossip/tell.rs
@@ -27,8 +27,11 @@
 /// number that it echoes, so two pauses add to the age of knowledge.
 const LONGEST: Duration = Duration::from_millis(250);
 
-/// Pause between two sums of an aggregator.
-const SUM_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between two whole sums of an aggregator.
+const SUM_PAUSE: Duration = Duration::from_millis(120);
+
+/// Time in which rows that have grown are gathered before they are told.
+const GATHERING: Duration = Duration::from_millis(8);
 
 /// Datagrams of one answer; what does not fit follows with the next one.
 const MOST_PARTS: usize = 4;
@@ -47,37 +50,48 @@
 
 /// Tells for ever.
 pub async fn run(shared: &Shared, datagrams: &Datagrams) {
+    let mut whole_at = clock::now();
     loop {
         let role = role(shared);
         match role {
-            Role::Aggregator => sleep(SUM_PAUSE).await,
+            Role::Aggregator => sum_due(shared, whole_at).await,
             Role::Equal => changed(shared, LONGEST.saturating_sub(SHORTEST)).await,
             Role::Member => due(shared).await,
         }
         links::settle(shared, datagrams);
         shared.settle(role);
+        let loads = own_loads(shared);
+        let links = shared.links();
         match role {
             Role::Aggregator => {
-                let loads = own_loads(shared);
+                let now = clock::now();
+                let is_whole = now >= whole_at;
+                if is_whole {
+                    whole_at = now.after(SUM_PAUSE);
+                }
                 shared.publish(loads.clone());
-                let links = shared.links();
                 report(shared, datagrams, &links, &loads);
-                sum(shared, datagrams, &links, &loads);
+                sum(shared, datagrams, &links, &loads, is_whole);
             }
             Role::Equal => {
-                let links = shared.links();
-                report(shared, datagrams, &links, &own_loads(shared));
-                sleep(SHORTEST).await;
-            }
-            Role::Member => {
-                let loads = own_loads(shared);
-                let links = shared.links();
                 report(shared, datagrams, &links, &loads);
+                sleep(SHORTEST).await;
             }
+            Role::Member => report(shared, datagrams, &links, &loads),
         }
     }
 }
 
+/// Waits until an aggregator's next sum is due: the whole one at its time, rows at which
+/// work has begun as soon as some are gathered.
+async fn sum_due(shared: &Shared, whole_at: Time) {
+    let left = whole_at.since(clock::now());
+    let now = timeout(left, shared.report_now.notified());
+    if now.await.is_ok() {
+        sleep(GATHERING).await;
+    }
+}
+
 /// Asks the aggregator for its newest rows, for a choice that is made now.
 ///
 /// Members choose seldom and together often: with rows that came along with the last report,
@@ -172,8 +186,9 @@
     }
 }
 
-/// Tells the aggregators of other failure domains the sum of this one.
-fn sum(shared: &Shared, datagrams: &Datagrams, links: &[Link], own: &load::Report) {
+/// Tells the aggregators of other failure domains the sum of this one, or the rows of it that
+/// have grown.
+fn sum(shared: &Shared, datagrams: &Datagrams, links: &[Link], own: &load::Report, is_whole: bool) {
     let now = clock::now();
     let mut names = shared.state.borrow().sums.domains.senders();
     for link in links.iter().filter(|link| !link.near) {
@@ -186,12 +201,18 @@
     names.sort_unstable();
     names.dedup();
     let (loads, members) = shared.domain_sum(own, now);
+    let grown = shared.grown.take();
+    let parts = if is_whole {
+        parts(&loads)
+    } else {
+        grown_rows(&loads, grown, own)
+    };
     let words = words(shared);
     for name in names {
         let Some(address) = shared.fellows.address(&name) else {
             continue;
         };
-        for (covers, rows) in parts(&loads) {
+        for (covers, rows) in parts.clone() {
             let sum = Sum {
                 covers,
                 echo: shared.fellows.echo(&name),
@@ -207,19 +228,39 @@
     }
 }
 
+/// A part of a sum: the digests that it covers, if it is not only of changed rows, and the
+/// rows.
+type RawPart = (Option<(u32, u32)>, Vec<Row>);
+
+/// The rows at which work has begun, this instance's own among them.
+fn grown_rows(loads: &load::Report, mut grown: Vec<u32>, own: &load::Report) -> Vec<RawPart> {
+    grown.extend(own.iter().map(|(digest, _)| *digest));
+    grown.sort_unstable();
+    grown.dedup();
+    let rows = loads
+        .iter()
+        .filter(|(digest, _)| grown.binary_search(digest).is_ok())
+        .copied()
+        .map(row)
+        .collect::<Vec<_>>();
+    rows.chunks(MOST_ROWS)
+        .map(|rows| (None, rows.to_vec()))
+        .collect()
+}
+
 /// Cuts sorted rows into parts that fit into datagrams, each with the digests it covers.
-fn parts(loads: &load::Report) -> Vec<((u32, u32), Vec<Row>)> {
+fn parts(loads: &load::Report) -> Vec<RawPart> {
     let mut parts = Vec::new();
     let mut from = 0;
     let mut chunks = loads.chunks(MOST_ROWS).peekable();
     while let Some(chunk) = chunks.next() {
         let next = chunks.peek().and_then(|next| next.first());
         let to = next.map_or(u32::MAX, |(digest, _)| digest - 1);
-        parts.push(((from, to), chunk.iter().copied().map(row).collect()));
+        parts.push((Some((from, to)), chunk.iter().copied().map(row).collect()));
         from = to.saturating_add(1);
     }
     if parts.is_empty() {
-        parts.push(((0, u32::MAX), Vec::new()));
+        parts.push((Some((0, u32::MAX)), Vec::new()));
     }
     parts
 }
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -58,8 +58,8 @@
 /// The load that instances of a failure domain have at endpoints, or a part of it.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Sum {
-    /// First and last digest that it covers.
-    pub covers: (u32, u32),
+    /// First and last digest that it covers; none if it holds changed rows only.
+    pub covers: Option<(u32, u32)>,
     /// As in a [`Report`].
     pub echo: (u64, u64),
     /// As in a [`Report`].
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -44,6 +44,9 @@
     pub fellows: Fellows,
     /// Requests in progress.
     pub in_progress: Cell<usize>,
+    /// Endpoints at which the load of the own failure domain has grown since the last sum,
+    /// by digest.
+    pub grown: RefCell<Vec<u32>>,
     /// Records for members that lack some, for each topic.
     pub history: [RefCell<History>; TOPICS],
     /// Sets this life of the instance apart from earlier ones; never zero.
@@ -87,6 +90,7 @@
         Ok(Rc::new(Self {
             draining: Cell::new(false),
             fellows: Fellows::default(),
+            grown: RefCell::default(),
             history: Default::default(),
             in_progress: Cell::new(0),
             life: rand::rng().random_range(1..=u64::MAX),
@@ -334,10 +338,21 @@
         (loads, members)
     }
 
-    /// Takes the report of a member in.
+    /// Takes the report of a member in. Where work has begun the other failure domains are
+    /// to hear of it before their next choice.
     pub fn take_report(&self, now: Time, member: &str, number: u64, loads: Report) {
         let mut state = self.state.borrow_mut();
         let State { fellows, sums, .. } = &mut *state;
+        let before = fellows.report(member);
+        let grown = loads.iter().filter(|(digest, load)| {
+            let before = before.iter().find(|(other, _)| other == digest);
+            before.is_none_or(|(_, before)| load.requests > before.requests)
+        });
+        let grown = grown.map(|(digest, _)| *digest).collect::<Vec<_>>();
+        if !grown.is_empty() {
+            self.grown.borrow_mut().extend(grown);
+            self.report_now.notify_one();
+        }
         sums.report(now, fellows, member, number, loads);
     }
 
