--- a/crates/forward/src/aggregate/mod.rs
+++ b/crates/forward/src/aggregate/mod.rs
@@ -58,14 +58,36 @@
     ///
     /// An aggregator that is cut off, frozen or gone is left within [`view::FRESH`]; until
     /// another one answers, an instance chooses by what it knows itself.
-    pub fn settle(&mut self, now: Time, aggregates: bool) {
+    ///
+    /// Returns whether that has changed.
+    pub fn settle(&mut self, now: Time, aggregates: bool) -> bool {
         self.domains.expire(now);
         let best = if aggregates {
             None
         } else {
-            self.views.best(now).map(ToString::to_string)
+            self.views.best(now)
         };
+        if best == self.aggregator() {
+            return false;
+        }
+        let best = best.map(ToString::to_string);
         self.source = best.map_or(Source::Own, Source::View);
+        true
+    }
+
+    /// The aggregator whose sums are used, if it is not this instance.
+    #[must_use]
+    pub fn aggregator(&self) -> Option<&str> {
+        match &self.source {
+            Source::Own => None,
+            Source::View(aggregator) => Some(aggregator),
+        }
+    }
+
+    /// Age of the sums of another aggregator that are used.
+    #[must_use]
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.views.age(now, self.aggregator()?)
     }
 
     /// Load of all other instances at an endpoint; `fellows` are the reports that were
--- a/crates/forward/src/aggregate/view.rs
+++ b/crates/forward/src/aggregate/view.rs
@@ -173,6 +173,14 @@
         view.is_none_or(|view| view.rows_asked.is_some_and(|asked| now.since(asked) <= age))
     }
 
+    /// Age of an aggregator's rows.
+    #[must_use]
+    pub fn age(&self, now: Time, aggregator: &str) -> Option<Duration> {
+        let mut views = self.views.iter();
+        let view = views.find(|view| view.aggregator == aggregator)?;
+        Some(now.since(view.rows_asked?))
+    }
+
     /// Load of all other instances at an endpoint by the word of an aggregator.
     #[must_use]
     pub fn at(&self, aggregator: &str, digest: u32) -> Load {
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -95,6 +95,7 @@
         goes_on = destination.source.is_some(),
         last_event = destination.last_event.unwrap_or_default(), requests = load.requests,
         tokens = load.tokens, list_age_ms = age.as_millis(),
+        load_age_ms = state.sums.age(now).unwrap_or_default().as_millis(),
         config = state.config().map_or(0, |config| config.version); "sent"
     );
 }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -64,6 +64,8 @@
     /// Signalled when a report cannot wait: a generation has begun, or a choice needs an
     /// aggregator's newest rows.
     pub report_now: Notify,
+    /// Part in the exchange of load, as of the last look.
+    role: Cell<Role>,
     /// Settings at the start.
     pub settings: Settings,
     /// What the instance knows.
@@ -100,6 +102,7 @@
             republish: Notify::new(),
             room: Notify::new(),
             report_now: Notify::new(),
+            role: Cell::default(),
             state: RefCell::new(State::new(settings.decisions(), random)),
             stop: Notify::new(),
             store: Store::new(settings.store.address.to_string(), client.clone()),
@@ -367,7 +370,16 @@
 
     /// Settles where the load of other instances is taken from.
     pub fn settle(&self, role: Role) {
+        let now = clock::now();
+        let before = self.role.replace(role);
+        if before != role {
+            log::info!(role:?, before:?; "part in the exchange of load changed");
+        }
         let mut state = self.state.borrow_mut();
-        state.sums.settle(clock::now(), role != Role::Member);
+        if state.sums.settle(now, role != Role::Member) {
+            let aggregator = state.sums.aggregator().unwrap_or_default();
+            let age = state.sums.age(now).unwrap_or_default();
+            log::info!(aggregator, role:?, age_ms = age.as_millis(); "load of others taken from");
+        }
     }
 }
