Take an aggregator that reports for one still

Cause: the two aggregators of a failure domain answer each other and report to each other, and each counted by what it had said last. After a report it was no rival, so both could read the store.

--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -124,13 +124,19 @@
 /// What one fellow said last.
 #[derive(Clone, Debug)]
 struct Heard {
-    /// Whether it spoke as an aggregator.
-    aggregates: bool,
+    /// When it last spoke as an aggregator.
+    aggregated: Option<Time>,
     at: Time,
     name: String,
     words: [Word; TOPICS],
 }
 
+impl Heard {
+    fn aggregates(&self, now: Time) -> bool {
+        self.aggregated.is_some_and(|at| now.since(at) <= ALIVE)
+    }
+}
+
 /// What all fellows said last.
 #[derive(Debug, Default)]
 pub struct Readers {
@@ -142,8 +148,8 @@
 impl Readers {
     /// Takes a fellow's words in.
     pub fn hear(&mut self, name: &str, at: Time, aggregates: bool, words: [Word; TOPICS]) {
-        let heard = Heard {
-            aggregates,
+        let mut heard = Heard {
+            aggregated: aggregates.then_some(at),
             at,
             name: name.to_string(),
             words,
@@ -152,7 +158,11 @@
             .heard
             .binary_search_by(|other| other.name.as_str().cmp(name))
         {
-            Ok(place) => self.heard[place] = heard,
+            Ok(place) => {
+                // An aggregator also reports to the other one of its domain.
+                heard.aggregated = heard.aggregated.or(self.heard[place].aggregated);
+                self.heard[place] = heard;
+            }
             Err(place) => self.heard.insert(place, heard),
         }
     }
@@ -191,7 +201,7 @@
             return false;
         }
         let rivals = self.heard.iter().filter(|heard| {
-            now.since(heard.at) <= ALIVE && (own.role == Role::Equal || heard.aggregates)
+            now.since(heard.at) <= ALIVE && (own.role == Role::Equal || heard.aggregates(now))
         });
         let follows = |heard: &&Heard| {
             heard.words[own.topic]
@@ -250,7 +260,7 @@
     #[must_use]
     pub fn has_aggregator(&self, now: Time) -> bool {
         let mut heard = self.heard.iter();
-        heard.any(|heard| heard.aggregates && now.since(heard.at) <= ALIVE)
+        heard.any(|heard| heard.aggregates(now))
     }
 
     /// Whether records at `position` and beyond are known to a fellow and have not arrived
--- a/crates/forward/tests/readers.rs
+++ b/crates/forward/tests/readers.rs
@@ -264,6 +264,24 @@
     assert_eq!(readers_of_thirty(true), [1, 1, 1]);
 }
 
+/// The two aggregators of a failure domain answer each other and report to each other. Each
+/// took the other for a mere member after a report, and both read the store.
+#[test]
+fn an_aggregator_that_reports_is_still_one() {
+    let reading = ["e1", "e2"].into_iter().filter(|name| {
+        let other = if *name == "e1" { "e2" } else { "e1" };
+        let mut readers = Readers::default();
+        readers.hear(other, at(4900), true, word(300, 7));
+        readers.hear(other, at(5000), false, word(300, 7));
+        let own = Own {
+            role: Role::Aggregator,
+            ..own(name, 4900, 7)
+        };
+        readers.must_read(own, at(5000)).is_some()
+    });
+    assert_eq!(reading.count(), 1);
+}
+
 /// An aggregator passes records on while a member's own are on their way. A member that
 /// asked the store at once would do so fifty-fold with its fellows; one that never did
 /// would use a route that was moved.
