--- a/crates/forward/src/aggregate/members.rs
+++ b/crates/forward/src/aggregate/members.rs
@@ -197,15 +197,16 @@
         silent
     }
 
-    /// Part of the own instance.
+    /// Part of the own instance; a member until its own entry is known, since nobody can say
+    /// before how many there are.
     #[must_use]
     pub fn role(&self, own: &str) -> Role {
-        if !self.are_many() {
-            return Role::Equal;
-        }
         let Some(key) = self.find(own) else {
             return Role::Member;
         };
+        if !self.are_many() {
+            return Role::Equal;
+        }
         let domain = &self.arena[key].domain;
         if self.first(domain, key).contains(&key) {
             return Role::Aggregator;
--- a/crates/forward/tests/aggregates.rs
+++ b/crates/forward/tests/aggregates.rs
@@ -490,3 +490,16 @@
     sums.domains.hear(at(30), "b", "e1", FIRST, &late);
     assert_eq!(sums.domains.at(7).requests, 4);
 }
+
+/// All instances of a deployment start at once, and each knows nobody yet. Each took itself
+/// for the only one and read the store again and again until it had found the others, which
+/// made more calls than the hour that followed.
+#[test]
+fn an_instance_that_knows_nobody_is_no_reader() {
+    let mut members = Members::default();
+    assert_eq!(members.role("e1"), Role::Member);
+    members.set("e2", "a", 120);
+    assert_eq!(members.role("e1"), Role::Member);
+    members.set("e1", "a", 120);
+    assert_eq!(members.role("e1"), Role::Equal);
+}
