Stop a run when another engine may be at work on it and no third has room

An engine was asked to go on from the copy 6 ms before the way to its failure domain was cut; it began, its answer was lost, and after 250 ms the run was to be stopped at its own engine and moved to a third one. With 9 engines none had room, so nothing was done and both ran to the end.

Ruled out: closing the old stream (it is the one that reaches the caller).

Change: without a third engine the run is stopped with the silent one as target, and goes on where it stopped. While a move is under way it is asked three times within 120 ms; if that fails the stream is lost, not run twice. An answer that broke off counts like none.

Proof: a_run_stops_when_another_engine_may_be_at_work_on_it, failed before, passes now.

--- a/crates/carawayhead/tests/forwarding/streams.rs
+++ b/crates/carawayhead/tests/forwarding/streams.rs
@@ -156,6 +156,33 @@
     );
 }
 
+/// An engine leaves, the one with the copy of its run is asked to go on, and a partition
+/// swallows the answer: it has begun. No third engine has room. Left alone, both go on to the
+/// end, and a stream that cannot be repeated has run twice. The one that can be reached has to
+/// stop; it holds the run's memory, and the caller's stream goes on there, whole.
+#[tokio::test]
+async fn a_run_stops_when_another_engine_may_be_at_work_on_it() {
+    let deployment = deployment(2).await;
+    let callers = deployment.instance.callers;
+    let stream = tokio::spawn(async move { ask(callers, &Ask::new("r1", "/draft/7")).await });
+    let place = deployment.running_at().await;
+    let other = &deployment.engines[1 - place];
+    other.mute();
+    let engine = &deployment.engines[place];
+    let id = format!("m{}", place + 1);
+    let entry = engine.leaving_entry("model", "a");
+    deployment.store.list(&id, &entry);
+    until("the engine has gone on with what it stopped", || async {
+        let ran = engine.ran();
+        ran.iter().any(|call| call.header("kv-from").is_some())
+    })
+    .await;
+    assert_eq!(other.ran().len(), 1);
+    let got = stream.await.expect("a task").expect("an answer");
+    assert_eq!((got.status, got.complete), (StatusCode::OK, true));
+    assert_whole(&got.body);
+}
+
 /// A partition parts a stream from its engine for some seconds, and the engine with its
 /// copy is dead. The stream's connection has not broken, so what its engine made comes late
 /// once it is heard of again, and the caller has its whole answer.
--- a/crates/forward/src/aggregate/members.rs
+++ b/crates/forward/src/aggregate/members.rs
@@ -47,7 +47,7 @@
 pub type Rank = (std::cmp::Reverse<u32>, u64);
 
 /// An instance as it published itself.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Member {
     domain: String,
     failures: u32,
@@ -81,7 +81,7 @@
 }
 
 /// All instances that have published themselves, the own one included.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Members {
     arena: SlotMap<MemberKey, Member>,
     /// Sorted by name.
--- a/crates/proxy/src/relay/loss.rs
+++ b/crates/proxy/src/relay/loss.rs
@@ -24,6 +24,12 @@
 /// two seconds at the least, of which the prompt takes half a second to be read again.
 const RESUME_WAIT: Duration = Duration::from_millis(1200);
 
+/// Times that an engine is asked to stop a run beside which another one may be at work, and
+/// the pause between them, while a move of the run is under way. Together they are less than
+/// the time for which two may work on a run.
+const STOP_TRIES: u32 = 3;
+const STOP_PAUSE: Duration = Duration::from_millis(40);
+
 /// Pause before a move is tried again.
 const MOVE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -43,10 +49,8 @@
         match relocated {
             Relocated::Opened(opened) => self.switch(*opened),
             Relocated::Unsure(key) => {
-                // Both engines may work on the run now. The one that can be reached is
-                // stopped, and the run goes on from there at a third one.
                 self.shared.unreachable(key);
-                return self.silent().await;
+                return self.stop_beside(key).await;
             }
             Relocated::NotYet(why) => {
                 log::info!(id = self.original.inbound.id, why; "move put off");
@@ -69,20 +73,42 @@
 
     /// No event for long: the engine may have died without a word, or the run waits.
     pub(super) async fn silent(&mut self) -> Result<(), Ending> {
-        let run = self.running.key;
         let id = self.original.inbound.id.clone();
         log::info!(id, events = self.sequence.count(); "stream is silent");
-        let stopped = relocate::stop(&self.shared, run, &id).await;
-        match stopped {
-            relocate::Stop::Unreachable => {
-                self.shared.unreachable(self.source.key);
-                self.go_on_or_wait("silent").await
+        match relocate::stop(&self.shared, self.running.key, &id, None).await {
+            relocate::Stop::Busy => Ok(()),
+            stopped => self.stopped(stopped, "silent").await,
+        }
+    }
+
+    /// Another engine that does not answer may have gone on with the run, and would be at
+    /// work on it beside the present one: a stream that cannot be repeated would run twice.
+    /// So the run is stopped where it can be reached, and goes on from there.
+    async fn stop_beside(&mut self, other: EndpointKey) -> Result<(), Ending> {
+        let id = self.original.inbound.id.clone();
+        log::info!(id, events = self.sequence.count(); "two engines may be at work");
+        for _ in 0..STOP_TRIES {
+            match relocate::stop(&self.shared, self.running.key, &id, Some(other)).await {
+                relocate::Stop::Busy => sleep(STOP_PAUSE).await,
+                stopped => return self.stopped(stopped, "two at work").await,
             }
-            relocate::Stop::Gone => self.go_on_or_wait("gone").await,
+        }
+        let lost = "two engines may be at work, and none can be stopped".to_string();
+        self.begin_again("two at work", lost).await
+    }
+
+    /// Goes on with a run that was to be stopped.
+    async fn stopped(&mut self, stop: relocate::Stop, why: &str) -> Result<(), Ending> {
+        match stop {
             relocate::Stop::Busy => Ok(()),
+            relocate::Stop::Gone => self.go_on_or_wait("gone").await,
             relocate::Stop::Stopped(takeover) => {
                 self.last_events().await?;
-                self.go_on(takeover, "silent").await
+                self.go_on(takeover, why).await
+            }
+            relocate::Stop::Unreachable => {
+                self.shared.unreachable(self.source.key);
+                self.go_on_or_wait(why).await
             }
         }
     }
--- a/crates/proxy/src/relocate.rs
+++ b/crates/proxy/src/relocate.rs
@@ -85,10 +85,14 @@
     }
 }
 
-/// Stops a run that is silent and moves it to another engine.
-pub async fn stop(shared: &Rc<Shared>, run: RunKey, id: &str) -> Stop {
+/// Stops a run that is silent and moves it to another engine with room. If there is none and
+/// `beside` names an engine that may be at work on the run too, the run is stopped all the
+/// same, with that one for its target, and goes on at its own engine.
+pub async fn stop(shared: &Rc<Shared>, run: RunKey, id: &str, beside: Option<EndpointKey>) -> Stop {
     gossip::tell::refresh(shared).await;
-    let Some(ends) = ends(shared, run, &[]) else {
+    let moved = ends(shared, run, beside.as_slice());
+    let stays = moved.is_none();
+    let Some(ends) = moved.or_else(|| ends_at(shared, run, beside?)) else {
         return Stop::Busy;
     };
     let result = call(shared, &ends, id, true, STOP_WAIT).await;
@@ -98,7 +102,11 @@
         Ok(Move::Copied { handle, .. }) => Stop::Stopped(Takeover {
             address: ends.source,
             handle,
-            key: ends.target_key,
+            key: if stays {
+                ends.source_key
+            } else {
+                ends.target_key
+            },
         }),
         Ok(Move::Refused(Some(handle))) => Stop::Stopped(Takeover {
             address: ends.source,
@@ -120,11 +128,16 @@
 
 /// The engine that has the run, and another one with room.
 fn ends(shared: &Shared, run: RunKey, tried: &[EndpointKey]) -> Option<Ends> {
-    let (source_key, target_key) = {
+    let target = {
         let mut state = shared.state.borrow_mut();
-        let target = state.pick_target(clock::now(), run, tried)?;
-        (state.run(run)?.endpoint, target)
+        state.pick_target(clock::now(), run, tried)?
     };
+    ends_at(shared, run, target)
+}
+
+/// The engine that has the run, and another one.
+fn ends_at(shared: &Shared, run: RunKey, target_key: EndpointKey) -> Option<Ends> {
+    let source_key = shared.state.borrow().run(run)?.endpoint;
     Some(Ends {
         source: shared.target(source_key)?.0,
         source_key,
--- a/crates/proxy/src/transfer.rs
+++ b/crates/proxy/src/transfer.rs
@@ -117,8 +117,8 @@
     async fn within_overlap(&self, takeover: &Takeover, why: &str) -> Relocated {
         match timeout(OVERLAP, self.open(takeover, why)).await {
             Ok(Ok(opened)) => Relocated::Opened(Box::new(opened)),
-            Ok(Err(why)) => Relocated::NotYet(why.to_string()),
-            Err(_) => Relocated::Unsure(takeover.key),
+            Ok(Err(Failure::NotRun(why))) => Relocated::NotYet(why),
+            Ok(Err(Failure::Unknown(_))) | Err(_) => Relocated::Unsure(takeover.key),
         }
     }
 
