One rule for the time of a try; entries of instances that are gone; comments without stories

The share of the time that a try may take stood in two modules of the loop; it is a decision and stands with the ticket now. Comments of choice, reader, budget and moves say what a value is for, not how it was found.

--- a/crates/fellow/src/datagram.rs
+++ b/crates/fellow/src/datagram.rs
@@ -1,9 +1,8 @@
 //! Datagrams between instances: reports that may be lost, since a newer one follows; and
 //! streams for what must arrive whole.
 //!
-//! Two instances share one connection, whichever of them opened it. One for each direction
-//! took twice the handshakes at a start and twice the memory: 168 connections in each of 85
-//! instances.
+//! Two instances share one connection, whichever of them opened it: one for each direction
+//! would take twice the handshakes at a start and twice the memory.
 
 use {
     crate::{message::MOST, prelude::*},
--- a/crates/forward/src/budget.rs
+++ b/crates/forward/src/budget.rs
@@ -9,8 +9,7 @@
 //! An instance counts first sends over the window before its own last second send, which
 //! lies anywhere in the joint window. Those of all instances together so spread over two
 //! windows, and only the fuller one counts for the joint bound; hence each may use half
-//! of the ratio. With the whole of it a random trial found 71 second sends where 70 were
-//! allowed.
+//! of the ratio.
 
 use {crate::prelude::*, std::collections::VecDeque};
 
--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -26,22 +26,21 @@
 /// take the links from longer ones.
 const COPY_FROM: u32 = 100;
 
-/// Prompt tokens that an engine reads in a millisecond beside the runs that it has: a step
-/// reads 112 tokens in 8 ms and makes a token for each run in 7 ms more.
+/// Prompt tokens that an engine reads in a millisecond beside the runs that it has; about
+/// half of what it reads alone.
 pub(crate) const READ_RATE: f64 = 7.0;
 
-/// Longest time that a token usually takes. A step takes 7 ms and more, and 0.12 ms more
-/// for each other request at the engine.
+/// Longest time that a token usually takes, at an engine with many requests.
 pub(crate) const TOKEN_TIME: Duration = Duration::from_millis(11);
 
-/// What one more running request costs the others, in milliseconds of waiting; from the
-/// 0.12 ms by which it lengthens each step, over the steps of a typical answer's start.
+/// What one more running request costs the others, in milliseconds of waiting: it lengthens
+/// each of their steps.
 const RUN_COST: f64 = 6.0;
 
 /// Milliseconds of waiting that are borne to stay in the own failure domain. Work there
-/// survives a partition between domains, and bytes between domains are dear. About a third
-/// of the time that a prompt takes to be read, so that engines of the own domain that read
-/// one are left for idle ones elsewhere.
+/// survives a partition between domains, and bytes between domains are dear. Less than the
+/// time that a prompt takes to be read, so that engines of the own domain that read one are
+/// left for idle ones elsewhere.
 const DOMAIN_COST: f64 = 150.0;
 
 /// Milliseconds of waiting that it is worth to have a copy in another failure domain than
@@ -67,10 +66,9 @@
 
 /// Milliseconds of waiting up to which a choice among many instances is left to a draw.
 ///
-/// Instances that choose within the 20 ms or so that word of a choice is on its way take
-/// the same engine, the emptiest one, and its prompts are read one after the other. Less
-/// than the time that a prompt takes to read, so that an engine which reads none is still
-/// taken first.
+/// Instances that choose while word of each other's choices is on its way would all take the
+/// emptiest engine, and its prompts would be read one after the other. Less than the time
+/// that a prompt takes to read, so that an engine which reads none is still taken first.
 const SPREAD_COST: f64 = 200.0;
 
 /// What a request is expected to need, in tokens; zero for plain requests.
--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -192,9 +192,8 @@
     /// were heard of late and follow the store; where there are many, among the aggregators
     /// of all failure domains.
     ///
-    /// While nobody follows the store, the first of all reads, and the others ask rarely:
-    /// 85 instances that all asked an absent store as often as its reader made 3,000 calls
-    /// in nine seconds, and none of them brought anything.
+    /// While nobody follows the store, the first of all reads, and the others ask rarely; calls
+    /// of an absent store count, and those of one instance tell as much as those of all.
     #[must_use]
     pub fn reads(&self, own: Own<'_>, now: Time) -> bool {
         if own.role == Role::Member {
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -44,6 +44,10 @@
     pub version: u64,
 }
 
+/// Part of the time left after which a request that may run again is tried elsewhere: an
+/// endpoint that has not answered by then is more likely dark than slow.
+const TRY_SHARE: f64 = 0.45;
+
 impl Ticket {
     /// Whether a request that may have run `runs` times may be sent once more.
     #[must_use]
@@ -51,6 +55,17 @@
         self.route.idempotent() && runs < self.route.max_attempts
     }
 
+    /// How long the next try may take, after `runs` of them: a part of the time that is left
+    /// while another one may follow.
+    #[must_use]
+    pub fn try_limit(&self, now: Time, runs: u32) -> Duration {
+        let left = self.expires.since(now);
+        if self.may_run_again(runs + 1) {
+            return left.mul_f64(TRY_SHARE);
+        }
+        left
+    }
+
     /// The event that a caller resumes its stream behind. Only where streams can be resumed
     /// is a caller believed: an engine that began elsewhere in another stream would leave
     /// events out.
--- a/crates/proxy/src/fellows.rs
+++ b/crates/proxy/src/fellows.rs
@@ -60,6 +60,7 @@
             }
             (Ok(place), None) => {
                 fellows.remove(place);
+                self.echoes.borrow_mut().retain(|(other, _)| other != name);
                 None
             }
             (Err(place), Some(entry)) => {
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -133,14 +133,14 @@
                 progress.read.notify_waiters();
                 let pause = rand::rng().random_range(RETRY.0..RETRY.1);
                 let doublings = if cause == Cause::Reader { 0 } else { failures };
-                failures = (failures + 1).min(doublings_most(&shared));
+                failures = (failures + 1).min(most_doublings(&shared));
                 sleep(Duration::from_millis(pause << doublings)).await;
             }
         }
     }
 }
 
-fn doublings_most(shared: &Shared) -> u32 {
+fn most_doublings(shared: &Shared) -> u32 {
     let linked = shared.readers.borrow().has_aggregator(clock::now());
     if linked && gossip::role(shared) == Role::Member {
         return DOUBLINGS_OF_MEMBER;
--- a/crates/proxy/src/gossip/records.rs
+++ b/crates/proxy/src/gossip/records.rs
@@ -63,14 +63,14 @@
 
     /// Whether a member may be sent records now; it is taken as sent.
     fn due(&mut self, member: &str, now: Time) -> bool {
-        match self
+        self.sent.retain(|(_, sent)| now.since(*sent) < SEND_AGAIN);
+        let place = self
             .sent
-            .binary_search_by(|(other, _)| other.as_str().cmp(member))
-        {
-            Ok(place) if now.since(self.sent[place].1) < SEND_AGAIN => return false,
-            Ok(place) => self.sent[place].1 = now,
-            Err(place) => self.sent.insert(place, (member.to_string(), now)),
-        }
+            .binary_search_by(|(other, _)| other.as_str().cmp(member));
+        let Err(place) = place else {
+            return false;
+        };
+        self.sent.insert(place, (member.to_string(), now));
         true
     }
 }
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -20,11 +20,6 @@
 /// Largest answer that is taken in whole, in bytes.
 const MOST_ANSWER: usize = 16 << 20;
 
-/// Share of the time that is left after which an idempotent request is tried elsewhere.
-/// Work takes a tenth of the route's timeout at the mean; an endpoint that has not
-/// answered by then is more likely dark than slow.
-const SECOND_TRY: f64 = 0.45;
-
 /// Share of a route's timeout that a request waits for an endpoint with room.
 const WAIT_SHARE: f64 = 0.5;
 
@@ -125,9 +120,7 @@
     progress: &Progress,
     key: EndpointKey,
 ) -> Result<Whole, Failure> {
-    let left = ticket.expires.since(clock::now());
-    let again = ticket.may_run_again(progress.runs + 1);
-    let limit = left.mul_f64(if again { SECOND_TRY } else { 1.0 });
+    let limit = ticket.try_limit(clock::now(), progress.runs);
     let destination = Destination {
         backup: None,
         customer: ticket.customer.as_deref(),
--- a/crates/proxy/src/relocate.rs
+++ b/crates/proxy/src/relocate.rs
@@ -53,8 +53,7 @@
 ///
 /// The other engine can go on from the copy and reads the few tokens anew that were made
 /// meanwhile, so the run need not be stopped for a last copy. A last copy waits behind
-/// others on the link: it took 0.4 s at the median when three engines left at once, and
-/// many an engine was gone before it was through.
+/// others on the link, and an engine that leaves is often gone before it is through.
 pub async fn relocate(shared: &Rc<Shared>, run: RunKey, id: &str) -> Moved {
     let mut tried = Vec::new();
     loop {
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -22,10 +22,6 @@
 /// is needed for reading the prompt.
 const WAIT_SHARE: f64 = 0.7;
 
-/// Share of the time that is left after which a stream that may be sent again is tried at
-/// another engine: one that has made no event by then is more likely dark than slow.
-const SECOND_TRY: f64 = 0.45;
-
 /// Parts that wait for a caller who reads slowly.
 const MOST_BUFFERED: usize = 256;
 
@@ -181,9 +177,7 @@
     key: EndpointKey,
     backup: Option<EndpointKey>,
 ) -> Opened {
-    let left = ticket.expires.since(clock::now());
-    let again = ticket.may_run_again(progress.runs + 1);
-    let limit = left.mul_f64(if again { SECOND_TRY } else { 1.0 });
+    let limit = ticket.try_limit(clock::now(), progress.runs);
     let destination = Destination {
         backup,
         customer: ticket.customer.as_deref(),
--- a/crates/proxy/src/transfer.rs
+++ b/crates/proxy/src/transfer.rs
@@ -85,9 +85,8 @@
     /// Goes on at the engine that holds a copy, if there is a sound one; else moves the
     /// run's KV memory.
     ///
-    /// The copy lacks only the last few tokens, so the engine that holds it goes on within
-    /// some 15 ms, while a move waits for other moves on the link (a median of 0.4 s for
-    /// its last part when three engines leave at once). The run before goes on until the
+    /// The copy lacks only the last few tokens, so the engine that holds it goes on at
+    /// once, while a move waits for other moves on the link. The run before goes on until the
     /// other engine has answered, so nothing is lost if the copy turns out missing.
     pub async fn relocate(self, backup: Option<Takeover>) -> Relocated {
         let sound = self
