--- a/crates/proxy/src/gossip/mod.rs
+++ b/crates/proxy/src/gossip/mod.rs
@@ -4,12 +4,13 @@
 //! * [`links`]: to whom it keeps connections;
 //! * [`tell`]: what it says, and how often;
 //! * [`hear`]: what it takes from the words of others;
-//! * [`records`]: how records of the store travel.
+//! * [`records`]: how records of the store travel, and [`history`], what is kept of them.
 //!
 //! Who says what to whom is decided in [`forward::aggregate`].
 
 pub mod entry;
 pub mod hear;
+pub mod history;
 pub mod links;
 pub mod records;
 pub mod tell;
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -5,7 +5,7 @@
         clock,
         exchange::Original,
         fellows::Fellows,
-        gossip::records::History,
+        gossip::history::History,
         meters::Meters,
         prelude::*,
         settings::Settings,
