The test of a restarted aggregator no longer helps the guard that it checks

Broken guards run one by one showed that 'rows of an aggregator's former life are kept' went unnoticed: the answer in the test told the member to forget. It no longer does, so that the member's own check of the life is what counts.

--- a/crates/forward/tests/aggregates.rs
+++ b/crates/forward/tests/aggregates.rs
@@ -413,8 +413,8 @@
     assert_eq!(views.at("e1", 5).tokens, 900);
     views.reported(1_200_000, Vec::new());
     let changes = Changes {
-        anew: true,
-        rows: Vec::new(),
+        anew: false,
+        rows: vec![],
         version: 2,
     };
     assert!(views.hear("e1", FIRST, answer(1_200_000, 2, changes)));
