Log broken connections with the fingerprint of their request

The logs could not show whether the requests under which engines ended were equal, nor how many runs an engine had when it was lost, so three hypotheses fitted them.

Change: a request has a fingerprint, the digest of its customer, host, target and body. The line `sent` has it, and each request whose connection breaks has a line `connection to endpoint broke` with the time since the send, the events passed on and the load of the endpoint; `connections_broken_total` counts them by service.

--- a/crates/carawayhead/tests/forwarding/streams.rs
+++ b/crates/carawayhead/tests/forwarding/streams.rs
@@ -147,6 +147,15 @@
     assert_all_events(&response.body);
     let takeovers = deployment.instance.log_lines_containing("\"takeover\"");
     assert!(!takeovers.is_empty());
+    let broken = deployment
+        .instance
+        .log_lines_containing("\"connection to endpoint broke\"");
+    assert_eq!(broken.len(), 1, "{broken:?}");
+    let broken = serde_json::from_str::<serde_json::Value>(&broken[0]).expect("a log line is JSON");
+    assert_eq!(broken["endpoint"], format!("m{}", index + 1));
+    let sent = deployment.instance.log_lines_containing("\"sent\"");
+    let fingerprint = broken["fingerprint"].as_str().expect("it is a string");
+    assert!(sent.iter().all(|line| line.contains(fingerprint)));
 }
 
 /// An engine stops sending events without closing its connection. The backup engine must be
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod choice;
 pub mod config;
 pub mod endpoint;
+pub mod fingerprint;
 pub mod freshness;
 pub mod load;
 pub mod outcome;
--- a/crates/forward/src/prelude.rs
+++ b/crates/forward/src/prelude.rs
@@ -4,6 +4,7 @@
     crate::{
         config::{Config, Engine, Kind, Route, Service},
         endpoint::{Endpoint, Listing},
+        fingerprint::Fingerprint,
         outcome::Refusal,
         request::Inbound,
         run::Run,
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -126,7 +126,8 @@
     progress: &Progress,
     key: EndpointKey,
 ) -> Result<BufferedAnswer, SendFailure> {
-    let limit = ticket.attempt_timeout(clock::now(), progress.runs);
+    let sent_at = clock::now();
+    let limit = ticket.attempt_timeout(sent_at, progress.runs);
     let destination = Destination {
         backup: None,
         customer: ticket.customer.as_deref(),
@@ -142,8 +143,14 @@
                 let status = reply.status();
                 let headers = head::response_headers(reply.headers());
                 let body = reply.read_body(MAX_ANSWER_BYTES).await;
+                let body = body.map_err(|error| {
+                    if matches!(error, endpoint::Error::Broken(_)) {
+                        shared.record_break(original, key, sent_at, 0);
+                    }
+                    unknown(error.to_string())
+                })?;
                 Ok(BufferedAnswer {
-                    body: body.map_err(|error| unknown(error.to_string()))?,
+                    body,
                     headers,
                     status,
                     flags,
@@ -153,6 +160,10 @@
                 why,
                 written: false,
             }),
+            SendOutcome::Broken(why) => {
+                shared.record_break(original, key, sent_at, 0);
+                Err(unknown(why))
+            }
             SendOutcome::Unknown(why) => Err(unknown(why)),
         }
     };
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -11,6 +11,8 @@
 pub enum SendOutcome {
     /// The endpoint responded; the body has not been read.
     Answer(endpoint::client::Reply, ResponseFlags),
+    /// The connection broke, for this reason; the endpoint may have run the request.
+    Broken(String),
     /// Nothing was written to the connection, for this reason.
     NotWritten(String),
     /// The endpoint may have run the request; why the result is unknown.
@@ -22,6 +24,8 @@
 pub struct Original {
     /// Body.
     pub body: Bytes,
+    /// Identifies equal requests.
+    pub fingerprint: Fingerprint,
     /// Fields of the request that routing and admission use.
     pub inbound: Inbound,
     /// Head.
@@ -74,7 +78,7 @@
         Err(error) => return SendOutcome::NotWritten(error.to_string()),
     };
     shared.record_send(destination.key);
-    log_send(shared, &original.inbound.id, destination, &endpoint);
+    log_send(shared, original, destination, &endpoint);
     exchange(
         shared,
         address,
@@ -86,14 +90,14 @@
 }
 
 /// Logs the choice of an endpoint with the data that it was based on.
-fn log_send(shared: &Shared, id: &str, destination: &Destination, endpoint: &str) {
+fn log_send(shared: &Shared, original: &Original, destination: &Destination, endpoint: &str) {
     let now = clock::now();
     let state = shared.state.borrow();
     let copy = destination.backup.and_then(|key| state.endpoint(key));
     let load = state.load_at(destination.key);
     let age = state.list_freshness.age(now).unwrap_or(Duration::MAX);
     log::info!(
-        id, endpoint, copy = copy.map_or("", |copy| copy.listing.id.as_str()),
+        id = original.inbound.id, fingerprint:% = original.fingerprint, endpoint, copy = copy.map_or("", |copy| copy.listing.id.as_str()),
         goes_on = destination.source.is_some(),
         last_event = destination.last_event.unwrap_or_default(), requests = load.requests,
         tokens = load.tokens, list_age_ms = age.as_millis(),
@@ -114,6 +118,7 @@
     match timeout(limit, sending).await {
         Err(_) => SendOutcome::Unknown("no response within the time limit".to_string()),
         Ok(Err(error)) if error.unwritten() => SendOutcome::NotWritten(error.to_string()),
+        Ok(Err(error @ endpoint::Error::Broken(_))) => SendOutcome::Broken(error.to_string()),
         Ok(Err(error)) => SendOutcome::Unknown(error.to_string()),
         Ok(Ok(reply)) => {
             let flags = head::response_flags(reply.status(), reply.headers(), id);
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -200,7 +200,13 @@
         .borrow_mut()
         .budget
         .record_request(&ticket.service, now);
+    let target = parts
+        .uri
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
+    let customer = ticket.customer.as_deref();
     let original = Original {
+        fingerprint: Fingerprint::new(customer, &inbound.host, target, &body),
         body,
         inbound,
         parts,
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -18,6 +18,7 @@
 /// All exported metrics.
 #[derive(Debug)]
 pub struct Metrics {
+    breaks: Counter<u64>,
     endings: Counter<u64>,
     first_event: Histogram<f64>,
     loop_late: Histogram<f64>,
@@ -58,6 +59,10 @@
             .with_callback(|observer| observer.observe(logging::dropped(), &[]))
             .build();
         Ok(Self {
+            breaks: counter(
+                "connections_broken",
+                "connections to endpoints that broke during a request, by service",
+            ),
             endings: counter("requests_ended", "requests by route and outcome"),
             first_event: histogram("first_event_seconds", "time to a stream's first event"),
             loop_late: histogram("loop_late_seconds", "how late the loop's timer was"),
@@ -73,6 +78,12 @@
         })
     }
 
+    /// Records that a connection to an endpoint broke during a request.
+    pub fn record_break(&self, service: &str) {
+        self.breaks
+            .add(1, &[KeyValue::new("service", service.to_string())]);
+    }
+
     /// Records the end of a request.
     pub fn record_end(&self, route: &str, outcome: &str, took: Duration) {
         let labels = [
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -294,8 +294,12 @@
 
     fn events(&mut self, chunk: Result<Option<Bytes>, endpoint::Error>) -> Step {
         match chunk {
-            Err(error) => Step::Lost(error.to_string()),
+            Err(error) => {
+                self.record_break();
+                Step::Lost(error.to_string())
+            }
             Ok(None) if self.source.splitter.has_partial_event() => {
+                self.record_break();
                 Step::Lost("connection closed inside an event".to_string())
             }
             Ok(None) => Step::Ended,
@@ -306,6 +310,13 @@
         }
     }
 
+    fn record_break(&self) {
+        let EventSource { key, sent_at, .. } = &self.source;
+        let events = self.sequence.count();
+        self.shared
+            .record_break(&self.original, *key, *sent_at, events);
+    }
+
     async fn pass_on(&mut self, blocks: Vec<Bytes>) -> Result<(), Ending> {
         for block in blocks {
             if !self.sequence.accept(sse::event_id(&block)) {
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -234,6 +234,23 @@
         }
     }
 
+    /// Records that the connection to an endpoint broke after a request was sent there at
+    /// `sent_at` and produced `events` events.
+    pub fn record_break(&self, original: &Original, key: EndpointKey, sent_at: Time, events: u32) {
+        let state = self.state.borrow();
+        let Some(endpoint) = state.endpoint(key) else {
+            return;
+        };
+        let load = state.load_at(key);
+        log::info!(
+            id = original.inbound.id, fingerprint:% = original.fingerprint,
+            endpoint = endpoint.listing.id, leaving = endpoint.leaving_since.is_some(),
+            ms = clock::now().since(sent_at).as_millis(), events, requests = load.requests,
+            tokens = load.tokens; "connection to endpoint broke"
+        );
+        self.metrics.record_break(&endpoint.listing.service);
+    }
+
     /// Counts a send to a service, for the retry budget and the metrics.
     pub fn record_attempt(&self, service: &str, is_retry: bool) {
         let now = clock::now();
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -178,7 +178,8 @@
     key: EndpointKey,
     backup: Option<EndpointKey>,
 ) -> OpenOutcome {
-    let limit = ticket.attempt_timeout(clock::now(), progress.runs);
+    let sent_at = clock::now();
+    let limit = ticket.attempt_timeout(sent_at, progress.runs);
     let destination = Destination {
         backup,
         customer: ticket.customer.as_deref(),
@@ -194,6 +195,10 @@
                 log::info!(id = original.inbound.id, why; "cannot reach engine");
                 OpenOutcome::NotReached
             }
+            SendOutcome::Broken(why) => {
+                shared.record_break(original, key, sent_at, 0);
+                fail(shared, key, why)
+            }
             SendOutcome::Unknown(why) => fail(shared, key, why),
             SendOutcome::Answer(answer, flags) if flags.not_run => {
                 shared.mark_rejected(key, answer.status());
@@ -203,7 +208,7 @@
                 if !flags.sealed || flags.encoded {
                     return fail(shared, key, "invalid response".to_string());
                 }
-                first_event(shared, key, answer).await
+                first_event(shared, original, key, sent_at, answer).await
             }
             SendOutcome::Answer(answer, _) => non_stream_answer(shared, key, answer).await,
         }
@@ -222,7 +227,9 @@
 /// Reads until the first event is complete.
 async fn first_event(
     shared: &Shared,
+    original: &Original,
     key: EndpointKey,
+    sent_at: Time,
     answer: endpoint::client::Reply,
 ) -> OpenOutcome {
     let headers = head::response_headers(answer.headers());
@@ -231,7 +238,10 @@
     loop {
         let chunk = match answer.chunk().await {
             Ok(chunk) => chunk,
-            Err(error) => return fail(shared, key, error.to_string()),
+            Err(error) => {
+                shared.record_break(original, key, sent_at, 0);
+                return fail(shared, key, error.to_string());
+            }
         };
         let ended = chunk.is_none();
         let blocks = match splitter.feed(chunk.unwrap_or_default()) {
@@ -250,6 +260,7 @@
                 answer,
                 splitter,
                 key,
+                sent_at,
             },
         }));
     }
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -28,6 +28,8 @@
     pub splitter: EventSplitter,
     /// The engine.
     pub key: EndpointKey,
+    /// When the request was sent to the engine.
+    pub sent_at: Time,
 }
 
 /// Result of a move or takeover.
@@ -177,6 +179,7 @@
                         answer,
                         splitter: EventSplitter::default(),
                         key,
+                        sent_at: started_at,
                     },
                 })
             }
@@ -186,6 +189,10 @@
             SendOutcome::Answer(answer, _) => {
                 Err(Failure::Unknown(format!("answered {}", answer.status())))
             }
+            SendOutcome::Broken(error) => {
+                self.shared.record_break(&self.original, key, started_at, 0);
+                Err(Failure::Unknown(error))
+            }
             SendOutcome::NotWritten(error) => Err(Failure::NotRun(error)),
             SendOutcome::Unknown(error) => Err(Failure::Unknown(error)),
         };
