--- /dev/null
+++ b/crates/carawayhead/tests/forwarding/crashes.rs
@@ -0,0 +1,132 @@
+//! Requests that crash the engines that run them.
+
+use {
+    crate::instance::Instance,
+    http::StatusCode,
+    platform::standin::{
+        Engine, Store,
+        caller::{CallerRequest, CallerResponse, config, send_request},
+        engine::SharedRuns,
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Body of the request that crashes engines.
+const FATAL_BODY: &str = "fatal";
+
+/// Engines that a request may crash before it is no longer passed on.
+const MAX_CRASHES: usize = 3;
+
+/// Time after which every connected instance must know of earlier crashes.
+const STABILITY_WINDOW: Duration = Duration::from_secs(3);
+
+const EVENT_INTERVAL: Duration = Duration::from_millis(15);
+const EVENTS_PER_STREAM: u32 = 60;
+
+struct Deployment {
+    engines: Vec<Engine>,
+    instances: Vec<Instance>,
+    store: Store,
+}
+
+impl Deployment {
+    /// Starts three instances and some engines, which crash after they have sent `events` events
+    /// of a request with [`FATAL_BODY`].
+    async fn start(engines: usize, events: u32) -> Self {
+        let store = Store::start().await;
+        store.write_operator_record("config", &config(1, &["key-1"], 30_000));
+        let shared_runs = Arc::<SharedRuns>::default();
+        shared_runs.crash_engines_on(FATAL_BODY, events);
+        let mut started = Vec::new();
+        for number in 1..=engines {
+            let id = format!("m{number}");
+            let engine = Engine::start(&shared_runs, &id, EVENTS_PER_STREAM, EVENT_INTERVAL).await;
+            store.write_endpoint_entry(&id, &engine.entry("model", "a", "ready"));
+            started.push(engine);
+        }
+        let mut deployment = Self {
+            engines: started,
+            instances: Vec::new(),
+            store,
+        };
+        deployment.start_instances().await;
+        deployment
+    }
+
+    async fn start_instances(&mut self) {
+        for name in ["e1", "e2", "e3"] {
+            self.instances
+                .push(Instance::start(name, "a", &self.store).await);
+        }
+    }
+
+    /// Sends a request with this body under a new id, to one instance after another.
+    async fn send(&self, path: &str, body: &str, number: usize) -> CallerResponse {
+        let id = format!("{body}-{number}");
+        let mut request = CallerRequest::new(&id, path);
+        request.body = body;
+        let instance = &self.instances[number % self.instances.len()];
+        let response = send_request(instance.caller_address, &request).await;
+        response.expect("the instance responds")
+    }
+
+    /// Sends the fatal request until it has crashed [`MAX_CRASHES`] engines.
+    async fn crash_engines(&self, path: &str) {
+        for number in 0..100 {
+            if self.crashed() >= MAX_CRASHES {
+                return;
+            }
+            self.send(path, FATAL_BODY, number).await;
+        }
+        panic!("the request does not reach engines");
+    }
+
+    /// Sends the fatal request to each instance three times, and asserts that it is refused as
+    /// not run and crashes no further engine.
+    async fn assert_refused(&self, path: &str) {
+        for number in 100..109 {
+            let response = self.send(path, FATAL_BODY, number).await;
+            assert_eq!(
+                (response.status, self.crashed()),
+                (StatusCode::SERVICE_UNAVAILABLE, MAX_CRASHES)
+            );
+        }
+    }
+
+    async fn assert_served(&self, path: &str, body: &str, number: usize) {
+        let response = self.send(path, body, number).await;
+        assert_eq!((response.status, response.complete), (StatusCode::OK, true));
+    }
+
+    fn crashed(&self) -> usize {
+        let crashed = self.engines.iter().filter(|engine| engine.is_crashed());
+        crashed.count()
+    }
+}
+
+/// A caller repeats a request that crashes each engine, under new ids and at any instance. If
+/// instances blame only the engine, the engines go down one after another.
+#[tokio::test]
+async fn repeated_request_that_crashes_engines_is_refused_by_all_instances() {
+    let deployment = Deployment::start(12, 0).await;
+    deployment.crash_engines("/draft/7").await;
+    sleep(STABILITY_WINDOW).await;
+    deployment.assert_refused("/draft/7").await;
+    for number in 0..3 {
+        deployment.assert_served("/draft/7", "body", number).await;
+    }
+}
+
+/// All instances are replaced after a request has crashed engines. If the new ones do not learn of
+/// it, the request crashes as many engines again.
+#[tokio::test]
+async fn request_that_crashes_engines_is_refused_after_all_instances_restart() {
+    let mut deployment = Deployment::start(12, 0).await;
+    deployment.crash_engines("/draft/7").await;
+    sleep(STABILITY_WINDOW).await;
+    deployment.instances.clear();
+    deployment.start_instances().await;
+    sleep(STABILITY_WINDOW).await;
+    deployment.assert_refused("/draft/7").await;
+}
--- a/crates/carawayhead/tests/forwarding/main.rs
+++ b/crates/carawayhead/tests/forwarding/main.rs
@@ -1,6 +1,7 @@
 //! Forwarding by instance processes between callers, a store, engines and plain services.
 
 mod answers;
+mod crashes;
 mod instance;
 mod knowledge;
 mod streams;
