Refuse requests under which three endpoints were lost

Cause: a lost endpoint was blamed alone (backoff, failure rate). Nothing connected the loss with the request, and each limit on repeats counts per attempt, so that a request of a new id started from zero at each instance. The class is a query of death: the harm follows the request, over ids, instances and time, and no limit was kept over these.

Ruled out: crashes by load (the reproduction has idle engines); retries within an attempt (each broken request of the incident ran at one engine only).

Change: `forward::suspects` counts the endpoints lost under each fingerprint. With three it is refused as not run, without Retry-After, on arrival and again before each send. Crashes go through a keyed topic of the store, one key for each request and endpoint, so that all instances count the same, also after a restart of all. Not blamed: what an endpoint that leaves cuts off, and a request of which an equal one ended well within 30 s; a success clears it everywhere.

--- a/crates/forward/src/endpoint.rs
+++ b/crates/forward/src/endpoint.rs
@@ -39,6 +39,17 @@
     pub slots: u32,
 }
 
+impl Listing {
+    /// Identifies one run of the endpoint's process: its id, and its start time if it states one.
+    #[must_use]
+    pub fn incarnation(&self) -> String {
+        self.started_at.map_or_else(
+            || self.id.clone(),
+            |started_at| format!("{}@{started_at}", self.id),
+        )
+    }
+}
+
 /// Load of an endpoint.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Load {
--- a/crates/forward/src/fingerprint.rs
+++ b/crates/forward/src/fingerprint.rs
@@ -4,8 +4,10 @@
 
 /// Digest of a request's content. Two requests of a customer for the same target with the same
 /// body have the same fingerprint, whatever their ids and at whichever instance they arrive.
+///
+/// Long enough that nobody finds two requests with the same one.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct Fingerprint(u64);
+pub struct Fingerprint(u128);
 
 impl Fingerprint {
     /// The fingerprint of a request.
@@ -20,15 +22,21 @@
             hasher.update(part.as_bytes());
         }
         hasher.update(body);
-        let hash = *hasher.finalize().as_bytes();
-        Self(u64::from_le_bytes([
-            hash[0], hash[1], hash[2], hash[3], hash[4], hash[5], hash[6], hash[7],
-        ]))
+        let mut hash = [0; 16];
+        hasher.finalize_xof().fill(&mut hash);
+        Self(u128::from_be_bytes(hash))
+    }
+
+    /// Parses the text form; `None` if it is not one.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        let value = u128::from_str_radix(text, 16).ok()?;
+        (text.len() == 32).then_some(Self(value))
     }
 }
 
 impl Display for Fingerprint {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", self.0)
+        write!(f, "{:032x}", self.0)
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod sequence;
 pub mod settings;
 pub mod state;
+pub mod suspects;
 
 pub use state::State;
--- a/crates/forward/src/outcome.rs
+++ b/crates/forward/src/outcome.rs
@@ -14,6 +14,8 @@
     BodyTooLarge,
     /// The answer was interrupted; the request may have run.
     Broken,
+    /// Too many endpoints were lost while they ran an equal request.
+    CrashesEndpoints,
     /// No endpoint had capacity in time.
     Full,
     /// The configuration of this instance is too old.
@@ -40,6 +42,7 @@
             Self::Bad => "bad_request",
             Self::BodyTooLarge => "body_too_large",
             Self::Broken => "broken",
+            Self::CrashesEndpoints => "crashes_endpoints",
             Self::Expired => "expired",
             Self::Full => "full",
             Self::Stale => "stale",
@@ -66,6 +69,7 @@
             Self::Bad
             | Self::BodyTooLarge
             | Self::Broken
+            | Self::CrashesEndpoints
             | Self::Expired
             | Self::TimedOut
             | Self::UnknownKey
--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -10,7 +10,7 @@
 use crate::{aggregate::members::Role, freshness::Freshness, prelude::*};
 
 /// Number of topics in the store.
-pub const TOPICS: usize = 3;
+pub const TOPICS: usize = 4;
 
 /// Time without a report after which a peer no longer counts as a reader.
 const PEER_TTL: Duration = Duration::from_millis(1500);
@@ -65,6 +65,10 @@
 /// The same for the list of instances, on which no deadline depends.
 pub const MAX_INSTANCE_LIST_AGE: Duration = Duration::from_secs(30);
 
+/// Maximum age of a watermark for crashes of endpoints. Longer than for the configuration, since an
+/// instance that publishes a crash makes sure that its peers learn of it.
+pub const MAX_CRASHES_AGE: Duration = Duration::from_secs(4);
+
 /// Time without a report after which the entry of an instance is removed. A partition usually lasts
 /// minutes; an instance whose entry was removed writes it again.
 const ENTRY_TTL: Duration = Duration::from_mins(5);
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -10,6 +10,7 @@
         load::PeerLoads,
         prelude::*,
         request::Ticket,
+        suspects::{Crash, Suspects},
     },
     rand::rngs::SmallRng,
     slotmap::SlotMap,
@@ -55,6 +56,8 @@
     store_recovered_at: Option<Time>,
     /// Load of other instances, from sums of aggregators.
     pub sums: Sums,
+    /// Requests that may crash endpoints.
+    pub suspects: Suspects,
     waiting: Vec<QueuePosition>,
     next_turn: u64,
 }
@@ -88,6 +91,7 @@
             stops_at: None,
             store_recovered_at: None,
             sums: Sums::default(),
+            suspects: Suspects::default(),
             waiting: Vec::new(),
         }
     }
@@ -344,6 +348,30 @@
         (endpoint.usable(now) && self.may_continue_at(now, backup)).then_some(backup)
     }
 
+    /// Records that the connection to an endpoint broke while it ran a request; returns whether that
+    /// counts against the request. An endpoint that was known to be leaving has ended by itself.
+    pub fn record_break(
+        &mut self,
+        now: Time,
+        fingerprint: Fingerprint,
+        endpoint: EndpointKey,
+    ) -> bool {
+        let Some(endpoint) = self.endpoints.get(endpoint) else {
+            return false;
+        };
+        if endpoint.leaving_since.is_some() {
+            return false;
+        }
+        let endpoint = endpoint.listing.incarnation();
+        self.suspects.record_crash(
+            now,
+            Crash {
+                fingerprint,
+                endpoint,
+            },
+        )
+    }
+
     fn find(&self, id: &str) -> Option<EndpointKey> {
         let mut endpoints = self.endpoints.iter();
         let found = endpoints.find(|(_, endpoint)| endpoint.listing.id == id);
--- /dev/null
+++ b/crates/forward/src/suspects.rs
@@ -0,0 +1,243 @@
+//! Requests that may crash the endpoints that run them.
+//!
+//! When the connection to an endpoint breaks, each request in progress there becomes a suspect.
+//! Honest ones end well later, or are never seen again. A request under which several endpoints
+//! have been lost is refused, under whatever id and at whichever instance it arrives: without a
+//! limit over all instances, it would take down one endpoint after another.
+//!
+//! Instances share crashes through a topic of the store, whose records are kept there until they
+//! expire, so that an instance that has just started knows of them as well.
+
+use {
+    crate::prelude::*,
+    std::{cmp::Reverse, collections::VecDeque},
+};
+
+/// Number of endpoints lost under a request from which on it is refused.
+pub const MAX_CRASHES: usize = 3;
+
+/// Time after the last crash for which a request is refused. After it the request is passed on
+/// again, and refused anew after one more crash.
+pub const REFUSAL_PERIOD: Duration = Duration::from_mins(10);
+
+/// Time after the last crash for which the crashes of a request are remembered.
+pub const RETENTION: Duration = Duration::from_hours(1);
+
+/// Maximum number of suspects; those with the fewest and oldest crashes beyond it are dropped.
+pub const MAX_SUSPECTS: usize = 1024;
+
+/// Time for which a request that ended well cannot become a suspect.
+const COMPLETION_TTL: Duration = Duration::from_secs(30);
+
+/// Maximum number of completed requests that are remembered.
+const MAX_COMPLETIONS: usize = 4096;
+
+/// An endpoint that was lost while it ran a request.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Crash {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The endpoint's run of its process; see [`Listing::incarnation`].
+    pub endpoint: String,
+}
+
+/// A change of the suspects that other instances have to learn.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// The request ended well after all, or the crash has expired.
+    Cleared(Crash),
+    /// An endpoint was lost.
+    Crashed(Crash),
+}
+
+impl Change {
+    const fn crash(&self) -> &Crash {
+        let (Self::Cleared(crash) | Self::Crashed(crash)) = self;
+        crash
+    }
+}
+
+/// A request under which endpoints were lost.
+#[derive(Clone, Debug)]
+struct Suspect {
+    crashed_at: Time,
+    endpoints: Vec<String>,
+    fingerprint: Fingerprint,
+}
+
+/// All suspects, as far as this instance knows.
+#[derive(Debug, Default)]
+pub struct Suspects {
+    completions: VecDeque<(Time, Fingerprint)>,
+    /// Sorted by fingerprint.
+    entries: Vec<Suspect>,
+    unpublished: Vec<Change>,
+}
+
+impl Suspects {
+    /// Whether a request is refused, since too many endpoints were lost under it.
+    #[must_use]
+    pub fn refuses(&self, now: Time, fingerprint: Fingerprint) -> bool {
+        self.find(fingerprint).is_ok_and(|index| {
+            let suspect = &self.entries[index];
+            suspect.endpoints.len() >= MAX_CRASHES && now.since(suspect.crashed_at) < REFUSAL_PERIOD
+        })
+    }
+
+    /// Number of endpoints that were lost under a request.
+    #[must_use]
+    pub fn crashes(&self, fingerprint: Fingerprint) -> usize {
+        let index = self.find(fingerprint);
+        index.map_or(0, |index| self.entries[index].endpoints.len())
+    }
+
+    /// Records that an endpoint was lost while it ran a request of this instance; returns whether
+    /// that counts against the request. It does not if an equal request has just ended well.
+    pub fn record_crash(&mut self, now: Time, crash: Crash) -> bool {
+        if self.has_completed(now, crash.fingerprint) || !self.add(now, crash.clone()) {
+            return false;
+        }
+        self.publish(Change::Crashed(crash));
+        true
+    }
+
+    /// Records that a request ended well; returns the number of crashes that no longer count.
+    pub fn record_completion(&mut self, now: Time, fingerprint: Fingerprint) -> usize {
+        if self.completions.len() == MAX_COMPLETIONS {
+            self.completions.pop_front();
+        }
+        self.completions.push_back((now, fingerprint));
+        self.clear(fingerprint)
+    }
+
+    /// Applies a crash that an instance has published. It is cleared if an equal request has just
+    /// ended well here.
+    pub fn apply_crash(&mut self, now: Time, crash: Crash) {
+        self.confirm(&Change::Crashed(crash.clone()));
+        let fingerprint = crash.fingerprint;
+        self.add(now, crash);
+        if self.has_completed(now, fingerprint) {
+            self.clear(fingerprint);
+        }
+    }
+
+    /// Applies the removal of a crash.
+    pub fn apply_removal(&mut self, crash: Crash) {
+        if let Ok(index) = self.find(crash.fingerprint) {
+            let suspect = &mut self.entries[index];
+            suspect.endpoints.retain(|other| *other != crash.endpoint);
+            if suspect.endpoints.is_empty() {
+                self.entries.remove(index);
+            }
+        }
+        self.confirm(&Change::Cleared(crash));
+    }
+
+    /// Changes of this instance that have not come back from the store yet, oldest first.
+    #[must_use]
+    pub fn unpublished(&self) -> &[Change] {
+        &self.unpublished
+    }
+
+    /// Drops crashes that have expired; returns them, so that the reader of the topic removes them
+    /// from the store.
+    pub fn expire(&mut self, now: Time) -> Vec<Crash> {
+        while let Some((at, _)) = self.completions.front()
+            && now.since(*at) >= COMPLETION_TTL
+        {
+            self.completions.pop_front();
+        }
+        let is_expired = |suspect: &mut Suspect| now.since(suspect.crashed_at) >= RETENTION;
+        let mut expired = self.entries.extract_if(.., is_expired).collect::<Vec<_>>();
+        expired.extend(self.evict());
+        expired.into_iter().flat_map(Suspect::crashes).collect()
+    }
+
+    fn find(&self, fingerprint: Fingerprint) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by_key(&fingerprint, |suspect| suspect.fingerprint)
+    }
+
+    fn has_completed(&self, now: Time, fingerprint: Fingerprint) -> bool {
+        self.completions
+            .iter()
+            .any(|(at, other)| *other == fingerprint && now.since(*at) < COMPLETION_TTL)
+    }
+
+    /// Adds a crash; returns whether it was not known.
+    fn add(&mut self, now: Time, crash: Crash) -> bool {
+        let index = match self.find(crash.fingerprint) {
+            Ok(index) => index,
+            Err(index) => {
+                let suspect = Suspect {
+                    crashed_at: now,
+                    endpoints: Vec::new(),
+                    fingerprint: crash.fingerprint,
+                };
+                self.entries.insert(index, suspect);
+                index
+            }
+        };
+        let suspect = &mut self.entries[index];
+        if suspect.endpoints.contains(&crash.endpoint) {
+            return false;
+        }
+        suspect.crashed_at = now;
+        suspect.endpoints.push(crash.endpoint);
+        true
+    }
+
+    /// Drops the crashes of a request; returns their number.
+    fn clear(&mut self, fingerprint: Fingerprint) -> usize {
+        let Ok(index) = self.find(fingerprint) else {
+            return 0;
+        };
+        let suspect = self.entries.remove(index);
+        let count = suspect.endpoints.len();
+        for crash in suspect.crashes() {
+            self.publish(Change::Cleared(crash));
+        }
+        count
+    }
+
+    /// Drops the suspects beyond [`MAX_SUSPECTS`].
+    fn evict(&mut self) -> Vec<Suspect> {
+        let excess = self.entries.len().saturating_sub(MAX_SUSPECTS);
+        if excess == 0 {
+            return Vec::new();
+        }
+        let rank = |suspect: &Suspect| {
+            (
+                Reverse(suspect.endpoints.len()),
+                Reverse(suspect.crashed_at),
+            )
+        };
+        self.entries.sort_by_key(rank);
+        let evicted = self.entries.split_off(MAX_SUSPECTS);
+        self.entries.sort_by_key(|suspect| suspect.fingerprint);
+        evicted
+    }
+
+    fn publish(&mut self, change: Change) {
+        let crash = change.crash().clone();
+        self.unpublished.retain(|other| *other.crash() != crash);
+        if self.unpublished.len() == MAX_SUSPECTS {
+            self.unpublished.remove(0);
+        }
+        self.unpublished.push(change);
+    }
+
+    fn confirm(&mut self, change: &Change) {
+        self.unpublished.retain(|other| other != change);
+    }
+}
+
+impl Suspect {
+    fn crashes(self) -> impl Iterator<Item = Crash> {
+        let fingerprint = self.fingerprint;
+        self.endpoints.into_iter().map(move |endpoint| Crash {
+            fingerprint,
+            endpoint,
+        })
+    }
+}
--- a/crates/forward/tests/readers.rs
+++ b/crates/forward/tests/readers.rs
@@ -10,7 +10,7 @@
         load::PeerLoads,
         reader::{
             Cause, EchoTimestamp, LocalTopic, MAX_INSTANCE_LIST_AGE, MAX_WATERMARK_AGE, Readers,
-            Watermark,
+            TOPICS, Watermark,
         },
     },
 };
@@ -30,12 +30,12 @@
     }
 }
 
-fn watermark(age: u64, position: u64) -> [Watermark; 3] {
+fn watermark(age: u64, position: u64) -> [Watermark; TOPICS] {
     let watermark = Watermark {
         age: Some(millis(age)),
         position,
     };
-    [watermark; 3]
+    [watermark; TOPICS]
 }
 
 /// The state of `name` if all other instances are up to date at `now`.
--- /dev/null
+++ b/crates/forward/tests/suspects.rs
@@ -0,0 +1,163 @@
+//! Requests under which endpoints are lost, and those that share an endpoint with them.
+
+mod common;
+
+use {
+    common::*,
+    forward::{
+        fingerprint::Fingerprint,
+        suspects::{self, Crash, MAX_CRASHES, MAX_SUSPECTS, REFUSAL_PERIOD, RETENTION, Suspects},
+    },
+};
+
+fn fingerprint(body: &str) -> Fingerprint {
+    Fingerprint::new(Some("ada"), "h.example", "/draft/7", body.as_bytes())
+}
+
+fn crash(body: &str, endpoint: &str) -> Crash {
+    Crash {
+        endpoint: endpoint.to_string(),
+        fingerprint: fingerprint(body),
+    }
+}
+
+/// Loses `count` endpoints, `m1` and so on, under a request.
+fn crash_endpoints(suspects: &mut Suspects, now: Time, body: &str, count: usize) {
+    for number in 1..=count {
+        assert!(suspects.record_crash(now, crash(body, &format!("m{number}"))));
+    }
+}
+
+/// A request takes down one endpoint after another. It must be refused after the third, while
+/// others go on.
+#[test]
+fn request_is_refused_once_three_endpoints_are_lost_under_it() {
+    let mut suspects = Suspects::default();
+    crash_endpoints(&mut suspects, at(0), "fatal", MAX_CRASHES - 1);
+    assert!(!suspects.refuses(at(0), fingerprint("fatal")));
+    crash_endpoints(&mut suspects, at(0), "other", 1);
+    assert!(suspects.record_crash(at(1), crash("fatal", "m9")));
+    assert!(suspects.refuses(at(1), fingerprint("fatal")));
+    assert!(!suspects.refuses(at(1), fingerprint("other")));
+}
+
+/// Two equal requests run at the endpoint that is lost, at one instance or two. That is one
+/// endpoint, not two.
+#[test]
+fn endpoint_lost_under_equal_requests_counts_once() {
+    let mut suspects = Suspects::default();
+    crash_endpoints(&mut suspects, at(0), "fatal", 2);
+    assert!(!suspects.record_crash(at(0), crash("fatal", "m2")));
+    suspects.apply_crash(at(0), crash("fatal", "m2"));
+    assert_eq!(suspects.crashes(fingerprint("fatal")), 2);
+    // The same endpoint after a restart is another loss.
+    assert!(suspects.record_crash(at(0), crash("fatal", "m2@17")));
+    assert!(suspects.refuses(at(0), fingerprint("fatal")));
+}
+
+/// An endpoint that says that it is leaving ends by itself, and the requests that it cuts off must
+/// not become suspects.
+#[test]
+fn end_of_a_leaving_endpoint_does_not_count() {
+    let mut state = instance(&[listing("m1", "model", "a"), listing("m2", "model", "a")]);
+    let key = |state: &State, id: &str| {
+        let mut endpoints = state.endpoints();
+        let found = endpoints.find(|(_, endpoint)| endpoint.listing.id == id);
+        found.expect("it is listed").0
+    };
+    let (leaving, lost) = (key(&state, "m1"), key(&state, "m2"));
+    state.change(at(1), Change::Removed("m1".to_string()));
+    let request = fingerprint("body");
+    assert!(!state.record_break(at(2), request, leaving));
+    assert!(state.record_break(at(2), request, lost));
+    assert_eq!(state.suspects.crashes(request), 1);
+}
+
+/// A popular lookup runs at each endpoint that is lost in a storm of crashes. One of its equals
+/// that ended well proves that it does not crash endpoints, before and after the crashes.
+#[test]
+fn request_that_ended_well_is_no_suspect() {
+    for completes_first in [false, true] {
+        let mut suspects = Suspects::default();
+        if completes_first {
+            assert_eq!(suspects.record_completion(at(0), fingerprint("lookup")), 0);
+            assert!(!suspects.record_crash(at(1), crash("lookup", "m1")));
+            assert!(suspects.unpublished().is_empty());
+        } else {
+            crash_endpoints(&mut suspects, at(0), "lookup", MAX_CRASHES);
+            assert_eq!(
+                suspects.record_completion(at(1), fingerprint("lookup")),
+                MAX_CRASHES
+            );
+        }
+        assert_eq!(suspects.crashes(fingerprint("lookup")), 0);
+        assert!(!suspects.refuses(at(1), fingerprint("lookup")));
+    }
+}
+
+/// An instance that has just started blames a popular lookup. Instances where it ended well clear
+/// it for all, or it would be refused everywhere.
+#[test]
+fn crash_reported_by_a_peer_is_cleared_if_the_request_ended_well_here() {
+    let mut suspects = Suspects::default();
+    suspects.record_completion(at(0), fingerprint("lookup"));
+    suspects.apply_crash(at(1), crash("lookup", "m1"));
+    assert_eq!(suspects.crashes(fingerprint("lookup")), 0);
+    let cleared = suspects::Change::Cleared(crash("lookup", "m1"));
+    assert_eq!(suspects.unpublished(), [cleared]);
+    suspects.apply_removal(crash("lookup", "m1"));
+    assert!(suspects.unpublished().is_empty());
+}
+
+/// A success of long ago proves nothing: a new version of the model may fail on the request.
+#[test]
+fn earlier_success_does_not_protect_for_ever() {
+    let mut suspects = Suspects::default();
+    suspects.record_completion(at(0), fingerprint("fatal"));
+    crash_endpoints(&mut suspects, at(31_000), "fatal", MAX_CRASHES);
+    assert!(suspects.refuses(at(31_000), fingerprint("fatal")));
+}
+
+/// A crash is published until it comes back from the store, or peers would never learn of it when
+/// the call fails.
+#[test]
+fn crash_stays_unpublished_until_it_comes_back() {
+    let mut suspects = Suspects::default();
+    crash_endpoints(&mut suspects, at(0), "fatal", 2);
+    assert_eq!(suspects.unpublished().len(), 2);
+    suspects.apply_crash(at(1), crash("fatal", "m1"));
+    assert_eq!(
+        suspects.unpublished(),
+        [suspects::Change::Crashed(crash("fatal", "m2"))]
+    );
+}
+
+/// The refusal ends after a while, since the fault may have been mended; one more crash renews it.
+#[test]
+fn refusal_ends_and_is_renewed_by_one_crash() {
+    let mut suspects = Suspects::default();
+    crash_endpoints(&mut suspects, at(0), "fatal", MAX_CRASHES);
+    let later = at(0).after(REFUSAL_PERIOD);
+    assert!(!suspects.refuses(later, fingerprint("fatal")));
+    assert!(suspects.expire(later).is_empty());
+    assert!(suspects.record_crash(later, crash("fatal", "m9")));
+    assert!(suspects.refuses(later, fingerprint("fatal")));
+    let end = later.after(RETENTION);
+    assert_eq!(suspects.expire(end).len(), MAX_CRASHES + 1);
+    assert_eq!(suspects.crashes(fingerprint("fatal")), 0);
+}
+
+/// Many requests break in a storm of crashes. Memory stays bounded, and a request that is refused
+/// is not forgotten for those that are not.
+#[test]
+fn number_of_suspects_is_bounded() {
+    let mut suspects = Suspects::default();
+    crash_endpoints(&mut suspects, at(0), "fatal", MAX_CRASHES);
+    for number in 0..MAX_SUSPECTS {
+        crash_endpoints(&mut suspects, at(1), &format!("body {number}"), 1);
+    }
+    assert_eq!(suspects.expire(at(2)).len(), 1);
+    assert!(suspects.expire(at(2)).is_empty());
+    assert!(suspects.refuses(at(2), fingerprint("fatal")));
+    assert!(suspects.unpublished().len() <= MAX_SUSPECTS);
+}
--- a/crates/proxy/src/apply.rs
+++ b/crates/proxy/src/apply.rs
@@ -1,7 +1,7 @@
 //! Applies records of the store to the state of this instance.
 
 use {
-    crate::{clock, prelude::*},
+    crate::{clock, crashes, prelude::*},
     forward::state::Change,
     platform::{
         instance::{self, Entry},
@@ -14,6 +14,8 @@
 /// Applies the newest record of each key; keys that are not among them are removed.
 pub fn snapshot(shared: &Shared, topic: Topic, records: &[KeyedRecord]) {
     match topic {
+        // Crashes that are not among the newest records expire by themselves.
+        Topic::Crashes => {}
         Topic::Endpoints => remove_unlisted_endpoints(shared, records),
         Topic::Operators => reinstate_unlisted_domains(shared, records),
         Topic::Instances => remove_unlisted_instances(shared, records),
@@ -26,6 +28,7 @@
 /// Applies one record.
 pub fn update(shared: &Shared, topic: Topic, record: &KeyedRecord) {
     match topic {
+        Topic::Crashes => crashes::apply(shared, record),
         Topic::Endpoints => apply_endpoint(shared, record),
         Topic::Instances => apply_instance(shared, record),
         Topic::Operators => apply_operator_record(shared, record),
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -41,6 +41,12 @@
     flags: ResponseFlags,
 }
 
+impl BufferedAnswer {
+    fn ended_well(&self) -> bool {
+        self.status.is_success() && self.flags.sealed && !self.flags.not_run
+    }
+}
+
 /// Why there is no response.
 struct SendFailure {
     why: String,
@@ -100,7 +106,12 @@
     shared.record_attempt(&ticket.service, progress.sends > 0);
     progress.sends += 1;
     match send(shared, original, ticket, progress, key).await {
-        Ok(answer) => classify(shared, ticket, progress, key, answer),
+        Ok(answer) => {
+            if answer.ended_well() {
+                shared.record_completion(original);
+            }
+            classify(shared, ticket, progress, key, answer)
+        }
         Err(failure) => {
             shared.mark_unreachable(key);
             if failure.written {
--- /dev/null
+++ b/crates/proxy/src/crashes.rs
@@ -0,0 +1,126 @@
+//! Publication of crashes of endpoints, and of their clearance, through the store.
+
+use {
+    crate::{clock, follow, prelude::*},
+    forward::suspects::Change,
+    platform::{
+        crash,
+        store::{KeyedRecord, Topic},
+    },
+};
+
+/// Time for which changes are batched. All requests at an endpoint break at the same time.
+const BATCH_DELAY: Duration = Duration::from_millis(20);
+
+/// Time within which the reader of the topic relays a record that was appended.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Delay before a failed call is retried.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+
+/// Maximum number of records in one call.
+const MAX_BATCH: usize = 256;
+
+/// How often crashes are checked for expiry.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Publishes changes of this instance until all peers can know them; never returns.
+///
+/// A change is repeated until it has come back from the store. If the reader of the topic does not
+/// relay it, this instance does.
+pub async fn publish(shared: Rc<Shared>) {
+    loop {
+        if shared.state.borrow().suspects.unpublished().is_empty() {
+            let _changed = timeout(EXPIRY_INTERVAL, shared.suspects_changed.notified()).await;
+            drop_expired(&shared).await;
+            sleep(BATCH_DELAY).await;
+            continue;
+        }
+        let published = append_unpublished(&shared).await;
+        if published.is_err() {
+            sleep(RETRY_DELAY).await;
+        }
+    }
+}
+
+async fn append_unpublished(shared: &Rc<Shared>) -> Result<(), platform::Error> {
+    let batch = {
+        let state = shared.state.borrow();
+        let unpublished = state.suspects.unpublished().iter().take(MAX_BATCH);
+        unpublished.cloned().collect::<Vec<_>>()
+    };
+    append(shared, &batch).await?;
+    for _ in 0..RELAY_TIMEOUT.as_millis() / BATCH_DELAY.as_millis() {
+        sleep(BATCH_DELAY).await;
+        if !is_pending(shared, &batch) {
+            return Ok(());
+        }
+    }
+    log::info!(records = batch.len(); "crashes were not relayed; reading the store directly");
+    follow::read_and_relay(shared, Topic::Crashes).await
+}
+
+async fn append(shared: &Shared, changes: &[Change]) -> Result<(), platform::Error> {
+    let records = changes.iter().map(crash::encode).collect::<Vec<_>>();
+    let result = shared.store.put_all(Topic::Crashes, &records).await;
+    let outcome = if result.is_ok() { "put" } else { "failed" };
+    shared.metrics.record_store_call(outcome);
+    result.inspect_err(|error| {
+        log::warn!(error:%, records = records.len(); "cannot publish crashes of endpoints");
+    })
+}
+
+fn is_pending(shared: &Shared, batch: &[Change]) -> bool {
+    let state = shared.state.borrow();
+    let mut unpublished = state.suspects.unpublished().iter();
+    unpublished.any(|change| batch.contains(change))
+}
+
+/// Drops expired crashes; the reader of the topic removes them from the store.
+async fn drop_expired(shared: &Shared) {
+    let now = clock::now();
+    let expired = shared.state.borrow_mut().suspects.expire(now);
+    let own = follow::own(shared, Topic::Crashes);
+    if expired.is_empty() || !shared.readers.borrow().is_reader(own, now) {
+        return;
+    }
+    let removals = expired.into_iter().map(Change::Cleared).collect::<Vec<_>>();
+    log::info!(records = removals.len(); "expired crashes are removed");
+    for batch in removals.chunks(MAX_BATCH) {
+        if append(shared, batch).await.is_err() {
+            // Whoever reads them after a restart removes them.
+            return;
+        }
+    }
+}
+
+/// Applies a record of the topic.
+pub fn apply(shared: &Shared, record: &KeyedRecord) {
+    let change = match crash::decode(record) {
+        Ok(change) => change,
+        Err(error) => {
+            log::warn!(offset = record.offset, error:%; "invalid crash record");
+            return;
+        }
+    };
+    let mut state = shared.state.borrow_mut();
+    match change {
+        Change::Cleared(crash) => state.suspects.apply_removal(crash),
+        Change::Crashed(crash) => {
+            let fingerprint = crash.fingerprint;
+            let before = state.suspects.crashes(fingerprint);
+            state.suspects.apply_crash(clock::now(), crash);
+            let crashes = state.suspects.crashes(fingerprint);
+            if crashes > before {
+                log_suspicion(fingerprint, crashes);
+            }
+            shared.suspects_changed.notify_one();
+        }
+    }
+}
+
+/// Logs that one more endpoint was lost under a request.
+pub fn log_suspicion(fingerprint: Fingerprint, crashes: usize) {
+    let refused = crashes >= forward::suspects::MAX_CRASHES;
+    log::info!(fingerprint:%, crashes, refused; "request may crash endpoints");
+}
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -9,7 +9,7 @@
     },
     forward::{
         aggregate::members::Role,
-        reader::{Cause, LocalTopic, MAX_INSTANCE_LIST_AGE, MAX_WATERMARK_AGE},
+        reader::{Cause, LocalTopic, MAX_CRASHES_AGE, MAX_INSTANCE_LIST_AGE, MAX_WATERMARK_AGE},
     },
     platform::store::{KeyedRecord, Topic},
     rand::RngExt as _,
@@ -19,6 +19,9 @@
 /// read, so without changes it varies between one and two timeouts.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(450);
 
+/// Long poll timeout for crashes of endpoints.
+const CRASHES_LONG_POLL_TIMEOUT: Duration = Duration::from_millis(1500);
+
 /// Long poll timeout for the list of instances, whose age does not matter for requests.
 const INSTANCES_LONG_POLL_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -163,6 +166,10 @@
     let role = gossip::role(shared);
     let linked = shared.readers.borrow().has_aggregator(clock::now());
     let max_age = match topic {
+        Topic::Crashes if role == Role::Member && linked => {
+            MAX_CRASHES_AGE + Duration::from_millis(shared.incarnation % MEMBER_JITTER_MS)
+        }
+        Topic::Crashes => MAX_CRASHES_AGE,
         Topic::Instances if role == Role::Member && !linked => UNLINKED_MAX_INSTANCE_LIST_AGE,
         Topic::Instances => MAX_INSTANCE_LIST_AGE,
         Topic::Endpoints | Topic::Operators if role == Role::Member && linked => {
@@ -182,6 +189,7 @@
 
 const fn long_poll_timeout(topic: Topic) -> Duration {
     match topic {
+        Topic::Crashes => CRASHES_LONG_POLL_TIMEOUT,
         Topic::Instances => INSTANCES_LONG_POLL_TIMEOUT,
         Topic::Endpoints | Topic::Operators => LONG_POLL_TIMEOUT,
     }
@@ -195,7 +203,7 @@
     match topic {
         Topic::Instances if many => INSTANCES_READ_DELAY,
         _ if many && shared.readers.borrow().is_isolated(clock::now()) => ISOLATED_READ_DELAY,
-        Topic::Endpoints | Topic::Instances | Topic::Operators => READ_DELAY,
+        Topic::Crashes | Topic::Endpoints | Topic::Instances | Topic::Operators => READ_DELAY,
     }
 }
 
@@ -284,10 +292,27 @@
     match topic {
         Topic::Endpoints => state.confirm_list(clock::now(), when),
         Topic::Operators => state.config_freshness.confirm(when),
-        Topic::Instances => {}
+        Topic::Crashes | Topic::Instances => {}
     }
 }
 
+/// Reads a topic to its end and relays the records to peers, as the reader of the topic would.
+///
+/// # Errors
+///
+/// The store did not answer, or its answer cannot be decoded.
+pub async fn read_and_relay(shared: &Rc<Shared>, topic: Topic) -> Result<(), platform::Error> {
+    let topic_state = shared.topic(topic);
+    let Some(from) = topic_state.position.get() else {
+        // The first read is in progress.
+        return Ok(());
+    };
+    let reached = read_tail(shared, topic, from, Duration::ZERO, Cause::Old).await?;
+    let known = topic_state.position.get();
+    topic_state.position.set(known.max(Some(reached)));
+    Ok(())
+}
+
 /// Requests an immediate read of the configuration when it is too old for a request, and waits
 /// for it. Concurrent requests share the read. Returns immediately while the store is known to
 /// be unreachable.
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -211,6 +211,9 @@
         inbound,
         parts,
     };
+    if shared.refuses(&original) {
+        return Err(Refusal::CrashesEndpoints);
+    }
     if ticket.route.kind == Kind::Stream {
         return stream::serve(shared, &Rc::new(original), ticket, guard).await;
     }
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -26,6 +26,7 @@
     registry: Registry,
     sends: Counter<u64>,
     store_calls: Counter<u64>,
+    suspicions: Counter<u64>,
     total: Histogram<f64>,
     _provider: SdkMeterProvider,
 }
@@ -72,6 +73,10 @@
             ),
             sends: counter("requests_sent", "sends to endpoints, by service and order"),
             store_calls: counter("store_calls", "calls to the store by outcome"),
+            suspicions: counter(
+                "suspect_requests",
+                "crashes of endpoints that count against a request, and clearances",
+            ),
             total: histogram("request_seconds", "time to the end of an answer"),
             _provider: provider,
             registry,
@@ -121,6 +126,11 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records that a crash counts against a request, or that a request is cleared.
+    pub fn record_suspicion(&self, change: &'static str) {
+        self.suspicions.add(1, &[KeyValue::new("change", change)]);
+    }
+
     /// All metrics in the Prometheus text format.
     #[must_use]
     pub fn render(&self) -> String {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -145,6 +145,9 @@
     /// Relays events until the stream ends.
     pub async fn run(mut self, blocks: Vec<Bytes>, ended: bool) {
         let ending = self.relay(blocks, ended).await;
+        if matches!(ending, Ending::Complete) {
+            self.shared.record_completion(&self.original);
+        }
         if matches!(ending, Ending::Complete) && self.out.send(BodyPart::End).await.is_err() {
             log::debug!(id = self.original.inbound.id; "caller disconnected at the end");
         }
--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -102,7 +102,8 @@
         Refusal::Bad => StatusCode::BAD_REQUEST,
         Refusal::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         Refusal::Broken => StatusCode::BAD_GATEWAY,
-        Refusal::Expired
+        Refusal::CrashesEndpoints
+        | Refusal::Expired
         | Refusal::Full
         | Refusal::Stale
         | Refusal::Stopping
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -2,14 +2,14 @@
 
 use {
     crate::{
-        clock, follow, gossip,
+        clock, crashes, follow, gossip,
         listen::{self, Role},
         logging,
         prelude::*,
         probe,
         settings::Settings,
+        topic,
     },
-    platform::store::Topic,
     tokio::{
         net::TcpListener,
         signal::unix::{Signal, SignalKind, signal},
@@ -62,9 +62,10 @@
         log::info!(role:?, address:% = bound; "listening");
         spawn_local(listen::accept(Rc::clone(&shared), listener, role));
     }
-    for topic in [Topic::Operators, Topic::Endpoints, Topic::Instances] {
+    for topic in topic::ALL {
         spawn_local(follow::follow(Rc::clone(&shared), topic));
     }
+    spawn_local(crashes::publish(Rc::clone(&shared)));
     spawn_local(gossip::run(Rc::clone(&shared)));
     spawn_local(follow::tick(Rc::clone(&shared)));
     spawn_local(probe::run(Rc::clone(&shared)));
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        clock,
+        clock, crashes,
         exchange::Original,
         gossip::history::History,
         metrics::Metrics,
@@ -73,6 +73,8 @@
     pub stop: Notify,
     /// Client of the store.
     pub store: Store,
+    /// Notified when there are crashes or clearances to publish.
+    pub suspects_changed: Notify,
     /// Notified when an aggregator has sent rows.
     pub rows_received: Notify,
     /// Read progress of each topic.
@@ -105,6 +107,7 @@
             state: RefCell::new(State::new(settings.decisions(), random)),
             stop: Notify::new(),
             store: Store::new(settings.store.address.to_string(), client.clone()),
+            suspects_changed: Notify::new(),
             rows_received: Notify::new(),
             topics: Default::default(),
             client,
@@ -237,18 +240,44 @@
     /// Records that the connection to an endpoint broke after a request was sent there at
     /// `sent_at` and produced `events` events.
     pub fn record_break(&self, original: &Original, key: EndpointKey, sent_at: Time, events: u32) {
-        let state = self.state.borrow();
+        let (now, fingerprint) = (clock::now(), original.fingerprint);
+        let mut state = self.state.borrow_mut();
+        let counts = state.record_break(now, fingerprint, key);
         let Some(endpoint) = state.endpoint(key) else {
             return;
         };
         let load = state.load_at(key);
         log::info!(
-            id = original.inbound.id, fingerprint:% = original.fingerprint,
-            endpoint = endpoint.listing.id, leaving = endpoint.leaving_since.is_some(),
-            ms = clock::now().since(sent_at).as_millis(), events, requests = load.requests,
+            id = original.inbound.id, fingerprint:%, endpoint = endpoint.listing.id,
+            leaving = endpoint.leaving_since.is_some(), counts,
+            ms = now.since(sent_at).as_millis(), events, requests = load.requests,
             tokens = load.tokens; "connection to endpoint broke"
         );
         self.metrics.record_break(&endpoint.listing.service);
+        if counts {
+            crashes::log_suspicion(fingerprint, state.suspects.crashes(fingerprint));
+            self.metrics.record_suspicion("crashed");
+            self.suspects_changed.notify_one();
+        }
+    }
+
+    /// Records that a request ended well, so that it does not crash endpoints.
+    pub fn record_completion(&self, original: &Original) {
+        let fingerprint = original.fingerprint;
+        let mut state = self.state.borrow_mut();
+        let cleared = state.suspects.record_completion(clock::now(), fingerprint);
+        if cleared > 0 {
+            log::info!(id = original.inbound.id, fingerprint:%, cleared; "request is cleared");
+            self.metrics.record_suspicion("cleared");
+            self.suspects_changed.notify_one();
+        }
+    }
+
+    /// Whether requests equal to this one have crashed too many endpoints.
+    #[must_use]
+    pub fn refuses(&self, original: &Original) -> bool {
+        let state = self.state.borrow();
+        state.suspects.refuses(clock::now(), original.fingerprint)
     }
 
     /// Counts a send to a service, for the retry budget and the metrics.
@@ -267,6 +296,9 @@
     ///
     /// The request is no longer admitted.
     pub fn readmit(&self, original: &Original, ticket: &mut Ticket) -> Result<bool, Refusal> {
+        if self.refuses(original) {
+            return Err(Refusal::CrashesEndpoints);
+        }
         let mut state = self.state.borrow_mut();
         let renewed = state.readmit(clock::now(), &original.inbound, ticket)?;
         let same = renewed.service == ticket.service;
--- a/crates/proxy/src/topic.rs
+++ b/crates/proxy/src/topic.rs
@@ -11,7 +11,12 @@
 };
 
 /// The topics, in the order of watermarks in reports.
-pub const ALL: [Topic; TOPICS] = [Topic::Operators, Topic::Endpoints, Topic::Instances];
+pub const ALL: [Topic; TOPICS] = [
+    Topic::Operators,
+    Topic::Endpoints,
+    Topic::Instances,
+    Topic::Crashes,
+];
 
 /// Index of a topic in [`ALL`].
 #[must_use]
@@ -20,6 +25,7 @@
         Topic::Operators => 0,
         Topic::Endpoints => 1,
         Topic::Instances => 2,
+        Topic::Crashes => 3,
     }
 }
 
