List two tests of takeovers that carry a crashing request on as known red

Reproduced: a stream that crashes its engine after 30 events ends six engines by takeovers, a resumable one a fourth engine within its own attempt.

--- a/crates/carawayhead/tests/forwarding/crashes.rs
+++ b/crates/carawayhead/tests/forwarding/crashes.rs
@@ -22,7 +22,7 @@
 const STABILITY_WINDOW: Duration = Duration::from_secs(3);
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(15);
-const EVENTS_PER_STREAM: u32 = 60;
+const EVENTS_PER_STREAM: u32 = 240;
 
 struct Deployment {
     engines: Vec<Engine>,
@@ -99,6 +99,20 @@
         assert_eq!((response.status, response.complete), (StatusCode::OK, true));
     }
 
+    /// Removes the entries of engines that have crashed, as the store does; never returns.
+    async fn remove_crashed_entries(&self) {
+        let mut removed = vec![false; self.engines.len()];
+        loop {
+            for (index, engine) in self.engines.iter().enumerate() {
+                if engine.is_crashed() && !std::mem::replace(&mut removed[index], true) {
+                    self.store
+                        .write_endpoint_entry(&format!("m{}", index + 1), "");
+                }
+            }
+            sleep(EVENT_INTERVAL).await;
+        }
+    }
+
     fn crashed(&self) -> usize {
         let crashed = self.engines.iter().filter(|engine| engine.is_crashed());
         crashed.count()
@@ -130,3 +144,33 @@
     sleep(STABILITY_WINDOW).await;
     deployment.assert_refused("/draft/7").await;
 }
+
+/// A stream that crashes its engine after some events goes on at its copy, and crashes that engine
+/// as well. Takeovers of one stream must not carry it to one engine after another.
+#[tokio::test]
+async fn takeovers_end_after_a_request_has_crashed_three_engines() {
+    let deployment = Deployment::start(10, 30).await;
+    let response = tokio::select! {
+        response = deployment.send("/draft/7", FATAL_BODY, 0) => response,
+        () = deployment.remove_crashed_entries() => unreachable!("it never returns"),
+    };
+    assert_eq!(
+        (response.complete, deployment.crashed()),
+        (false, MAX_CRASHES)
+    );
+    sleep(STABILITY_WINDOW).await;
+    deployment.assert_refused("/draft/7").await;
+    deployment.assert_served("/draft/7", "body", 0).await;
+}
+
+/// A resumable stream is idempotent, so that one attempt may run at several engines. Neither these
+/// retries nor new attempts may crash more than three.
+#[tokio::test]
+async fn retries_end_after_a_request_has_crashed_three_engines() {
+    for events in [0, 2] {
+        let deployment = Deployment::start(10, events).await;
+        deployment.crash_engines("/tag/7").await;
+        sleep(STABILITY_WINDOW).await;
+        deployment.assert_refused("/tag/7").await;
+    }
+}
