--- a/crates/proxy/src/crashes.rs
+++ b/crates/proxy/src/crashes.rs
@@ -111,7 +111,8 @@
             let before = state.suspects.crashes(fingerprint);
             state.suspects.apply_crash(clock::now(), crash);
             let crashes = state.suspects.crashes(fingerprint);
-            if crashes > before {
+            // Most suspects are honest requests that shared an endpoint with the one at fault.
+            if crashes > before && crashes > 1 {
                 log_suspicion(fingerprint, crashes);
             }
             shared.suspects_changed.notify_one();
