Read crashes of endpoints less often, and sooner without an aggregator

A member without an aggregator gets no records from peers, so it reads this topic every 2 s, as it does the list of instances. Expired crashes are dropped while the store is unreachable, too.

--- a/crates/proxy/src/crashes.rs
+++ b/crates/proxy/src/crashes.rs
@@ -15,13 +15,17 @@
 /// Time within which the reader of the topic relays a record that was appended.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Delay before a failed call is retried.
+/// Delay before a failed call is retried; it doubles with each failure, up to
+/// [`MAX_RETRY_DELAY`].
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Maximum delay before a failed call is retried.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
+
 /// Maximum number of records in one call.
 const MAX_BATCH: usize = 256;
 
-/// How often crashes are checked for expiry.
+/// How often crashes are checked for expiry while there is nothing to publish.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Publishes changes of this instance until all peers can know them; never returns.
@@ -29,16 +33,19 @@
 /// A change is repeated until it has come back from the store. If the reader of the topic does not
 /// relay it, this instance does.
 pub async fn publish(shared: Rc<Shared>) {
+    let mut retry_delay = RETRY_DELAY;
     loop {
+        drop_expired(&shared).await;
         if shared.state.borrow().suspects.unpublished().is_empty() {
             let _changed = timeout(EXPIRY_INTERVAL, shared.suspects_changed.notified()).await;
-            drop_expired(&shared).await;
             sleep(BATCH_DELAY).await;
             continue;
         }
-        let published = append_unpublished(&shared).await;
-        if published.is_err() {
-            sleep(RETRY_DELAY).await;
+        if append_unpublished(&shared).await.is_ok() {
+            retry_delay = RETRY_DELAY;
+        } else {
+            sleep(retry_delay).await;
+            retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
         }
     }
 }
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -20,7 +20,7 @@
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// Long poll timeout for crashes of endpoints.
-const CRASHES_LONG_POLL_TIMEOUT: Duration = Duration::from_millis(1500);
+const CRASHES_LONG_POLL_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Long poll timeout for the list of instances, whose age does not matter for requests.
 const INSTANCES_LONG_POLL_TIMEOUT: Duration = Duration::from_secs(12);
@@ -40,15 +40,17 @@
 const RETRY_DELAY_RANGE_MS: (u64, u64) = (40, 240);
 
 /// Maximum number of times the retry delay is doubled. The reader of a topic does not back off:
-/// it notifies the others as soon as the store is back.
+/// it notifies the others as soon as the store is back. For crashes of endpoints a second later
+/// is soon enough.
 const MAX_BACKOFF_DOUBLINGS: u32 = 2;
 
 /// Maximum number of doublings for a member that is connected to an aggregator.
 const MEMBER_MAX_BACKOFF_DOUBLINGS: u32 = 4;
 
-/// Age from which a member without an aggregator reads the list of instances itself; the
-/// entries that it knows may belong to processes that have ended.
-const UNLINKED_MAX_INSTANCE_LIST_AGE: Duration = Duration::from_secs(2);
+/// Age from which a member without an aggregator reads the list of instances itself, and crashes of
+/// endpoints. The entries that it knows may belong to processes that have ended, and nobody relays
+/// records to it.
+const UNLINKED_MAX_AGE: Duration = Duration::from_secs(2);
 
 /// Range of the delay before the first read of the list of instances, so that instances that
 /// start together find each other with one read.
@@ -135,7 +137,11 @@
                 topic_state.read_done.notify_waiters();
                 let retry_delay =
                     rand::rng().random_range(RETRY_DELAY_RANGE_MS.0..RETRY_DELAY_RANGE_MS.1);
-                let doublings = if cause == Cause::Reader { 0 } else { failures };
+                let doublings = if cause == Cause::Reader && topic != Topic::Crashes {
+                    0
+                } else {
+                    failures
+                };
                 failures = (failures + 1).min(max_doublings(&shared));
                 sleep(Duration::from_millis(retry_delay << doublings)).await;
             }
@@ -166,11 +172,11 @@
     let role = gossip::role(shared);
     let linked = shared.readers.borrow().has_aggregator(clock::now());
     let max_age = match topic {
-        Topic::Crashes if role == Role::Member && linked => {
+        Topic::Crashes | Topic::Instances if role == Role::Member && !linked => UNLINKED_MAX_AGE,
+        Topic::Crashes if role == Role::Member => {
             MAX_CRASHES_AGE + Duration::from_millis(shared.incarnation % MEMBER_JITTER_MS)
         }
         Topic::Crashes => MAX_CRASHES_AGE,
-        Topic::Instances if role == Role::Member && !linked => UNLINKED_MAX_INSTANCE_LIST_AGE,
         Topic::Instances => MAX_INSTANCE_LIST_AGE,
         Topic::Endpoints | Topic::Operators if role == Role::Member && linked => {
             MAX_WATERMARK_AGE + Duration::from_millis(shared.incarnation % MEMBER_JITTER_MS)
