Wait for load reports in the test of the cold limit

Cause: the test waited until the engine was listed. An instance that has no load report of it yet refuses at once, as it must.

Change: /status shows `load_reports`, the number of engines whose load is known; the test waits for both. All assertions stay.

--- a/crates/carawayhead/src/daemon/status.rs
+++ b/crates/carawayhead/src/daemon/status.rs
@@ -25,6 +25,8 @@
     /// Longest time that the event loop spent on a tick or on queued events, from the tick before
     /// last to the last one, in microseconds.
     pub longest_iteration: u64,
+    /// Engines whose load is known from a report.
+    pub load_reports: usize,
     /// Name of the instance.
     pub name: String,
     /// Entry instances in the instance list.
@@ -53,6 +55,7 @@
             claims: state.claims.len(),
             config_next: state.config.next(),
             endpoints: state.endpoints.len(),
+            load_reports: state.load_reports(),
             longest_iteration,
             name: state.name.clone(),
             peers: state.peers.len(),
@@ -83,6 +86,7 @@
           "invariant_checks": self.checks,
           "invariant_violations": violations.collect::<serde_json::Map<_, _>>(),
           "late_events": self.stats.late,
+          "load_reports": self.load_reports,
           "longest_turn_us": self.longest_iteration,
           "may_have_run": self.stats.may_have_run,
           "not_run": self.stats.not_run,
--- a/crates/carawayhead/tests/leaving.rs
+++ b/crates/carawayhead/tests/leaving.rs
@@ -117,9 +117,13 @@
     let engine = cluster.add_engine("cold", "south", &flags).await;
     for instance in &cluster.instances {
         cluster
-            .wait_until("the engine is listed", async || {
-                cluster.get(&instance.operator, "/status").await["endpoints"] == json!(3)
-            })
+            .wait_until(
+                "the engine is listed and has reported its load",
+                async || {
+                    let status = cluster.get(&instance.operator, "/status").await;
+                    status["endpoints"] == json!(3) && status["load_reports"] == json!(2)
+                },
+            )
             .await;
     }
     let send = |number: usize| cluster.call(number % 3, CallerRequest::generation(8, false));
--- a/crates/decision/src/routing.rs
+++ b/crates/decision/src/routing.rs
@@ -82,6 +82,13 @@
             .count()
     }
 
+    /// Number of engines whose load is known from a report. Nothing is sent to the others.
+    #[must_use]
+    pub fn load_reports(&self) -> usize {
+        let listed = self.endpoints.values();
+        listed.filter(|endpoint| endpoint.report.is_some()).count()
+    }
+
     fn choose_engine(
         &mut self,
         now: Time,
