List the same fault in serve as known red

What `forward` counts now needs the log and the gossip of `serve`; it goes with the core that both are to share. The stand-in engine crashes on a marker in the prompt.

--- /dev/null
+++ b/crates/carawayhead/tests/crashes.rs
@@ -0,0 +1,57 @@
+//! Requests that crash the engines that run them, at instances of `serve`.
+
+mod common;
+
+use {
+    common::{Builder, CallerRequest, Cluster},
+    serde_json::json,
+    std::time::Duration,
+    tokio::time::sleep,
+};
+
+/// Engines that a request may crash before it is no longer passed on.
+const MAX_CRASHES: u64 = 3;
+
+/// Time after which every connected instance must know of earlier crashes.
+const STABILITY_WINDOW: Duration = Duration::from_secs(3);
+
+fn fatal_request() -> CallerRequest {
+    let body = json!({"model": "survey", "prompt": "tokens=8 crash-engine", "stream": true});
+    CallerRequest::post("/v1/completions", &body.to_string())
+}
+
+async fn crashes(cluster: &Cluster) -> u64 {
+    let mut crashes = 0;
+    for engine in &cluster.engines {
+        let stats = cluster.get(&engine.address, "/control").await;
+        crashes += stats["fell_over"]
+            .as_u64()
+            .expect("the engine counts crashes");
+    }
+    crashes
+}
+
+/// A caller repeats a request that crashes each engine, at any instance. If instances blame only
+/// the engine, the engines go down one after another.
+#[tokio::test]
+async fn serve_refuses_a_repeated_request_that_crashes_engines() {
+    let cluster = Builder {
+        engine_domains: vec!["north"; 6],
+        ..Builder::default()
+    }
+    .start()
+    .await;
+    for number in 0..100 {
+        if crashes(&cluster).await >= MAX_CRASHES {
+            break;
+        }
+        let _ended = cluster.send(number % 2, fatal_request()).await;
+    }
+    let known = crashes(&cluster).await;
+    assert!(known >= MAX_CRASHES, "the request does not reach engines");
+    sleep(STABILITY_WINDOW).await;
+    for number in 0..6 {
+        let (status, _) = cluster.call(number % 2, fatal_request()).await;
+        assert_eq!((status, crashes(&cluster).await), (503, known));
+    }
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -15,6 +15,9 @@
 /// Precedes the output length in a prompt, with which a test sets it.
 const OUTPUT_LENGTH_MARKER: &str = "tokens=";
 
+/// A prompt with this text crashes the engine.
+const CRASH_MARKER: &str = "crash-engine";
+
 /// Configuration of an engine.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -162,9 +165,13 @@
         if live <= self.settings.profile.cold_limit {
             return true;
         }
+        self.crash(now);
+        false
+    }
+
+    fn crash(&mut self, now: Instant) {
         self.batch.crash(now);
         self.down_until = now + CRASH_DOWNTIME;
-        false
     }
 
     fn load_report(&mut self, now: Instant) -> String {
@@ -237,6 +244,9 @@
             body.priority,
             prefix_cached,
         );
+        if prompt.contains(CRASH_MARKER) {
+            inner.crash(Instant::now());
+        }
     };
     engine.generation_added.notify_one();
     stream(&engine, &id, 0, chat, response);
