Limit the sends of one serve request that may have run to three

One request that crashes its engine before the first token took down all six engines of a test in a single attempt.

Cause: a request may be retried while its answer has not begun, and only the retry budget of the instance limited that.

Change: the third send that may have run ends the request as may have run. Sends that provably did not run do not count.

--- a/crates/carawayhead/tests/crashes.rs
+++ b/crates/carawayhead/tests/crashes.rs
@@ -55,3 +55,17 @@
         assert_eq!((status, crashes(&cluster).await), (503, known));
     }
 }
+
+/// A request crashes its engine before the first token, so that it may be retried. The retries of
+/// one attempt must not take down every engine.
+#[tokio::test]
+async fn retries_of_one_attempt_crash_three_engines_at_most() {
+    let cluster = Builder {
+        engine_domains: vec!["north"; 6],
+        ..Builder::default()
+    }
+    .start()
+    .await;
+    let (status, _) = cluster.call(0, fatal_request()).await;
+    assert_eq!((status, crashes(&cluster).await), (502, MAX_CRASHES));
+}
--- a/crates/decision/src/dispatch.rs
+++ b/crates/decision/src/dispatch.rs
@@ -5,6 +5,10 @@
 /// Largest number of endpoint selections in one dispatch, which bounds the time of a step.
 const MAX_SEARCHES_PER_DISPATCH: usize = 64;
 
+/// Maximum number of sends that may have run for one request. A request that crashes endpoints
+/// would otherwise take down one after another.
+const MAX_RUNS: u32 = 3;
+
 impl State {
     /// Checks the invariants of a send.
     pub(crate) fn check_send_invariants(
@@ -124,6 +128,15 @@
         out: &mut Vec<Action>,
     ) {
         let key = attempt.request;
+        if evidence.is_none() && self.requests[key].sends >= MAX_RUNS {
+            if let Some(run) = self.run(attempt) {
+                let endpoint = run.endpoint;
+                self.discard_report(endpoint);
+            }
+            self.finish_unknown(key, MayHaveRun::ConnectionLost, out);
+            self.dispatch(now, out);
+            return;
+        }
         let request = &mut self.requests[key];
         let phase = std::mem::replace(&mut request.phase, Phase::Transition);
         let Phase::Running(run) = phase else {
