Soak: repeat a request that crashes engines

Beside the other callers one repeats a request that ends each engine that runs it, to any instance, through kills, freezes, cuts and outages of the store. Once the faults are undone, all instances must refuse it within 3 s of three crashes, no further engine may crash, and honest requests of the same path and customer must be served.

--- a/crates/carawayhead/tests/soak/callers.rs
+++ b/crates/carawayhead/tests/soak/callers.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::deployment::EVENTS_PER_STREAM,
-    platform::standin::caller::{CallerRequest, CallerResponse, Session},
+    platform::standin::caller::{CallerRequest, CallerResponse, Session, send_request},
     rand::{RngExt as _, SeedableRng as _, rngs::SmallRng},
     std::{
         net::SocketAddr,
@@ -14,6 +14,9 @@
 
 const ROUTE_PATHS: [&str; 3] = ["/draft/x", "/look/x", "/order/x"];
 
+/// Body of a request that crashes each engine that runs it.
+pub const FATAL_BODY: &str = "fatal";
+
 /// A request and its response.
 #[derive(Clone, Debug)]
 pub struct Record {
@@ -29,6 +32,40 @@
 /// Current caller addresses of the instances.
 pub type Addresses = watch::Receiver<Vec<SocketAddr>>;
 
+/// Sends a request that crashes engines until `stop` is set, to any instance.
+pub async fn repeat_fatal_request(
+    seed: u64,
+    addresses: Addresses,
+    stop: watch::Receiver<bool>,
+    records: Arc<Mutex<Vec<Record>>>,
+) {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut count = 0_u32;
+    while !*stop.borrow() {
+        sleep(Duration::from_millis(random.random_range(100..400))).await;
+        let listening = addresses.borrow().clone();
+        if listening.is_empty() {
+            continue;
+        }
+        count += 1;
+        let id = format!("fatal-{count}");
+        let mut request = CallerRequest::new(&id, ROUTE_PATHS[0]);
+        request.body = FATAL_BODY;
+        request.deadline_ms = 3000;
+        let address = listening[random.random_range(0..listening.len())];
+        let started = Instant::now();
+        let response = send_request(address, &request).await;
+        records.lock().expect("not poisoned").push(Record {
+            started,
+            ended: Instant::now(),
+            response,
+            id,
+            key: "key-1",
+            path: ROUTE_PATHS[0],
+        });
+    }
+}
+
 /// Sends requests until `stop` is set, and uses each connection until it ends.
 pub async fn run_caller(
     number: usize,
--- a/crates/carawayhead/tests/soak/deployment.rs
+++ b/crates/carawayhead/tests/soak/deployment.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        callers::FATAL_BODY,
         instance::{Instance, wait_until},
         loopback::FaultProxy,
     },
@@ -88,6 +89,7 @@
             config_version: 0,
             shared_runs: Arc::default(),
         };
+        deployment.shared_runs.crash_engines_on(FATAL_BODY, 0);
         deployment.publish();
         for domain in ["a", "b", "c", "a"] {
             deployment.add_engine(domain).await;
@@ -162,6 +164,27 @@
         self.store.write_endpoint_entry(&engine.id, &entry);
     }
 
+    /// Replaces the engines that a request has crashed.
+    pub async fn replace_crashed(&mut self) {
+        while let Some(index) = self
+            .engines
+            .iter()
+            .position(|engine| engine.server.is_crashed())
+        {
+            self.replace(index).await;
+        }
+    }
+
+    /// Number of engines that ran a request with [`FATAL_BODY`], and so crashed.
+    pub fn fatal_crashes(&self) -> usize {
+        let engines = self.engines.iter().map(|engine| &engine.server);
+        let crashed = engines.chain(&self.removed_engines).filter(|engine| {
+            let calls = engine.executed_calls();
+            calls.iter().any(|call| call.body == FATAL_BODY.as_bytes())
+        });
+        crashed.count()
+    }
+
     /// Crashes an engine and starts another one with a new ID.
     pub async fn replace(&mut self, index: usize) {
         let engine = self.engines.remove(index);
--- a/crates/carawayhead/tests/soak/main.rs
+++ b/crates/carawayhead/tests/soak/main.rs
@@ -13,7 +13,7 @@
 mod script;
 
 use {
-    callers::{Record, check_events},
+    callers::{FATAL_BODY, Record, check_events},
     deployment::Deployment,
     http::StatusCode,
     platform::standin::{
@@ -24,6 +24,7 @@
     script::{FaultInjector, Mode},
     std::{
         collections::BTreeMap,
+        net::SocketAddr,
         sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
@@ -36,6 +37,12 @@
 /// delivery of a request on a busy machine.
 const REVOCATION_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// Engines that a request may crash before all instances refuse it.
+const MAX_FATAL_CRASHES: usize = 3;
+
+/// Time within which connected instances know of each other's crashes.
+const STABILITY_WINDOW: Duration = Duration::from_secs(3);
+
 /// Seeds that failed before; they are part of every run.
 const REGRESSIONS: [u64; 0] = [];
 
@@ -48,7 +55,8 @@
 
 /// Under combined faults no caller may receive another caller's or an incomplete response as a
 /// success, no order may run twice or run after it was rejected as not run, no revoked key may
-/// work after its timeout, and every instance must serve again once the faults end.
+/// work after its timeout, and every instance must serve again once the faults end. A request that
+/// crashes engines must be refused by all instances then, and no other one.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn guarantees_hold_under_faults() {
     let (first, count) = (
@@ -91,7 +99,15 @@
             records,
         ))
     });
-    let callers = callers.collect::<Vec<_>>();
+    let mut callers = callers.collect::<Vec<_>>();
+    if mode == Mode::Faults {
+        callers.push(tokio::spawn(callers::repeat_fatal_request(
+            seed,
+            listening.clone(),
+            stopped.clone(),
+            Arc::clone(&records),
+        )));
+    }
     injector.run(&mut deployment, length).await;
     stop.send_replace(true);
     for caller in callers {
@@ -106,11 +122,14 @@
     deployment.publish();
     deployment.wait_until_ready().await;
     violations.extend(check_recovery(&deployment).await);
+    violations.extend(check_refusal(&mut deployment).await);
     let answered = records.iter().filter(|record| answered(record)).count();
     println!(
-        "seed {seed}: {mode:?}, {} changes, {} requests, {answered} answered, {} broken",
+        "seed {seed}: {mode:?}, {} changes, {} requests, {answered} answered, {} engines crashed \
+         by a request, {} broken",
         injector.changes,
         records.len(),
+        deployment.fatal_crashes(),
         violations.len()
     );
     if !violations.is_empty() {
@@ -264,6 +283,46 @@
     violations
 }
 
+/// Checks that all instances refuse a request that crashes engines, within a time in which they
+/// must know of each other's crashes, and serve others.
+async fn check_refusal(deployment: &mut Deployment) -> Vec<String> {
+    for _ in 0..MAX_FATAL_CRASHES {
+        let slot = deployment.slots[0].instance.as_ref();
+        let address = slot.expect("the instance runs").caller_address;
+        send_fatal(address).await;
+        deployment.replace_crashed().await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    tokio::time::sleep(STABILITY_WINDOW).await;
+    let crashes = deployment.fatal_crashes();
+    let mut violations = Vec::new();
+    for (number, slot) in deployment.slots.iter().enumerate() {
+        let Some(instance) = &slot.instance else {
+            continue;
+        };
+        let status = send_fatal(instance.caller_address).await;
+        if status != Some(StatusCode::SERVICE_UNAVAILABLE) {
+            violations.push(format!(
+                "instance {number} answers {status:?} to {FATAL_BODY}"
+            ));
+        }
+    }
+    let further = deployment.fatal_crashes() - crashes;
+    if further > 0 {
+        violations.push(format!("{further} engines crashed after {crashes}"));
+    }
+    deployment.replace_crashed().await;
+    violations.extend(check_recovery(deployment).await);
+    violations
+}
+
+async fn send_fatal(address: SocketAddr) -> Option<StatusCode> {
+    let mut request = CallerRequest::new("end-fatal", "/draft/x");
+    request.body = FATAL_BODY;
+    let response = send_request(address, &request).await;
+    response.map(|response| response.status)
+}
+
 /// Saves the instance logs of a failed seed to the temporary directory.
 fn save_logs(seed: u64, deployment: &Deployment) {
     for (number, slot) in deployment.slots.iter().enumerate() {
--- a/crates/carawayhead/tests/soak/script.rs
+++ b/crates/carawayhead/tests/soak/script.rs
@@ -85,6 +85,7 @@
         while Instant::now() < end {
             sleep(Duration::from_millis(self.random.random_range(50..350))).await;
             self.undo_due(deployment, Instant::now()).await;
+            deployment.replace_crashed().await;
             self.changes += 1;
             match self.mode {
                 Mode::Faults if self.random.random_bool(0.7) => self.inject_fault(deployment).await,
