--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -145,7 +145,8 @@
     /// Relays events until the stream ends.
     pub async fn run(mut self, blocks: Vec<Bytes>, ended: bool) {
         let ending = self.relay(blocks, ended).await;
-        if matches!(ending, Ending::Complete) {
+        // An engine that is lost before its first event may close the body as if it were complete.
+        if matches!(ending, Ending::Complete) && self.sequence.count() > 0 {
             self.shared.record_completion(&self.original);
         }
         if matches!(ending, Ending::Complete) && self.out.send(BodyPart::End).await.is_err() {
