--- a/crates/forward/src/suspects.rs
+++ b/crates/forward/src/suspects.rs
@@ -1,7 +1,7 @@
 //! Requests that may crash the endpoints that run them.
 //!
 //! When the connection to an endpoint breaks, each request in progress there becomes a suspect.
-//! Honest ones end well later, or are never seen again. A request under which several endpoints
+//! Harmless ones complete later, or are never seen again. A request under which several endpoints
 //! have been lost is refused, under whatever id and at whichever instance it arrives: without a
 //! limit over all instances, it would take down one endpoint after another.
 //!
@@ -26,7 +26,7 @@
 /// Maximum number of suspects; those with the fewest and oldest crashes beyond it are dropped.
 pub const MAX_SUSPECTS: usize = 1024;
 
-/// Time for which a request that ended well cannot become a suspect.
+/// Time for which a request that completed cannot become a suspect.
 const COMPLETION_TTL: Duration = Duration::from_secs(30);
 
 /// Maximum number of completed requests that are remembered.
@@ -44,7 +44,7 @@
 /// A change of the suspects that other instances have to learn.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Change {
-    /// The request ended well after all, or the crash has expired.
+    /// The request completed after all, or the crash has expired.
     Cleared(Crash),
     /// An endpoint was lost.
     Crashed(Crash),
@@ -92,7 +92,7 @@
     }
 
     /// Records that an endpoint was lost while it ran a request of this instance; returns whether
-    /// that counts against the request. It does not if an equal request has just ended well.
+    /// that counts against the request. It does not if an equal request has just completed.
     pub fn record_crash(&mut self, now: Time, crash: Crash) -> bool {
         if self.has_completed(now, crash.fingerprint) || !self.add(now, crash.clone()) {
             return false;
@@ -101,7 +101,7 @@
         true
     }
 
-    /// Records that a request ended well; returns the number of crashes that no longer count.
+    /// Records that a request completed; returns the number of crashes that no longer count.
     pub fn record_completion(&mut self, now: Time, fingerprint: Fingerprint) -> usize {
         if self.completions.len() == MAX_COMPLETIONS {
             self.completions.pop_front();
@@ -111,7 +111,7 @@
     }
 
     /// Applies a crash that an instance has published. It is cleared if an equal request has just
-    /// ended well here.
+    /// completed here.
     pub fn apply_crash(&mut self, now: Time, crash: Crash) {
         self.confirm(&Change::Crashed(crash.clone()));
         let fingerprint = crash.fingerprint;
--- a/crates/forward/tests/crash_histories.rs
+++ b/crates/forward/tests/crash_histories.rs
@@ -1,4 +1,4 @@
-//! Randomised histories of requests that crash endpoints, and of honest ones beside them, at
+//! Randomised histories of requests that crash endpoints, and of harmless ones beside them, at
 //! instances that share their knowledge through a store which they cannot always reach.
 //!
 //! `HISTORIES` sets their number and `SEED` the seed.
@@ -40,7 +40,7 @@
 /// Time after which an engine that crashed is back.
 const ENGINE_RESTART_MS: u64 = 4000;
 
-/// Time that an honest request takes.
+/// Time that a harmless request takes.
 const RUN_MS: u64 = 1200;
 
 #[derive(Clone, Copy, Debug)]
@@ -51,8 +51,8 @@
     Crash(usize),
     /// An instance receives the request that crashes engines, for an engine.
     Fatal(usize, usize),
-    /// An instance receives an honest request, one of a few that are repeated, for an engine.
-    Honest(usize, usize, usize),
+    /// An instance receives a harmless request, one of a few that are repeated, for an engine.
+    Harmless(usize, usize, usize),
     /// An instance is replaced and knows nothing.
     Restart(usize),
     /// An instance exchanges records with the store.
@@ -60,9 +60,9 @@
     Tick(u64),
 }
 
-/// A run of an honest request.
+/// A run of a harmless request.
 #[derive(Clone, Copy, Debug)]
-struct HonestRun {
+struct HarmlessRun {
     body: usize,
     engine: usize,
     ends: u64,
@@ -84,12 +84,12 @@
     /// Number of times each engine has crashed.
     crashes: [u64; ENGINES],
     down_until: [u64; ENGINES],
-    honest_refused: usize,
-    honest_sent: usize,
+    harmless_refused: usize,
+    harmless_sent: usize,
     instances: [Instance; INSTANCES],
     log: Vec<(u64, CrashChange)>,
     now: u64,
-    runs: Vec<HonestRun>,
+    runs: Vec<HarmlessRun>,
     /// Engines that the fatal request has crashed.
     fatal_crashes: usize,
 }
@@ -98,7 +98,7 @@
     Fingerprint::new(Some("eve"), "h.example", "/draft/x", b"fatal")
 }
 
-fn honest(body: usize) -> Fingerprint {
+fn harmless(body: usize) -> Fingerprint {
     Fingerprint::new(
         Some("ada"),
         "h.example",
@@ -118,7 +118,7 @@
                 instance.connected_since = instance.cut_until;
             }
             Op::Fatal(index, engine) => self.send_fatal(index, engine),
-            Op::Honest(index, engine, body) => self.send_honest(index, engine, body),
+            Op::Harmless(index, engine, body) => self.send_harmless(index, engine, body),
             Op::Restart(index) => {
                 self.runs.retain(|run| run.instance != index);
                 let instance = &mut self.instances[index];
@@ -138,10 +138,10 @@
             self.now += 100;
             let (ended, running) = self.runs.iter().partition(|run| run.ends <= self.now);
             self.runs = running;
-            let ended: Vec<HonestRun> = ended;
+            let ended: Vec<HarmlessRun> = ended;
             for run in ended {
                 let suspects = &mut self.instances[run.instance].suspects;
-                suspects.record_completion(at(self.now), honest(run.body));
+                suspects.record_completion(at(self.now), harmless(run.body));
             }
             for index in 0..INSTANCES {
                 self.instances[index].suspects.expire(at(self.now));
@@ -182,11 +182,11 @@
         self.down_until[engine] = self.now + ENGINE_RESTART_MS;
         let (broken, running) = self.runs.iter().partition(|run| run.engine == engine);
         self.runs = running;
-        let broken: Vec<HonestRun> = broken;
+        let broken: Vec<HarmlessRun> = broken;
         for run in broken {
             let crash = Crash {
                 endpoint: endpoint.clone(),
-                fingerprint: honest(run.body),
+                fingerprint: harmless(run.body),
             };
             let suspects = &mut self.instances[run.instance].suspects;
             suspects.record_crash(at(self.now), crash);
@@ -219,23 +219,23 @@
         assert!(suspects.record_crash(at(self.now), crash));
     }
 
-    fn send_honest(&mut self, index: usize, engine: usize, body: usize) {
+    fn send_harmless(&mut self, index: usize, engine: usize, body: usize) {
         if self.now < self.down_until[engine] {
             return;
         }
         let refused = self.instances[index]
             .suspects
-            .refuses(at(self.now), honest(body));
+            .refuses(at(self.now), harmless(body));
         if refused {
-            self.honest_refused += 1;
+            self.harmless_refused += 1;
             assert!(
-                !self.in_touch(index) || self.countable(index, honest(body)) >= MAX_CRASHES,
-                "an honest request is refused although it was cleared"
+                !self.in_touch(index) || self.countable(index, harmless(body)) >= MAX_CRASHES,
+                "a harmless request is refused although it was cleared"
             );
             return;
         }
-        self.honest_sent += 1;
-        self.runs.push(HonestRun {
+        self.harmless_sent += 1;
+        self.runs.push(HarmlessRun {
             body,
             engine,
             ends: self.now + RUN_MS,
@@ -303,7 +303,7 @@
         2 => engine.clone().prop_map(Op::Crash),
         8 => (index.clone(), engine.clone()).prop_map(|(index, engine)| Op::Fatal(index, engine)),
         8 => (index.clone(), engine, 0..4_usize)
-            .prop_map(|(index, engine, body)| Op::Honest(index, engine, body)),
+            .prop_map(|(index, engine, body)| Op::Harmless(index, engine, body)),
         1 => index.clone().prop_map(Op::Restart),
         8 => index.prop_map(Op::Sync),
         8 => (1..900_u64).prop_map(Op::Tick),
@@ -320,7 +320,7 @@
 
 /// Instances are cut off from the store and replaced while a request crashes engines. One that has
 /// reached the store for three seconds must not send the request once three crashes were
-/// published, and must not refuse an honest one whose crashes were cleared.
+/// published, and must not refuse a harmless one whose crashes were cleared.
 #[test]
 fn instances_in_touch_refuse_what_crashes_engines_and_nothing_else() {
     let config = ProptestConfig {
@@ -340,8 +340,8 @@
         let [crashes, sent, refused] = totals.get();
         totals.set([
             crashes + simulation.fatal_crashes,
-            sent + simulation.honest_sent,
-            refused + simulation.honest_refused,
+            sent + simulation.harmless_sent,
+            refused + simulation.harmless_refused,
         ]);
         Ok(())
     });
@@ -350,7 +350,7 @@
     }
     let [crashes, sent, refused] = totals.get();
     println!(
-        "{crashes} engines crashed by the fatal request; honest: {sent} sent, {refused} refused"
+        "{crashes} engines crashed by the fatal request; harmless: {sent} sent, {refused} refused"
     );
     assert!(crashes > 0 && sent > 0, "the histories sent nothing");
 }
--- a/crates/forward/tests/suspects.rs
+++ b/crates/forward/tests/suspects.rs
@@ -74,7 +74,7 @@
 }
 
 /// A popular lookup runs at each endpoint that is lost in a storm of crashes. One of its equals
-/// that ended well proves that it does not crash endpoints, before and after the crashes.
+/// that completed proves that it does not crash endpoints, before and after the crashes.
 #[test]
 fn request_that_ended_well_is_no_suspect() {
     for completes_first in [false, true] {
@@ -95,7 +95,7 @@
     }
 }
 
-/// An instance that has just started blames a popular lookup. Instances where it ended well clear
+/// An instance that has just started blames a popular lookup. Instances where it completed clear
 /// it for all, or it would be refused everywhere.
 #[test]
 fn crash_reported_by_a_peer_is_cleared_if_the_request_ended_well_here() {
@@ -109,9 +109,9 @@
     assert!(suspects.unpublished().is_empty());
 }
 
-/// A success of long ago proves nothing: a new version of the model may fail on the request.
+/// An old success proves nothing: a new version of the model may fail on the request.
 #[test]
-fn earlier_success_does_not_protect_for_ever() {
+fn earlier_success_does_not_protect_indefinitely() {
     let mut suspects = Suspects::default();
     suspects.record_completion(at(0), fingerprint("fatal"));
     crash_endpoints(&mut suspects, at(31_000), "fatal", MAX_CRASHES);
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -42,7 +42,7 @@
 }
 
 impl BufferedAnswer {
-    fn ended_well(&self) -> bool {
+    fn is_success(&self) -> bool {
         self.status.is_success() && self.flags.sealed && !self.flags.not_run
     }
 }
@@ -107,7 +107,7 @@
     progress.sends += 1;
     match send(shared, original, ticket, progress, key).await {
         Ok(answer) => {
-            if answer.ended_well() {
+            if answer.is_success() {
                 shared.record_completion(original);
             }
             classify(shared, ticket, progress, key, answer)
--- a/crates/proxy/src/crashes.rs
+++ b/crates/proxy/src/crashes.rs
@@ -118,7 +118,7 @@
             let before = state.suspects.crashes(fingerprint);
             state.suspects.apply_crash(clock::now(), crash);
             let crashes = state.suspects.crashes(fingerprint);
-            // Most suspects are honest requests that shared an endpoint with the one at fault.
+            // Most suspects are harmless requests that shared an endpoint with the one at fault.
             if crashes > before && crashes > 1 {
                 log_suspicion(fingerprint, crashes);
             }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -261,7 +261,7 @@
         }
     }
 
-    /// Records that a request ended well, so that it does not crash endpoints.
+    /// Records that a request completed, so that it does not crash endpoints.
     pub fn record_completion(&self, original: &Original) {
         let fingerprint = original.fingerprint;
         let mut state = self.state.borrow_mut();
