Accept older watermarks for crashes of endpoints

An instance that publishes a crash makes sure that its peers learn of it, so the age only limits how long a reader that hangs is trusted. It is 15 s now.

--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -67,7 +67,7 @@
 
 /// Maximum age of a watermark for crashes of endpoints. Longer than for the configuration, since an
 /// instance that publishes a crash makes sure that its peers learn of it.
-pub const MAX_CRASHES_AGE: Duration = Duration::from_secs(6);
+pub const MAX_CRASHES_AGE: Duration = Duration::from_secs(15);
 
 /// Time without a report after which the entry of an instance is removed. A partition usually lasts
 /// minutes; an instance whose entry was removed writes it again.
