--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -20,7 +20,7 @@
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// Long poll timeout for crashes of endpoints.
-const CRASHES_LONG_POLL_TIMEOUT: Duration = Duration::from_millis(2500);
+const CRASHES_LONG_POLL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Long poll timeout for the list of instances, whose age does not matter for requests.
 const INSTANCES_LONG_POLL_TIMEOUT: Duration = Duration::from_secs(12);
@@ -219,6 +219,7 @@
     topic: Topic,
     known: Option<u64>,
 ) -> Result<u64, platform::Error> {
+    let sent_at = clock::now();
     let newest = shared.store.newest(topic).await?;
     shared.metrics.record_store_call("newest");
     if known.is_some_and(|known| newest.end < known) {
@@ -229,6 +230,10 @@
         )));
     }
     apply::snapshot(shared, topic, &newest.records);
+    if topic == Topic::Crashes {
+        // The newest records may be a little old, which only delays a refusal.
+        confirm(shared, topic, sent_at);
+    }
     Ok(newest.end)
 }
 
