--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -120,7 +120,8 @@
                 if !topic_state.reachable.replace(true) {
                     log::info!(topic:?; "store reachable again");
                 }
-                confirmation_wanted = topic_state.position.get().is_none();
+                let is_first = topic_state.position.get().is_none();
+                confirmation_wanted = is_first && topic != Topic::Crashes;
                 topic_state.position.set(Some(next));
                 topic_state.read_done.notify_waiters();
                 if !confirmation_wanted {
