Do not ask for a copy that an engine has lost

Cause: the engine with the copy was down and came back without it. The run's own engine was silent, so the takeover was sent at each silence, and again by the move that followed: fourteen times in six seconds, each rejected with 503, until a faulty engine ran it. Engines admit takeovers ahead of all else, so a rejection means that the copy is gone.

Ruled out: two engines at work after a move (the first engine answered that it had no such run).

Change: a rejected takeover, and a restart of the engine (another start time or address), end the copy.

Tests: engine_without_the_copy_is_asked_to_take_over_once (4 in place of 1 before), copy_is_lost_when_its_engine_restarts (failed before), copy_is_lost_when_its_engine_does_not_have_it; two mutations.

--- a/crates/carawayhead/tests/forwarding/streams.rs
+++ b/crates/carawayhead/tests/forwarding/streams.rs
@@ -246,6 +246,37 @@
     assert_all_events(&response.body);
 }
 
+/// The backup engine restarts and loses its copy, and then the run's own engine falls silent. Asking
+/// for the lost copy at each silence ends in the run being started a second time.
+#[tokio::test]
+async fn engine_without_the_copy_is_asked_to_take_over_once() {
+    let deployment = deployment(2).await;
+    let caller_address = deployment.instance.caller_address;
+    let stream = tokio::spawn(async move {
+        send_request(caller_address, &CallerRequest::new("r1", "/draft/7")).await
+    });
+    let index = deployment.wait_for_run().await;
+    deployment.shared_runs.drop_copies();
+    deployment.engines[index].freeze();
+    wait_until("the stream has been silent several times", || async {
+        deployment
+            .instance
+            .log_lines_containing("stream is silent")
+            .len()
+            >= 4
+    })
+    .await;
+    let rejected = deployment.engines[1 - index].rejected_takeovers();
+    deployment.engines[index].thaw();
+    let response = stream
+        .await
+        .expect("the task does not panic")
+        .expect("the instance responds");
+    assert_eq!((response.status, response.complete), (StatusCode::OK, true));
+    assert_all_events(&response.body);
+    assert_eq!(rejected, 1);
+}
+
 /// The only engine dies and there is no backup. The response must not look complete.
 #[tokio::test]
 async fn stream_without_backup_ends_incomplete() {
--- a/crates/forward/src/endpoint.rs
+++ b/crates/forward/src/endpoint.rs
@@ -122,10 +122,12 @@
         }
     }
 
-    /// Applies an updated entry; a restart resets backoff and failure rate.
-    pub fn update(&mut self, listing: Listing, now: Time) {
-        if listing.started_at != self.listing.started_at || listing.address != self.listing.address
-        {
+    /// Applies an updated entry; a restart resets backoff and failure rate. Returns whether the
+    /// endpoint has restarted.
+    pub fn update(&mut self, listing: Listing, now: Time) -> bool {
+        let restarted = listing.started_at != self.listing.started_at
+            || listing.address != self.listing.address;
+        if restarted {
             self.avoid_until = Time::default();
             self.failures = 0;
             self.failure_rate = 0.0;
@@ -137,6 +139,7 @@
             (true, Some(_)) => {}
         }
         self.listing = listing;
+        restarted
     }
 
     /// Whether it may get new work.
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -170,7 +170,11 @@
         match change {
             Change::Removed(id) => self.remove_listing(now, &id),
             Change::Set(listing) => match self.find(&listing.id) {
-                Some(key) => self.endpoints[key].update(listing, now),
+                Some(key) => {
+                    if self.endpoints[key].update(listing, now) {
+                        self.forget_copies_at(key);
+                    }
+                }
                 None => {
                     self.endpoints.insert(Endpoint::new(listing, now));
                 }
@@ -178,6 +182,13 @@
         }
     }
 
+    /// Forgets the copies that an endpoint lost in a restart.
+    fn forget_copies_at(&mut self, key: EndpointKey) {
+        for run in self.runs.values_mut() {
+            run.backup = run.backup.filter(|backup| *backup != key);
+        }
+    }
+
     /// Handles a removed entry. If the store was unreachable the removal is delayed, since entries
     /// of live endpoints expire in such an outage.
     fn remove_listing(&mut self, now: Time, id: &str) {
@@ -348,6 +359,13 @@
         (endpoint.usable(now) && self.may_continue_at(now, backup)).then_some(backup)
     }
 
+    /// Records that an engine does not have the copy of a run.
+    pub fn record_missing_copy(&mut self, run: RunKey, engine: EndpointKey) {
+        if let Some(run) = self.runs.get_mut(run) {
+            run.backup = run.backup.filter(|backup| *backup != engine);
+        }
+    }
+
     /// Records that the connection to an endpoint broke while it ran a request; returns whether that
     /// counts against the request. An endpoint that was known to be leaving has ended by itself.
     pub fn record_break(
--- a/crates/forward/tests/leaving.rs
+++ b/crates/forward/tests/leaving.rs
@@ -126,3 +126,33 @@
     state.change(at(900), Change::Set(reborn));
     assert!(state.endpoint(key).expect("known").usable(at(900)));
 }
+
+/// An engine that has restarted has lost the copies that it held. A takeover there would run the
+/// request a second time.
+#[test]
+fn copy_is_lost_when_its_engine_restarts() {
+    let mut state = instance(&pair());
+    let (first, backup) = picked(state.pick(at(10), "model", LONG, &[]));
+    let backup = backup.expect("there is room for a copy");
+    let run = begin_run(&mut state, first, Some(backup));
+    let mut restarted = listing(&id(&state, backup), "model", "b");
+    state.change(at(20), Change::Set(restarted.clone()));
+    assert_eq!(state.healthy_backup(at(21), run), Some(backup));
+    restarted.started_at = Some(2);
+    state.change(at(30), Change::Set(restarted));
+    assert_eq!(state.healthy_backup(at(31), run), None);
+}
+
+/// An engine that has rejected a takeover does not have the copy. Asking it at each silence of the
+/// run's own engine can start the run a second time.
+#[test]
+fn copy_is_lost_when_its_engine_does_not_have_it() {
+    let mut state = instance(&pair());
+    let (first, backup) = picked(state.pick(at(10), "model", LONG, &[]));
+    let backup = backup.expect("there is room for a copy");
+    let run = begin_run(&mut state, first, Some(backup));
+    state.record_missing_copy(run, first);
+    assert_eq!(state.healthy_backup(at(11), run), Some(backup));
+    state.record_missing_copy(run, backup);
+    assert_eq!(state.healthy_backup(at(11), run), None);
+}
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -319,6 +319,7 @@
         let events = self.sequence.count();
         self.shared
             .record_break(&self.original, *key, *sent_at, events);
+        self.shared.mark_disconnected(*key);
     }
 
     async fn pass_on(&mut self, blocks: Vec<Bytes>) -> Result<(), Ending> {
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -137,6 +137,19 @@
     }
 }
 
+impl Shared {
+    /// Marks an endpoint as unreachable after the connection of a running stream broke. All streams
+    /// there break together, which counts as one failure.
+    pub fn mark_disconnected(&self, key: EndpointKey) {
+        let now = clock::now();
+        if let Some(endpoint) = self.state.borrow_mut().endpoint_mut(key)
+            && endpoint.usable(now)
+        {
+            endpoint.mark_unreachable(now);
+        }
+    }
+}
+
 /// A request's position in the queue, released on drop.
 #[derive(Debug)]
 pub struct QueueSlot {
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -188,6 +188,12 @@
                 })
             }
             SendOutcome::Answer(answer, flags) if flags.not_run => {
+                // Engines admit takeovers ahead of all other requests, so a rejection means that
+                // the copy is gone. Asking again could start the run a second time.
+                if source.is_some() {
+                    let mut state = self.shared.state.borrow_mut();
+                    state.record_missing_copy(self.run, key);
+                }
                 Err(Failure::NotRun(format!("answered {}", answer.status())))
             }
             SendOutcome::Answer(answer, _) => {
@@ -195,9 +201,13 @@
             }
             SendOutcome::Broken(error) => {
                 self.shared.record_break(&self.original, key, started_at, 0);
+                self.shared.mark_unreachable(key);
                 Err(Failure::Unknown(error))
             }
-            SendOutcome::NotWritten(error) => Err(Failure::NotRun(error)),
+            SendOutcome::NotWritten(error) => {
+                self.shared.mark_unreachable(key);
+                Err(Failure::NotRun(error))
+            }
             SendOutcome::Unknown(error) => Err(Failure::Unknown(error)),
         };
         let error = result.as_ref().err().map(ToString::to_string);
