--- a/crates/carawayhead/tests/forwarding/instance.rs
+++ b/crates/carawayhead/tests/forwarding/instance.rs
@@ -58,7 +58,7 @@
         let settings = format!(
             "[instance]\ndomain = \"{domain}\"\nfellows = \"{any}\"\ngrace_s = 8\n\
              listen = \"{any}\"\nmetrics = \"{any}\"\nname = \"{name}\"\nready = \"{any}\"\n\
-             [joint]\nretry_burst = 50\nretry_ratio = 0.2\nretry_window_s = 10\n\
+             [joint]\ncanary_requests = 50\ncanary_share = 0.1\nretry_burst = 50\nretry_ratio = 0.2\nretry_window_s = 10\n\
              revocation_ms = 5000\n[store]\naddress = \"{store}\"\n"
         );
         std::fs::write(&file, settings).expect("the settings file can be written");
--- a/crates/carawayhead/tests/forwarding/main.rs
+++ b/crates/carawayhead/tests/forwarding/main.rs
@@ -4,4 +4,5 @@
 mod crashes;
 mod instance;
 mod knowledge;
+mod rollouts;
 mod streams;
--- a/crates/forward/src/aggregate/members.rs
+++ b/crates/forward/src/aggregate/members.rs
@@ -157,6 +157,15 @@
         Some(member.rank)
     }
 
+    /// Number of instances of all failure domains with a lower rank.
+    #[must_use]
+    pub fn position(&self, name: &str) -> usize {
+        let Some(own) = self.rank(name) else {
+            return usize::MAX;
+        };
+        self.ranks.iter().filter(|(_, rank, _)| *rank < own).count()
+    }
+
     /// Records that a message was sent to an instance, which has to answer in time. Without an open
     /// connection it gets `CONNECT_GRACE` more.
     pub fn expect_answer(&mut self, key: MemberKey, now: Time, connected: bool) {
--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -3,7 +3,14 @@
 //! Costs are in milliseconds of waiting, so that they can be added.
 
 use {
-    crate::{endpoint::Load, prelude::*, run::kv_demand, state::State},
+    crate::{
+        endpoint::Load,
+        prelude::*,
+        request::Ticket,
+        rollout::access::{Access, Gate},
+        run::kv_demand,
+        state::State,
+    },
     rand::{RngExt as _, SeedableRng as _, rngs::SmallRng},
     slotmap::{Key as _, SecondaryMap},
 };
@@ -66,6 +73,9 @@
 /// preferred.
 const MAX_JITTER_MS: f64 = 200.0;
 
+/// Endpoints of a version in each failure domain that get requests before it is judged.
+const CANARIES_PER_DOMAIN: usize = 2;
+
 /// Expected tokens of a request; zero for plain requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Need {
@@ -110,6 +120,65 @@
 }
 
 impl State {
+    /// Chooses an endpoint for an attempt of a request, and an engine for its copy. Some first
+    /// attempts go to a version that is not judged yet; returns whether this one does.
+    #[must_use]
+    pub fn pick_attempt(
+        &mut self,
+        now: Time,
+        ticket: &Ticket,
+        need: Need,
+        tried: &[EndpointKey],
+    ) -> (Pick, bool) {
+        let route = &ticket.route.name;
+        if tried.is_empty()
+            && self.rollouts.may_expose(now, &ticket.service, route)
+            && let Some(key) = self.pick_canary(now, &ticket.service, need)
+        {
+            self.rollouts.record_exposure(now, &ticket.service, route);
+            let copy = self.service(&ticket.service).and_then(|service| {
+                let tokens = need.tokens();
+                self.pick_copy(now, service, tokens, need.output, key, &self.loads())
+            });
+            return (Pick::Send(key, copy), true);
+        }
+        (self.pick(now, &ticket.service, need, tried), false)
+    }
+
+    /// Chooses an endpoint of the version that is not judged yet. All instances use the same few, so
+    /// that these get the load of an ordinary one: some versions are bad only under load.
+    fn pick_canary(&mut self, now: Time, service: &str, need: Need) -> Option<EndpointKey> {
+        let jitter = self.jitter();
+        let service = self.service(service)?;
+        let (target, _) = self.rollouts.gate(now, &service.name).target?;
+        let mut canaries = self
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| {
+                endpoint.version() == target
+                    && now >= endpoint.cold_until
+                    && self.takes_requests(now, endpoint, service)
+            })
+            .map(|(key, endpoint)| (endpoint.listing.domain.as_str(), endpoint.digest, key))
+            .collect::<Vec<_>>();
+        canaries.sort_unstable();
+        let mut best = None;
+        let loads = self.loads();
+        for domain in canaries.chunk_by(|(one, _, _), (other, _, _)| one == other) {
+            for (_, _, key) in domain.iter().take(CANARIES_PER_DOMAIN) {
+                let endpoint = self.endpoints.get(*key)?;
+                let Some(cost) = self.cost(*key, endpoint, service, need.tokens(), &loads) else {
+                    continue;
+                };
+                let cost = cost + jitter.cost(*key);
+                if best.is_none_or(|(lowest, _)| cost < lowest) {
+                    best = Some((cost, *key));
+                }
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
     /// Chooses an endpoint for a request, and an engine for its copy.
     #[must_use]
     pub fn pick(&mut self, now: Time, service: &str, need: Need, tried: &[EndpointKey]) -> Pick {
@@ -143,8 +212,9 @@
         skip.push(run.endpoint);
         let source = self.endpoints.get(run.endpoint)?;
         let loads = self.loads();
+        let gate = self.gate(now, &service.name);
         self.cheapest_by(&skip, |key, endpoint| {
-            if !self.eligible(now, endpoint, service) {
+            if !self.eligible(now, endpoint, service, &gate) {
                 return None;
             }
             let cross_domain = endpoint.listing.domain != source.listing.domain;
@@ -189,8 +259,9 @@
         loads: &SecondaryMap<EndpointKey, Load>,
         jitter: Jitter,
     ) -> Option<EndpointKey> {
+        let gate = self.gate(now, &service.name);
         self.cheapest_by(skip, |key, endpoint| {
-            if !self.eligible(now, endpoint, service) {
+            if !self.eligible(now, endpoint, service, &gate) {
                 return None;
             }
             let cost = self.cost(key, endpoint, service, need, loads)?;
@@ -249,11 +320,13 @@
             return None;
         }
         let max_tokens = f64::from(engine.kv_tokens) * MAX_COPY_KV_FILL;
+        let gate = self.gate(now, &service.name);
         let source_domain = self.endpoints.get(source);
         let source_domain = source_domain.map(|endpoint| endpoint.listing.domain.as_str());
         self.cheapest_by(&[source], |key, endpoint| {
             let usable = endpoint.listing.service == service.name
                 && endpoint.usable(now)
+                && gate.access(endpoint) == Access::Open
                 && !self.is_disabled(&endpoint.listing.domain);
             let load = self.load(key, endpoint, loads);
             let tokens = f64::from(load.tokens.saturating_add(need));
@@ -290,7 +363,14 @@
         if capacity > 0.0 { used / capacity } else { 1.0 }
     }
 
-    fn eligible(&self, now: Time, endpoint: &Endpoint, service: &Service) -> bool {
+    fn eligible(&self, now: Time, endpoint: &Endpoint, service: &Service, gate: &Gate<'_>) -> bool {
+        self.takes_requests(now, endpoint, service)
+            && gate.access(endpoint) == Access::Open
+            && !self.is_unverified(endpoint)
+    }
+
+    /// Whether an endpoint may get a request, whatever its version.
+    fn takes_requests(&self, now: Time, endpoint: &Endpoint, service: &Service) -> bool {
         endpoint.listing.service == service.name
             && endpoint.usable(now)
             && !self.is_disabled(&endpoint.listing.domain)
@@ -351,7 +431,7 @@
     }
 
     /// Load of one endpoint over all instances.
-    fn load(
+    pub(crate) fn load(
         &self,
         key: EndpointKey,
         endpoint: &Endpoint,
--- a/crates/forward/src/endpoint.rs
+++ b/crates/forward/src/endpoint.rs
@@ -37,6 +37,8 @@
     pub service: String,
     /// Maximum number of concurrent requests.
     pub slots: u32,
+    /// Version of its software, if it states one.
+    pub version: Option<String>,
 }
 
 impl Listing {
@@ -89,6 +91,8 @@
     avoid_until: Time,
     /// Digest of its id, which identifies it in load reports.
     pub digest: u32,
+    /// Until when it is cold.
+    pub cold_until: Time,
     /// End of the grace period after its entry was removed; the endpoint stays usable until then.
     pub grace_until: Option<Time>,
     failures: u32,
@@ -102,6 +106,8 @@
     pub rate_limiter: RateLimiter,
     /// When this instance learned that it is leaving.
     pub leaving_since: Option<Time>,
+    /// Since when its version has been known, if an order for that version may be unknown yet.
+    pub unverified_since: Option<Time>,
 }
 
 impl Endpoint {
@@ -111,6 +117,7 @@
         Self {
             next_probe_at: Time::default(),
             avoid_until: Time::default(),
+            cold_until: now.after(listing.cold),
             digest: digest(&listing.id),
             grace_until: None,
             failures: 0,
@@ -119,6 +126,7 @@
             leaving_since: listing.leaving.then_some(now),
             listing,
             rate_limiter: RateLimiter::default(),
+            unverified_since: None,
         }
     }
 
@@ -132,6 +140,7 @@
             self.failures = 0;
             self.failure_rate = 0.0;
         }
+        self.cold_until = now.after(listing.cold);
         self.grace_until = None;
         match (listing.leaving, self.leaving_since) {
             (true, None) => self.leaving_since = Some(now),
@@ -142,6 +151,12 @@
         restarted
     }
 
+    /// Version of its software; empty if it states none.
+    #[must_use]
+    pub fn version(&self) -> &str {
+        self.listing.version.as_deref().unwrap_or_default()
+    }
+
     /// Whether it may get new work.
     #[must_use]
     pub fn usable(&self, now: Time) -> bool {
--- a/crates/forward/src/freshness.rs
+++ b/crates/forward/src/freshness.rs
@@ -24,6 +24,12 @@
         self.confirmed.map(|confirmed| now.since(confirmed))
     }
 
+    /// Whether the knowledge was complete at `when` or later.
+    #[must_use]
+    pub fn covers(&self, when: Time) -> bool {
+        self.confirmed >= Some(when)
+    }
+
     /// Whether the age is known and at most `bound`.
     #[must_use]
     pub fn within(&self, now: Time, bound: Duration) -> bool {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod rate_limit;
 pub mod reader;
 pub mod request;
+pub mod rollout;
 pub mod run;
 pub mod sequence;
 pub mod settings;
--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -10,7 +10,7 @@
 use crate::{aggregate::members::Role, freshness::Freshness, prelude::*};
 
 /// Number of topics in the store.
-pub const TOPICS: usize = 4;
+pub const TOPICS: usize = 5;
 
 /// Time without a report after which a peer no longer counts as a reader.
 const PEER_TTL: Duration = Duration::from_millis(1500);
--- /dev/null
+++ b/crates/forward/src/rollout/mod.rs
@@ -0,0 +1,456 @@
+//! Rollouts of new versions of a service.
+//!
+//! An operator orders that a service moves to endpoints of another version, which run beside the
+//! others and may be bad: failing, or several times slower. Until it is judged, the version gets a
+//! number of requests that is fixed over all instances ([`exposure`]). Instances publish how these
+//! ended, and how others ended meanwhile ([`tally`]), and each of them judges alike ([`verdict`]).
+//! A good version then gets all new requests, runs move to it, and once none is left elsewhere the
+//! rollout is completed. A bad one is rolled back ([`step`]).
+//!
+//! What is decided stands in a topic of the store ([`record`]). A stage is appended only if nothing
+//! has been appended since its writer last read the topic, so an order has one result, whoever
+//! writes it, and answers of the store that were lost do no harm.
+
+pub mod access;
+pub mod exposure;
+pub mod order;
+pub mod record;
+pub mod step;
+pub mod tally;
+pub mod verdict;
+
+use {
+    crate::{freshness::Freshness, prelude::*},
+    access::{Access, Gate},
+    exposure::{Exposure, Limit},
+    order::Order,
+    record::{Claim, Content, Evidence, Published, Record, Stage, VersionStage},
+    step::Pending,
+    tally::{Outcome, Sample, Tallies},
+    verdict::Judgement,
+};
+
+/// Maximum age of the knowledge of rollouts for sending to a version that is not completed. With
+/// older knowledge it may have been rolled back.
+pub const MAX_AGE: Duration = Duration::from_millis(3200);
+
+/// Time that runs at other versions get to end by themselves after the shift.
+const RUN_GRACE: Duration = Duration::from_millis(600);
+
+/// The rollouts of one service.
+#[derive(Clone, Debug, Default)]
+pub struct Rollout {
+    /// Sorted by slot, then by offset.
+    claims: Vec<Claim>,
+    /// Evidence of other instances, sorted by holder.
+    evidence: Vec<Evidence>,
+    exposure: Exposure,
+    judgement: Judgement,
+    order: Option<Order>,
+    ordered_at: Time,
+    /// Evidence of this instance.
+    own: Tallies,
+    /// The part of [`Self::own`] that was published, and when.
+    own_published: (Tallies, Time),
+    pending: Option<Pending>,
+    published: Option<Published>,
+    /// Requests to the target that fall to this instance if all send alike.
+    quota: u32,
+    /// Versions that the last completed order has replaced.
+    replaced: Vec<String>,
+    service: String,
+    shifted_at: Time,
+    /// Sorted by version.
+    versions: Vec<VersionStage>,
+    withdrawn: bool,
+}
+
+impl Rollout {
+    /// Stage of the current order.
+    #[must_use]
+    pub fn stage(&self) -> Option<Stage> {
+        let order = self.order.as_ref()?;
+        let known = self.version(&order.target);
+        let known = known.filter(|known| known.order >= order.id);
+        Some(known.map_or(Stage::Canary, |known| known.stage))
+    }
+
+    /// The current order.
+    #[must_use]
+    pub const fn order(&self) -> Option<&Order> {
+        self.order.as_ref()
+    }
+
+    /// Whether something remains to be decided, or operators to be told.
+    #[must_use]
+    pub fn is_active(&self) -> bool {
+        let (Some(order), Some(stage)) = (&self.order, self.stage()) else {
+            return false;
+        };
+        let told = self.published
+            == Some(Published {
+                order: order.id,
+                stage,
+            });
+        !(stage.is_final() && told)
+    }
+
+    /// Answers that all instances have got, as far as this one knows.
+    #[must_use]
+    pub fn tallies(&self) -> Tallies {
+        let mut sum = self.own.clone();
+        for evidence in self.evidence.iter().filter(|other| self.counts(other)) {
+            tally::add(&mut sum, &evidence.tallies);
+        }
+        sum
+    }
+
+    /// The last judgement on the target.
+    #[must_use]
+    pub const fn judgement(&self) -> Judgement {
+        self.judgement
+    }
+
+    /// Number of claimed slots.
+    #[must_use]
+    pub fn claimed(&self) -> usize {
+        self.claims
+            .chunk_by(|one, other| one.slot == other.slot)
+            .count()
+    }
+
+    /// Requests that this instance has sent to the target before its judgement.
+    #[must_use]
+    pub const fn exposed(&self) -> u32 {
+        self.exposure.sent()
+    }
+
+    fn counts(&self, evidence: &Evidence) -> bool {
+        self.order.as_ref().is_some_and(|order| {
+            evidence.target == order.target && evidence.order > self.last_decided()
+        })
+    }
+
+    /// The last order that was completed or rolled back; zero if there is none.
+    fn last_decided(&self) -> u64 {
+        let current = self.order.as_ref().map_or(u64::MAX, |order| order.id);
+        let decided = self.versions.iter().filter(|known| known.stage.is_final());
+        let earlier = decided.filter(|known| known.order < current);
+        earlier.map(|known| known.order).max().unwrap_or_default()
+    }
+
+    fn version(&self, version: &str) -> Option<&VersionStage> {
+        let index = self.find_version(version).ok()?;
+        self.versions.get(index)
+    }
+
+    fn find_version(&self, version: &str) -> Result<usize, usize> {
+        self.versions
+            .binary_search_by(|known| known.version.as_str().cmp(version))
+    }
+
+    /// Takes a version's stage, which never goes back.
+    fn set_version(&mut self, now: Time, stage: VersionStage) -> bool {
+        let shifts = stage.stage == Stage::Shift;
+        match self.find_version(&stage.version) {
+            Err(index) => self.versions.insert(index, stage),
+            Ok(index) => {
+                let known = &mut self.versions[index];
+                let is_new = (stage.order, stage.stage) > (known.order, known.stage);
+                let is_decided = known.order == stage.order && known.stage.is_final();
+                if !is_new || is_decided {
+                    return false;
+                }
+                *known = stage;
+            }
+        }
+        if shifts {
+            self.shifted_at = now;
+        }
+        true
+    }
+
+    fn set_order(&mut self, now: Time, order: Order) -> bool {
+        let previous = self.order.as_ref();
+        if previous.is_some_and(|previous| previous.id >= order.id) {
+            return false;
+        }
+        self.close_undecided(now);
+        let is_repeated = self.order.as_ref().is_some_and(|previous| {
+            previous.target == order.target
+                && self
+                    .version(&order.target)
+                    .is_none_or(|known| !known.stage.is_final())
+        });
+        self.order = Some(order);
+        self.ordered_at = now;
+        self.shifted_at = now;
+        self.pending = None;
+        self.withdrawn = false;
+        self.replaced.clear();
+        let last_decided = self.last_decided();
+        self.claims.retain(|claim| claim.order > last_decided);
+        if !is_repeated {
+            // Requests that were sent under an undecided order count on, so that orders in quick
+            // succession together stay within the limit.
+            self.judgement = Judgement::default();
+            self.own.clear();
+            self.own_published = Default::default();
+            if self.claims.is_empty() {
+                self.exposure = Exposure::default();
+            }
+        }
+        true
+    }
+
+    /// Remembers the target of an order that ends undecided, so that it gets nothing.
+    fn close_undecided(&mut self, now: Time) {
+        let Some(order) = &self.order else {
+            return;
+        };
+        let known = self.version(&order.target);
+        if known.is_some_and(|known| known.order >= order.id) {
+            return;
+        }
+        let stage = VersionStage {
+            order: order.id,
+            stage: Stage::Canary,
+            version: order.target.clone(),
+        };
+        self.set_version(now, stage);
+    }
+
+    fn apply(&mut self, now: Time, holder: &str, content: Content) {
+        match content {
+            Content::Claim(claim) => self.apply_claim(claim),
+            Content::Evidence(evidence) if evidence.holder == holder => {}
+            Content::Evidence(evidence) => {
+                let key = |other: &Evidence| other.holder.as_str().cmp(&evidence.holder);
+                match self.evidence.binary_search_by(key) {
+                    Ok(index) => self.evidence[index] = evidence,
+                    Err(index) => self.evidence.insert(index, evidence),
+                }
+            }
+            Content::Published(published) => {
+                let is_later = |known: Published| {
+                    (published.order, published.stage) > (known.order, known.stage)
+                };
+                if self.published.is_none_or(is_later) {
+                    self.published = Some(published);
+                }
+            }
+            Content::Version(stage) => {
+                self.set_version(now, stage);
+            }
+        }
+    }
+
+    /// Takes a claim, unless it belongs to an earlier rollout.
+    fn apply_claim(&mut self, claim: Claim) {
+        if claim.order <= self.last_decided() {
+            return;
+        }
+        let key = |claim: &Claim| (claim.slot, claim.at);
+        if let Err(index) = self.claims.binary_search_by_key(&key(&claim), key) {
+            self.claims.insert(index, claim);
+        }
+    }
+
+    fn gate(&self, now: Time, is_fresh: bool) -> Gate<'_> {
+        let stage = self.stage();
+        let target = self.order.as_ref().map(|order| order.target.as_str());
+        let closed = self.versions.iter().filter(|known| {
+            known.stage != Stage::Completed && Some(known.version.as_str()) != target
+        });
+        let closed = closed.map(|known| known.version.as_str());
+        let replaced = self.replaced.iter().map(String::as_str);
+        let mut gate = Gate {
+            closed: closed.chain(replaced).collect(),
+            others: Access::Open,
+            target: None,
+        };
+        let (Some(target), Some(stage)) = (target, stage) else {
+            return gate;
+        };
+        let access = match stage {
+            _ if self.withdrawn => Access::Evacuate,
+            Stage::Shift if !is_fresh => Access::Closed,
+            Stage::Canary => Access::Closed,
+            Stage::Shift | Stage::Completed => Access::Open,
+            Stage::RolledBack => Access::Evacuate,
+        };
+        if stage == Stage::Shift && access == Access::Open {
+            gate.others = if now.since(self.shifted_at) >= RUN_GRACE {
+                Access::Evacuate
+            } else {
+                Access::Closed
+            };
+        }
+        gate.target = Some((target, access));
+        gate
+    }
+}
+
+/// The rollouts of all services.
+#[derive(Clone, Debug, Default)]
+pub struct Rollouts {
+    /// Age of the records.
+    pub freshness: Freshness,
+    /// Name and incarnation of this instance.
+    holder: String,
+    /// Sorted by service.
+    services: Vec<Rollout>,
+    limit: Limit,
+}
+
+impl Rollouts {
+    /// Sets the limit of requests to a version that is not judged yet, over all instances.
+    pub const fn set_limit(&mut self, limit: Limit) {
+        self.limit = limit;
+    }
+
+    /// Sets the name under which this instance claims slots; unique to one run of its process.
+    pub fn set_holder(&mut self, holder: String) {
+        self.holder = holder;
+    }
+
+    /// Takes an order; returns whether it is newer than the known one.
+    pub fn set_order(&mut self, now: Time, order: Order) -> bool {
+        let service = order.service.clone();
+        self.rollout_mut(&service).set_order(now, order)
+    }
+
+    /// Handles the removal of an order; returns whether it was in progress.
+    pub fn withdraw(&mut self, service: &str) -> bool {
+        let Ok(index) = self.find(service) else {
+            return false;
+        };
+        let rollout = &mut self.services[index];
+        if rollout.stage().is_none_or(Stage::is_final) {
+            return false;
+        }
+        !std::mem::replace(&mut rollout.withdrawn, true)
+    }
+
+    /// Takes a record of the store.
+    pub fn apply(&mut self, now: Time, record: Record) {
+        let holder = self.holder.clone();
+        self.rollout_mut(&record.service)
+            .apply(now, &holder, record.content);
+    }
+
+    /// Sets the versions that a completed order has replaced.
+    pub fn set_replaced(&mut self, service: &str, versions: Vec<String>) {
+        self.rollout_mut(service).replaced = versions;
+    }
+
+    /// Whether records of rollouts are needed.
+    #[must_use]
+    pub fn is_active(&self) -> bool {
+        self.services.iter().any(Rollout::is_active)
+    }
+
+    /// Services whose order is current.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        let ordered = self.services.iter().filter(|other| other.order.is_some());
+        ordered.map(|rollout| rollout.service.as_str())
+    }
+
+    /// The rollouts of a service.
+    #[must_use]
+    pub fn rollout(&self, service: &str) -> Option<&Rollout> {
+        let index = self.find(service).ok()?;
+        self.services.get(index)
+    }
+
+    /// What may be sent to endpoints of a service.
+    #[must_use]
+    pub fn gate(&self, now: Time, service: &str) -> Gate<'_> {
+        let is_fresh = self.is_fresh(now);
+        let rollout = self.rollout(service);
+        rollout.map_or_else(Gate::default, |rollout| rollout.gate(now, is_fresh))
+    }
+
+    /// Whether a request is to go to the version that is not judged yet.
+    #[must_use]
+    pub fn may_expose(&self, now: Time, service: &str, route: &str) -> bool {
+        let Some(rollout) = self.rollout(service) else {
+            return false;
+        };
+        let routes = rollout.own.iter().map(|tally| tally.route.as_str());
+        rollout.stage() == Some(Stage::Canary)
+            && !rollout.withdrawn
+            && self.is_fresh(now)
+            && rollout.exposure.left(&rollout.claims, &self.holder) > 0
+            && rollout
+                .exposure
+                .is_due(now, route, &routes.collect::<Vec<_>>())
+    }
+
+    /// Records that a request goes to the version that is not judged yet.
+    pub fn record_exposure(&mut self, now: Time, service: &str, route: &str) {
+        let holder = self.holder.clone();
+        let rollout = self.rollout_mut(service);
+        let left = rollout.exposure.left(&rollout.claims, &holder);
+        let left = left.max(rollout.quota.saturating_sub(rollout.exposure.sent()));
+        let until = rollout
+            .order
+            .as_ref()
+            .map_or(Duration::ZERO, Order::canary_time);
+        let until = until.saturating_sub(now.since(rollout.ordered_at));
+        rollout.exposure.record(now, route, left, until);
+    }
+
+    /// Takes the outcome of a request at an endpoint, if its service is moving to another version.
+    pub fn observe(&mut self, now: Time, endpoint: &Endpoint, route: &str, outcome: Outcome) {
+        // Cold endpoints are slow whatever their version.
+        if now < endpoint.cold_until && matches!(outcome, Outcome::Answered(_)) {
+            return;
+        }
+        let Ok(index) = self.find(&endpoint.listing.service) else {
+            return;
+        };
+        let rollout = &mut self.services[index];
+        let Some(order) = rollout.order.as_ref() else {
+            return;
+        };
+        if rollout.stage().is_none_or(Stage::is_final) {
+            return;
+        }
+        if endpoint.version() != order.target {
+            tally::count_old(&mut rollout.own, route, outcome);
+            return;
+        }
+        let at_ms = now.since(rollout.ordered_at).as_millis();
+        let sample = Sample {
+            at_ms: u32::try_from(at_ms).unwrap_or(u32::MAX),
+            endpoint: endpoint.digest,
+            outcome,
+        };
+        tally::count_new(&mut rollout.own, route, sample);
+    }
+
+    fn is_fresh(&self, now: Time) -> bool {
+        self.freshness.within(now, MAX_AGE)
+    }
+
+    fn rollout_mut(&mut self, service: &str) -> &mut Rollout {
+        let index = match self.find(service) {
+            Ok(index) => index,
+            Err(index) => {
+                let rollout = Rollout {
+                    service: service.to_string(),
+                    ..Rollout::default()
+                };
+                self.services.insert(index, rollout);
+                index
+            }
+        };
+        &mut self.services[index]
+    }
+
+    fn find(&self, service: &str) -> Result<usize, usize> {
+        self.services
+            .binary_search_by(|rollout| rollout.service.as_str().cmp(service))
+    }
+}
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -1,12 +1,14 @@
 //! Settings that decisions depend on.
 
-use crate::prelude::*;
+use crate::{prelude::*, rollout::exposure::Limit};
 
 /// Limits of the deployment, and what this instance needs to compute its share of them.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Length of the window over which [`Self::retry_ratio`] and [`Self::retry_burst`] apply.
     pub budget_window: Duration,
+    /// Limit of requests to a version of a service before it is judged.
+    pub canary: Limit,
     /// Failure domain of this instance.
     pub domain: String,
     /// Minimum number of instances that shared limits are divided by.
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -10,6 +10,14 @@
         load::PeerLoads,
         prelude::*,
         request::Ticket,
+        rollout::{
+            Rollout, Rollouts,
+            access::{Access, Gate},
+            order::Order,
+            record::{Record, Stage},
+            step::{Action, Surroundings},
+            tally::Outcome,
+        },
         suspects::{Crash, Suspects},
     },
     rand::rngs::SmallRng,
@@ -40,6 +48,8 @@
     /// Age of the configuration.
     pub config_freshness: Freshness,
     disabled_domains: Vec<String>,
+    /// Services and versions that endpoints have had since the start, sorted.
+    known_versions: Vec<(String, String)>,
     pub(crate) endpoints: SlotMap<EndpointKey, Endpoint>,
     /// Load of other instances, from their own reports.
     pub peer_loads: PeerLoads,
@@ -50,6 +60,8 @@
     /// All instances.
     pub members: Members,
     pub(crate) random: SmallRng,
+    /// Rollouts of new versions.
+    pub rollouts: Rollouts,
     pub(crate) runs: SlotMap<RunKey, Run>,
     pub(crate) settings: Settings,
     pub(crate) stops_at: Option<Time>,
@@ -74,11 +86,14 @@
     /// An instance without any knowledge yet.
     #[must_use]
     pub fn new(settings: Settings, random: SmallRng) -> Self {
+        let mut rollouts = Rollouts::default();
+        rollouts.set_limit(settings.canary);
         Self {
             budget: RetryBudget::new(&settings),
             config: None,
             config_freshness: Freshness::default(),
             disabled_domains: Vec::new(),
+            known_versions: Vec::new(),
             endpoints: SlotMap::with_key(),
             peer_loads: PeerLoads::default(),
             instances: settings.min_instances.max(1),
@@ -86,6 +101,7 @@
             members: Members::default(),
             next_turn: 0,
             random,
+            rollouts,
             runs: SlotMap::with_key(),
             settings,
             stops_at: None,
@@ -99,6 +115,7 @@
     /// Applies changed settings.
     pub fn update_settings(&mut self, settings: Settings) {
         self.budget.update_settings(&settings);
+        self.rollouts.set_limit(settings.canary);
         self.instances = self.instances.max(settings.min_instances);
         self.settings = settings;
     }
@@ -169,19 +186,48 @@
     pub fn change(&mut self, now: Time, change: Change) {
         match change {
             Change::Removed(id) => self.remove_listing(now, &id),
-            Change::Set(listing) => match self.find(&listing.id) {
-                Some(key) => {
-                    if self.endpoints[key].update(listing, now) {
-                        self.forget_copies_at(key);
+            Change::Set(listing) => {
+                let is_unverified = self.is_unverified_version(&listing);
+                let key = match self.find(&listing.id) {
+                    Some(key) => {
+                        if self.endpoints[key].update(listing, now) {
+                            self.forget_copies_at(key);
+                        }
+                        key
                     }
+                    None => self.endpoints.insert(Endpoint::new(listing, now)),
+                };
+                if is_unverified {
+                    self.endpoints[key].unverified_since.get_or_insert(now);
                 }
-                None => {
-                    self.endpoints.insert(Endpoint::new(listing, now));
-                }
-            },
+            }
         }
     }
 
+    /// Whether an endpoint has a version that no other has had. There may be an order for it that
+    /// this instance has not read yet, and sending there would not count as part of a rollout.
+    /// Versions of the first list are in use.
+    fn is_unverified_version(&mut self, listing: &Listing) -> bool {
+        let Some(version) = listing.version.clone() else {
+            return false;
+        };
+        let known = (listing.service.clone(), version);
+        let Err(index) = self.known_versions.binary_search(&known) else {
+            let mut same = self.endpoints.values().filter(|other| {
+                other.listing.service == known.0 && other.listing.version.as_ref() == Some(&known.1)
+            });
+            return same.any(|other| self.is_unverified(other));
+        };
+        self.known_versions.insert(index, known);
+        self.list_freshness != Freshness::default()
+    }
+
+    /// Whether an order for the endpoint's version may be unknown.
+    pub(crate) fn is_unverified(&self, endpoint: &Endpoint) -> bool {
+        let since = endpoint.unverified_since;
+        since.is_some_and(|since| !self.config_freshness.covers(since))
+    }
+
     /// Forgets the copies that an endpoint lost in a restart.
     fn forget_copies_at(&mut self, key: EndpointKey) {
         for run in self.runs.values_mut() {
@@ -329,12 +375,15 @@
         self.runs.remove(key);
     }
 
-    /// Whether the engine of a run is leaving, so that the run has to move.
+    /// Whether the engine of a run is leaving or its version is being replaced, so that the run has
+    /// to move.
     #[must_use]
-    pub fn must_move(&self, run: RunKey) -> bool {
+    pub fn must_move(&self, now: Time, run: RunKey) -> bool {
         let run = self.runs.get(run);
         let endpoint = run.and_then(|run| self.endpoints.get(run.endpoint));
-        endpoint.is_some_and(|endpoint| endpoint.leaving_since.is_some())
+        endpoint.is_some_and(|endpoint| {
+            endpoint.leaving_since.is_some() || self.access(now, endpoint) == Access::Evacuate
+        })
     }
 
     /// Whether a run may continue at the engine that holds its copy.
@@ -347,7 +396,8 @@
             let left = endpoint
                 .leaving_since
                 .is_some_and(|since| now.since(since) > LEAVING_GRACE);
-            !left && !self.is_disabled(&endpoint.listing.domain)
+            let gate = self.gate(now, &endpoint.listing.service);
+            !left && !self.is_disabled(&endpoint.listing.domain) && gate.may_continue(endpoint)
         })
     }
 
@@ -356,7 +406,8 @@
     pub fn healthy_backup(&self, now: Time, run: RunKey) -> Option<EndpointKey> {
         let backup = self.runs.get(run)?.backup?;
         let endpoint = self.endpoints.get(backup)?;
-        (endpoint.usable(now) && self.may_continue_at(now, backup)).then_some(backup)
+        let is_open = self.access(now, endpoint) == Access::Open;
+        (endpoint.usable(now) && is_open && self.may_continue_at(now, backup)).then_some(backup)
     }
 
     /// Records that an engine does not have the copy of a run.
@@ -390,6 +441,54 @@
         )
     }
 
+    /// What may be sent to endpoints of a service.
+    ///
+    /// A version that is not judged yet is used like any other where there is no other version: its
+    /// order has been completed long ago, or there is nothing else to serve callers with.
+    pub(crate) fn gate(&self, now: Time, service: &str) -> Gate<'_> {
+        let mut gate = self.rollouts.gate(now, service);
+        let Some((target, access)) = gate.target else {
+            return gate;
+        };
+        match access {
+            Access::Closed if self.alternatives(&gate, service) == 0 => {
+                gate.target = Some((target, Access::Open));
+            }
+            Access::Open if gate.others != Access::Open && self.targets(target, service) == 0 => {
+                gate.others = Access::Open;
+            }
+            Access::Closed | Access::Evacuate | Access::Open => {}
+        }
+        gate
+    }
+
+    fn access(&self, now: Time, endpoint: &Endpoint) -> Access {
+        self.gate(now, &endpoint.listing.service).access(endpoint)
+    }
+
+    /// Number of endpoints of other versions than the target that take requests.
+    fn alternatives(&self, gate: &Gate<'_>, service: &str) -> usize {
+        let target = gate.target.map(|(target, _)| target);
+        let others = self.listed(service).filter(|endpoint| {
+            let is_target = target.is_some() && endpoint.listing.version.as_deref() == target;
+            !is_target && !gate.closed.contains(&endpoint.version())
+        });
+        others.count()
+    }
+
+    fn targets(&self, target: &str, service: &str) -> usize {
+        let targets = self.listed(service);
+        targets.filter(|other| other.version() == target).count()
+    }
+
+    /// Endpoints of a service that are not leaving.
+    fn listed(&self, service: &str) -> impl Iterator<Item = &Endpoint> {
+        let endpoints = self.endpoints.values();
+        endpoints.filter(move |endpoint| {
+            endpoint.listing.service == service && endpoint.leaving_since.is_none()
+        })
+    }
+
     fn find(&self, id: &str) -> Option<EndpointKey> {
         let mut endpoints = self.endpoints.iter();
         let found = endpoints.find(|(_, endpoint)| endpoint.listing.id == id);
@@ -397,6 +496,79 @@
     }
 }
 
+impl State {
+    /// Takes an order to move a service to another version; returns whether it is new.
+    pub fn set_order(&mut self, now: Time, order: Order) -> bool {
+        self.rollouts.set_order(now, order)
+    }
+
+    /// Takes a record of a rollout.
+    pub fn apply_rollout(&mut self, now: Time, record: Record) {
+        let service = record.service.clone();
+        let stage = |rollouts: &Rollouts| rollouts.rollout(&service).and_then(Rollout::stage);
+        let before = stage(&self.rollouts);
+        self.rollouts.apply(now, record);
+        if before != Some(Stage::Completed) && stage(&self.rollouts) == Some(Stage::Completed) {
+            let replaced = self.other_versions(&service);
+            self.rollouts.set_replaced(&service, replaced);
+        }
+    }
+
+    /// Versions of a service's endpoints other than the target of its order.
+    fn other_versions(&self, service: &str) -> Vec<String> {
+        let order = self.rollouts.rollout(service).and_then(Rollout::order);
+        let target = order.map(|order| order.target.as_str());
+        let versions = self.endpoints.values().filter_map(|endpoint| {
+            let version = endpoint.listing.version.as_deref()?;
+            (endpoint.listing.service == service && Some(version) != target).then_some(version)
+        });
+        let mut versions = versions.map(str::to_string).collect::<Vec<_>>();
+        versions.sort_unstable();
+        versions.dedup();
+        versions
+    }
+
+    /// What this instance, named `own`, has to do next for a rollout.
+    pub fn next_rollout_action(&mut self, now: Time, own: &str) -> Option<Action> {
+        let services = self.rollouts.services().map(str::to_string);
+        for service in services.collect::<Vec<_>>() {
+            if self.service(&service).is_none() {
+                continue;
+            }
+            let surroundings = self.surroundings(now, own, &service);
+            let action = self.rollouts.next_action(now, &service, surroundings);
+            if action.is_some() {
+                return action;
+            }
+        }
+        None
+    }
+
+    fn surroundings(&self, now: Time, own: &str, service: &str) -> Surroundings {
+        let gate = self.rollouts.gate(now, service);
+        let target = gate.target.map(|(target, _)| target).unwrap_or_default();
+        let loads = self.loads();
+        let elsewhere = self.endpoints.iter().filter(|(_, endpoint)| {
+            endpoint.listing.service == service && endpoint.version() != target
+        });
+        let runs = elsewhere.map(|(key, endpoint)| self.load(key, endpoint, &loads).requests);
+        Surroundings {
+            alternatives: self.alternatives(&gate, service),
+            instances: self.members.count(),
+            position: self.members.position(own),
+            runs_elsewhere: runs.fold(0, u32::saturating_add),
+            targets: self.targets(target, service),
+        }
+    }
+
+    /// Takes the outcome of a request at an endpoint.
+    pub fn observe(&mut self, now: Time, key: EndpointKey, route: &str, outcome: Outcome) {
+        if let Some(endpoint) = self.endpoints.get(key) {
+            self.rollouts.observe(now, endpoint, route, outcome);
+        }
+    }
+}
+
 /// How long an engine may still be used after this instance learned that it is leaving. Engines
 /// must get no work 2 s after they start to leave, which may be known up to 1 s late.
 const LEAVING_GRACE: Duration = Duration::from_millis(900);
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -15,6 +15,7 @@
     outcome::Refusal,
     prelude::{EndpointKey, Run, RunKey, Time},
     request::Inbound,
+    rollout::exposure::Limit,
     settings::Settings,
     state::Change,
 };
@@ -40,6 +41,10 @@
 pub fn settings(domain: &str) -> Settings {
     Settings {
         budget_window: Duration::from_secs(10),
+        canary: Limit {
+            requests: 50.0,
+            share: 0.1,
+        },
         domain: domain.to_string(),
         min_instances: 10,
         retry_burst: 50.0,
@@ -127,6 +132,7 @@
         leaving: false,
         service: service.to_string(),
         slots: 6,
+        version: None,
     }
 }
 
--- a/crates/forward/tests/leaving.rs
+++ b/crates/forward/tests/leaving.rs
@@ -33,7 +33,7 @@
         let (next, _) = picked(state.pick(at(2301), "model", LONG, &[]));
         assert_ne!(id(&state, next), "m1");
         let run = begin_run(&mut state, first, Some(next));
-        assert!(state.must_move(run));
+        assert!(state.must_move(at(2301), run));
     }
 }
 
@@ -44,7 +44,7 @@
     let (first, _) = picked(state.pick(at(10), "model", LONG, &[]));
     let run = begin_run(&mut state, first, None);
     state.change(at(300), Change::Removed(id(&state, first)));
-    assert!(state.must_move(run));
+    assert!(state.must_move(at(301), run));
 }
 
 /// Entries of live engines expire while the store is unreachable; removing them at once would leave
--- a/crates/forward/tests/probes.rs
+++ b/crates/forward/tests/probes.rs
@@ -17,10 +17,10 @@
     let asked_at = asked_at.expect("a probe before the notice of an engine ends");
     assert!(state.due_probes(at(asked_at + 100)).is_empty());
     assert_eq!(state.due_probes(at(asked_at + 600)), [first]);
-    assert!(!state.must_move(run));
+    assert!(!state.must_move(at(asked_at + 611), run));
     let endpoint = state.endpoint_mut(first).expect("a listed engine");
     endpoint.mark_leaving(at(asked_at + 610));
-    assert!(state.must_move(run));
+    assert!(state.must_move(at(asked_at + 611), run));
     assert!(state.due_probes(at(asked_at + 2000)).is_empty());
 }
 
--- /dev/null
+++ b/crates/forward/tests/rollouts/histories.rs
@@ -0,0 +1,118 @@
+//! Random histories of rollouts over many instances, with faults.
+
+use {
+    crate::simulation::{Behavior, Faults, History, Result, Target, play},
+    forward::rollout::record::Stage,
+    rand::{RngExt as _, SeedableRng as _, rngs::SmallRng},
+    std::{env, time::Duration},
+};
+
+/// Share of all requests that a bad version may get, and the number beyond.
+const MAX_EXPOSED_SHARE: f64 = 0.1;
+const MAX_EXPOSED: f64 = 50.0;
+
+/// One in this many good versions may be rolled back, and one in this many bad ones completed.
+const ERRORS_PER: u32 = 1000;
+
+fn number(name: &str, default: u64) -> u64 {
+    let value = env::var(name).ok().and_then(|value| value.parse().ok());
+    value.unwrap_or(default)
+}
+
+fn history(seed: u64, behavior: Behavior) -> History {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let is_bad = behavior != Behavior::Good;
+    History {
+        duration: Duration::from_secs(random.random_range(10..20)),
+        faults: Faults {
+            cut_instances: random.random_range(0..200),
+            grey_endpoints: random.random_range(0..80),
+            lost_answers: random.random_range(0..300),
+            restarts: random.random_range(0..200),
+        },
+        instances: 80,
+        requests_per_s: random.random_range(60..140),
+        seed,
+        target: Target {
+            behavior,
+            from_ms: if is_bad && random.random_bool(0.4) {
+                random.random_range(0..4000)
+            } else {
+                0
+            },
+            one_route: random.random_bool(0.3),
+        },
+    }
+}
+
+/// Checks that hold whatever the version is.
+fn check(history: &History, result: &Result) {
+    assert!(
+        result.stages.len() <= 1,
+        "two decisions: {history:?} {result:?}"
+    );
+    assert_eq!(result.after_completion, 0, "{history:?} {result:?}");
+    if history.target.behavior != Behavior::Good {
+        let allowed = MAX_EXPOSED_SHARE * f64::from(result.requests) + MAX_EXPOSED;
+        assert!(
+            f64::from(result.exposed) <= allowed,
+            "{history:?} {result:?}"
+        );
+        assert_eq!(result.late, 0, "{history:?} {result:?}");
+    }
+}
+
+/// A version that fails or is slow, from the start or later, on all routes or on one, must be
+/// rolled back while it has got few requests. Otherwise callers are served by it.
+#[test]
+fn bad_versions_are_rolled_back_within_the_limit() {
+    let (count, seed) = (number("ROLLOUTS", 30), number("SEED", 1));
+    let behaviors = [
+        Behavior::Failing(1.0),
+        Behavior::Failing(0.5),
+        Behavior::Failing(0.35),
+        Behavior::Slow(4.0),
+        Behavior::Slow(8.0),
+    ];
+    let (mut missed, mut exposed) = (0, 0);
+    for seed in seed..seed + count {
+        let behavior = behaviors[usize::try_from(seed).expect("small") % behaviors.len()];
+        let history = history(seed, behavior);
+        let result = play(history);
+        check(&history, &result);
+        exposed += result.exposed;
+        if result.stages != [Stage::RolledBack] {
+            println!("not rolled back: {history:?} {result:?}");
+            missed += 1;
+        }
+    }
+    println!("{count} bad versions from seed {seed}: {missed} not rolled back, {exposed} exposed");
+    assert!(missed * ERRORS_PER <= u32::try_from(count).expect("small"));
+}
+
+/// A good version must be completed in time, though instances are cut off or replaced, endpoints of
+/// either version fail and the store loses answers.
+#[test]
+fn good_versions_are_completed_in_time() {
+    let (count, seed) = (number("ROLLOUTS", 30), number("SEED", 1));
+    let (mut refused, mut late, mut calls) = (0, 0, 0);
+    for seed in seed..seed + count {
+        let history = history(seed, Behavior::Good);
+        let result = play(history);
+        check(&history, &result);
+        calls += result.calls;
+        if result.stages != [Stage::Completed] {
+            println!("not completed: {history:?} {result:?}");
+            refused += 1;
+        } else if u128::from(result.decided_ms) > history.duration.as_millis() {
+            println!("late: {history:?} {result:?}");
+            late += 1;
+        }
+    }
+    println!(
+        "{count} good versions from seed {seed}: {refused} not completed, {late} late, \
+         {calls} calls of the store"
+    );
+    assert!(refused * ERRORS_PER <= u32::try_from(count).expect("small"));
+    assert!(late * 100 <= u32::try_from(count).expect("small"));
+}
--- a/crates/proxy/src/apply.rs
+++ b/crates/proxy/src/apply.rs
@@ -1,7 +1,7 @@
 //! Applies records of the store to the state of this instance.
 
 use {
-    crate::{clock, crashes, prelude::*},
+    crate::{clock, crashes, prelude::*, rollouts},
     forward::state::Change,
     platform::{
         instance::{self, Entry},
@@ -15,9 +15,13 @@
 pub fn snapshot(shared: &Shared, topic: Topic, records: &[KeyedRecord]) {
     match topic {
         // Crashes that are not among the newest records expire by themselves.
-        Topic::Crashes => {}
+        // Neither do stages of rollouts ever go back.
+        Topic::Crashes | Topic::Rollouts | Topic::Statuses => {}
         Topic::Endpoints => remove_unlisted_endpoints(shared, records),
-        Topic::Operators => reinstate_unlisted_domains(shared, records),
+        Topic::Operators => {
+            reinstate_unlisted_domains(shared, records);
+            withdraw_unlisted_orders(shared, records);
+        }
         Topic::Instances => remove_unlisted_instances(shared, records),
     }
     for record in records {
@@ -32,6 +36,8 @@
         Topic::Endpoints => apply_endpoint(shared, record),
         Topic::Instances => apply_instance(shared, record),
         Topic::Operators => apply_operator_record(shared, record),
+        Topic::Rollouts => rollouts::apply(shared, record),
+        Topic::Statuses => {}
     }
 }
 
@@ -80,6 +86,25 @@
     }
 }
 
+/// Withdraws orders of rollouts that no record holds any more.
+fn withdraw_unlisted_orders(shared: &Shared, records: &[KeyedRecord]) {
+    let ordered = records
+        .iter()
+        .filter_map(|record| match records::decode_operator_record(record) {
+            Ok(OperatorRecord::Order(order)) => Some(order.service),
+            _ => None,
+        })
+        .collect::<Vec<_>>();
+    let known = {
+        let state = shared.state.borrow();
+        let services = state.rollouts.services().map(str::to_string);
+        services.collect::<Vec<_>>()
+    };
+    for service in known.iter().filter(|service| !ordered.contains(service)) {
+        rollouts::withdraw(shared, service);
+    }
+}
+
 fn apply_endpoint(shared: &Shared, record: &KeyedRecord) {
     let (change, error) = list::change(record);
     match (&change, error) {
@@ -95,7 +120,7 @@
         (Change::Set(listing), None) => log::info!(
             endpoint = listing.id, offset = record.offset, leaving = listing.leaving,
             service = listing.service, domain = listing.domain, address:% = listing.address,
-            cold_ms = listing.cold.as_millis(); "endpoint listed"
+            version:? = listing.version, cold_ms = listing.cold.as_millis(); "endpoint listed"
         ),
     }
     shared.state.borrow_mut().change(clock::now(), change);
@@ -154,6 +179,8 @@
         Ok(OperatorRecord::Unknown(key)) => {
             log::info!(key, offset = record.offset; "unknown kind of operator record");
         }
+        Ok(OperatorRecord::Order(order)) => rollouts::order(shared, order),
+        Ok(OperatorRecord::Withdrawn(service)) => rollouts::withdraw(shared, &service),
         Ok(OperatorRecord::Domain(domain, out)) => {
             let changed = shared.state.borrow_mut().set_domain(&domain, out);
             log::info!(domain, out, changed, offset = record.offset; "failure domain set");
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -7,12 +7,13 @@
         gossip,
         prelude::*,
         progress::Progress,
-        reply,
+        reply, rollouts,
         shared::{InFlight, QueueSlot},
     },
     forward::{
         choice::{Need, Pick},
         request::Ticket,
+        rollout::tally::{Outcome, Timing},
     },
     platform::head::{self, ResponseFlags},
 };
@@ -69,7 +70,14 @@
     let id = &original.inbound.id;
     loop {
         match attempt(shared, original, &mut ticket, &mut progress).await {
-            Attempt::Answered(reply) => return Ok(reply),
+            Attempt::Answered(reply) => {
+                let is_success = reply.status().is_success();
+                // A request that fails at two endpoints is at fault itself.
+                if let Some(key) = progress.failed_at.take().filter(|_| is_success) {
+                    shared.observe(key, &ticket.route.name, Outcome::Failed);
+                }
+                return Ok(reply);
+            }
             Attempt::Failed(refusal) => return progress.finish(id, refusal),
             Attempt::Retry => {}
         }
@@ -105,16 +113,25 @@
     let _in_flight = InFlight::new(shared, key);
     shared.record_attempt(&ticket.service, progress.sends > 0);
     progress.sends += 1;
+    let sent_at = clock::now();
     match send(shared, original, ticket, progress, key).await {
         Ok(answer) => {
             if answer.is_success() {
                 shared.record_completion(original);
+                let timing = Timing {
+                    intervals: 0,
+                    prompt: 0,
+                    took: clock::now().since(sent_at),
+                };
+                let outcome = Outcome::Answered(timing.class());
+                shared.observe(key, &ticket.route.name, outcome);
             }
             classify(shared, ticket, progress, key, answer)
         }
         Err(failure) => {
             shared.mark_unreachable(key);
             if failure.written {
+                shared.observe(key, &ticket.route.name, Outcome::Failed);
                 progress.note_run(key, failure.why);
             } else {
                 progress.why = failure.why;
@@ -193,6 +210,7 @@
     let status = answer.status;
     if answer.flags.not_run {
         shared.mark_rejected(key, status);
+        shared.observe(key, &ticket.route.name, Outcome::Rejected);
         progress.note_rejected(key, format!("rejected with {status}"));
         return Attempt::Retry;
     }
@@ -200,6 +218,7 @@
     let is_valid = answer.flags.sealed && !answer.flags.encoded;
     let claims_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
     if (status.is_success() && !is_valid) || claims_not_run {
+        shared.observe(key, &ticket.route.name, Outcome::Failed);
         progress.note_run(key, format!("invalid response with {status}"));
         return after_failure(ticket, progress, true);
     }
@@ -209,8 +228,12 @@
     if retry {
         progress.note_run(key, format!("failed with {status}"));
         progress.failure = Some(reply::full(status, answer.headers, answer.body));
+        progress.failed_at = Some(key);
         return Attempt::Retry;
     }
+    if status.is_server_error() && progress.failed_at.is_none() {
+        shared.observe(key, &ticket.route.name, Outcome::Failed);
+    }
     Attempt::Answered(reply::full(status, answer.headers, answer.body))
 }
 
@@ -243,10 +266,13 @@
         }
         let now = clock::now();
         if !preceded {
-            let pick = shared
+            let (pick, exposed) = shared
                 .state
                 .borrow_mut()
-                .pick(now, &ticket.service, need, tried);
+                .pick_attempt(now, ticket, need, tried);
+            if exposed {
+                rollouts::log_exposure(shared, ticket);
+            }
             if let Pick::Send(key, backup) = pick {
                 return Some((key, backup));
             }
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -84,6 +84,10 @@
     let mut confirmation_wanted = true;
     let mut failures = 0;
     loop {
+        if topic == Topic::Rollouts && !shared.state.borrow().rollouts.is_active() {
+            topic_state.read_wanted.notified().await;
+            continue;
+        }
         let cause = match cause(&shared, topic) {
             Some(cause) => cause,
             None if confirmation_wanted => Cause::Wanted,
@@ -121,7 +125,8 @@
                     log::info!(topic:?; "store reachable again");
                 }
                 let is_first = topic_state.position.get().is_none();
-                confirmation_wanted = is_first && topic != Topic::Crashes;
+                confirmation_wanted =
+                    is_first && !matches!(topic, Topic::Crashes | Topic::Rollouts);
                 topic_state.position.set(Some(next));
                 topic_state.read_done.notify_waiters();
                 if !confirmation_wanted {
@@ -179,10 +184,12 @@
         }
         Topic::Crashes => MAX_CRASHES_AGE,
         Topic::Instances => MAX_INSTANCE_LIST_AGE,
-        Topic::Endpoints | Topic::Operators if role == Role::Member && linked => {
+        Topic::Endpoints | Topic::Operators | Topic::Rollouts if role == Role::Member && linked => {
             MAX_WATERMARK_AGE + Duration::from_millis(shared.incarnation % MEMBER_JITTER_MS)
         }
-        Topic::Endpoints | Topic::Operators => MAX_WATERMARK_AGE,
+        Topic::Endpoints | Topic::Operators | Topic::Rollouts | Topic::Statuses => {
+            MAX_WATERMARK_AGE
+        }
     };
     LocalTopic {
         max_age,
@@ -198,7 +205,9 @@
     match topic {
         Topic::Crashes => CRASHES_LONG_POLL_TIMEOUT,
         Topic::Instances => INSTANCES_LONG_POLL_TIMEOUT,
-        Topic::Endpoints | Topic::Operators => LONG_POLL_TIMEOUT,
+        Topic::Endpoints | Topic::Operators | Topic::Rollouts | Topic::Statuses => {
+            LONG_POLL_TIMEOUT
+        }
     }
 }
 
@@ -209,8 +218,15 @@
     let many = gossip::role(shared) != Role::Equal;
     match topic {
         Topic::Instances if many => INSTANCES_READ_DELAY,
+        // The watermark of an aggregator arrives meanwhile, which saves the read.
+        Topic::Rollouts if gossip::role(shared) == Role::Member => ISOLATED_READ_DELAY,
         _ if many && shared.readers.borrow().is_isolated(clock::now()) => ISOLATED_READ_DELAY,
-        Topic::Crashes | Topic::Endpoints | Topic::Instances | Topic::Operators => READ_DELAY,
+        Topic::Crashes
+        | Topic::Endpoints
+        | Topic::Instances
+        | Topic::Operators
+        | Topic::Rollouts
+        | Topic::Statuses => READ_DELAY,
     }
 }
 
@@ -304,7 +320,8 @@
     match topic {
         Topic::Endpoints => state.confirm_list(clock::now(), when),
         Topic::Operators => state.config_freshness.confirm(when),
-        Topic::Crashes | Topic::Instances => {}
+        Topic::Rollouts => state.rollouts.freshness.confirm(when),
+        Topic::Crashes | Topic::Instances | Topic::Statuses => {}
     }
 }
 
--- a/crates/proxy/src/gossip/receive.rs
+++ b/crates/proxy/src/gossip/receive.rs
@@ -4,7 +4,9 @@
     super::{records, report, role},
     crate::{
         clock, follow,
-        message::{Answer, Batch, Message, RawWatermark, Report, Sum, load},
+        message::{
+            Answer, Batch, Message, RawWatermark, Report, Sum, Trailer, all_watermarks, load,
+        },
         prelude::*,
         topic,
     },
@@ -19,21 +21,33 @@
 /// Handles messages until the channel closes.
 pub async fn run(shared: &Shared, datagrams: &DatagramSocket, mut messages: mpsc::Receiver<Bytes>) {
     while let Some(data) = messages.recv().await {
-        match postcard::from_bytes::<Message>(&data) {
-            Ok(Message::Answer(answer)) => handle_answer(shared, answer),
-            Ok(Message::Records(data)) => match Batch::decompress(&data) {
+        let (message, trailer) = match Message::decode(&data) {
+            Ok(decoded) => decoded,
+            Err(error) => {
+                log::warn!(error:%; "cannot decode message from peer instance");
+                continue;
+            }
+        };
+        match message {
+            Message::Answer(answer) => handle_answer(shared, answer, &trailer),
+            Message::Records(data) => match Batch::decompress(&data) {
                 Ok(batch) => records::receive(shared, batch),
                 Err(error) => log::warn!(error:%; "cannot decode records from peer instance"),
             },
-            Ok(Message::Report(report)) => handle_report(shared, datagrams, report),
-            Ok(Message::Sum(sum)) => handle_sum(shared, sum),
-            Err(error) => log::warn!(error:%; "cannot decode message from peer instance"),
+            Message::Report(report) => handle_report(shared, datagrams, report, &trailer),
+            Message::Sum(sum) => handle_sum(shared, sum, &trailer),
         }
     }
 }
 
-fn handle_report(shared: &Shared, datagrams: &DatagramSocket, mut report: Report) {
+fn handle_report(
+    shared: &Shared,
+    datagrams: &DatagramSocket,
+    mut report: Report,
+    trailer: &Trailer,
+) {
     let now = clock::now();
+    let watermarks = all_watermarks(report.watermarks, trailer);
     note_sender(shared, &report.name, report.incarnation, report.number);
     let loads = report.loads.drain(..).map(load).collect();
     let role = role(shared);
@@ -49,13 +63,13 @@
         report::send_answer(shared, datagrams, &report);
         if report.held_version.is_some() {
             shared.peers.note_subscriber(&report.name, now);
-            records::send_missing(shared, &report);
+            records::send_missing(shared, &report.name, watermarks);
         }
     }
-    handle_watermarks(shared, &report.name, false, report.echo, report.watermarks);
+    handle_watermarks(shared, &report.name, false, report.echo, watermarks);
 }
 
-fn handle_answer(shared: &Shared, answer: Answer) {
+fn handle_answer(shared: &Shared, answer: Answer, trailer: &Trailer) {
     let (incarnation, echo) = answer.echo;
     if incarnation != shared.incarnation {
         return;
@@ -84,10 +98,11 @@
     if has_rows {
         shared.rows_received.notify_waiters();
     }
-    handle_watermarks(shared, &answer.name, true, answer.echo, answer.watermarks);
+    let watermarks = all_watermarks(answer.watermarks, trailer);
+    handle_watermarks(shared, &answer.name, true, answer.echo, watermarks);
 }
 
-fn handle_sum(shared: &Shared, sum: Sum) {
+fn handle_sum(shared: &Shared, sum: Sum, trailer: &Trailer) {
     note_sender(shared, &sum.name, sum.incarnation, sum.number);
     {
         let mut state = shared.state.borrow_mut();
@@ -111,7 +126,8 @@
                 .update(now, &domain, &sum.name, rank, &part);
         }
     }
-    handle_watermarks(shared, &sum.name, true, sum.echo, sum.watermarks);
+    let watermarks = all_watermarks(sum.watermarks, trailer);
+    handle_watermarks(shared, &sum.name, true, sum.echo, watermarks);
 }
 
 /// Records incarnation and number of a peer's message; drops reports of an earlier incarnation.
--- a/crates/proxy/src/gossip/records.rs
+++ b/crates/proxy/src/gossip/records.rs
@@ -4,11 +4,11 @@
     super::{history::History, role},
     crate::{
         clock, follow,
-        message::{Batch, RawRecord, Report},
+        message::{Batch, Message, RawRecord, RawWatermark, Trailer},
         prelude::*,
         topic,
     },
-    forward::aggregate::members::Role,
+    forward::{aggregate::members::Role, reader::TOPICS},
     platform::store::{KeyedRecord, Topic},
 };
 
@@ -70,10 +70,10 @@
     }
 }
 
-/// Sends a member the records that it lacks according to its report.
-pub fn send_missing(shared: &Shared, report: &Report) {
+/// Sends a member the records that it lacks according to its watermarks.
+pub fn send_missing(shared: &Shared, member: &str, watermarks: [RawWatermark; TOPICS]) {
     let now = clock::now();
-    for (topic, (age, position)) in topic::ALL.into_iter().zip(report.watermarks) {
+    for (topic, (age, position)) in topic::ALL.into_iter().zip(watermarks) {
         let known = shared.topic(topic).position.get().unwrap_or_default();
         if age.is_none() || position >= known {
             continue;
@@ -82,8 +82,8 @@
         let Some(records) = history.since(position) else {
             continue;
         };
-        if history.due(&report.name, now) {
-            let to = vec![report.name.clone()];
+        if history.due(member, now) {
+            let to = vec![member.to_string()];
             send(shared, topic, position, &records, to);
         }
     }
@@ -102,7 +102,9 @@
         topic: u8::try_from(topic::index(topic)).unwrap_or(u8::MAX),
     };
     let datagrams = shared.peers.datagrams.borrow();
-    let data = batch.compress().and_then(|message| message.encode());
+    let data = batch
+        .compress()
+        .and_then(|message| Message::encode(&message, &Trailer::default()));
     let (Some(datagrams), Some(data)) = (&*datagrams, data) else {
         return;
     };
--- a/crates/proxy/src/gossip/report.rs
+++ b/crates/proxy/src/gossip/report.rs
@@ -4,16 +4,18 @@
     super::{connections, role},
     crate::{
         clock,
-        message::{Answer, Message, RawChanges, RawWatermark, Report, Row, Sum, row},
+        message::{
+            Answer, BASE_TOPICS, Message, RawChanges, RawWatermark, Report, Row, Sum, Trailer, row,
+        },
         prelude::*,
         topic,
     },
     forward::{
         aggregate::members::{Link, Role},
         load::{self, digest},
-        reader::TOPICS,
     },
     peer::datagram::DatagramSocket,
+    platform::store::Topic,
 };
 
 /// Shortest time between two reports. Placement uses the last reports, so this is shorter
@@ -146,15 +148,32 @@
     loads
 }
 
-/// This instance's watermark of each topic.
-fn watermarks(shared: &Shared) -> [RawWatermark; TOPICS] {
-    topic::ALL.map(|topic| {
-        let watermark = shared.topic(topic).watermark();
-        let age = watermark
-            .age
-            .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
-        (age, watermark.position)
-    })
+/// This instance's watermarks of the topics that all versions follow.
+fn watermarks(shared: &Shared) -> [RawWatermark; BASE_TOPICS] {
+    let mut watermarks = [RawWatermark::default(); BASE_TOPICS];
+    for (watermark, topic) in watermarks.iter_mut().zip(topic::ALL) {
+        *watermark = raw_watermark(shared, topic);
+    }
+    watermarks
+}
+
+/// The trailer of all messages; empty while no rollout is in progress.
+fn trailer(shared: &Shared) -> Trailer {
+    if !shared.state.borrow().rollouts.is_active() {
+        return Trailer::default();
+    }
+    let topics = topic::ALL.into_iter().skip(BASE_TOPICS);
+    Trailer {
+        watermarks: topics.map(|topic| raw_watermark(shared, topic)).collect(),
+    }
+}
+
+fn raw_watermark(shared: &Shared, topic: Topic) -> RawWatermark {
+    let watermark = shared.topic(topic).watermark();
+    let age = watermark
+        .age
+        .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
+    (age, watermark.position)
 }
 
 /// Reports the load to the aggregators of the own failure domain, or to all peers if instances
@@ -192,7 +211,7 @@
         if many {
             shared.expect_answer(datagrams, link.key, address);
         }
-        send(datagrams, address, &Message::Report(report.clone()));
+        send(shared, datagrams, address, &Message::Report(report.clone()));
     }
 }
 
@@ -239,7 +258,7 @@
                 number: now.micros(),
                 watermarks,
             };
-            send(datagrams, address, &Message::Sum(sum));
+            send(shared, datagrams, address, &Message::Sum(sum));
         }
     }
 }
@@ -297,7 +316,7 @@
         watermarks: watermarks(shared),
     };
     let Some((incarnation, version)) = report.held_version else {
-        send(datagrams, address, &Message::Answer(answer));
+        send(shared, datagrams, address, &Message::Answer(answer));
         return;
     };
     let mut version = if incarnation == shared.incarnation {
@@ -319,15 +338,15 @@
             loads: changes.rows.into_iter().map(row).collect(),
             version,
         });
-        send(datagrams, address, &Message::Answer(answer.clone()));
+        send(shared, datagrams, address, &Message::Answer(answer.clone()));
         if complete {
             return;
         }
     }
 }
 
-fn send(datagrams: &DatagramSocket, address: SocketAddr, message: &Message) {
-    let Some(data) = message.encode() else {
+fn send(shared: &Shared, datagrams: &DatagramSocket, address: SocketAddr, message: &Message) {
+    let Some(data) = message.encode(&trailer(shared)) else {
         return;
     };
     if let Err(error) = datagrams.send(address, data) {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod relay;
 pub mod relocate;
 pub mod reply;
+pub mod rollouts;
 pub mod serve;
 pub mod settings;
 pub mod shared;
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -6,6 +6,10 @@
     serde::{Deserialize, Serialize},
 };
 
+/// Topics whose watermarks are part of the messages themselves; those of the others are in the
+/// [`Trailer`].
+pub const BASE_TOPICS: usize = 4;
+
 /// Compression level for records, 0 to 10. Higher levels cost more time than they save on the
 /// network.
 const DEFLATE_LEVEL: u8 = 1;
@@ -27,6 +31,16 @@
     Sum(Sum),
 }
 
+/// What follows a message.
+///
+/// Instances of other versions skip what they do not know here, and miss nothing that is not sent,
+/// while a changed message could not be decoded by them at all. New fields go to the end.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Trailer {
+    /// Watermarks of the topics after the first [`BASE_TOPICS`].
+    pub watermarks: Vec<RawWatermark>,
+}
+
 /// Digest of the endpoint's id, then tokens, tokens of backup copies among them, tokens in
 /// prefill, and requests.
 pub type Row = (u32, u32, u32, u32, u32);
@@ -52,7 +66,7 @@
     /// requests the rows that have changed since.
     pub held_version: Option<(u64, u64)>,
     /// Watermark of each topic.
-    pub watermarks: [RawWatermark; TOPICS],
+    pub watermarks: [RawWatermark; BASE_TOPICS],
 }
 
 /// The load that instances of a failure domain have at endpoints, or some rows of it.
@@ -73,7 +87,7 @@
     /// As in a [`Report`].
     pub number: u64,
     /// As in a [`Report`].
-    pub watermarks: [RawWatermark; TOPICS],
+    pub watermarks: [RawWatermark; BASE_TOPICS],
 }
 
 /// An aggregator's answer to a report.
@@ -92,7 +106,7 @@
     /// As in a [`Report`].
     pub number: u64,
     /// As in a [`Report`].
-    pub watermarks: [RawWatermark; TOPICS],
+    pub watermarks: [RawWatermark; BASE_TOPICS],
 }
 
 /// Changed rows of an aggregator's table.
@@ -130,6 +144,20 @@
     pub value: Option<Vec<u8>>,
 }
 
+/// The watermarks of a message and its trailer, in the order of [`crate::topic::ALL`].
+#[must_use]
+pub fn all_watermarks(
+    base: [RawWatermark; BASE_TOPICS],
+    trailer: &Trailer,
+) -> [RawWatermark; TOPICS] {
+    let mut all = [RawWatermark::default(); TOPICS];
+    let watermarks = base.iter().chain(&trailer.watermarks);
+    for (known, watermark) in all.iter_mut().zip(watermarks) {
+        *known = *watermark;
+    }
+    all
+}
+
 /// Converts a row to its encoding.
 #[must_use]
 pub const fn row((digest, load): (u32, Load)) -> Row {
@@ -155,10 +183,32 @@
 }
 
 impl Message {
-    /// Encodes the message; logs an error and returns `None` if that fails.
+    /// Encodes the message and its trailer, which takes no bytes if it is empty; logs an error and
+    /// returns `None` if that fails.
     #[must_use]
-    pub fn encode(&self) -> Option<Bytes> {
-        encode(self).map(Bytes::from)
+    pub fn encode(&self, trailer: &Trailer) -> Option<Bytes> {
+        let mut data = encode(self)?;
+        if *trailer != Trailer::default() {
+            data.extend(encode(trailer)?);
+        }
+        Some(data.into())
+    }
+
+    /// Decodes a message and its trailer. A trailer that is missing or unknown is empty.
+    ///
+    /// # Errors
+    ///
+    /// The data does not start with a message.
+    pub fn decode(data: &[u8]) -> Result<(Self, Trailer), postcard::Error> {
+        let (message, rest) = postcard::take_from_bytes::<Self>(data)?;
+        if rest.is_empty() {
+            return Ok((message, Trailer::default()));
+        }
+        let trailer = postcard::from_bytes::<Trailer>(rest).unwrap_or_else(|error| {
+            log::debug!(error:%; "unknown trailer of a message from peer instance");
+            Trailer::default()
+        });
+        Ok((message, trailer))
     }
 }
 
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -24,6 +24,7 @@
     loop_late: Histogram<f64>,
     moves: Counter<u64>,
     registry: Registry,
+    rollouts: Counter<u64>,
     sends: Counter<u64>,
     store_calls: Counter<u64>,
     suspicions: Counter<u64>,
@@ -71,6 +72,10 @@
                 "runs_moved",
                 "generations that went on elsewhere, by outcome",
             ),
+            rollouts: counter(
+                "rollout_steps",
+                "requests to versions that are not judged yet, and stages recorded",
+            ),
             sends: counter("requests_sent", "sends to endpoints, by service and order"),
             store_calls: counter("store_calls", "calls to the store by outcome"),
             suspicions: counter(
@@ -114,6 +119,15 @@
         self.moves.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records a request to a version that is not judged yet (`exposed`), or a stage of a rollout.
+    pub fn record_rollout(&self, service: &str, step: &'static str) {
+        let labels = [
+            KeyValue::new("service", service.to_string()),
+            KeyValue::new("step", step),
+        ];
+        self.rollouts.add(1, &labels);
+    }
+
     /// Records a send to an endpoint.
     pub fn record_send(&self, is_retry: bool) {
         let order = if is_retry { "second" } else { "first" };
--- a/crates/proxy/src/progress.rs
+++ b/crates/proxy/src/progress.rs
@@ -11,6 +11,8 @@
 /// Attempts made for a request that has no response yet.
 #[derive(Debug, Default)]
 pub struct Progress {
+    /// Endpoint whose error response led to a retry.
+    pub failed_at: Option<EndpointKey>,
     /// An endpoint's error response, returned if no other endpoint succeeds.
     pub failure: Option<Reply>,
     /// Sends that the endpoint may have run.
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -15,7 +15,11 @@
         takeover::{EventSource, TakeoverContext, TakeoverOutcome},
     },
     endpoint::sse,
-    forward::{request::Ticket, sequence::Sequence},
+    forward::{
+        request::Ticket,
+        rollout::tally::{Outcome, Timing},
+        sequence::Sequence,
+    },
     std::pin::Pin,
     tokio::sync::mpsc,
 };
@@ -35,6 +39,9 @@
 /// Time after which a caller that does not read counts as disconnected.
 const CALLER_READ_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Number of events after which an answer counts in the judgement of its engine's version.
+const OBSERVED_EVENTS: u32 = 12;
+
 /// A move in progress.
 type PendingMove = Pin<Box<dyn Future<Output = TakeoverOutcome>>>;
 
@@ -60,6 +67,8 @@
     source: EventSource,
     takeovers: u32,
     ticket: Ticket,
+    /// Whether the answer is to count in the judgement of its engine's version.
+    unjudged: bool,
 }
 
 /// Initial state of a [`Relay`].
@@ -139,6 +148,7 @@
             takeovers: 0,
             original: start.original,
             ticket: start.ticket,
+            unjudged: true,
         }
     }
 
@@ -263,7 +273,8 @@
     }
 
     fn is_leaving(&self) -> bool {
-        self.shared.state.borrow().must_move(self.running.key)
+        let state = self.shared.state.borrow();
+        state.must_move(clock::now(), self.running.key)
     }
 
     async fn step(&mut self, pending_move: &mut Option<PendingMove>) -> Step {
@@ -306,7 +317,10 @@
                 self.record_break();
                 Step::Lost("connection closed inside an event".to_string())
             }
-            Ok(None) => Step::Ended,
+            Ok(None) => {
+                self.judge_answer();
+                Step::Ended
+            }
             Ok(Some(chunk)) => match self.source.splitter.feed(chunk) {
                 Ok(blocks) => Step::Events(blocks),
                 Err(error) => Step::Lost(error.to_string()),
@@ -314,12 +328,30 @@
         }
     }
 
-    fn record_break(&self) {
+    fn record_break(&mut self) {
         let EventSource { key, sent_at, .. } = &self.source;
         let events = self.sequence.count();
         self.shared
             .record_break(&self.original, *key, *sent_at, events);
         self.shared.mark_disconnected(*key);
+        let route = &self.ticket.route.name;
+        self.shared.observe(*key, route, Outcome::Failed);
+        self.unjudged = false;
+    }
+
+    /// Counts the answer in the judgement of its engine's version.
+    fn judge_answer(&mut self) {
+        if !std::mem::take(&mut self.unjudged) {
+            return;
+        }
+        let timing = Timing {
+            intervals: self.sequence.count().saturating_sub(1),
+            prompt: self.original.inbound.prompt,
+            took: clock::now().since(self.source.sent_at),
+        };
+        let outcome = Outcome::Answered(timing.class());
+        let route = &self.ticket.route.name;
+        self.shared.observe(self.source.key, route, outcome);
     }
 
     async fn pass_on(&mut self, blocks: Vec<Bytes>) -> Result<(), Ending> {
@@ -345,6 +377,9 @@
         if let Some(run) = self.shared.state.borrow_mut().run_mut(self.running.key) {
             run.events = self.sequence.count();
         }
+        if self.sequence.count() >= OBSERVED_EVENTS {
+            self.judge_answer();
+        }
         Ok(())
     }
 }
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -266,6 +266,7 @@
         self.shared.load.notify_one();
         self.quiet_since = clock::now();
         self.backup_asked = false;
+        self.unjudged = false;
         self.source = opened.source;
     }
 }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -6,7 +6,7 @@
         listen::{self, Role},
         logging,
         prelude::*,
-        probe,
+        probe, rollouts,
         settings::Settings,
         topic,
     },
@@ -66,6 +66,7 @@
         spawn_local(follow::follow(Rc::clone(&shared), topic));
     }
     spawn_local(crashes::publish(Rc::clone(&shared)));
+    spawn_local(rollouts::run(Rc::clone(&shared)));
     spawn_local(gossip::run(Rc::clone(&shared)));
     spawn_local(follow::tick(Rc::clone(&shared)));
     spawn_local(probe::run(Rc::clone(&shared)));
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a proxy instance.
 
-use {crate::prelude::*, serde::Deserialize};
+use {crate::prelude::*, forward::rollout::exposure::Limit, serde::Deserialize};
 
 /// The settings file. Unknown keys are ignored, since a platform may add some.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
@@ -38,6 +38,13 @@
 /// Limits that hold over all instances together.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct Joint {
+    /// Requests that a version of a service may get before it is judged; no version is rolled out
+    /// if this is zero.
+    #[serde(default)]
+    pub canary_requests: f64,
+    /// The same as a share of all requests to the service, in addition.
+    #[serde(default)]
+    pub canary_share: f64,
     /// Window of the retry budget in seconds.
     pub retry_window_s: f64,
     /// Retries allowed within the window in addition to the ratio.
@@ -104,6 +111,8 @@
         let checks = [
             ("instance.grace_s", settings.instance.grace_s),
             ("instance.processor", settings.instance.processor),
+            ("joint.canary_requests", settings.joint.canary_requests),
+            ("joint.canary_share", settings.joint.canary_share),
             ("joint.retry_burst", settings.joint.retry_burst),
             ("joint.retry_ratio", settings.joint.retry_ratio),
             ("joint.retry_window_s", settings.joint.retry_window_s),
@@ -128,6 +137,10 @@
     pub fn decisions(&self) -> forward::settings::Settings {
         forward::settings::Settings {
             budget_window: Duration::from_secs_f64(self.joint.retry_window_s),
+            canary: Limit {
+                requests: self.joint.canary_requests,
+                share: self.joint.canary_share,
+            },
             domain: self.instance.domain.clone(),
             min_instances: self.joint.most_instances,
             retry_burst: self.joint.retry_burst,
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -21,6 +21,7 @@
         load::Report,
         reader::{Readers, TOPICS},
         request::Ticket,
+        rollout::tally::Outcome,
         state::QueuePosition,
     },
     peer::datagram::DatagramSocket,
@@ -58,6 +59,8 @@
     pub readers: RefCell<Readers>,
     /// Notified when this instance has to publish its entry again.
     pub republish: Notify,
+    /// Notified when an order of a rollout, or a record of one, has been read.
+    pub rollouts_changed: Notify,
     /// Notified when an endpoint may have room again.
     pub room: Notify,
     /// Notified when a report is due immediately: a run has started, or a placement needs an
@@ -90,21 +93,26 @@
     pub fn new(settings: Settings) -> Result<Rc<Self>, Error> {
         let client = Client::new(CONNECT_TIMEOUT);
         let random = SmallRng::from_rng(&mut rand::rng());
+        let incarnation = rand::rng().random_range(1..=u64::MAX);
+        let mut state = State::new(settings.decisions(), random);
+        let name = &settings.instance.name;
+        state.rollouts.set_holder(format!("{name}@{incarnation:x}"));
         Ok(Rc::new(Self {
             draining: Cell::new(false),
             peers: Peers::default(),
             grown: RefCell::default(),
             history: Default::default(),
             in_progress: Cell::new(0),
-            incarnation: rand::rng().random_range(1..=u64::MAX),
+            incarnation,
             load: Notify::new(),
             metrics: Metrics::new()?,
             readers: RefCell::default(),
             republish: Notify::new(),
+            rollouts_changed: Notify::new(),
             room: Notify::new(),
             report_now: Notify::new(),
             role: Cell::default(),
-            state: RefCell::new(State::new(settings.decisions(), random)),
+            state: RefCell::new(state),
             stop: Notify::new(),
             store: Store::new(settings.store.address.to_string(), client.clone()),
             suspects_changed: Notify::new(),
@@ -293,6 +301,17 @@
         state.suspects.refuses(clock::now(), original.fingerprint)
     }
 
+    /// Records the outcome of a request at an endpoint, by which versions are judged. What an
+    /// endpoint that is leaving breaks off says nothing of its version.
+    pub fn observe(&self, key: EndpointKey, route: &str, outcome: Outcome) {
+        let mut state = self.state.borrow_mut();
+        let endpoint = state.endpoint(key);
+        let is_leaving = endpoint.is_none_or(|endpoint| endpoint.leaving_since.is_some());
+        if !is_leaving || matches!(outcome, Outcome::Answered(_)) {
+            state.observe(clock::now(), key, route, outcome);
+        }
+    }
+
     /// Counts a send to a service, for the retry budget and the metrics.
     pub fn record_attempt(&self, service: &str, is_retry: bool) {
         let now = clock::now();
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -13,7 +13,7 @@
         takeover,
     },
     endpoint::sse::EventSplitter,
-    forward::{choice::Need, prelude::Run, request::Ticket},
+    forward::{choice::Need, prelude::Run, request::Ticket, rollout::tally::Outcome},
     platform::head,
     tokio::sync::mpsc,
 };
@@ -71,8 +71,14 @@
         let running = begin(shared, original, &ticket, key, backup, expected);
         let opened = open(shared, original, &ticket, &progress, key, backup).await;
         match opened {
-            OpenOutcome::Answer(reply) => return Ok(reply),
+            OpenOutcome::Answer(reply) => {
+                if reply.status().is_server_error() {
+                    shared.observe(key, &ticket.route.name, Outcome::Failed);
+                }
+                return Ok(reply);
+            }
             OpenOutcome::Unknown(refusal, why) => {
+                shared.observe(key, &ticket.route.name, Outcome::Failed);
                 progress.note_run(key, why);
                 if clock::now() >= ticket.expires || !progress.may_send(shared, &ticket) {
                     return Err(progress.give_up(id, refusal));
@@ -105,6 +111,7 @@
                 shared.refund_send(&ticket.service, progress.sends > 0);
             }
             OpenOutcome::NotRun(why) => {
+                shared.observe(key, &ticket.route.name, Outcome::Rejected);
                 progress.note_rejected(key, why);
                 if !progress.may_send(shared, &ticket) {
                     return Err(progress.give_up(id, Refusal::Full));
--- a/crates/proxy/src/topic.rs
+++ b/crates/proxy/src/topic.rs
@@ -16,9 +16,10 @@
     Topic::Endpoints,
     Topic::Instances,
     Topic::Crashes,
+    Topic::Rollouts,
 ];
 
-/// Index of a topic in [`ALL`].
+/// Index of a topic in [`ALL`]; those that are not followed have none.
 #[must_use]
 pub const fn index(topic: Topic) -> usize {
     match topic {
@@ -26,6 +27,7 @@
         Topic::Endpoints => 1,
         Topic::Instances => 2,
         Topic::Crashes => 3,
+        Topic::Rollouts | Topic::Statuses => 4,
     }
 }
 
--- /dev/null
+++ b/crates/proxy/tests/messages.rs
@@ -0,0 +1,60 @@
+//! Messages between instances of different versions.
+
+use proxy::message::{Message, Trailer, all_watermarks};
+
+/// A report, a sum and an answer as instances of the version before the trailer send them.
+const EARLIER: [&str; 3] = [
+    "0205064d02010203040509080706050966726f6e742d612d31c0c407010409010a07000001ac020c01a01f03",
+    "0301006305064d0101020304050c0966726f6e742d612d31c1c407010a07000001ac020c01a01f03",
+    "0001010101020304050405064d0c0966726f6e742d612d31c2c407010a07000001ac020c01a01f03",
+];
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let digits = hex.as_bytes().chunks(2);
+    let digits = digits.map(|pair| std::str::from_utf8(pair).expect("hex digits"));
+    let bytes = digits.map(|pair| u8::from_str_radix(pair, 16).expect("hex digits"));
+    bytes.collect()
+}
+
+/// Instances of two versions run side by side while they are replaced. If one cannot decode the
+/// other's messages, each reads the store and chooses engines by itself.
+#[test]
+fn messages_of_earlier_versions_are_decoded() {
+    for hex in EARLIER {
+        let (message, trailer) = Message::decode(&bytes(hex)).expect("a message");
+        assert_eq!(trailer, Trailer::default());
+        let encoded = message.encode(&trailer).expect("a message");
+        assert_eq!(encoded, bytes(hex), "earlier versions get what they expect");
+    }
+}
+
+/// The trailer follows what earlier versions decode, and they ignore it.
+#[test]
+fn trailer_follows_the_message() {
+    for hex in EARLIER {
+        let (message, _) = Message::decode(&bytes(hex)).expect("a message");
+        let sent = Trailer {
+            watermarks: vec![(Some(40), 12)],
+        };
+        let encoded = message.encode(&sent).expect("a message");
+        assert!(encoded.starts_with(&bytes(hex)));
+        let (_, received) = Message::decode(&encoded).expect("a message");
+        assert_eq!(received, sent);
+        let Message::Report(report) = message else {
+            continue;
+        };
+        let watermarks = all_watermarks(report.watermarks, &received);
+        assert_eq!(watermarks.last(), Some(&(Some(40), 12)));
+        let watermarks = all_watermarks(report.watermarks, &Trailer::default());
+        assert_eq!(watermarks.last(), Some(&(None, 0)));
+    }
+}
+
+/// A later version may send a trailer that this one cannot decode; the message counts all the same.
+#[test]
+fn unknown_trailer_is_ignored() {
+    let mut data = bytes(EARLIER[0]);
+    data.extend([0xff; 12]);
+    let (_, trailer) = Message::decode(&data).expect("a message");
+    assert_eq!(trailer, Trailer::default());
+}
