--- a/crates/bench/src/bin/mutate.rs
+++ b/crates/bench/src/bin/mutate.rs
@@ -12,6 +12,9 @@
     },
 };
 
+/// Histories of rollouts in each test; one of them takes as long as thousands of the others.
+const ROLLOUTS: &str = "1";
+
 /// Apply each mutation in turn and run the tests that should detect it
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options)]
@@ -140,6 +143,7 @@
             .current_dir(work_dir)
             .env("CARGO_TARGET_DIR", &target_dir)
             .env("HISTORIES", histories.to_string())
+            .env("ROLLOUTS", ROLLOUTS)
             .env("RUST_BACKTRACE", "0")
             .output()
     };
--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -7,7 +7,11 @@
         endpoint::Load,
         prelude::*,
         request::Ticket,
-        rollout::access::{Access, Gate},
+        rollout::{
+            Rollout,
+            access::{Access, Gate},
+            tally,
+        },
         run::kv_demand,
         state::State,
     },
@@ -164,13 +168,17 @@
         canaries.sort_unstable();
         let mut best = None;
         let loads = self.loads();
+        let rollout = self.rollouts.rollout(&service.name);
+        let tallies = rollout.map(Rollout::tallies).unwrap_or_default();
         for domain in canaries.chunk_by(|(one, _, _), (other, _, _)| one == other) {
             for (_, _, key) in domain.iter().take(CANARIES_PER_DOMAIN) {
                 let endpoint = self.endpoints.get(*key)?;
                 let Some(cost) = self.cost(*key, endpoint, service, need.tokens(), &loads) else {
                     continue;
                 };
-                let cost = cost + jitter.cost(*key);
+                // A faulty endpoint would make its version look bad.
+                let failed = tally::failed_share(&tallies, endpoint.digest);
+                let cost = cost + jitter.cost(*key) + failed * FAILURE_COST_MS;
                 if best.is_none_or(|(lowest, _)| cost < lowest) {
                     best = Some((cost, *key));
                 }
--- a/crates/forward/src/rollout/mod.rs
+++ b/crates/forward/src/rollout/mod.rs
@@ -45,7 +45,8 @@
     /// Evidence of other instances, sorted by holder.
     evidence: Vec<Evidence>,
     exposure: Exposure,
-    judgement: Judgement,
+    /// `None` if there are answers that it does not take into account.
+    judgement: Option<Judgement>,
     order: Option<Order>,
     ordered_at: Time,
     /// Evidence of this instance.
@@ -107,8 +108,8 @@
 
     /// The last judgement on the target.
     #[must_use]
-    pub const fn judgement(&self) -> Judgement {
-        self.judgement
+    pub fn judgement(&self) -> Judgement {
+        self.judgement.unwrap_or_default()
     }
 
     /// Number of claimed slots.
@@ -193,7 +194,7 @@
         if !is_repeated {
             // Requests that were sent under an undecided order count on, so that orders in quick
             // succession together stay within the limit.
-            self.judgement = Judgement::default();
+            self.judgement = None;
             self.own.clear();
             self.own_published = Default::default();
             if self.claims.is_empty() {
@@ -225,6 +226,7 @@
             Content::Claim(claim) => self.apply_claim(claim),
             Content::Evidence(evidence) if evidence.holder == holder => {}
             Content::Evidence(evidence) => {
+                self.judgement = None;
                 let key = |other: &Evidence| other.holder.as_str().cmp(&evidence.holder);
                 match self.evidence.binary_search_by(key) {
                     Ok(index) => self.evidence[index] = evidence,
@@ -417,6 +419,7 @@
         if rollout.stage().is_none_or(Stage::is_final) {
             return;
         }
+        rollout.judgement = None;
         if endpoint.version() != order.target {
             tally::count_old(&mut rollout.own, route, outcome);
             return;
--- a/crates/forward/src/rollout/step.rs
+++ b/crates/forward/src/rollout/step.rs
@@ -98,7 +98,10 @@
         if !is_fresh || !rollout.is_active() {
             return None;
         }
-        rollout.judgement = verdict::judge(&rollout.tallies(), surroundings.targets);
+        if rollout.judgement.is_none() {
+            let judgement = verdict::judge(&rollout.tallies(), surroundings.targets);
+            rollout.judgement = Some(judgement);
+        }
         rollout
             .next_decision(now, surroundings)
             .or_else(|| rollout.due_evidence(now, &holder))
@@ -167,7 +170,7 @@
             return None;
         }
         let elapsed = now.since(self.ordered_at);
-        let verdict = self.judgement.verdict;
+        let verdict = self.judgement().verdict;
         let has_alternative = surroundings.alternatives > 0;
         if self.withdrawn || (verdict == Verdict::Bad && has_alternative) {
             return Some(Stage::RolledBack);
@@ -267,12 +270,18 @@
             let mut claims = self.claims.iter();
             claims.any(|claim| claim.slot == slot && claim.order > last_decided)
         };
+        let free = (0..slots).filter(|slot| !is_taken(*slot));
+        let free = free.collect::<Vec<_>>();
         let period = elapsed.as_millis() / CLAIM_PERIOD.as_millis();
+        let drawn = digest(&format!("{holder}/{period}"));
+        let count = u32::try_from(free.len()).unwrap_or(u32::MAX);
         let instances = u32::try_from(surroundings.instances.max(1)).unwrap_or(u32::MAX);
         // All instances learn at the same time that slots are free.
-        let is_contender =
-            |slot: u32| digest(&format!("{holder}/{slot}/{period}")) % instances < CONTENDERS;
-        let slot = (0..slots).find(|slot| !is_taken(*slot) && is_contender(*slot))?;
+        if drawn % instances >= count.saturating_mul(CONTENDERS) {
+            return None;
+        }
+        let index = (drawn / instances).checked_rem(count)?;
+        let slot = free[usize::try_from(index).unwrap_or_default()];
         Some(Action::Append(self.record(Content::Claim(Claim {
             at: 0,
             holder: holder.to_string(),
--- a/crates/forward/src/rollout/tally.rs
+++ b/crates/forward/src/rollout/tally.rs
@@ -156,6 +156,19 @@
     tallies.iter().map(|tally| tally.new.len()).sum()
 }
 
+/// Share of requests that an endpoint of the target failed or rejected.
+#[must_use]
+pub fn failed_share(tallies: &[RouteTally], endpoint: u32) -> f64 {
+    let samples = tallies.iter().flat_map(|tally| &tally.new);
+    let samples = samples.filter(|sample| sample.endpoint == endpoint);
+    let (mut requests, mut failed) = (0_u32, 0_u32);
+    for sample in samples {
+        requests += 1;
+        failed += u32::from(!matches!(sample.outcome, Outcome::Answered(_)));
+    }
+    f64::from(failed) / f64::from(requests.max(1))
+}
+
 /// Number of requests that were answered, by any version.
 #[must_use]
 pub fn answers(tallies: &[RouteTally]) -> u32 {
--- a/crates/forward/src/rollout/verdict.rs
+++ b/crates/forward/src/rollout/verdict.rs
@@ -42,12 +42,12 @@
 
 /// Maximum logarithm of the likelihood ratio between such a version and a good one, for each route
 /// and for all together.
-const MAX_ROUTE_RATIO: f64 = -0.5;
+const MAX_ROUTE_RATIO: f64 = -2.0;
 const MAX_RATIO: f64 = -3.0;
 
 /// Minimum number of answers before a version is good, in all and on each route in use.
 const MIN_ANSWERS: usize = 12;
-const MIN_ROUTE_ANSWERS: usize = 2;
+const MIN_ROUTE_ANSWERS: usize = 5;
 
 /// Number of answers of other versions from which on a route is in use.
 const USED_ROUTE_ANSWERS: u32 = 12;
--- a/crates/forward/tests/rollouts/simulation.rs
+++ b/crates/forward/tests/rollouts/simulation.rs
@@ -27,7 +27,7 @@
 /// Simulated milliseconds between two steps.
 const STEP_MS: u64 = 10;
 
-/// Milliseconds between two checks of an instance whether it has to act.
+/// Milliseconds between two reads of an instance, after each of which it acts.
 const ACTION_INTERVAL_MS: u64 = 50;
 
 /// Maximum number of appends that an instance tries in a row.
@@ -229,8 +229,8 @@
                 self.nodes[number].state = node(&self.history, number, now_ms, names);
                 self.nodes[number].position = 0;
             }
-            self.read(number, now_ms);
             if now_ms >= self.nodes[number].acts_ms {
+                self.read(number, now_ms);
                 self.nodes[number].acts_ms = now_ms + ACTION_INTERVAL_MS;
                 self.act(number, now, now_ms, &names[number]);
             }
