serve: refuse a request under which three endpoints were lost, at all instances

What callers saw: with serve, a request that crashes its engine took down one engine after another, three for each attempt and instance (known red: 502 and six engines in place of 503 and three).

Cause: serve blamed the engine only; the count of forward lay in its own package.

Change: suspects and fingerprints move to decision, where both cores use them. serve counts broken connections by request and shares them through a stream of its own in the log, which instances of earlier versions do not read; repeated until they have come back. Refused on arrival and before each send, with 503 and no Retry-After. A completed answer clears the request.

--- a/crates/bench/src/bin/mutate.rs
+++ b/crates/bench/src/bin/mutate.rs
@@ -92,10 +92,13 @@
 
 /// `cargo test` arguments that select the tests for a mutation of this file.
 fn test_arguments(file: &Path) -> Vec<&str> {
-    if file.starts_with("crates/forward") {
+    let is_shared = ["fingerprint.rs", "suspects.rs"]
+        .iter()
+        .any(|name| file.ends_with(name));
+    if file.starts_with("crates/forward") || is_shared {
         return vec!["-p", "forward"];
     }
-    vec!["-p", "decision", "--test", "histories"]
+    vec!["-p", "decision", "--test", "histories", "--test", "crashes"]
 }
 
 fn copy_directory(from: &Path, to: &Path) -> io::Result<()> {
--- a/crates/bench/src/decide.rs
+++ b/crates/bench/src/decide.rs
@@ -1,5 +1,6 @@
 //! CPU time and memory of the decision core alone, by the size of the system.
 
+use decision::fingerprint::Fingerprint;
 use {
     crate::prelude::*,
     decision::{
@@ -140,6 +141,7 @@
         let arrival = Arrival {
             credential: credential(0),
             deadline: now.after(Duration::from_mins(1)),
+            fingerprint: Fingerprint::new(None, "", "", &[]),
             work: Work::Generation {
                 limit: 100,
                 model: "model-0".to_string(),
--- a/crates/caller/src/problem.rs
+++ b/crates/caller/src/problem.rs
@@ -126,6 +126,7 @@
     match refusal {
         Refusal::AllRefused => ("all_refused", StatusCode::SERVICE_UNAVAILABLE),
         Refusal::CallerGone => ("caller_gone", StatusCode::BAD_REQUEST),
+        Refusal::CrashesEndpoints => ("crashes_endpoints", StatusCode::SERVICE_UNAVAILABLE),
         Refusal::DeadlinePassed => ("deadline_passed", StatusCode::SERVICE_UNAVAILABLE),
         Refusal::KeyExpired => ("key_expired", StatusCode::CONFLICT),
         Refusal::KeyFromFuture => ("key_from_future", StatusCode::BAD_REQUEST),
--- a/crates/carawayhead/src/daemon/instance.rs
+++ b/crates/carawayhead/src/daemon/instance.rs
@@ -14,6 +14,7 @@
         HandlerState,
         server::{self, Pem},
     },
+    decision::fingerprint::Fingerprint,
     peer::{Hello, IncomingRequest, RequestSocket},
     std::net::SocketAddr,
     streamlog::stream::Stream,
@@ -42,6 +43,10 @@
 /// Name of the stream of claims on order keys.
 pub const CLAIMS_STREAM: &str = "claims";
 
+/// Name of the stream of crashes of endpoints under a request. Instances of earlier versions do not
+/// read it.
+pub const CRASHES_STREAM: &str = "crashes";
+
 /// Name of the stream of configuration snapshots.
 pub const SNAPSHOTS_STREAM: &str = "snapshots";
 
@@ -66,6 +71,7 @@
     pub(super) actions: Vec<Action>,
     peer_requests: Receiver<IncomingRequest>,
     pub(super) claims: Stream,
+    pub(super) crashes: Stream,
     pub(super) snapshots: Stream,
     pub(super) client: Client,
     pub(super) clock: Clock,
@@ -123,6 +129,7 @@
         actions: Vec::new(),
         peer_requests,
         claims: stream(&settings, &client, CLAIMS_STREAM),
+        crashes: stream(&settings, &client, CRASHES_STREAM),
         snapshots: stream(&settings, &client, SNAPSHOTS_STREAM),
         client,
         clock,
@@ -178,6 +185,8 @@
     ));
     tokio::spawn(tail::snapshots(snapshots, events.clone()));
     tokio::spawn(tail::claims(claims, clock, events.clone()));
+    let crashes = stream(settings, client, CRASHES_STREAM);
+    tokio::spawn(tail::crashes(crashes, events.clone()));
     tokio::spawn(tail::list(
         client.clone(),
         platform.list.clone(),
@@ -337,6 +346,7 @@
         let arrival = Arrival {
             credential: inbound.credential,
             deadline: now.after(wait),
+            fingerprint: fingerprint(&inbound),
             work: self.work(&inbound.kind),
         };
         self.record(TimelineEntry {
@@ -490,3 +500,24 @@
         None => std::future::pending().await,
     }
 }
+
+/// The fingerprint of a request, whose caller is known by its credential.
+fn fingerprint(inbound: &InboundRequest) -> Fingerprint {
+    let caller = Some(format!("{:x?}", inbound.credential));
+    let new = |host: &str, target: &str, body: &[u8]| {
+        Fingerprint::new(caller.as_deref(), host, target, body)
+    };
+    match &inbound.kind {
+        RequestKind::Call {
+            payload, service, ..
+        } => new(service, &payload.path, &payload.body),
+        RequestKind::Generation {
+            body, model, path, ..
+        } => new(model, path, json!(body).to_string().as_bytes()),
+        RequestKind::Resume {
+            endpoint,
+            generation,
+            ..
+        } => new(endpoint, &generation.to_string(), &[]),
+    }
+}
--- a/crates/carawayhead/src/daemon/perform.rs
+++ b/crates/carawayhead/src/daemon/perform.rs
@@ -10,10 +10,14 @@
     decision::{
         gossip::{PeerUpdate, Watermark},
         snapshot::Snapshot,
+        suspects::Change,
     },
     endpoint::{engine, send_event, service},
     peer::Answer,
-    streamlog::stream::{self, Stream},
+    streamlog::{
+        codec,
+        stream::{self, Stream},
+    },
 };
 
 /// Timeout of a load query to an engine.
@@ -54,6 +58,7 @@
                 Action::Finish(key, outcome) => self.finish(key, outcome),
                 Action::Gossip(address) => self.gossip(&address),
                 Action::Poll(endpoint) => self.poll(endpoint),
+                Action::PublishCrash(change) => self.publish_crash(&change),
                 Action::Resume {
                     attempt,
                     endpoint,
@@ -132,6 +137,18 @@
         });
     }
 
+    /// Appends a change of the requests that crash endpoints; the state repeats it until it has been
+    /// read.
+    fn publish_crash(&self, change: &Change) {
+        log::info!(change:?; "crash of an endpoint is published");
+        let (stream, data) = (self.crashes.clone(), codec::encode_crash(change));
+        tokio::spawn(async move {
+            if let Err(error) = stream.append(data).await {
+                log::warn!(error:%; "crash of an endpoint could not be published");
+            }
+        });
+    }
+
     fn finish(&mut self, key: request::Key, outcome: Outcome) {
         let Some(exchange) = self.exchanges.remove(key) else {
             return;
--- a/crates/carawayhead/src/daemon/tail.rs
+++ b/crates/carawayhead/src/daemon/tail.rs
@@ -131,6 +131,28 @@
     }
 }
 
+/// Follows the stream of crashes of endpoints and reports its records as events.
+pub async fn crashes(stream: Stream, events: Sender<Event>) {
+    let mut next = 0;
+    let mut poll_timeout = Duration::ZERO;
+    while !events.is_closed() {
+        let Some(batch) = read(&stream, next, poll_timeout).await else {
+            continue;
+        };
+        poll_timeout = LONG_POLL_TIMEOUT;
+        next = next.max(batch.first);
+        for record in &batch.records {
+            next = record.offset + 1;
+            match codec::decode_crash(&record.data) {
+                Ok(change) => send_event(&events, Event::Crash(change)).await,
+                Err(error) => {
+                    log::error!(offset = record.offset, error:%; "skipping a crash record that cannot be decoded");
+                }
+            }
+        }
+    }
+}
+
 /// Reads the instance list, pausing for `interval` after each read, and reports changes as
 /// events.
 pub async fn list(client: Client, address: String, interval: Duration, events: Sender<Event>) {
--- a/crates/decision/src/action.rs
+++ b/crates/decision/src/action.rs
@@ -1,6 +1,6 @@
 //! Actions that the caller of [`State`] must carry out.
 
-use crate::prelude::*;
+use crate::{prelude::*, suspects::Change};
 
 /// An effect to be carried out by an adapter.
 #[derive(Debug)]
@@ -20,6 +20,8 @@
     Deliver(request::Key, u32, Bytes),
     /// Stop reading a generation without cancelling it.
     Detach(request::Key),
+    /// Append this change of the requests that crash endpoints to the log.
+    PublishCrash(Change),
     /// Deliver the outcome to the caller and forget the request.
     Finish(request::Key, Outcome),
     /// Request configuration updates from the peer at this address.
--- a/crates/decision/src/arrival.rs
+++ b/crates/decision/src/arrival.rs
@@ -1,6 +1,6 @@
 //! Incoming requests.
 
-use crate::prelude::*;
+use crate::{fingerprint::Fingerprint, prelude::*};
 
 /// An incoming request, without its body, which stays with the adapter that sends it.
 #[derive(Clone, Debug)]
@@ -9,6 +9,8 @@
     pub credential: [u8; 32],
     /// Time after which the caller no longer waits for an answer.
     pub deadline: Time,
+    /// Identifies equal requests.
+    pub fingerprint: Fingerprint,
     /// The requested work.
     pub work: Work,
 }
--- a/crates/decision/src/completion.rs
+++ b/crates/decision/src/completion.rs
@@ -50,6 +50,9 @@
             self.stats.late += 1;
             return;
         }
+        if failure == Failure::Broken {
+            self.record_break(now, attempt);
+        }
         match self.requests[attempt.request].work {
             Work::Call { .. } => self.handle_call_failure(now, attempt, failure, out),
             Work::Generation { .. } | Work::Resume { .. } => {
--- a/crates/decision/src/dispatch.rs
+++ b/crates/decision/src/dispatch.rs
@@ -60,6 +60,10 @@
         let mut saturated: Vec<(String, u64)> = Vec::new();
         let mut searches = 0;
         for key in order {
+            if self.is_refused(now, key) {
+                self.give_up(key, Refusal::CrashesEndpoints, None, out);
+                continue;
+            }
             let (name, required_tokens) = self.demand(key);
             let skip = saturated
                 .iter()
@@ -128,7 +132,8 @@
         out: &mut Vec<Action>,
     ) {
         let key = attempt.request;
-        if evidence.is_none() && self.requests[key].sends >= MAX_RUNS {
+        let is_spent = self.requests[key].sends >= MAX_RUNS || self.is_refused(now, key);
+        if evidence.is_none() && is_spent {
             if let Some(run) = self.run(attempt) {
                 let endpoint = run.endpoint;
                 self.discard_report(endpoint);
--- a/crates/decision/src/event.rs
+++ b/crates/decision/src/event.rs
@@ -4,6 +4,7 @@
     endpoint::Member,
     gossip::{ConfigRecord, PeerUpdate},
     prelude::*,
+    suspects::Change,
 };
 
 /// An input of the state machine.
@@ -23,6 +24,8 @@
     ConfigCaughtUp(Time),
     /// A configuration record was read.
     Configured(ConfigRecord),
+    /// A change of the requests that crash endpoints was read.
+    Crash(Change),
     /// A generation completed after this many tokens.
     StreamEnded(Attempt, u32),
     /// An attempt failed.
--- a/crates/decision/src/outcome.rs
+++ b/crates/decision/src/outcome.rs
@@ -108,6 +108,8 @@
     AllRefused,
     /// The caller disconnected before the request was sent.
     CallerGone,
+    /// Endpoints were lost while they ran equal requests.
+    CrashesEndpoints,
     /// The deadline passed while the request waited.
     DeadlinePassed,
     /// No configuration has been read yet.
@@ -137,6 +139,7 @@
         let text = match self {
             Self::AllRefused => "every endpoint tried refused the request",
             Self::CallerGone => "the caller left before the request was sent",
+            Self::CrashesEndpoints => "endpoints were lost while they ran equal requests",
             Self::DeadlinePassed => "the deadline passed before an endpoint was free",
             Self::KeyExpired => {
                 "the idempotency key is older than the window in which repeats are known"
--- a/crates/decision/src/request.rs
+++ b/crates/decision/src/request.rs
@@ -1,6 +1,6 @@
 //! Requests in progress.
 
-use crate::prelude::*;
+use crate::{fingerprint::Fingerprint, prelude::*};
 
 slotmap::new_key_type! {
   /// Key of a request in [`State::requests`].
@@ -16,6 +16,8 @@
     pub customer: customer::Key,
     /// Time after which the caller no longer waits for an answer.
     pub deadline: Time,
+    /// Identifies equal requests.
+    pub fingerprint: Fingerprint,
     /// Current phase.
     pub phase: Phase,
     /// Number of sends without evidence that they did not run.
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -1,13 +1,24 @@
 //! State of an instance, and the step that advances it.
 
 use {
-    crate::{event::Peer, gossip::History, prelude::*, request::Run, routing::rendezvous},
+    crate::{
+        event::Peer,
+        gossip::History,
+        prelude::*,
+        request::Run,
+        routing::rendezvous,
+        suspects::{Change, Crash, Suspects},
+    },
     rand::{SeedableRng, rngs::StdRng},
 };
 
 /// `Retry-After` of refused requests that may succeed a little later.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Time after which a change of the suspects that has not come back from the log is published
+/// again.
+const PUBLICATION_INTERVAL: Duration = Duration::from_millis(500);
+
 /// State of an entry instance, owned by its event loop.
 #[derive(Debug)]
 pub struct State {
@@ -37,6 +48,8 @@
     pub requests: SlotMap<request::Key, Request>,
     /// Counters.
     pub stats: Stats,
+    /// Requests that may crash endpoints.
+    pub suspects: Suspects,
     pub(crate) claims_read_at: Option<Time>,
     pub(crate) config_read_at: Option<Time>,
     pub(crate) output_lengths: OutputLengths,
@@ -57,6 +70,8 @@
     pub(crate) digest: u64,
     pub(crate) orders: Vec<(order::Key, request::Key)>,
     pub(crate) rng: StdRng,
+    /// When changes of [`Self::suspects`] are published again, and their number then.
+    pub(crate) next_publication: (Time, usize),
 }
 
 impl State {
@@ -92,7 +107,9 @@
             requests: SlotMap::default(),
             rng: StdRng::seed_from_u64(seed),
             gossip_round: 0,
+            next_publication: (Time::default(), 0),
             stats: Stats::default(),
+            suspects: Suspects::default(),
             slow_start: SlowStart::default(),
         }
     }
@@ -111,6 +128,7 @@
             arrived_at: now,
             customer: customer.unwrap_or_default(),
             deadline: arrival.deadline,
+            fingerprint: arrival.fingerprint,
             phase: Phase::Waiting {
                 claim: None,
                 proof: Some(Unsent::new()),
@@ -119,7 +137,7 @@
             last_endpoint: None,
             work: arrival.work,
         });
-        if let Some((refusal, retry)) = self.check_arrival(customer, key) {
+        if let Some((refusal, retry)) = self.check_arrival(now, customer, key) {
             self.refuse(key, refusal, retry, out);
             return key;
         }
@@ -176,6 +194,7 @@
             Event::ClaimsCaughtUp(at) => self.claims_read_at = self.claims_read_at.max(Some(at)),
             Event::ConfigCaughtUp(at) => self.mark_config_current(at),
             Event::Configured(record) => self.apply_config_record(now, record, out),
+            Event::Crash(change) => self.apply_crash(now, change),
             Event::StreamEnded(attempt, total) => self.handle_stream_end(now, attempt, total, out),
             Event::Failed(attempt, failure) => self.handle_failure(now, attempt, failure, out),
             Event::CallerDisconnected(request) => self.handle_disconnect(now, request, out),
@@ -267,6 +286,7 @@
 
     fn check_arrival(
         &self,
+        now: Time,
         customer: Option<customer::Key>,
         key: request::Key,
     ) -> Option<(Refusal, Option<Duration>)> {
@@ -281,10 +301,58 @@
             Work::Generation { model, .. } => self.config.route(model).is_some(),
             Work::Resume { .. } => true,
         };
-        if route_known {
-            None
-        } else {
-            Some((Refusal::UnknownRoute, None))
+        if !route_known {
+            return Some((Refusal::UnknownRoute, None));
+        }
+        self.is_refused(now, key)
+            .then_some((Refusal::CrashesEndpoints, None))
+    }
+
+    /// Whether requests equal to this one have crashed too many endpoints.
+    pub(crate) fn is_refused(&self, now: Time, key: request::Key) -> bool {
+        let request = &self.requests[key];
+        let resumes = matches!(request.work, Work::Resume { .. });
+        !resumes && self.suspects.refuses(now, request.fingerprint)
+    }
+
+    /// Records that the connection to an endpoint broke while it ran a request. An endpoint that is
+    /// shutting down has ended by itself.
+    pub(crate) fn record_break(&mut self, now: Time, attempt: Attempt) {
+        let Some(run) = self.run(attempt) else {
+            return;
+        };
+        let endpoint = run.endpoint;
+        let request = &self.requests[attempt.request];
+        let Some(endpoint) = self.endpoints.get(endpoint) else {
+            return;
+        };
+        if endpoint.member.leaving || matches!(request.work, Work::Resume { .. }) {
+            return;
+        }
+        let crash = Crash {
+            endpoint: format!("{}/{}", endpoint.member.name, attempt.generation),
+            fingerprint: request.fingerprint,
+        };
+        self.suspects.record_crash(now, crash);
+    }
+
+    /// Publishes changes of the suspects, again until they have come back from the log.
+    fn publish_suspects(&mut self, now: Time, out: &mut Vec<Action>) {
+        let changes = self.suspects.unpublished();
+        let (next, published) = self.next_publication;
+        if changes.is_empty() || (now < next && changes.len() <= published) {
+            self.next_publication.1 = changes.len();
+            return;
+        }
+        self.next_publication = (now.after(PUBLICATION_INTERVAL), changes.len());
+        out.extend(changes.iter().cloned().map(Action::PublishCrash));
+        self.suspects.expire(now);
+    }
+
+    fn apply_crash(&mut self, now: Time, change: Change) {
+        match change {
+            Change::Cleared(crash) => self.suspects.apply_removal(crash),
+            Change::Crashed(crash) => self.suspects.apply_crash(now, crash),
         }
     }
 
@@ -297,6 +365,7 @@
         self.track_absent_instances(now);
         self.propose_slow_start(now);
         self.gossip(now, out);
+        self.publish_suspects(now, out);
         self.append_snapshot_if_due(now, wall, out);
         self.claims
             .expire(wall.before(self.limits.order_window + self.limits.skew * 3));
--- a/crates/decision/src/stream.rs
+++ b/crates/decision/src/stream.rs
@@ -63,6 +63,11 @@
             return;
         }
         let endpoint = run.endpoint;
+        if tokens > 0 {
+            // An engine that is lost before its first token may end its stream as if complete.
+            let fingerprint = self.requests[attempt.request].fingerprint;
+            self.suspects.record_completion(now, fingerprint);
+        }
         if let Work::Generation { model, .. } = &self.requests[attempt.request].work {
             self.output_lengths.learn(model, tokens);
         }
--- a/crates/forward/src/suspects.rs
+++ b/crates/decision/src/suspects.rs
@@ -5,12 +5,12 @@
 //! have been lost is refused, under whatever id and at whichever instance it arrives: without a
 //! limit over all instances, it would take down one endpoint after another.
 //!
-//! Instances share crashes through a topic of the store, whose records are kept there until they
-//! expire, so that an instance that has just started knows of them as well.
+//! Instances share crashes through the log, whose records are kept there until they expire, so that
+//! an instance that has just started knows of them as well.
 
 use {
-    crate::prelude::*,
-    std::{cmp::Reverse, collections::VecDeque},
+    crate::{fingerprint::Fingerprint, prelude::*},
+    std::cmp::Reverse,
 };
 
 /// Number of endpoints lost under a request from which on it is refused.
@@ -37,7 +37,7 @@
 pub struct Crash {
     /// The request.
     pub fingerprint: Fingerprint,
-    /// The endpoint's run of its process; see [`Listing::incarnation`].
+    /// The endpoint's run of its process, or the attempt where that is not known.
     pub endpoint: String,
 }
 
--- a/crates/decision/tests/fairness.rs
+++ b/crates/decision/tests/fairness.rs
@@ -1,5 +1,6 @@
 //! Fairness between customers and between models.
 
+use decision::fingerprint::Fingerprint;
 use {
     bytes::Bytes,
     decision::{
@@ -133,6 +134,7 @@
         let arrival = Arrival {
             credential: [1; 32],
             deadline: now.after(Duration::from_secs(9)),
+            fingerprint: Fingerprint::new(None, "", "", &[]),
             work: Work::Generation {
                 limit: 50,
                 model: model.to_string(),
@@ -155,6 +157,7 @@
     let arrival = Arrival {
         credential: [credential; 32],
         deadline: now.after(Duration::from_secs(9)),
+        fingerprint: Fingerprint::new(None, "", "", &[]),
         work: Work::Resume {
             endpoint: "gone".to_string(),
             generation: decision::generation::Id(1),
@@ -182,6 +185,7 @@
         arrived_at: Time::default(),
         customer: busy,
         deadline: Time::MAX,
+        fingerprint: Fingerprint::new(None, "", "", &[]),
         phase: decision::request::Phase::Transition,
         sends: 0,
         last_endpoint: None,
--- a/crates/decision/tests/world/mod.rs
+++ b/crates/decision/tests/world/mod.rs
@@ -1,5 +1,6 @@
 //! Simulation of three instances (cores) with an in-memory log and endpoints.
 
+use decision::fingerprint::Fingerprint;
 use {
     bytes::Bytes,
     decision::{
@@ -291,6 +292,7 @@
         let arrival = Arrival {
             credential: CREDENTIAL,
             deadline: now.after(Duration::from_secs(20)),
+            fingerprint: Fingerprint::new(None, "", "", &self.requests.len().to_le_bytes()),
             work,
         };
         let mut out = Vec::new();
@@ -550,7 +552,12 @@
                     );
                     request.next += 1;
                 }
-                Action::Detach(_) | Action::Gossip(_) | Action::Poll(_) | Action::Snapshot(_) => {}
+                // The requests of a history differ, so no crash counts against a later one.
+                Action::Detach(_)
+                | Action::Gossip(_)
+                | Action::Poll(_)
+                | Action::PublishCrash(_)
+                | Action::Snapshot(_) => {}
                 Action::Finish(key, outcome) => self.finish(core, key, outcome),
                 Action::Resume { attempt, next, .. } => {
                     let job = Job::Resume(next);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod choice;
 pub mod config;
 pub mod endpoint;
-pub mod fingerprint;
 pub mod freshness;
 pub mod load;
 pub mod outcome;
@@ -23,6 +22,8 @@
 pub mod sequence;
 pub mod settings;
 pub mod state;
-pub mod suspects;
 
-pub use state::State;
+pub use {
+    decision::{fingerprint, suspects},
+    state::State,
+};
--- a/crates/forward/src/prelude.rs
+++ b/crates/forward/src/prelude.rs
@@ -4,13 +4,12 @@
     crate::{
         config::{Config, Engine, Kind, Route, Service},
         endpoint::{Endpoint, Listing},
-        fingerprint::Fingerprint,
         outcome::Refusal,
         request::Inbound,
         run::Run,
         settings::Settings,
     },
-    decision::time::Time,
+    decision::{fingerprint::Fingerprint, time::Time},
     std::{net::SocketAddr, time::Duration},
 };
 
--- a/crates/streamlog/src/codec.rs
+++ b/crates/streamlog/src/codec.rs
@@ -1,6 +1,14 @@
-//! Encoding of snapshots and claim batches as log records.
+//! Encoding of snapshots, claim batches and crashes of endpoints as log records.
 
-use {crate::prelude::*, decision::snapshot::Snapshot, serde::Serialize};
+use {
+    crate::prelude::*,
+    decision::{
+        fingerprint::Fingerprint,
+        snapshot::Snapshot,
+        suspects::{Change, Crash},
+    },
+    serde::Serialize,
+};
 
 /// Maximum number of snapshot bytes in one record.
 const SNAPSHOT_CHUNK_BYTES: usize = 256 * 1024;
@@ -100,3 +108,45 @@
 pub fn decode_batch(data: &[u8]) -> Result<Batch, Error> {
     postcard::from_bytes(data).map_err(|error| codec_error(&error))
 }
+
+/// A change of the requests that crash endpoints.
+#[derive(Deserialize, Serialize)]
+struct RawCrash {
+    cleared: bool,
+    endpoint: String,
+    fingerprint: String,
+}
+
+/// Encodes a change of the requests that crash endpoints.
+#[must_use]
+pub fn encode_crash(change: &Change) -> Bytes {
+    let (crash, cleared) = match change {
+        Change::Cleared(crash) => (crash, true),
+        Change::Crashed(crash) => (crash, false),
+    };
+    let raw = RawCrash {
+        cleared,
+        endpoint: crash.endpoint.clone(),
+        fingerprint: crash.fingerprint.to_string(),
+    };
+    serde_json::json!(raw).to_string().into()
+}
+
+/// Decodes a change of the requests that crash endpoints.
+///
+/// # Errors
+///
+/// The record is not JSON of the expected shape, or names no request.
+pub fn decode_crash(data: &[u8]) -> Result<Change, Error> {
+    let raw = serde_json::from_slice::<RawCrash>(data)?;
+    let fingerprint = Fingerprint::parse(&raw.fingerprint);
+    let crash = Crash {
+        endpoint: raw.endpoint,
+        fingerprint: fingerprint.ok_or_else(|| Error::Record("fingerprint".to_string()))?,
+    };
+    Ok(if raw.cleared {
+        Change::Cleared(crash)
+    } else {
+        Change::Crashed(crash)
+    })
+}
