--- a/crates/carawayhead/tests/soak/deployment.rs
+++ b/crates/carawayhead/tests/soak/deployment.rs
@@ -10,6 +10,7 @@
         Engine, PlainService, Store,
         caller::{self, config},
         engine::SharedRuns,
+        service::ServiceBehavior,
     },
     rustix::process::Signal,
     std::{sync::Arc, time::Duration},
@@ -18,6 +19,9 @@
 /// Events of a stream; at 15 ms each it lasts 0.9 s.
 pub const EVENTS_PER_STREAM: u32 = 60;
 
+/// Seconds within which a rollout has to be decided.
+const ROLLOUT_S: f64 = 5.0;
+
 /// Failure domains, with one instance in each.
 pub const DOMAINS: [&str; 3] = ["a", "b", "c"];
 
@@ -72,6 +76,9 @@
     engines_started: u32,
     config_version: u64,
     shared_runs: Arc<SharedRuns>,
+    /// Endpoints of the version that is rolled out, and whether it is bad.
+    pub canaries: Vec<PlainService>,
+    pub is_bad_version: bool,
 }
 
 impl Deployment {
@@ -88,6 +95,8 @@
             engines_started: 0,
             config_version: 0,
             shared_runs: Arc::default(),
+            canaries: Vec::new(),
+            is_bad_version: false,
         };
         deployment.shared_runs.crash_engines_on(FATAL_BODY, 0);
         deployment.publish();
@@ -132,6 +141,22 @@
         }
     }
 
+    /// Orders that the plain service moves to another version, which fails its answers if it is bad.
+    pub async fn start_rollout(&mut self, is_bad: bool) {
+        self.is_bad_version = is_bad;
+        self.store.order_rollout("desk", "v2", ROLLOUT_S);
+        for domain in ["a", "b"] {
+            let id = format!("new-desk-{domain}");
+            let server = PlainService::start(&id).await;
+            if is_bad {
+                server.set_behavior(ServiceBehavior::Failing);
+            }
+            let entry = server.entry_of_version("desk", domain, "ready", "v2");
+            self.store.write_endpoint_entry(&id, &entry);
+            self.canaries.push(server);
+        }
+    }
+
     /// Publishes the next version of the configuration.
     pub fn publish(&mut self) {
         self.config_version += 1;
--- a/crates/carawayhead/tests/soak/main.rs
+++ b/crates/carawayhead/tests/soak/main.rs
@@ -40,6 +40,9 @@
 /// Engines that a request may crash before all instances refuse it.
 const MAX_FATAL_CRASHES: usize = 3;
 
+/// Requests that a bad version may get.
+const MAX_EXPOSED: usize = 50;
+
 /// Time within which connected instances know of each other's crashes.
 const STABILITY_WINDOW: Duration = Duration::from_secs(3);
 
@@ -103,6 +106,7 @@
     });
     let mut callers = callers.collect::<Vec<_>>();
     if mode == Mode::Faults {
+        deployment.start_rollout(seed.is_multiple_of(2)).await;
         callers.push(tokio::spawn(callers::repeat_fatal_request(
             seed,
             listening.clone(),
@@ -117,6 +121,7 @@
     }
     let records = records.lock().expect("not poisoned").clone();
     let mut violations = check_guarantees(&deployment, &injector, &records);
+    violations.extend(check_rollout(&deployment));
     if mode == Mode::Planned {
         violations.extend(check_uninterrupted(&records));
     }
@@ -239,6 +244,30 @@
     violations
 }
 
+/// Checks that operators were told of one decision at most, and that a bad version got few requests.
+fn check_rollout(deployment: &Deployment) -> Vec<String> {
+    let statuses = deployment.store.rollout_statuses("desk");
+    let decisions = statuses
+        .iter()
+        .filter(|status| status["state"] != "running");
+    let decisions = decisions.map(|status| status["state"].to_string());
+    let decisions = decisions.collect::<Vec<_>>();
+    let mut violations = Vec::new();
+    if decisions.len() > 1 {
+        violations.push(format!("decisions of one rollout: {decisions:?}"));
+    }
+    let canaries = deployment.canaries.iter();
+    let exposed = canaries.map(|canary| canary.executed_calls().len());
+    let exposed = exposed.sum::<usize>();
+    let completed = decisions.iter().any(|state| state.contains("completed"));
+    if deployment.is_bad_version && (completed || exposed > MAX_EXPOSED) {
+        violations.push(format!(
+            "a bad version got {exposed} requests, {decisions:?}"
+        ));
+    }
+    violations
+}
+
 /// Checks that planned changes interrupt no request that an instance has started to read.
 fn check_uninterrupted(records: &[Record]) -> Vec<String> {
     let interrupted = records.iter().filter(|record| match &record.response {
--- a/crates/explain/src/lib.rs
+++ b/crates/explain/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod cause;
 pub mod request;
+pub mod rollout;
 pub mod table;
 
 pub use {cause::Cause, request::Requests, table::Table};
--- a/crates/explain/src/request.rs
+++ b/crates/explain/src/request.rs
@@ -1,7 +1,7 @@
 //! Collects the log lines of each request.
 
 use {
-    crate::Cause,
+    crate::{Cause, rollout::Step},
     serde::Deserialize,
     std::collections::{BTreeMap, btree_map},
 };
@@ -59,6 +59,8 @@
 #[derive(Debug, Default)]
 pub struct Requests {
     by_id: BTreeMap<String, Request>,
+    /// Steps of rollouts, in the order in which they were read.
+    pub rollouts: Vec<Step>,
     /// Number of lines that could not be parsed.
     pub unreadable_lines: usize,
 }
@@ -71,7 +73,9 @@
             self.unreadable_lines += usize::from(!line.trim().is_empty());
             return;
         };
-        let Ok(line) = serde_json::from_str::<LogLine>(line[start..].trim_end()) else {
+        let text = line[start..].trim_end();
+        self.rollouts.extend(Step::parse(text));
+        let Ok(line) = serde_json::from_str::<LogLine>(text) else {
             self.unreadable_lines += 1;
             return;
         };
--- a/crates/explain/src/table.rs
+++ b/crates/explain/src/table.rs
@@ -1,7 +1,10 @@
 //! Requests grouped by cause, with counts, times and examples.
 
 use {
-    crate::{Cause, Requests},
+    crate::{
+        Cause, Requests,
+        rollout::{self, Report, Step},
+    },
     serde::Serialize,
     std::fmt::{self, Display, Formatter},
 };
@@ -29,6 +32,8 @@
 /// All causes, most frequent first.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Table {
+    /// Steps of rollouts, by time.
+    pub rollouts: Vec<Step>,
     /// One row per cause.
     pub rows: Vec<Row>,
     /// Number of log lines that could not be parsed.
@@ -49,6 +54,7 @@
         let mut rows = groups.map(row).collect::<Vec<_>>();
         rows.sort_by(|one, other| (other.count, &one.cause).cmp(&(one.count, &other.cause)));
         Self {
+            rollouts: rollout::timeline(&requests.rollouts),
             rows,
             unreadable_lines: requests.unreadable_lines,
         }
@@ -94,6 +100,9 @@
                 row.examples.join(" "),
             )?;
         }
+        if !self.rollouts.is_empty() {
+            write!(f, "\n{}", Report(&self.rollouts))?;
+        }
         if self.unreadable_lines > 0 {
             writeln!(f, "\n{} lines could not be read.", self.unreadable_lines)?;
         }
