--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -27,12 +27,13 @@
 const MAX_COPY_KV_FILL: f64 = 0.75;
 
 /// Share of the KV cache of all engines up to which runs are copied. Above it copies would take
-/// the memory of runs, which would be preempted; runs of leaving engines can still be moved without
-/// a copy.
+/// the memory of runs: new prompts would gather at the few engines that have some left, and runs
+/// would be preempted. Runs of leaving engines can still be moved without a copy.
 const MAX_RUN_KV_FILL: f64 = 0.65;
 
-/// Minimum expected output for a copy. A shorter run ends soon after its prefill, and its copy
-/// would take bandwidth from longer runs.
+/// Minimum expected output for a copy. A shorter run ends within a fraction of a second of its
+/// prefill, in which an engine is hardly ever lost, and its copy would take bandwidth from longer
+/// runs.
 const MIN_COPY_OUTPUT_TOKENS: u32 = 100;
 
 /// Prefill rate of an engine in tokens per millisecond beside its other runs; about half of the
--- a/crates/forward/src/endpoint.rs
+++ b/crates/forward/src/endpoint.rs
@@ -15,7 +15,8 @@
 /// becomes free.
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
 
-/// Weight of the latest answer in the moving average of the failure rate.
+/// Weight of the latest answer in the moving average of the failure rate; about the last ten answers
+/// count.
 const FAILURE_RATE_WEIGHT: f64 = 0.1;
 
 /// An endpoint as registered in the store.
--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -198,7 +198,8 @@
     /// domains, are candidates.
     ///
     /// While nobody reaches the store, the first by rank of all candidates keeps trying and the
-    /// others rarely do, since failed calls count against the rate limit too.
+    /// others rarely do, since failed calls count against the rate limit too, and those of one
+    /// instance tell as much as those of all.
     #[must_use]
     pub fn is_reader(&self, own: LocalTopic<'_>, now: Time) -> bool {
         if own.role == Role::Member {
@@ -236,7 +237,8 @@
     /// received from the peer for `ENTRY_TTL`.
     ///
     /// Replaced instances get new names. Without removal their entries would accumulate, and each
-    /// costs connection attempts and a share of every shared limit.
+    /// costs connection attempts and a share of every shared limit, so that the shares would shrink
+    /// day by day.
     #[must_use]
     pub fn is_dead(&self, name: &str, listed: Time, now: Time) -> bool {
         let index = self
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -25,7 +25,8 @@
 /// Long poll timeout for the list of instances, whose age does not matter for requests.
 const INSTANCES_LONG_POLL_TIMEOUT: Duration = Duration::from_secs(12);
 
-/// Delay between two reads, so that one read returns several changes.
+/// Delay between two reads, so that one read returns several changes: there are a few per second, and
+/// each read is a call that counts against the rate limit.
 const READ_DELAY: Duration = Duration::from_millis(60);
 
 /// Delay between two reads of the list of instances where there are many of them.
--- a/crates/proxy/src/gossip/report.rs
+++ b/crates/proxy/src/gossip/report.rs
@@ -97,7 +97,8 @@
 
 /// Requests the aggregator's newest rows before a placement, and waits for them.
 ///
-/// Without this, members that place requests between two reports would all pick the same
+/// Members place few requests, but often several of them at the same time: with the rows of their
+/// last reports, those that do so within the same quarter of a second would all pick the same
 /// engine.
 pub async fn refresh(shared: &Shared) {
     let now = clock::now();
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -10,8 +10,8 @@
 /// [`Trailer`].
 pub const BASE_TOPICS: usize = 4;
 
-/// Compression level for records, 0 to 10. Higher levels cost more time than they save on the
-/// network.
+/// Compression level for records, 0 to 10. The lowest one that finds repetitions reduces a
+/// configuration to a fifth; higher levels cost more time than they save on the network.
 const DEFLATE_LEVEL: u8 = 1;
 
 /// Size limit of a decompressed batch; a read returns a megabyte at most.
@@ -22,8 +22,8 @@
 pub enum Message {
     /// An aggregator's answer to a report of a member of its failure domain.
     Answer(Answer),
-    /// A compressed [`Batch`]. Uncompressed, relaying a configuration to many peers can fill a
-    /// slow link and delay events of streams.
+    /// A compressed [`Batch`]. Uncompressed, a configuration of 20 kB that is relayed to 28 peers
+    /// holds a link of 10 Mbit/s for half a second, which delays events of streams.
     Records(Vec<u8>),
     /// Load and watermarks of an instance.
     Report(Report),
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -24,13 +24,13 @@
     tokio::sync::mpsc,
 };
 
-/// Silence after which the engine is asked to stop the run. A preempted run may pause for
-/// a long time, so it is given up only after the engine has been asked.
+/// Silence after which the engine is asked to stop the run. Events are about 30 ms apart, but a
+/// preempted run may pause for a long time, so it is given up only after the engine has been asked.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Fraction of the route's longest allowed gap after which the engine with the backup copy
 /// takes the stream over. If the network drops packets without a reset, events stop arriving;
-/// taking over early avoids a late event.
+/// taking over early avoids a late event, since the other engine needs about 25 ms.
 const QUIET_GAP_SHARE: f64 = 0.5;
 
 /// Longest allowed gap between events where the route sets none.
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -12,7 +12,8 @@
     forward::choice::Need,
 };
 
-/// Maximum number of takeovers for one stream.
+/// Maximum number of takeovers for one stream. An engine usually runs for ten seconds at least, and a
+/// generation takes about as long.
 const MAX_TAKEOVERS: u32 = 8;
 
 /// Timeout of each read of a stopped run's last events, which may still be in transit when
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -69,7 +69,7 @@
     1.0
 }
 
-/// Default of [`Joint::most_instances`].
+/// Default of [`Joint::most_instances`]: seven instances with three to spare.
 const fn most_instances() -> u32 {
     10
 }
--- a/crates/streamlog/src/list.rs
+++ b/crates/streamlog/src/list.rs
@@ -38,6 +38,9 @@
 
 /// Polls the list with conditional requests, so that it is transferred and parsed only when
 /// it has changed.
+///
+/// With thousands of endpoints the list is a third of a megabyte. Reading all of it twice a second
+/// costs more than everything else that an idle instance does.
 #[derive(Debug)]
 pub struct Reader {
     address: String,
