--- a/crates/forward/tests/rollouts/histories.rs
+++ b/crates/forward/tests/rollouts/histories.rs
@@ -1,6 +1,7 @@
 //! Random histories of rollouts over many instances, with faults.
 //!
-//! `ROLLOUTS` sets their number and `SEED` the first seed, as in
+//! `ROLLOUTS` sets their number, `INSTANCES` how many instances each has and `SEED` the first seed,
+//! as in
 //! `ROLLOUTS=1000 SEED=7 cargo test --release -p forward --test rollouts`.
 
 use {
@@ -10,6 +11,9 @@
     std::{env, time::Duration},
 };
 
+/// Default number of instances.
+const INSTANCES: u64 = 80;
+
 /// Default number of histories of each test.
 const ROLLOUTS: u64 = 4;
 
@@ -36,7 +40,7 @@
             lost_answers: random.random_range(0..300),
             restarts: random.random_range(0..200),
         },
-        instances: 80,
+        instances: usize::try_from(number("INSTANCES", INSTANCES)).expect("small"),
         requests_per_s: random.random_range(60..140),
         seed,
         target: Target {
