Rollouts: claims once, slots of earlier orders, records that remain, completion without endpoints

Found by reading the diff: an instance appended its claim again and again until it had read it back (the loop does not wait after an action); claims of an earlier order that are listed before its decision kept their slots; claims and evidence stayed in the store for good; an order whose endpoints are gone could be completed on an idle service; a second new version under the same endpoint id was not checked against the orders.

--- a/crates/carawayhead/tests/forwarding/rollouts.rs
+++ b/crates/carawayhead/tests/forwarding/rollouts.rs
@@ -118,6 +118,10 @@
     let deployment = Deployment::start().await;
     deployment.order();
     let statuses = deployment.serve_until("completed").await;
+    wait_until("only the stage and what was told are kept", || async {
+        deployment.store.newest_rollout_records() == 2
+    })
+    .await;
     assert!(statuses.iter().all(|status| *status == StatusCode::OK));
     let told = deployment.store.rollout_statuses("desk");
     let states = told.iter().map(|status| status["state"].as_str());
--- a/crates/forward/src/rollout/mod.rs
+++ b/crates/forward/src/rollout/mod.rs
@@ -45,6 +45,8 @@
     /// Evidence of other instances, sorted by holder.
     evidence: Vec<Evidence>,
     exposure: Exposure,
+    /// When this instance may next claim a slot; an earlier claim may not have been read back yet.
+    next_claim: Time,
     /// `None` if there are answers that it does not take into account.
     judgement: Option<Judgement>,
     order: Option<Order>,
@@ -112,6 +114,21 @@
         self.judgement.unwrap_or_default()
     }
 
+    /// Records that a final stage makes needless: claims and evidence. `holder` is this instance.
+    #[must_use]
+    pub fn needless_records(&self, holder: &str) -> Vec<Record> {
+        let claims = self.claims.iter().cloned().map(Content::Claim);
+        let evidence = self.evidence.iter().cloned().map(Content::Evidence);
+        let own = self.order.as_ref().map(|order| Evidence {
+            holder: holder.to_string(),
+            order: order.id,
+            tallies: Tallies::new(),
+            target: order.target.clone(),
+        });
+        let contents = claims.chain(evidence).chain(own.map(Content::Evidence));
+        contents.map(|content| self.record(content)).collect()
+    }
+
     /// Number of claimed slots.
     #[must_use]
     pub fn claimed(&self) -> usize {
@@ -189,8 +206,7 @@
         self.pending = None;
         self.withdrawn = false;
         self.replaced.clear();
-        let last_decided = self.last_decided();
-        self.claims.retain(|claim| claim.order > last_decided);
+        self.drop_earlier_claims();
         if !is_repeated {
             // Requests that were sent under an undecided order count on, so that orders in quick
             // succession together stay within the limit.
@@ -243,10 +259,18 @@
             }
             Content::Version(stage) => {
                 self.set_version(now, stage);
+                // The newest records of a topic come in the order of their keys, so claims of earlier
+                // orders may come before what was decided on these.
+                self.drop_earlier_claims();
             }
         }
     }
 
+    fn drop_earlier_claims(&mut self) {
+        let last_decided = self.last_decided();
+        self.claims.retain(|claim| claim.order > last_decided);
+    }
+
     /// Takes a claim, unless it belongs to an earlier rollout.
     fn apply_claim(&mut self, claim: Claim) {
         if claim.order <= self.last_decided() {
@@ -341,6 +365,13 @@
             .apply(now, &holder, record.content);
     }
 
+    /// Records that are to be removed once operators have been told of a service's final stage.
+    #[must_use]
+    pub fn needless_records(&self, service: &str) -> Vec<Record> {
+        let rollout = self.rollout(service);
+        rollout.map_or_else(Vec::new, |rollout| rollout.needless_records(&self.holder))
+    }
+
     /// Sets the versions that a completed order has replaced.
     pub fn set_replaced(&mut self, service: &str, versions: Vec<String>) {
         self.rollout_mut(service).replaced = versions;
--- a/crates/forward/src/rollout/step.rs
+++ b/crates/forward/src/rollout/step.rs
@@ -21,6 +21,9 @@
 /// Time for which the same instances may claim a free slot.
 const CLAIM_PERIOD: Duration = Duration::from_millis(100);
 
+/// Time within which a claim is read back.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Number of instances that on average may claim a free slot in a period.
 const CONTENDERS: u32 = 2;
 
@@ -183,7 +186,8 @@
                 return Some(Stage::RolledBack);
             }
             let is_proved = verdict == Verdict::Good || !has_alternative;
-            let is_done = settled && is_proved && (is_empty || is_late);
+            let is_served = surroundings.targets > 0;
+            let is_done = settled && is_proved && is_served && (is_empty || is_late);
             return is_done.then_some(Stage::Completed);
         }
         let is_good = verdict == Verdict::Good || !has_alternative;
@@ -245,7 +249,7 @@
 
     /// A slot to claim, if this instance has requests for it.
     fn due_claim(
-        &self,
+        &mut self,
         now: Time,
         holder: &str,
         slots: u32,
@@ -255,6 +259,7 @@
         let elapsed = now.since(self.ordered_at);
         let has_requests = tally::answers(&self.own) > 0;
         let is_wanted = self.stage()? == Stage::Canary
+            && now >= self.next_claim
             && !self.withdrawn
             && has_requests
             && surroundings.targets > 0
@@ -282,12 +287,14 @@
         }
         let index = (drawn / instances).checked_rem(count)?;
         let slot = free[usize::try_from(index).unwrap_or_default()];
-        Some(Action::Append(self.record(Content::Claim(Claim {
+        let claim = Claim {
             at: 0,
             holder: holder.to_string(),
             order: order.id,
             slot,
-        }))))
+        };
+        self.next_claim = now.after(CLAIM_TIMEOUT);
+        Some(Action::Append(self.record(Content::Claim(claim))))
     }
 
     /// Requests to the service since the order that other instances know of.
@@ -297,7 +304,7 @@
         published.sum::<u32>() + tally::answers(&self.own_published.0)
     }
 
-    fn record(&self, content: Content) -> Record {
+    pub(super) fn record(&self, content: Content) -> Record {
         Record {
             content,
             service: self.service.clone(),
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -188,17 +188,19 @@
             Change::Removed(id) => self.remove_listing(now, &id),
             Change::Set(listing) => {
                 let is_unverified = self.is_unverified_version(&listing);
-                let key = match self.find(&listing.id) {
+                let (key, is_new_version) = match self.find(&listing.id) {
                     Some(key) => {
+                        let before = self.endpoints[key].listing.version.clone();
+                        let is_new_version = before != listing.version;
                         if self.endpoints[key].update(listing, now) {
                             self.forget_copies_at(key);
                         }
-                        key
+                        (key, is_new_version)
                     }
-                    None => self.endpoints.insert(Endpoint::new(listing, now)),
+                    None => (self.endpoints.insert(Endpoint::new(listing, now)), true),
                 };
-                if is_unverified {
-                    self.endpoints[key].unverified_since.get_or_insert(now);
+                if is_unverified && is_new_version {
+                    self.endpoints[key].unverified_since = Some(now);
                 }
             }
         }
--- a/crates/forward/tests/rollouts/decisions.rs
+++ b/crates/forward/tests/rollouts/decisions.rs
@@ -138,6 +138,37 @@
     }
 }
 
+/// An instance starts and lists the newest records: claims of an earlier order come before what was
+/// decided on it. They must not keep the slots of the present one.
+#[test]
+fn claims_of_an_earlier_order_keep_no_slots() {
+    let mut state = ordered();
+    assert!(state.set_order(at(1000), order(ORDER + 5, "v2")));
+    claim(&mut state, 3, "e2@1", 1);
+    reach(&mut state, 1000, "v2", ORDER, Stage::RolledBack);
+    let content = Claim {
+        at: 8,
+        holder: HOLDER.to_string(),
+        order: ORDER + 5,
+        slot: 3,
+    };
+    apply(&mut state, 1000, Content::Claim(content));
+    assert_eq!(exposed(&mut state, 1000), SLOT_REQUESTS as usize);
+}
+
+/// The records of a rollout would stay in the store for good, and grow with each one.
+#[test]
+fn decided_rollout_leaves_no_claims_and_no_evidence() {
+    let mut state = ordered();
+    claim(&mut state, 3, HOLDER, 1);
+    claim(&mut state, 3, "e2@1", 2);
+    let needless = state.rollouts.needless_records("model");
+    let is_claim = |record: &&Record| matches!(record.content, Content::Claim(_));
+    let is_evidence = |record: &&Record| matches!(record.content, Content::Evidence(_));
+    assert_eq!(needless.iter().filter(is_claim).count(), 2);
+    assert_eq!(needless.iter().filter(is_evidence).count(), 1);
+}
+
 /// An instance that has not heard of a rollout for some seconds may have missed that it was rolled
 /// back.
 #[test]
--- a/crates/proxy/src/rollouts.rs
+++ b/crates/proxy/src/rollouts.rs
@@ -195,8 +195,16 @@
             "operators are told of a rollout"
         );
     }
-    append(shared, record).await?;
     let end = shared.topic(Topic::Rollouts).position.get();
+    let (key, value) = rollout::encode(record);
+    let mut records = vec![(key, value.as_bytes())];
+    if published.stage.is_final() {
+        let state = shared.state.borrow();
+        let needless = state.rollouts.needless_records(service);
+        let keys = needless.iter().map(|record| rollout::encode(record).0);
+        records.extend(keys.map(|key| (key, &b""[..])));
+    }
+    shared.store.put_all(Topic::Rollouts, &records).await?;
     wait_for_relay(shared, end.unwrap_or_default()).await;
     Ok(())
 }
