forward: stop runs of a request that has crashed three engines

Callers saw: a request that takes down its engine cost more engines than the three after which it is refused.

Cause: only sends asked whether a request is refused. Requests on their way when the third engine was lost ran on, and an engine falls half a second after the send, long after all instances know.

Ruled out: holding suspects back before the third loss. Those in flight when the first loss is known are sent already, and each request that shared an engine with the guilty one would wait.

Change: equal requests that wait are refused at once, and those that run are stopped: 502 before the first event, since they may have run, else the stream is cut. A run that has produced more events at its engine than any that lost theirs goes on; it can clear the request.

--- a/crates/carawayhead/tests/forwarding/crashes.rs
+++ b/crates/carawayhead/tests/forwarding/crashes.rs
@@ -1,15 +1,15 @@
 //! Requests that crash the engines that run them.
 
 use {
-    crate::instance::Instance,
+    crate::instance::{Instance, wait_until},
     http::StatusCode,
     platform::standin::{
         Engine, Store,
         caller::{CallerRequest, CallerResponse, config, send_request},
         engine::SharedRuns,
     },
-    std::{sync::Arc, time::Duration},
-    tokio::time::sleep,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{task::JoinSet, time::sleep},
 };
 
 /// Body of the request that crashes engines.
@@ -22,11 +22,21 @@
 const STABILITY_WINDOW: Duration = Duration::from_secs(3);
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(15);
-const EVENTS_PER_STREAM: u32 = 240;
+const EVENTS_PER_STREAM: u32 = 320;
+
+/// Time after which a request would crash its engine if it were not stopped.
+const CRASH_DELAY: Duration = Duration::from_secs(20);
+
+/// Event after which a stream crashes its engine.
+const FATAL_EVENT: u32 = 120;
+
+/// Time by which streams get further than others, far longer than instances take to learn of crashes.
+const HEAD_START: Duration = Duration::from_millis(1200);
 
 struct Deployment {
     engines: Vec<Engine>,
     instances: Vec<Instance>,
+    shared_runs: Arc<SharedRuns>,
     store: Store,
 }
 
@@ -35,7 +45,10 @@
     /// of a request with [`FATAL_BODY`].
     async fn start(engines: usize, events: u32) -> Self {
         let store = Store::start().await;
-        store.write_operator_record("config", &config(1, &["key-1"], 30_000));
+        // All routes lead to the engines.
+        let config = config(1, &["key-1"], 30_000);
+        let config = config.replace(r#""service":"desk""#, r#""service":"model""#);
+        store.write_operator_record("config", &config);
         let shared_runs = Arc::<SharedRuns>::default();
         shared_runs.crash_engines_on(FATAL_BODY, events);
         let mut started = Vec::new();
@@ -48,6 +61,7 @@
         let mut deployment = Self {
             engines: started,
             instances: Vec::new(),
+            shared_runs,
             store,
         };
         deployment.start_instances().await;
@@ -63,12 +77,26 @@
 
     /// Sends a request with this body under a new id, to one instance after another.
     async fn send(&self, path: &str, body: &str, number: usize) -> CallerResponse {
-        let id = format!("{body}-{number}");
-        let mut request = CallerRequest::new(&id, path);
-        request.body = body;
         let instance = &self.instances[number % self.instances.len()];
-        let response = send_request(instance.caller_address, &request).await;
-        response.expect("the instance responds")
+        send(instance.caller_address, path, body, number).await
+    }
+
+    /// Starts to send fatal requests with these numbers, one after another, and waits until they run.
+    async fn start_fatal(&self, path: &'static str, numbers: &[usize]) -> Pending {
+        let mut pending = Pending::new();
+        for number in numbers {
+            let running = self.executed();
+            let instance = &self.instances[number % self.instances.len()];
+            pending.spawn(send(instance.caller_address, path, FATAL_BODY, *number));
+            wait_until("the request runs", || async { self.executed() > running }).await;
+        }
+        pending
+    }
+
+    /// Number of requests that engines have begun to run.
+    fn executed(&self) -> usize {
+        let calls = self.engines.iter().map(Engine::executed_calls);
+        calls.map(|calls| calls.len()).sum()
     }
 
     /// Sends the fatal request until it has crashed [`MAX_CRASHES`] engines, with `step` 1 to one
@@ -120,6 +148,17 @@
     }
 }
 
+/// Requests on their way.
+type Pending = JoinSet<CallerResponse>;
+
+async fn send(address: SocketAddr, path: &str, body: &str, number: usize) -> CallerResponse {
+    let id = format!("{body}-{number}");
+    let mut request = CallerRequest::new(&id, path);
+    request.body = body;
+    let response = send_request(address, &request).await;
+    response.expect("the instance responds")
+}
+
 /// A caller repeats a request that crashes each engine, under new ids and at any instance. If
 /// instances blame only the engine, the engines go down one after another.
 #[tokio::test]
@@ -176,3 +215,55 @@
         deployment.assert_refused("/tag/7").await;
     }
 }
+
+/// Equal requests run at other engines when the third one is lost. Each that is let run takes down
+/// one more engine, although all instances know by then what it does.
+#[tokio::test]
+async fn requests_in_flight_are_stopped_after_a_request_has_crashed_three_engines() {
+    for path in ["/draft/7", "/tag/7", "/look/7", "/order/7"] {
+        let deployment = Deployment::start(14, 0).await;
+        let shared_runs = &deployment.shared_runs;
+        shared_runs.crash_engines_later_on(FATAL_BODY, 0, CRASH_DELAY);
+        let pending = deployment
+            .start_fatal(path, &[200, 201, 202, 203, 204])
+            .await;
+        shared_runs.crash_engines_on(FATAL_BODY, 0);
+        // An attempt at another instance may start before that one knows of the last crash.
+        deployment.crash_engines(path, 3).await;
+        for response in pending.join_all().await {
+            assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{path}");
+        }
+        assert_eq!(deployment.crashed(), MAX_CRASHES, "{path}");
+    }
+}
+
+/// Streams that have not got as far as those that crashed three engines would crash theirs at the
+/// same event. One that has got further is harmless, and its caller is served.
+#[tokio::test]
+async fn streams_are_stopped_before_the_event_at_which_others_crashed_three_engines() {
+    let deployment = Deployment::start(14, FATAL_EVENT).await;
+    let shared_runs = &deployment.shared_runs;
+    shared_runs.crash_engines_on("another", 0);
+    let harmless = deployment.start_fatal("/draft/7", &[300]).await;
+    sleep(HEAD_START).await;
+    shared_runs.crash_engines_on(FATAL_BODY, FATAL_EVENT);
+    // An instance spreads its own requests over the engines.
+    let mut fatal = deployment.start_fatal("/draft/7", &[303, 306, 309]).await;
+    sleep(HEAD_START).await;
+    let later = deployment
+        .start_fatal("/draft/7", &[400, 401, 403, 404])
+        .await;
+    while let Some(response) = fatal.join_next().await {
+        assert!(!response.expect("it ends").complete);
+    }
+    for response in later.join_all().await {
+        assert_eq!(
+            (response.status, response.complete),
+            (StatusCode::OK, false)
+        );
+    }
+    assert_eq!(deployment.crashed(), MAX_CRASHES);
+    for response in harmless.join_all().await {
+        assert_eq!((response.status, response.complete), (StatusCode::OK, true));
+    }
+}
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -321,7 +321,7 @@
         let Some(run) = self.run(attempt) else {
             return;
         };
-        let endpoint = run.endpoint;
+        let (endpoint, events) = (run.endpoint, run.next);
         let request = &self.requests[attempt.request];
         let Some(endpoint) = self.endpoints.get(endpoint) else {
             return;
@@ -331,6 +331,7 @@
         }
         let crash = Crash {
             endpoint: format!("{}/{}", endpoint.member.name, attempt.generation),
+            events,
             fingerprint: request.fingerprint,
         };
         self.suspects.record_crash(now, crash);
--- a/crates/decision/src/suspects.rs
+++ b/crates/decision/src/suspects.rs
@@ -3,7 +3,8 @@
 //! When the connection to an endpoint breaks, each request in progress there becomes a suspect.
 //! Harmless ones complete later, or are never seen again. A request under which several endpoints
 //! have been lost is refused, under whatever id and at whichever instance it arrives: without a
-//! limit over all instances, it would take down one endpoint after another.
+//! limit over all instances, it would take down one endpoint after another. Its runs in progress
+//! are stopped, unless they have got further than those that lost their endpoints.
 //!
 //! Instances share crashes through the log, whose records are kept there until they expire, so that
 //! an instance that has just started knows of them as well.
@@ -39,6 +40,15 @@
     pub fingerprint: Fingerprint,
     /// The endpoint's run of its process, or the attempt where that is not known.
     pub endpoint: String,
+    /// Number of events or tokens that the request had produced there.
+    pub events: u32,
+}
+
+impl Crash {
+    /// Whether this is the same endpoint, lost under the same request.
+    fn is_same(&self, other: &Self) -> bool {
+        self.endpoint == other.endpoint && self.fingerprint == other.fingerprint
+    }
 }
 
 /// A change of the suspects that other instances have to learn.
@@ -55,6 +65,12 @@
         let (Self::Cleared(crash) | Self::Crashed(crash)) = self;
         crash
     }
+
+    /// Whether a record of `other` in the store makes this change known to all instances.
+    fn is_confirmed_by(&self, other: &Self) -> bool {
+        std::mem::discriminant(self) == std::mem::discriminant(other)
+            && self.crash().is_same(other.crash())
+    }
 }
 
 /// A request under which endpoints were lost.
@@ -62,6 +78,8 @@
 struct Suspect {
     crashed_at: Time,
     endpoints: Vec<String>,
+    /// Maximum number of events that a run had produced when its endpoint was lost.
+    events: u32,
     fingerprint: Fingerprint,
 }
 
@@ -78,9 +96,17 @@
     /// Whether a request is refused, since too many endpoints were lost under it.
     #[must_use]
     pub fn refuses(&self, now: Time, fingerprint: Fingerprint) -> bool {
+        self.find(fingerprint)
+            .is_ok_and(|index| self.entries[index].is_refused(now))
+    }
+
+    /// Whether a run of a request that has produced `events` events is to be stopped: the request
+    /// is refused, and the run has not got further than those that lost their endpoints.
+    #[must_use]
+    pub fn stops(&self, now: Time, fingerprint: Fingerprint, events: u32) -> bool {
         self.find(fingerprint).is_ok_and(|index| {
             let suspect = &self.entries[index];
-            suspect.endpoints.len() >= MAX_CRASHES && now.since(suspect.crashed_at) < REFUSAL_PERIOD
+            suspect.is_refused(now) && events <= suspect.events
         })
     }
 
@@ -172,6 +198,7 @@
                 let suspect = Suspect {
                     crashed_at: now,
                     endpoints: Vec::new(),
+                    events: 0,
                     fingerprint: crash.fingerprint,
                 };
                 self.entries.insert(index, suspect);
@@ -183,6 +210,7 @@
             return false;
         }
         suspect.crashed_at = now;
+        suspect.events = suspect.events.max(crash.events);
         suspect.endpoints.push(crash.endpoint);
         true
     }
@@ -220,7 +248,8 @@
 
     fn publish(&mut self, change: Change) {
         let crash = change.crash().clone();
-        self.unpublished.retain(|other| *other.crash() != crash);
+        self.unpublished
+            .retain(|other| !other.crash().is_same(&crash));
         if self.unpublished.len() == MAX_SUSPECTS {
             self.unpublished.remove(0);
         }
@@ -228,16 +257,22 @@
     }
 
     fn confirm(&mut self, change: &Change) {
-        self.unpublished.retain(|other| other != change);
+        self.unpublished
+            .retain(|other| !other.is_confirmed_by(change));
     }
 }
 
 impl Suspect {
+    fn is_refused(&self, now: Time) -> bool {
+        self.endpoints.len() >= MAX_CRASHES && now.since(self.crashed_at) < REFUSAL_PERIOD
+    }
+
     fn crashes(self) -> impl Iterator<Item = Crash> {
-        let fingerprint = self.fingerprint;
+        let (events, fingerprint) = (self.events, self.fingerprint);
         self.endpoints.into_iter().map(move |endpoint| Crash {
             fingerprint,
             endpoint,
+            events,
         })
     }
 }
--- a/crates/decision/tests/crashes.rs
+++ b/crates/decision/tests/crashes.rs
@@ -19,6 +19,7 @@
 fn crash(number: u32) -> Change {
     Change::Crashed(Crash {
         endpoint: format!("desk/{number}"),
+        events: 0,
         fingerprint: fingerprint("fatal"),
     })
 }
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -440,6 +440,7 @@
         now: Time,
         fingerprint: Fingerprint,
         endpoint: EndpointKey,
+        events: u32,
     ) -> bool {
         let Some(endpoint) = self.endpoints.get(endpoint) else {
             return false;
@@ -453,6 +454,7 @@
             Crash {
                 fingerprint,
                 endpoint,
+                events,
             },
         )
     }
--- a/crates/forward/tests/crash_histories.rs
+++ b/crates/forward/tests/crash_histories.rs
@@ -186,6 +186,7 @@
         for run in broken {
             let crash = Crash {
                 endpoint: endpoint.clone(),
+                events: 0,
                 fingerprint: harmless(run.body),
             };
             let suspects = &mut self.instances[run.instance].suspects;
@@ -211,6 +212,7 @@
         );
         let crash = Crash {
             endpoint: self.incarnation(engine),
+            events: 0,
             fingerprint: fatal(),
         };
         self.crash(engine);
--- a/crates/forward/tests/suspects.rs
+++ b/crates/forward/tests/suspects.rs
@@ -17,6 +17,7 @@
 fn crash(body: &str, endpoint: &str) -> Crash {
     Crash {
         endpoint: endpoint.to_string(),
+        events: 0,
         fingerprint: fingerprint(body),
     }
 }
@@ -68,8 +69,8 @@
     let (leaving, lost) = (key(&state, "m1"), key(&state, "m2"));
     state.change(at(1), Change::Removed("m1".to_string()));
     let request = fingerprint("body");
-    assert!(!state.record_break(at(2), request, leaving));
-    assert!(state.record_break(at(2), request, lost));
+    assert!(!state.record_break(at(2), request, leaving, 0));
+    assert!(state.record_break(at(2), request, lost, 0));
     assert_eq!(state.suspects.crashes(request), 1);
 }
 
@@ -161,3 +162,38 @@
     assert!(suspects.refuses(at(2), fingerprint("fatal")));
     assert!(suspects.unpublished().len() <= MAX_SUSPECTS);
 }
+
+/// Runs of a refused request would crash their endpoints like the others, at the same event. One that
+/// has got further shows that it does not, and its caller must not be cut off.
+#[test]
+fn runs_that_have_not_outlasted_the_crashed_ones_are_stopped() {
+    let mut suspects = Suspects::default();
+    for (number, events) in [(1, 4), (2, 7), (3, 5)] {
+        assert!(!suspects.stops(at(0), fingerprint("fatal"), 0));
+        let lost = Crash {
+            events,
+            ..crash("fatal", &format!("m{number}"))
+        };
+        suspects.record_crash(at(0), lost);
+    }
+    assert!(suspects.stops(at(1), fingerprint("fatal"), 0));
+    assert!(suspects.stops(at(1), fingerprint("fatal"), 7));
+    assert!(!suspects.stops(at(1), fingerprint("fatal"), 8));
+    assert!(!suspects.stops(at(1), fingerprint("other"), 0));
+    assert!(!suspects.stops(at(0).after(REFUSAL_PERIOD), fingerprint("fatal"), 0));
+}
+
+/// Two instances lose the same endpoint at different events. Either record makes the loss known, or
+/// one of them would publish it without end.
+#[test]
+fn record_of_another_instance_confirms_a_crash() {
+    let mut suspects = Suspects::default();
+    suspects.record_crash(at(0), crash("fatal", "m1"));
+    let other = Crash {
+        events: 9,
+        ..crash("fatal", "m1")
+    };
+    suspects.apply_crash(at(1), other);
+    assert!(suspects.unpublished().is_empty());
+    assert_eq!(suspects.crashes(fingerprint("fatal")), 1);
+}
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -99,8 +99,13 @@
         .arrived
         .after(queue_timeout)
         .min(ticket.expires);
-    let acquired =
-        acquire_endpoint(shared, ticket, Need::default(), &progress.tried, deadline).await;
+    let acquired = tokio::select! {
+        biased;
+        acquired = acquire_endpoint(shared, ticket, Need::default(), &progress.tried, deadline) => {
+            acquired
+        }
+        () = shared.stopped(original, 0) => return Attempt::Failed(Refusal::CrashesEndpoints),
+    };
     let Some((key, _)) = acquired else {
         progress.why = "no endpoint with room".to_string();
         return Attempt::Failed(Refusal::Full);
@@ -114,7 +119,15 @@
     shared.record_attempt(&ticket.service, progress.sends > 0);
     progress.sends += 1;
     let sent_at = clock::now();
-    match send(shared, original, ticket, progress, key).await {
+    let sent = tokio::select! {
+        biased;
+        sent = send(shared, original, ticket, progress, key) => sent,
+        () = shared.stopped(original, 0) => {
+            progress.note_run(key, Refusal::CrashesEndpoints.label().to_string());
+            return Attempt::Failed(Refusal::CrashesEndpoints);
+        }
+    };
+    match sent {
         Ok(answer) => {
             if answer.is_success() {
                 shared.record_completion(original);
--- a/crates/proxy/src/crashes.rs
+++ b/crates/proxy/src/crashes.rs
@@ -68,7 +68,10 @@
 }
 
 async fn append(shared: &Shared, changes: &[Change]) -> Result<(), platform::Error> {
-    let records = changes.iter().map(crash::encode).collect::<Vec<_>>();
+    let encoded = changes.iter().map(crash::encode).collect::<Vec<_>>();
+    let records = encoded.iter();
+    let records = records.map(|(key, value)| (key.clone(), value.as_bytes()));
+    let records = records.collect::<Vec<_>>();
     let result = shared.store.put_all(Topic::Crashes, &records).await;
     let outcome = if result.is_ok() { "put" } else { "failed" };
     shared.metrics.record_store_call(outcome);
@@ -122,6 +125,9 @@
             if crashes > before && crashes > 1 {
                 log_suspicion(fingerprint, crashes);
             }
+            if crashes >= forward::suspects::MAX_CRASHES {
+                shared.refusals_changed.notify_waiters();
+            }
             shared.suspects_changed.notify_one();
         }
     }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -50,6 +50,8 @@
 pub struct Relay {
     /// Whether the engine with the backup copy has been asked since the last event.
     backup_asked: bool,
+    /// Number of events before the current engine's.
+    earlier_events: u32,
     guard: Option<RequestGuard>,
     first_event_delay: Duration,
     last_event_at: Time,
@@ -102,6 +104,8 @@
     Quiet,
     /// No event for [`SILENCE_TIMEOUT`].
     Silent,
+    /// Equal requests have crashed too many engines.
+    Stopped,
 }
 
 /// How a stream ended.
@@ -132,6 +136,7 @@
         let resume_after = start.ticket.resume_after(inbound);
         Self {
             backup_asked: false,
+            earlier_events: 0,
             guard: start.guard,
             first_event_delay: now.since(inbound.arrived),
             last_event_at: now,
@@ -196,6 +201,10 @@
                 Step::CallerLeft => return Ending::CallerLeft,
                 Step::Ended => return Ending::Complete,
                 Step::Expired => return Ending::Expired,
+                Step::Stopped => {
+                    let why = Refusal::CrashesEndpoints.label().to_string();
+                    return Ending::Lost(why);
+                }
                 Step::Events(blocks) => self.pass_on(blocks).await,
                 Step::Lost(why) => self.lost(pending_move.take(), &why).await,
                 Step::Moved(moved) => {
@@ -288,11 +297,13 @@
             .quiet_since
             .after(quiet_timeout.unwrap_or(SILENCE_TIMEOUT));
         let wait = remaining.min(until.since(now));
+        let events = self.events_here();
         tokio::select! {
             biased;
             () = self.out.closed() => Step::CallerLeft,
             chunk = self.source.answer.chunk() => self.events(chunk),
             moved = ended(pending_move) => Step::Moved(moved),
+            () = self.shared.stopped(&self.original, events) => Step::Stopped,
             () = sleep(wait) => match quiet_timeout {
                 _ if wait == remaining => Step::Expired,
                 Some(_) => Step::Quiet,
@@ -328,9 +339,14 @@
         }
     }
 
+    /// Number of events of the current engine.
+    const fn events_here(&self) -> u32 {
+        self.sequence.count().saturating_sub(self.earlier_events)
+    }
+
     fn record_break(&mut self) {
         let EventSource { key, sent_at, .. } = &self.source;
-        let events = self.sequence.count();
+        let events = self.events_here();
         self.shared
             .record_break(&self.original, *key, *sent_at, events);
         self.shared.mark_disconnected(*key);
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -267,6 +267,7 @@
         self.shared.load.notify_one();
         self.quiet_since = clock::now();
         self.backup_asked = false;
+        self.earlier_events = self.sequence.count();
         self.unjudged = false;
         self.source = opened.source;
     }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -57,6 +57,8 @@
     pub metrics: Metrics,
     /// Watermarks of peers.
     pub readers: RefCell<Readers>,
+    /// Notified when requests are refused from now on, since they crash endpoints.
+    pub refusals_changed: Notify,
     /// Notified when this instance has to publish its entry again.
     pub republish: Notify,
     /// Notified when an order of a rollout, or a record of one, has been read.
@@ -107,6 +109,7 @@
             load: Notify::new(),
             metrics: Metrics::new()?,
             readers: RefCell::default(),
+            refusals_changed: Notify::new(),
             republish: Notify::new(),
             rollouts_changed: Notify::new(),
             room: Notify::new(),
@@ -263,7 +266,7 @@
     pub fn record_break(&self, original: &Original, key: EndpointKey, sent_at: Time, events: u32) {
         let (now, fingerprint) = (clock::now(), original.fingerprint);
         let mut state = self.state.borrow_mut();
-        let counts = state.record_break(now, fingerprint, key);
+        let counts = state.record_break(now, fingerprint, key, events);
         let Some(endpoint) = state.endpoint(key) else {
             return;
         };
@@ -279,6 +282,7 @@
             crashes::log_suspicion(fingerprint, state.suspects.crashes(fingerprint));
             self.metrics.record_suspicion("crashed");
             self.suspects_changed.notify_one();
+            self.refusals_changed.notify_waiters();
         }
     }
 
@@ -301,6 +305,28 @@
         state.suspects.refuses(clock::now(), original.fingerprint)
     }
 
+    /// Waits until a run of this request that has produced `events` events is to be stopped, since
+    /// equal requests have crashed too many endpoints.
+    pub async fn stopped(&self, original: &Original, events: u32) {
+        loop {
+            let changed = self.refusals_changed.notified();
+            let now = clock::now();
+            let stops = {
+                let state = self.state.borrow();
+                state.suspects.stops(now, original.fingerprint, events)
+            };
+            if stops {
+                log::info!(
+                    id = original.inbound.id, fingerprint:% = original.fingerprint, events;
+                    "request is stopped before it crashes an endpoint"
+                );
+                self.metrics.record_suspicion("stopped");
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Records the outcome of a request at an endpoint, by which versions are judged. What an
     /// endpoint that is leaving breaks off says nothing of its version.
     pub fn observe(&self, key: EndpointKey, route: &str, outcome: Outcome) {
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -55,7 +55,13 @@
             output: expected,
             prompt: original.inbound.prompt,
         };
-        let acquired = acquire_endpoint(shared, &ticket, need, &progress.tried, deadline).await;
+        let acquired = tokio::select! {
+            biased;
+            acquired = acquire_endpoint(shared, &ticket, need, &progress.tried, deadline) => acquired,
+            () = shared.stopped(original, 0) => {
+                return Err(progress.give_up(id, Refusal::CrashesEndpoints));
+            }
+        };
         let Some((key, backup)) = acquired else {
             progress.why = "no engine with room".to_string();
             return Err(progress.give_up(id, Refusal::Full));
@@ -69,7 +75,11 @@
         shared.record_attempt(&ticket.service, progress.sends > 0);
         progress.sends += 1;
         let running = begin(shared, original, &ticket, key, backup, expected);
-        let opened = open(shared, original, &ticket, &progress, key, backup).await;
+        let opened = tokio::select! {
+            biased;
+            opened = open(shared, original, &ticket, &progress, key, backup) => opened,
+            () = shared.stopped(original, 0) => OpenOutcome::Stopped,
+        };
         match opened {
             OpenOutcome::Answer(reply) => {
                 if reply.status().is_server_error() {
@@ -84,6 +94,10 @@
                     return Err(progress.give_up(id, refusal));
                 }
             }
+            OpenOutcome::Stopped => {
+                progress.note_run(key, Refusal::CrashesEndpoints.label().to_string());
+                return Err(progress.give_up(id, Refusal::CrashesEndpoints));
+            }
             OpenOutcome::Stream(opened_stream) => {
                 let (out, parts) = mpsc::channel(MAX_BUFFERED_PARTS);
                 let mut reply = Response::new(Body::Stream(parts));
@@ -171,6 +185,8 @@
     Answer(Reply),
     NotReached,
     NotRun(String),
+    /// Stopped since equal requests have crashed too many engines; the engine may have begun it.
+    Stopped,
     Stream(Box<OpenedStream>),
     /// The engine may have run the request: what to return to the caller, and why.
     Unknown(Refusal, String),
--- a/crates/streamlog/src/codec.rs
+++ b/crates/streamlog/src/codec.rs
@@ -114,6 +114,8 @@
 struct RawCrash {
     cleared: bool,
     endpoint: String,
+    #[serde(default)]
+    events: u32,
     fingerprint: String,
 }
 
@@ -127,6 +129,7 @@
     let raw = RawCrash {
         cleared,
         endpoint: crash.endpoint.clone(),
+        events: crash.events,
         fingerprint: crash.fingerprint.to_string(),
     };
     serde_json::json!(raw).to_string().into()
@@ -142,6 +145,7 @@
     let fingerprint = Fingerprint::parse(&raw.fingerprint);
     let crash = Crash {
         endpoint: raw.endpoint,
+        events: raw.events,
         fingerprint: fingerprint.ok_or_else(|| Error::Record("fingerprint".to_string()))?,
     };
     Ok(if raw.cleared {
