serve: stop requests in flight once equal ones have crashed three engines

Callers saw: nothing yet; found by looking for the fault of `forward` in `serve`. Requests that an instance had sent before it knew of the third lost engine ran on, and each could take down one more.

Cause: the count of crashes was asked on arrival, before a send and before a retry, but not when it changed.

Change: when a request is refused from now on, equal ones that wait are refused as not run, and those that run are stopped: generations are cancelled at their engine, calls are closed, an order's key is held as lost. A run that has got further than those that lost their engines goes on. Callers get 502 with the code `crashes_endpoints`.

--- a/crates/caller/src/problem.rs
+++ b/crates/caller/src/problem.rs
@@ -55,6 +55,7 @@
             MayHaveRun::ConnectionLost => ("connection_lost", StatusCode::BAD_GATEWAY),
             MayHaveRun::DeadlinePassed => ("deadline_passed", StatusCode::GATEWAY_TIMEOUT),
             MayHaveRun::EarlierAttempt => ("earlier_attempt", StatusCode::CONFLICT),
+            MayHaveRun::Stopped => ("crashes_endpoints", StatusCode::BAD_GATEWAY),
             MayHaveRun::StreamCut(_) => ("stream_cut", StatusCode::BAD_GATEWAY),
         };
         Self {
--- a/crates/carawayhead/tests/crashes.rs
+++ b/crates/carawayhead/tests/crashes.rs
@@ -69,3 +69,37 @@
     let (status, _) = cluster.call(0, fatal_request()).await;
     assert_eq!((status, crashes(&cluster).await), (502, MAX_CRASHES));
 }
+
+/// Callers send the request at the same moment to several instances, then an instance starts that has
+/// seen nothing. All must refuse it once three engines are lost, or each new instance costs three more.
+#[tokio::test]
+async fn instance_that_starts_later_refuses_what_crashed_engines_under_many_callers() {
+    let mut cluster = Builder {
+        engine_domains: vec!["north", "south", "north", "south", "north", "south"],
+        instance_domains: vec!["north", "south", "south"],
+        ..Builder::default()
+    }
+    .start()
+    .await;
+    for _ in 0..20 {
+        let _ended = tokio::join!(
+            cluster.send(0, fatal_request()),
+            cluster.send(1, fatal_request()),
+            cluster.send(2, fatal_request()),
+            cluster.send(0, fatal_request()),
+            cluster.send(1, fatal_request()),
+        );
+        if crashes(&cluster).await >= MAX_CRASHES {
+            break;
+        }
+    }
+    let known = crashes(&cluster).await;
+    assert!(known >= MAX_CRASHES, "the request does not reach engines");
+    cluster.add_instance("entry-3", "north").await;
+    cluster.wait_until_ready(3).await;
+    sleep(STABILITY_WINDOW).await;
+    for number in 0..8 {
+        let (status, _) = cluster.call(number % 4, fatal_request()).await;
+        assert_eq!((status, crashes(&cluster).await), (503, known));
+    }
+}
--- a/crates/decision/src/completion.rs
+++ b/crates/decision/src/completion.rs
@@ -1,6 +1,6 @@
 //! Completion of requests: failures, deadlines, disconnects and refusals.
 
-use crate::{prelude::*, state::RETRY_AFTER};
+use crate::{fingerprint::Fingerprint, prelude::*, state::RETRY_AFTER};
 
 impl State {
     /// Finishes a request whose deadline has passed or whose claim was not settled in time.
@@ -50,6 +50,7 @@
             self.stats.late += 1;
             return;
         }
+        let fingerprint = self.requests[attempt.request].fingerprint;
         if failure == Failure::Broken {
             self.record_break(now, attempt);
         }
@@ -59,6 +60,60 @@
                 self.handle_stream_failure(now, attempt, failure, out);
             }
         }
+        if failure == Failure::Broken {
+            self.stop_refused(now, fingerprint, out);
+        }
+    }
+
+    /// Ends the requests equal to one that is refused now. Those that wait are not sent, and those that
+    /// run are stopped before they crash their endpoints as well.
+    pub(crate) fn stop_refused(
+        &mut self,
+        now: Time,
+        fingerprint: Fingerprint,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.suspects.refuses(now, fingerprint) {
+            return;
+        }
+        let requests = self.requests.iter();
+        let equal = requests.filter(|(_, request)| {
+            request.fingerprint == fingerprint && !matches!(request.work, Work::Resume { .. })
+        });
+        let equal = equal.map(|(key, _)| key).collect::<Vec<_>>();
+        for key in equal {
+            self.stop(now, key, out);
+        }
+        self.dispatch(now, out);
+    }
+
+    /// Stops a refused request, unless its run has got further than those that lost their endpoints.
+    fn stop(&mut self, now: Time, key: request::Key, out: &mut Vec<Action>) {
+        let request = &self.requests[key];
+        let Phase::Running(run) = &request.phase else {
+            if matches!(request.phase, Phase::Waiting { .. }) {
+                self.give_up(key, Refusal::CrashesEndpoints, None, out);
+            }
+            return;
+        };
+        let (generation, next) = (run.generation, run.next);
+        if !self.suspects.stops(now, request.fingerprint, next) {
+            return;
+        }
+        let attempt = Attempt {
+            generation,
+            request: key,
+        };
+        let is_generation = matches!(request.work, Work::Generation { .. });
+        let why = if next == 0 {
+            MayHaveRun::Stopped
+        } else {
+            MayHaveRun::StreamCut(next)
+        };
+        if is_generation {
+            self.cancel(attempt, false, out);
+        }
+        self.finish_unknown(key, why, out);
     }
 
     /// Removes a request and delivers its outcome.
--- a/crates/decision/src/outcome.rs
+++ b/crates/decision/src/outcome.rs
@@ -83,6 +83,8 @@
     DeadlinePassed,
     /// An earlier request with the same key ran or may have run, and its answer is not stored.
     EarlierAttempt,
+    /// It was stopped, since endpoints were lost while they ran equal requests.
+    Stopped,
     /// The stream ended prematurely after this many tokens.
     StreamCut(u32),
 }
@@ -96,6 +98,10 @@
             }
             Self::DeadlinePassed => write!(f, "the deadline passed while the endpoint was at work"),
             Self::EarlierAttempt => write!(f, "an earlier request under this key may have run"),
+            Self::Stopped => write!(
+                f,
+                "endpoints were lost while they ran equal requests, so it was stopped"
+            ),
             Self::StreamCut(tokens) => write!(f, "the stream was cut after {tokens} tokens"),
         }
     }
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -194,7 +194,7 @@
             Event::ClaimsCaughtUp(at) => self.claims_read_at = self.claims_read_at.max(Some(at)),
             Event::ConfigCaughtUp(at) => self.mark_config_current(at),
             Event::Configured(record) => self.apply_config_record(now, record, out),
-            Event::Crash(change) => self.apply_crash(now, change),
+            Event::Crash(change) => self.apply_crash(now, change, out),
             Event::StreamEnded(attempt, total) => self.handle_stream_end(now, attempt, total, out),
             Event::Failed(attempt, failure) => self.handle_failure(now, attempt, failure, out),
             Event::CallerDisconnected(request) => self.handle_disconnect(now, request, out),
@@ -350,10 +350,14 @@
         self.suspects.expire(now);
     }
 
-    fn apply_crash(&mut self, now: Time, change: Change) {
+    fn apply_crash(&mut self, now: Time, change: Change, out: &mut Vec<Action>) {
         match change {
             Change::Cleared(crash) => self.suspects.apply_removal(crash),
-            Change::Crashed(crash) => self.suspects.apply_crash(now, crash),
+            Change::Crashed(crash) => {
+                let fingerprint = crash.fingerprint;
+                self.suspects.apply_crash(now, crash);
+                self.stop_refused(now, fingerprint, out);
+            }
         }
     }
 
--- a/crates/decision/tests/crashes.rs
+++ b/crates/decision/tests/crashes.rs
@@ -7,6 +7,7 @@
         action::Action,
         event::{Event, Failure},
         fingerprint::Fingerprint,
+        outcome::MayHaveRun,
         suspects::{Change, Crash},
     },
     desk::Harness,
@@ -61,3 +62,37 @@
     let is_published = |action: &Action| matches!(action, Action::PublishCrash(_));
     assert!(!harness.out.iter().any(is_published));
 }
+
+/// Requests in flight when the third endpoint is lost, here or elsewhere, would take down one endpoint
+/// each. They are stopped and may have run; those that still wait have not.
+#[test]
+fn equal_requests_in_flight_are_stopped_after_the_third_crash() {
+    let mut harness = Harness::new();
+    let first = harness.look_up(fingerprint("fatal")).expect("it is sent");
+    let second = harness.look_up(fingerprint("fatal")).expect("it is sent");
+    let other = harness.look_up(fingerprint("another")).expect("it is sent");
+    harness.step(Event::Crash(crash(1)));
+    harness.step(Event::Crash(crash(2)));
+    assert!(harness.finished().is_empty());
+    harness.step(Event::Failed(first, Failure::Broken));
+    assert_eq!(
+        harness.finished(),
+        [
+            (first.request, MayHaveRun::ConnectionLost),
+            (second.request, MayHaveRun::Stopped)
+        ]
+    );
+    assert!(harness.state.requests.contains_key(other.request));
+}
+
+/// Instances learn of the third crash from each other. Knowledge that only refuses new requests
+/// lets those in flight at other instances go on.
+#[test]
+fn third_crash_elsewhere_stops_requests_in_flight() {
+    let mut harness = Harness::new();
+    let attempt = harness.look_up(fingerprint("fatal")).expect("it is sent");
+    for number in 0..3 {
+        harness.step(Event::Crash(crash(number)));
+    }
+    assert_eq!(harness.finished(), [(attempt.request, MayHaveRun::Stopped)]);
+}
--- a/crates/decision/tests/desk/mod.rs
+++ b/crates/decision/tests/desk/mod.rs
@@ -19,8 +19,9 @@
         gossip::ConfigRecord,
         limits::Limits,
         order::Order,
+        outcome::{MayHaveRun, Outcome},
         record::{Body, Change, Customer, Facts, Item, Kind, Record, Service},
-        slow_start,
+        request, slow_start,
         state::{State, digest},
         time::{Time, Wall},
     },
@@ -127,6 +128,15 @@
         self.sent().expect("the order is sent")
     }
 
+    /// Requests that have ended since the last call and may have run.
+    pub fn finished(&mut self) -> Vec<(request::Key, MayHaveRun)> {
+        let finished = self.out.drain(..).filter_map(|action| match action {
+            Action::Finish(key, Outcome::MayHaveRun(why)) => Some((key, why)),
+            _ => None,
+        });
+        finished.collect()
+    }
+
     pub fn sent(&mut self) -> Option<Attempt> {
         self.out.drain(..).find_map(|action| match action {
             Action::Send { attempt, .. } => Some(attempt),
