serve: count an engine that is lost under equal requests once

Callers saw: a request that several callers send at once, or one caller several times, is refused with 503 for ten minutes after another request has crashed the one engine at which it ran. Four equal streams at an engine counted as four lost engines.

Cause: crashes were named by endpoint and attempt, since an instance did not know the engine's run of its process.

Evidence: `engine_lost_under_equal_requests_counts_once` failed with 503 in place of 200 after one crash.

Change: crashes at engines are named by the incarnation of their load reports, which is kept when a report is discarded. Plain services report no restarts, so that theirs are still told apart by attempts. The stand-in for engines now reports a new incarnation after a crash, as a process that is started again does.

--- a/crates/carawayhead/tests/crashes.rs
+++ b/crates/carawayhead/tests/crashes.rs
@@ -103,3 +103,31 @@
         assert_eq!((status, crashes(&cluster).await), (503, known));
     }
 }
+
+/// Equal harmless requests share an engine that another request crashes. That is one endpoint lost, not
+/// one for each of them, and their callers must be served when they come again.
+#[tokio::test]
+async fn engine_lost_under_equal_requests_counts_once() {
+    let cluster = Builder {
+        engine_domains: vec!["north"],
+        ..Builder::default()
+    }
+    .start()
+    .await;
+    let mut streams = Vec::new();
+    for number in 0..4 {
+        let sent = cluster
+            .send(number % 2, CallerRequest::generation(4000, true))
+            .await;
+        streams.push(sent.expect("a response"));
+    }
+    let _ended = cluster.send(0, fatal_request()).await;
+    assert_eq!(crashes(&cluster).await, 1);
+    sleep(STABILITY_WINDOW).await;
+    for number in 0..2 {
+        let sent = cluster
+            .send(number, CallerRequest::generation(4000, true))
+            .await;
+        assert_eq!(sent.expect("a response").status().as_u16(), 200);
+    }
+}
--- a/crates/decision/src/endpoint.rs
+++ b/crates/decision/src/endpoint.rs
@@ -69,6 +69,8 @@
     pub reported_at: Time,
     /// Number of this instance's requests running at the endpoint.
     pub running: u32,
+    /// Incarnation in the last report, kept when the report is discarded.
+    pub last_incarnation: Option<u64>,
     /// When the current incarnation was first seen.
     pub incarnation_seen_at: Time,
     /// When this instance last proposed a slow-start entry for the current incarnation.
@@ -90,6 +92,7 @@
             report: None,
             reported_at: Time::from_micros(0),
             running: 0,
+            last_incarnation: None,
             incarnation_seen_at: now,
             proposed_at: None,
             quota_transferred: false,
@@ -145,6 +148,7 @@
             self.quota_transferred = false;
         }
         self.reserved_tokens = 0;
+        self.last_incarnation = Some(report.incarnation);
         self.report = Some(report);
         self.reported_at = now;
     }
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -329,8 +329,14 @@
         if endpoint.member.leaving || matches!(request.work, Work::Resume { .. }) {
             return;
         }
+        // All requests at an engine break together, which is one crash. Plain services do not report
+        // restarts, so that their crashes can only be told apart by attempts.
+        let life = endpoint.last_incarnation.map_or_else(
+            || attempt.generation.to_string(),
+            |incarnation| incarnation.to_string(),
+        );
         let crash = Crash {
-            endpoint: format!("{}/{}", endpoint.member.name, attempt.generation),
+            endpoint: format!("{}/{life}", endpoint.member.name),
             events,
             fingerprint: request.fingerprint,
         };
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -172,6 +172,7 @@
     fn crash(&mut self, now: Instant) {
         self.batch.crash(now);
         self.down_until = now + CRASH_DOWNTIME;
+        self.incarnation += 1;
     }
 
     fn load_report(&mut self, now: Instant) -> String {
