Publish and read crashes of engines without the delays of other topics

Callers saw: the requests that share engines with a deadly one lose one more engine for each equal request that falls before all instances know of the third loss.

Cause: crashes waited 20 ms to be batched, then the topic's reader waited 60 ms after each read, which is right for a few changes a second; and an instance that waited for its last record to be relayed held newer ones back.

Ruled out: relaying without the store. It would need a second way to agree on the order of losses and clearances.

Change: 5 ms to batch, 10 ms between reads of this topic, and a new crash does not wait for the relay of an earlier one. Reads stay bounded by one reader.

--- a/crates/proxy/src/crashes.rs
+++ b/crates/proxy/src/crashes.rs
@@ -10,7 +10,10 @@
 };
 
 /// Time for which changes are batched. All requests at an endpoint break at the same time.
-const BATCH_DELAY: Duration = Duration::from_millis(20);
+const BATCH_DELAY: Duration = Duration::from_millis(5);
+
+/// How often an instance checks whether its records have been relayed.
+const RELAY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Time within which the reader of the topic relays a record that was appended.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(300);
@@ -57,9 +60,10 @@
         unpublished.cloned().collect::<Vec<_>>()
     };
     append(shared, &batch).await?;
-    for _ in 0..RELAY_TIMEOUT.as_millis() / BATCH_DELAY.as_millis() {
-        sleep(BATCH_DELAY).await;
-        if !is_pending(shared, &batch) {
+    let appended_at = clock::now();
+    while clock::now().since(appended_at) < RELAY_TIMEOUT {
+        let _changed = timeout(RELAY_POLL_INTERVAL, shared.suspects_changed.notified()).await;
+        if !is_pending(shared, &batch) || has_further_changes(shared, &batch) {
             return Ok(());
         }
     }
@@ -86,6 +90,14 @@
     unpublished.any(|change| batch.contains(change))
 }
 
+/// Whether there are changes that were not in the last batch, which must not wait for its relay. A full
+/// batch is relayed first, since the next one begins with the same changes until then.
+fn has_further_changes(shared: &Shared, batch: &[Change]) -> bool {
+    let state = shared.state.borrow();
+    let mut unpublished = state.suspects.unpublished().iter();
+    batch.len() < MAX_BATCH && unpublished.any(|change| !batch.contains(change))
+}
+
 /// Drops expired crashes; the reader of the topic removes them from the store.
 async fn drop_expired(shared: &Shared) {
     let now = clock::now();
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -29,6 +29,10 @@
 /// each read is a call that counts against the rate limit.
 const READ_DELAY: Duration = Duration::from_millis(60);
 
+/// The same for crashes of endpoints. Until all instances know of them, requests that crash endpoints
+/// are passed on.
+const CRASHES_READ_DELAY: Duration = Duration::from_millis(10);
+
 /// Delay between two reads of the list of instances where there are many of them.
 const INSTANCES_READ_DELAY: Duration = Duration::from_millis(800);
 
@@ -222,8 +226,8 @@
         // The watermark of an aggregator arrives meanwhile, which saves the read.
         Topic::Rollouts if gossip::role(shared) == Role::Member => ISOLATED_READ_DELAY,
         _ if many && shared.readers.borrow().is_isolated(clock::now()) => ISOLATED_READ_DELAY,
-        Topic::Crashes
-        | Topic::Endpoints
+        Topic::Crashes => CRASHES_READ_DELAY,
+        Topic::Endpoints
         | Topic::Instances
         | Topic::Operators
         | Topic::Rollouts
