Histories: let the fatal request run a while before it crashes an engine

Runs in flight when the third engine is lost were not in the histories. Some fatal requests now take 0.7 s, and the check that an instance in touch crashes no engine after three published losses covers those that it has sent already.

--- a/crates/forward/tests/crash_histories.rs
+++ b/crates/forward/tests/crash_histories.rs
@@ -43,6 +43,9 @@
 /// Time that a harmless request takes.
 const RUN_MS: u64 = 1200;
 
+/// Time that the fatal request takes to crash an engine where it does not do so at once.
+const FATAL_RUN_MS: u64 = 700;
+
 #[derive(Clone, Copy, Debug)]
 enum Op {
     /// An instance cannot reach the store for some milliseconds.
@@ -51,6 +54,8 @@
     Crash(usize),
     /// An instance receives the request that crashes engines, for an engine.
     Fatal(usize, usize),
+    /// An instance receives the same request, which crashes the engine only after a while.
+    SlowFatal(usize, usize),
     /// An instance receives a harmless request, one of a few that are repeated, for an engine.
     Harmless(usize, usize, usize),
     /// An instance is replaced and knows nothing.
@@ -69,6 +74,14 @@
     instance: usize,
 }
 
+/// A run of the fatal request.
+#[derive(Clone, Copy, Debug)]
+struct FatalRun {
+    crashes_at: u64,
+    engine: usize,
+    instance: usize,
+}
+
 #[derive(Debug, Default)]
 struct Instance {
     cut_until: u64,
@@ -84,6 +97,8 @@
     /// Number of times each engine has crashed.
     crashes: [u64; ENGINES],
     down_until: [u64; ENGINES],
+    fatal_runs: Vec<FatalRun>,
+    fatal_stopped: usize,
     harmless_refused: usize,
     harmless_sent: usize,
     instances: [Instance; INSTANCES],
@@ -117,10 +132,12 @@
                 instance.cut_until = instance.cut_until.max(until);
                 instance.connected_since = instance.cut_until;
             }
-            Op::Fatal(index, engine) => self.send_fatal(index, engine),
+            Op::Fatal(index, engine) => self.send_fatal(index, engine, 0),
+            Op::SlowFatal(index, engine) => self.send_fatal(index, engine, FATAL_RUN_MS),
             Op::Harmless(index, engine, body) => self.send_harmless(index, engine, body),
             Op::Restart(index) => {
                 self.runs.retain(|run| run.instance != index);
+                self.fatal_runs.retain(|run| run.instance != index);
                 let instance = &mut self.instances[index];
                 *instance = Instance {
                     connected_since: self.now.max(instance.cut_until),
@@ -149,6 +166,7 @@
                     self.sync(index);
                 }
             }
+            self.run_fatal();
         }
     }
 
@@ -194,21 +212,55 @@
         }
     }
 
+    /// Stops runs of the fatal request, and lets those that are not stopped crash their engines.
+    fn run_fatal(&mut self) {
+        let now = self.now;
+        let running = self.fatal_runs.len();
+        let instances = &self.instances;
+        self.fatal_runs.retain(|run| {
+            let suspects = &instances[run.instance].suspects;
+            !suspects.stops(at(now), fatal(), 0)
+        });
+        self.fatal_stopped += running - self.fatal_runs.len();
+        let runs = std::mem::take(&mut self.fatal_runs);
+        let (due, running) = runs.into_iter().partition(|run| run.crashes_at <= now);
+        self.fatal_runs = running;
+        let due: Vec<FatalRun> = due;
+        for run in due {
+            self.crash_by_fatal(run.instance, run.engine);
+        }
+    }
+
     fn incarnation(&self, engine: usize) -> String {
         format!("m{engine}@{}", self.crashes[engine])
     }
 
-    fn send_fatal(&mut self, index: usize, engine: usize) {
+    fn send_fatal(&mut self, index: usize, engine: usize, takes_ms: u64) {
         let refused = self.instances[index]
             .suspects
             .refuses(at(self.now), fatal());
         if refused || self.now < self.down_until[engine] {
             return;
         }
+        if takes_ms == 0 {
+            self.crash_by_fatal(index, engine);
+            return;
+        }
+        self.fatal_runs.push(FatalRun {
+            crashes_at: self.now + takes_ms,
+            engine,
+            instance: index,
+        });
+    }
+
+    fn crash_by_fatal(&mut self, index: usize, engine: usize) {
+        if self.now < self.down_until[engine] {
+            return;
+        }
         let known = self.known(fatal());
         assert!(
             !self.in_touch(index) || known < MAX_CRASHES,
-            "instance {index} sends a request that has crashed {known} engines"
+            "instance {index} sends or runs a request that has crashed {known} engines"
         );
         let crash = Crash {
             endpoint: self.incarnation(engine),
@@ -304,6 +356,8 @@
         1 => (index.clone(), 500..8000_u64).prop_map(|(index, millis)| Op::Cut(index, millis)),
         2 => engine.clone().prop_map(Op::Crash),
         8 => (index.clone(), engine.clone()).prop_map(|(index, engine)| Op::Fatal(index, engine)),
+        8 => (index.clone(), engine.clone())
+            .prop_map(|(index, engine)| Op::SlowFatal(index, engine)),
         8 => (index.clone(), engine, 0..4_usize)
             .prop_map(|(index, engine, body)| Op::Harmless(index, engine, body)),
         1 => index.clone().prop_map(Op::Restart),
@@ -332,16 +386,17 @@
         ..ProptestConfig::default()
     };
     println!("seed {}", setting("SEED", SEED));
-    let totals = Cell::new([0; 3]);
+    let totals = Cell::new([0; 4]);
     let mut runner = TestRunner::new(config);
     let result = runner.run(&vec(op(), 1..200), |ops| {
         let mut simulation = Simulation::default();
         for op in ops {
             simulation.step(op);
         }
-        let [crashes, sent, refused] = totals.get();
+        let [crashes, stopped, sent, refused] = totals.get();
         totals.set([
             crashes + simulation.fatal_crashes,
+            stopped + simulation.fatal_stopped,
             sent + simulation.harmless_sent,
             refused + simulation.harmless_refused,
         ]);
@@ -350,9 +405,13 @@
     if let Err(error) = result {
         panic!("{error}");
     }
-    let [crashes, sent, refused] = totals.get();
+    let [crashes, stopped, sent, refused] = totals.get();
     println!(
-        "{crashes} engines crashed by the fatal request; harmless: {sent} sent, {refused} refused"
+        "{crashes} engines crashed by the fatal request, {stopped} runs stopped; \
+         harmless: {sent} sent, {refused} refused"
+    );
+    assert!(
+        crashes > 0 && stopped > 0 && sent > 0,
+        "the histories sent nothing"
     );
-    assert!(crashes > 0 && sent > 0, "the histories sent nothing");
 }
