rollout: bound what one faulty endpoint shows of its version

Cause: bad answers beyond one more than the next worst endpoint did not count. That excuses one faulty endpoint, not two, and it excuses less the more answers there are: the two go on failing after the shift, when all requests reach them.

Evidence: tallies at the decision, by endpoint. `two_faulty_endpoints_...` was judged bad at 90 answers before.

Ruled out: to drop the worst two of six.

Change: under a good version an endpoint may be faulty by itself with a small probability, so its share of the evidence is bounded and that of the other endpoints has to agree. Three of six endpoints that fail everything still condemn a version; of two endpoints both have to fail, of three most of their answers. The same bound holds for the evidence that a version is good.

--- a/crates/forward/src/rollout/verdict.rs
+++ b/crates/forward/src/rollout/verdict.rs
@@ -1,11 +1,15 @@
 //! Judges a new version by its answers, against those of the versions that it replaces.
 //!
-//! A sequential test for each route, and for all routes together: cumulative sums of log-likelihood
-//! ratios between "as bad as the others" and "worse by a certain share", in the order of the
-//! answers and reset at zero, so that a version that turns bad late is found as fast as one that is
-//! bad from the start (Page's CUSUM). Failed answers, rejections and slow answers are tested by
-//! themselves, since their usual shares differ. Slow are answers that took much longer than the
-//! median answer of the other versions on the route.
+//! A sequential test for each route, and for all routes together: log-likelihood ratios between
+//! "worse by a certain share" and "as bad as the others", summed over the latest answers from any one
+//! on, so that a version that turns bad late is found as fast as one that is bad from the start (Page's
+//! CUSUM). Failed answers, rejections and slow answers are tested by themselves, since their usual
+//! shares differ. Slow are answers that took much longer than the median answer of the other versions
+//! on the route.
+//!
+//! Some endpoints fail whatever their version. Under a good version an endpoint is therefore taken as
+//! faulty by itself with a small probability, which bounds what a single one can show: a version is
+//! bad if most of its endpoints are.
 
 use super::tally::{Outcome, RouteTally, Sample, TIME_CLASSES, Tally};
 
@@ -33,9 +37,16 @@
 const PRIOR_REJECTED: f64 = 0.05;
 const PRIOR_SLOW: f64 = 0.1;
 
-/// Bad answers by which one endpoint may exceed all others; what lies beyond is the fault of the
-/// endpoint, not of its version.
-const MAX_EXCESS: usize = 1;
+/// Maximum evidence of one endpoint against its version. Three endpoints can reach [`BAD_SCORE`] if
+/// the others show nothing.
+const MAX_ENDPOINT_EVIDENCE: f64 = 5.1;
+
+/// Share of the endpoints that must be bad where there are few. With less, one faulty endpoint of two
+/// would condemn a version.
+const BAD_ENDPOINT_SHARE: f64 = 2.0 / 3.0;
+
+/// Probability that an endpoint is faulty by itself, in the test for a good version.
+const FAULTY_SHARE: f64 = 0.05;
 
 /// Share of the good answers that a version turns bad that must be unlikely before it is good.
 const EXCLUDED_LIFT: f64 = 0.35;
@@ -93,12 +104,14 @@
         let routes = tallies.iter().map(|tally| {
             let mut trials = trials(tally);
             trials.sort_by_key(|trial| trial.at_ms);
-            without_excess(trials, targets)
+            trials
         });
         routes.collect::<Test>()
     };
     let tests = [test(failures), test(slow_answers), test(rejections)];
-    let score = tests.iter().map(highest_score).fold(0.0, f64::max);
+    let faulty_share = condemning_faulty_share(targets);
+    let scores = tests.iter().map(|test| highest_score(test, faulty_share));
+    let score = scores.fold(0.0, f64::max);
     let is_covered = tallies.iter().all(|tally| {
         tally.old.answers() < USED_ROUTE_ANSWERS || tally.new.len() >= MIN_ROUTE_ANSWERS
     });
@@ -112,12 +125,22 @@
     Judgement { score, verdict }
 }
 
+/// Probability that an endpoint is faulty by itself, in the test for a bad version.
+fn condemning_faulty_share(targets: usize) -> f64 {
+    if targets < 2 {
+        return 0.0;
+    }
+    let targets = f64::from(u32::try_from(targets).unwrap_or(u32::MAX));
+    let bad_endpoints = targets * BAD_ENDPOINT_SHARE;
+    (-MAX_ENDPOINT_EVIDENCE.max(BAD_SCORE / bad_endpoints)).exp()
+}
+
 /// Highest score of a test, for single routes and all together.
-fn highest_score(test: &Test) -> f64 {
+fn highest_score(test: &Test, faulty_share: f64) -> f64 {
     let mut all = test.concat();
     all.sort_by_key(|trial| trial.at_ms);
-    let routes = test.iter().map(|trials| score(trials));
-    routes.fold(score(&all), f64::max)
+    let routes = test.iter().map(|trials| score(trials, faulty_share));
+    routes.fold(score(&all, faulty_share), f64::max)
 }
 
 fn is_good(test: &Test) -> bool {
@@ -192,39 +215,6 @@
     share.clamp(MIN_BAD_SHARE, MAX_BAD_SHARE)
 }
 
-/// Drops the latest bad answers of the endpoint with most of them, down to [`MAX_EXCESS`] more than
-/// the next one has.
-fn without_excess(mut trials: Vec<Trial>, targets: usize) -> Vec<Trial> {
-    if targets < 2 {
-        return trials;
-    }
-    let mut endpoints = trials
-        .iter()
-        .filter(|trial| trial.is_bad)
-        .map(|trial| trial.endpoint)
-        .collect::<Vec<_>>();
-    endpoints.sort_unstable();
-    let mut counts = endpoints
-        .chunk_by(|one, other| one == other)
-        .map(|same| (same.len(), same[0]))
-        .collect::<Vec<_>>();
-    counts.sort_unstable();
-    let Some((most, worst)) = counts.pop() else {
-        return trials;
-    };
-    let next = counts.last().map_or(0, |(count, _)| *count);
-    let mut left = most.min(next + MAX_EXCESS);
-    trials.retain(|trial| {
-        if !trial.is_bad || trial.endpoint != worst {
-            return true;
-        }
-        let is_kept = left > 0;
-        left = left.saturating_sub(1);
-        is_kept
-    });
-    trials
-}
-
 /// Logarithm of the likelihood ratio of an answer between a version that turns `lift` of the good
 /// answers bad and one that is like the others.
 fn log_ratio(trial: Trial, lift: f64) -> f64 {
@@ -236,19 +226,67 @@
     }
 }
 
+/// Evidence of answers against a version, by endpoint.
+#[derive(Debug, Default)]
+struct Evidence {
+    /// Sums of the logarithms of likelihood ratios, sorted by endpoint.
+    endpoints: Vec<(u32, f64)>,
+    faulty_share: f64,
+    total: f64,
+}
+
+impl Evidence {
+    const fn new(faulty_share: f64) -> Self {
+        Self {
+            endpoints: Vec::new(),
+            faulty_share,
+            total: 0.0,
+        }
+    }
+
+    fn add(&mut self, trial: Trial, lift: f64) {
+        let find = self
+            .endpoints
+            .binary_search_by_key(&trial.endpoint, |(endpoint, _)| *endpoint);
+        let index = find.unwrap_or_else(|index| {
+            self.endpoints.insert(index, (trial.endpoint, 0.0));
+            index
+        });
+        let sum = &mut self.endpoints[index].1;
+        let before = bounded(*sum, self.faulty_share);
+        *sum += log_ratio(trial, lift);
+        self.total += bounded(*sum, self.faulty_share) - before;
+    }
+}
+
+/// Logarithm of the likelihood ratio of an endpoint, `sum`, if under a good version it may be faulty by
+/// itself and then fails like under a bad one.
+fn bounded(sum: f64, faulty_share: f64) -> f64 {
+    if sum > 0.0 {
+        -((1.0 - faulty_share) * (-sum).exp() + faulty_share).ln()
+    } else {
+        sum - ((1.0 - faulty_share) + faulty_share * sum.exp()).ln()
+    }
+}
+
+/// Logarithm of the likelihood ratio between a version that turns [`EXCLUDED_LIFT`] of the good answers
+/// bad and a good one.
 fn ratio(trials: &[Trial]) -> f64 {
-    let ratios = trials.iter().map(|trial| log_ratio(*trial, EXCLUDED_LIFT));
-    ratios.sum()
+    let mut evidence = Evidence::new(FAULTY_SHARE);
+    for trial in trials {
+        evidence.add(*trial, EXCLUDED_LIFT);
+    }
+    evidence.total
 }
 
-/// Highest cumulative sum of all tests.
-fn score(trials: &[Trial]) -> f64 {
+/// Highest sum of all tests over the latest answers.
+fn score(trials: &[Trial], faulty_share: f64) -> f64 {
     let mut highest = 0.0_f64;
     for lift in LIFTS {
-        let mut sum = 0.0_f64;
-        for trial in trials {
-            sum = (sum + log_ratio(*trial, lift)).max(0.0);
-            highest = highest.max(sum);
+        let mut evidence = Evidence::new(faulty_share);
+        for trial in trials.iter().rev() {
+            evidence.add(*trial, lift);
+            highest = highest.max(evidence.total);
         }
     }
     highest
--- a/crates/forward/tests/rollouts/judgement.rs
+++ b/crates/forward/tests/rollouts/judgement.rs
@@ -117,6 +117,46 @@
     assert_eq!(verdict(&[tally]), Verdict::Good);
 }
 
+/// Two of six endpoints fail two of five answers, whatever their version. They must not have a good
+/// version rolled back, before the shift or after it, when they answer much more.
+#[test]
+fn two_faulty_endpoints_do_not_condemn_a_version() {
+    for answers in [90, 300, 900] {
+        let mut tally = route("draft", 0, Outcome::Failed);
+        answer(&mut tally, answers, |number| {
+            let is_faulty = number % ENDPOINTS < 2;
+            if is_faulty && (number / ENDPOINTS) % 5 < 2 {
+                Outcome::Failed
+            } else {
+                answered(20)
+            }
+        });
+        assert_eq!(verdict(&[tally]), Verdict::Good, "{answers} answers");
+    }
+}
+
+/// Faulty endpoints must not excuse a version that fails at most of its endpoints.
+#[test]
+fn version_that_fails_at_most_endpoints_is_bad() {
+    for targets in [2, 3, 6] {
+        let mut tally = route("draft", 0, Outcome::Failed);
+        for number in 0..targets * 10 {
+            let outcome = if number % 3 == 0 || number % targets == 0 && targets > 3 {
+                answered(20)
+            } else {
+                Outcome::Failed
+            };
+            tally.new.push(Sample {
+                at_ms: number * 100,
+                endpoint: (number / 3) % targets,
+                outcome,
+            });
+        }
+        let judgement = judge(&[tally], targets as usize);
+        assert_eq!(judgement.verdict, Verdict::Bad, "{targets} endpoints");
+    }
+}
+
 /// Requests that fail on the old version as well, such as one lookup in seven, condemn nothing.
 #[test]
 fn failures_of_both_versions_do_not_condemn_the_new_one() {
