Suspects: take the furthest event of all equal runs that lost an endpoint

Found in review: when several equal runs broke at one endpoint, only the first one counted for how far such runs get, so that runs between the first and the furthest were not stopped.

Change: the maximum is taken before the endpoint is recognised as counted. The test of runs that are stopped covers it.

--- a/crates/decision/src/suspects.rs
+++ b/crates/decision/src/suspects.rs
@@ -206,11 +206,11 @@
             }
         };
         let suspect = &mut self.entries[index];
+        suspect.events = suspect.events.max(crash.events);
         if suspect.endpoints.contains(&crash.endpoint) {
             return false;
         }
         suspect.crashed_at = now;
-        suspect.events = suspect.events.max(crash.events);
         suspect.endpoints.push(crash.endpoint);
         true
     }
--- a/crates/forward/tests/suspects.rs
+++ b/crates/forward/tests/suspects.rs
@@ -178,7 +178,14 @@
     }
     assert!(suspects.stops(at(1), fingerprint("fatal"), 0));
     assert!(suspects.stops(at(1), fingerprint("fatal"), 7));
-    assert!(!suspects.stops(at(1), fingerprint("fatal"), 8));
+    // Equal requests at one endpoint are lost at different events.
+    let lost = Crash {
+        events: 9,
+        ..crash("fatal", "m2")
+    };
+    assert!(!suspects.record_crash(at(0), lost));
+    assert!(suspects.stops(at(1), fingerprint("fatal"), 9));
+    assert!(!suspects.stops(at(1), fingerprint("fatal"), 10));
     assert!(!suspects.stops(at(1), fingerprint("other"), 0));
     assert!(!suspects.stops(at(0).after(REFUSAL_PERIOD), fingerprint("fatal"), 0));
 }
