Do not stop runs that have begun, nor equal ones of a request that did

Cause: three engines at which equal streams ran were crashed by another request within 0.6 s, the third one after a takeover. The run that was left had produced 14 events, fewer than one of the lost ones, and was stopped. A refused request can be cleared only by a run that completes, and there was none left.

Ruled out: to let the furthest run of each instance go on. At many instances each has one run at most, so that none would be stopped.

Change: only runs without an event are stopped, and only if no equal run had produced one where its endpoint was lost. Requests that crash their engines before the first event are stopped as before; those that do so later are not, and take down the engines at which they run.

--- a/crates/decision/src/suspects.rs
+++ b/crates/decision/src/suspects.rs
@@ -3,8 +3,8 @@
 //! When the connection to an endpoint breaks, each request in progress there becomes a suspect.
 //! Harmless ones complete later, or are never seen again. A request under which several endpoints
 //! have been lost is refused, under whatever id and at whichever instance it arrives: without a
-//! limit over all instances, it would take down one endpoint after another. Its runs in progress
-//! are stopped, unless they have got further than those that lost their endpoints.
+//! limit over all instances, it would take down one endpoint after another. If all endpoints were
+//! lost before its first event, runs that have not got there either are stopped.
 //!
 //! Instances share crashes through the log, whose records are kept there until they expire, so that
 //! an instance that has just started knows of them as well.
@@ -101,12 +101,15 @@
     }
 
     /// Whether a run of a request that has produced `events` events is to be stopped: the request
-    /// is refused, and the run has not got further than those that lost their endpoints.
+    /// is refused, and neither this run nor any that lost its endpoint has got to the first event.
+    ///
+    /// Requests that have got further may only have shared endpoints with the one at fault. Their runs
+    /// clear them if they complete, which no new one can do.
     #[must_use]
     pub fn stops(&self, now: Time, fingerprint: Fingerprint, events: u32) -> bool {
         self.find(fingerprint).is_ok_and(|index| {
             let suspect = &self.entries[index];
-            suspect.is_refused(now) && events <= suspect.events
+            suspect.is_refused(now) && events == 0 && suspect.events == 0
         })
     }
 
