serve: drop a branch that became dead, and say which requests are stopped

Only runs without a token are stopped since "Do not stop runs that have begun", so a stopped request never has a cut stream. Behaviour as before; tests of crashes of `decision` pass.

--- a/crates/decision/src/completion.rs
+++ b/crates/decision/src/completion.rs
@@ -87,7 +87,7 @@
         self.dispatch(now, out);
     }
 
-    /// Stops a refused request, unless its run has got further than those that lost their endpoints.
+    /// Stops a refused request, unless it or one that lost its endpoint has produced a token.
     fn stop(&mut self, now: Time, key: request::Key, out: &mut Vec<Action>) {
         let request = &self.requests[key];
         let Phase::Running(run) = &request.phase else {
@@ -105,15 +105,10 @@
             request: key,
         };
         let is_generation = matches!(request.work, Work::Generation { .. });
-        let why = if next == 0 {
-            MayHaveRun::Stopped
-        } else {
-            MayHaveRun::StreamCut(next)
-        };
         if is_generation {
             self.cancel(attempt, false, out);
         }
-        self.finish_unknown(key, why, out);
+        self.finish_unknown(key, MayHaveRun::Stopped, out);
     }
 
     /// Removes a request and delivers its outcome.
