--- a/crates/forward/tests/rollouts/decisions.rs
+++ b/crates/forward/tests/rollouts/decisions.rs
@@ -353,10 +353,8 @@
     }
 }
 
-/// A version whose answers do not decide by the time of the shift needs more of them. Without further
-/// requests it would be rolled back at the end, whatever it is.
-#[test]
-fn undecided_version_gets_requests_until_its_order_ends() {
+/// An instance whose order has been recorded and published.
+fn published_canary() -> State {
     let mut state = ordered();
     reach(&mut state, 1000, "v2", ORDER, Stage::Canary);
     let published = Published {
@@ -364,10 +362,21 @@
         stage: Stage::Canary,
     };
     apply(&mut state, 1000, Content::Published(published));
+    state
+}
+
+fn old_endpoint(state: &State) -> EndpointKey {
     let mut endpoints = state.endpoints();
     let old = endpoints.find(|(_, endpoint)| endpoint.listing.id == "m1");
-    let key = old.expect("it is listed").0;
-    drop(endpoints);
+    old.expect("it is listed").0
+}
+
+/// A version whose answers do not decide by the time of the shift needs more of them. Without further
+/// requests it would be rolled back at the end, whatever it is.
+#[test]
+fn undecided_version_gets_requests_until_its_order_ends() {
+    let mut state = published_canary();
+    let key = old_endpoint(&state);
     state.observe(at(2000), key, "/draft/", Outcome::Answered(12));
     let shift = 1000 + u64::try_from(order(ORDER, "v2").canary_time().as_millis()).expect("short");
     for (millis, is_claimed) in [(shift + 500, true), (13_000, false)] {
@@ -391,20 +400,11 @@
 /// stay far below what it allows, and a good version would be rolled back for want of answers.
 #[test]
 fn instances_without_a_slot_publish_their_requests_at_a_census() {
-    let mut state = ordered();
-    reach(&mut state, 1000, "v2", ORDER, Stage::Canary);
-    let published = Published {
-        order: ORDER,
-        stage: Stage::Canary,
-    };
-    apply(&mut state, 1000, Content::Published(published));
+    let mut state = published_canary();
     for slot in 0..20 {
         claim(&mut state, slot, "e2@1", u64::from(slot));
     }
-    let mut endpoints = state.endpoints();
-    let old = endpoints.find(|(_, endpoint)| endpoint.listing.id == "m1");
-    let key = old.expect("it is listed").0;
-    drop(endpoints);
+    let key = old_endpoint(&state);
     let mut published = 0;
     for millis in (2000..10_000).step_by(100) {
         confirm(&mut state, millis);
