--- a/crates/bench/src/bin/mutate.rs
+++ b/crates/bench/src/bin/mutate.rs
@@ -3,11 +3,11 @@
 //! A mutation that no test detects marks code without a test.
 
 use {
+    bench::mutation::{self, Mutation},
     bpaf::Bpaf,
-    serde::Deserialize,
     std::{
         fs, io,
-        path::{Path, PathBuf},
+        path::Path,
         process::{Command, ExitCode},
     },
 };
@@ -27,19 +27,6 @@
     only: String,
 }
 
-#[derive(Deserialize)]
-struct MutationList {
-    mutation: Vec<Mutation>,
-}
-
-#[derive(Deserialize)]
-struct Mutation {
-    file: PathBuf,
-    find: String,
-    name: String,
-    replace: String,
-}
-
 fn main() -> ExitCode {
     match run(&options().run()) {
         Ok(true) => ExitCode::SUCCESS,
@@ -53,13 +40,11 @@
 
 fn run(options: &Options) -> io::Result<bool> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-    let list = fs::read_to_string(root.join("mutations.toml"))?;
-    let list = toml::from_str::<MutationList>(&list).map_err(io::Error::other)?;
+    let mutations = mutation::read_all(&root)?;
     let work_dir = root.join("target/mutants/work");
     copy_workspace(&root, &work_dir)?;
     let mut undetected = 0;
-    for mutation in list
-        .mutation
+    for mutation in mutations
         .iter()
         .filter(|mutation| mutation.name.contains(&options.only))
     {
@@ -122,21 +107,8 @@
     mutation: &Mutation,
     histories: u32,
 ) -> io::Result<bool> {
-    let text = fs::read_to_string(root.join(&mutation.file))?;
-    let occurrences = text.matches(&mutation.find).count();
-    if occurrences != 1 {
-        let name = mutation.file.display();
-        let message = format!(
-            "{}: 'find' occurs {occurrences} times in {name}, expected once",
-            mutation.name
-        );
-        return Err(io::Error::other(message));
-    }
     let mutated_file = work_dir.join(&mutation.file);
-    fs::write(
-        &mutated_file,
-        text.replace(&mutation.find, &mutation.replace),
-    )?;
+    fs::write(&mutated_file, mutation.apply(root)?)?;
     let target_dir = root.join("target/mutants/target");
     let cargo = |arguments: &[&str]| {
         Command::new(env!("CARGO"))
@@ -159,6 +131,6 @@
         )));
     }
     let detected = !cargo(&["test"])?.status.success();
-    fs::write(&mutated_file, text)?;
+    fs::copy(root.join(&mutation.file), &mutated_file)?;
     Ok(detected)
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod error;
 pub mod faults;
 pub mod idle;
+pub mod mutation;
 pub mod orders;
 pub mod prelude;
 pub mod process;
--- /dev/null
+++ b/crates/bench/src/mutation.rs
@@ -0,0 +1,58 @@
+//! Faults that are seeded into the code to check that a test detects them.
+
+use {
+    serde::Deserialize,
+    std::{
+        fs, io,
+        path::{Path, PathBuf},
+    },
+};
+
+/// A replacement of a text in a source file.
+#[derive(Debug, Deserialize)]
+pub struct Mutation {
+    /// The file, relative to the workspace.
+    pub file: PathBuf,
+    /// The text, which occurs once.
+    pub find: String,
+    /// The fault.
+    pub name: String,
+    /// What replaces the text.
+    pub replace: String,
+}
+
+#[derive(Deserialize)]
+struct List {
+    mutation: Vec<Mutation>,
+}
+
+/// Reads all mutations of the workspace at `root`.
+///
+/// # Errors
+///
+/// `mutations.toml` cannot be read, or has an invalid entry.
+pub fn read_all(root: &Path) -> io::Result<Vec<Mutation>> {
+    let text = fs::read_to_string(root.join("mutations.toml"))?;
+    let list = toml::from_str::<List>(&text).map_err(io::Error::other)?;
+    Ok(list.mutation)
+}
+
+impl Mutation {
+    /// The mutated text of its file.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read, or does not have the text exactly once.
+    pub fn apply(&self, root: &Path) -> io::Result<String> {
+        let text = fs::read_to_string(root.join(&self.file))?;
+        let occurrences = text.matches(&self.find).count();
+        if occurrences != 1 {
+            return Err(io::Error::other(format!(
+                "{}: 'find' occurs {occurrences} times in {}, expected once",
+                self.name,
+                self.file.display()
+            )));
+        }
+        Ok(text.replace(&self.find, &self.replace))
+    }
+}
