rollout: send a share of the requests before all of them

Cause: its canaries did well by chance (6 of 48 answers failed, 3 of them at one endpoint), so that it was taken for good at the end of their time, and all instances moved at once. At 77 requests a second the rest of the limit, some 50 requests, is gone within 0.7 s. Evidence of that time comes from the owners of eight slots, a tenth of the requests, each 300 ms: too little to find it sooner.

Change: a stage between canary and shift, "ramp". For 1 s at least and 1.5 s at most a fifth of all requests goes to the version, sent by the owners of the first 24 slots, who publish all of their answers. Every request of that stage is evidence, and it is limited: what it sends beyond slots is taken from the slots. It begins when the version is promising (a weaker bound than good) and ends in the shift only if the version is good. Censuses go on in it, and one more follows for versions that are undecided by then.

--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -137,7 +137,7 @@
     ) -> (Pick, bool) {
         let route = &ticket.route.name;
         if tried.is_empty()
-            && self.rollouts.may_expose(now, &ticket.service, route)
+            && self.may_expose(now, ticket)
             && let Some(key) = self.pick_canary(now, &ticket.service, need)
         {
             self.rollouts.record_exposure(now, &ticket.service, route);
@@ -150,6 +150,16 @@
         (self.pick(now, &ticket.service, need, tried), false)
     }
 
+    /// Whether a request is to go to a version that is not judged yet.
+    fn may_expose(&mut self, now: Time, ticket: &Ticket) -> bool {
+        let service = &ticket.service;
+        if self.rollouts.may_expose(now, service, &ticket.route.name) {
+            return true;
+        }
+        let share = self.rollouts.ramp_share(now, service, self.members.count());
+        share > 0.0 && self.random.random_bool(share)
+    }
+
     /// Chooses an endpoint of the version that is not judged yet. All instances use the same few, so
     /// that these get the load of an ordinary one: some versions are bad only under load.
     fn pick_canary(&mut self, now: Time, service: &str, need: Need) -> Option<EndpointKey> {
--- a/crates/forward/src/rollout/exposure.rs
+++ b/crates/forward/src/rollout/exposure.rs
@@ -23,9 +23,10 @@
     pub share: f64,
 }
 
-/// Number of slots after `answers` requests to the service.
+/// Number of slots after `answers` requests to the service, and `other` requests to the version without
+/// a slot.
 #[must_use]
-pub fn slots(limit: Limit, answers: u32) -> u32 {
+pub fn slots(limit: Limit, answers: u32, other: u32) -> u32 {
     let allowed = limit.requests + limit.share * f64::from(answers);
     #[expect(
         clippy::cast_possible_truncation,
@@ -33,7 +34,7 @@
         reason = "a small number of requests; a cast saturates"
     )]
     let requests = (allowed * SLOT_SHARE) as u32;
-    requests / SLOT_REQUESTS
+    requests.saturating_sub(other) / SLOT_REQUESTS
 }
 
 /// Requests that this instance has sent to a version before its judgement.
--- a/crates/forward/src/rollout/mod.rs
+++ b/crates/forward/src/rollout/mod.rs
@@ -4,8 +4,9 @@
 //! others and may be bad: failing, or several times slower. Until it is judged, the version gets a
 //! number of requests that is fixed over all instances ([`exposure`]). Instances publish how these
 //! ended, and how others ended meanwhile ([`tally`]), and each of them judges alike ([`verdict`]).
-//! A good version then gets all new requests, runs move to it, and once none is left elsewhere the
-//! rollout is completed. A bad one is rolled back ([`step`]).
+//! A good version then gets a small share of all requests ([`ramp`]), and if it still looks good all new
+//! ones. Runs move to it, and once none is left elsewhere the rollout is completed. A bad one is rolled
+//! back ([`step`]).
 //!
 //! What is decided stands in a topic of the store ([`record`]). A stage is appended only if nothing
 //! has been appended since its writer last read the topic, so an order has one result, whoever
@@ -14,6 +15,7 @@
 pub mod access;
 pub mod exposure;
 pub mod order;
+pub mod ramp;
 pub mod record;
 pub mod step;
 pub mod tally;
@@ -62,7 +64,8 @@
     /// Versions that the last completed order has replaced.
     replaced: Vec<String>,
     service: String,
-    shifted_at: Time,
+    /// When this instance learned of the current stage.
+    stage_since: Time,
     /// Sorted by version.
     versions: Vec<VersionStage>,
     withdrawn: bool,
@@ -169,7 +172,10 @@
 
     /// Takes a version's stage, which never goes back.
     fn set_version(&mut self, now: Time, stage: VersionStage) -> bool {
-        let shifts = stage.stage == Stage::Shift;
+        let is_target = self
+            .order
+            .as_ref()
+            .is_some_and(|order| order.target == stage.version);
         match self.find_version(&stage.version) {
             Err(index) => self.versions.insert(index, stage),
             Ok(index) => {
@@ -182,8 +188,8 @@
                 *known = stage;
             }
         }
-        if shifts {
-            self.shifted_at = now;
+        if is_target {
+            self.stage_since = now;
         }
         true
     }
@@ -202,7 +208,7 @@
         });
         self.order = Some(order);
         self.ordered_at = now;
-        self.shifted_at = now;
+        self.stage_since = now;
         self.pending = None;
         self.withdrawn = false;
         self.replaced.clear();
@@ -301,12 +307,12 @@
         let access = match stage {
             _ if self.withdrawn => Access::Evacuate,
             Stage::Shift if !is_fresh => Access::Closed,
-            Stage::Canary => Access::Closed,
+            Stage::Canary | Stage::Ramp => Access::Closed,
             Stage::Shift | Stage::Completed => Access::Open,
             Stage::RolledBack => Access::Evacuate,
         };
         if stage == Stage::Shift && access == Access::Open {
-            gate.others = if now.since(self.shifted_at) >= RUN_GRACE {
+            gate.others = if now.since(self.stage_since) >= RUN_GRACE {
                 Access::Evacuate
             } else {
                 Access::Closed
@@ -411,7 +417,7 @@
             return false;
         };
         let routes = rollout.own.iter().map(|tally| tally.route.as_str());
-        rollout.stage() == Some(Stage::Canary)
+        matches!(rollout.stage(), Some(Stage::Canary | Stage::Ramp))
             && !rollout.withdrawn
             && self.is_fresh(now)
             && rollout.exposure.left(&rollout.claims, &self.holder) > 0
@@ -420,6 +426,20 @@
                 .is_due(now, route, &routes.collect::<Vec<_>>())
     }
 
+    /// Share of this instance's requests that go to a version which is to get a small share of all.
+    #[must_use]
+    pub fn ramp_share(&self, now: Time, service: &str, instances: usize) -> f64 {
+        let Some(rollout) = self.rollout(service) else {
+            return 0.0;
+        };
+        let is_over = now.since(rollout.stage_since) >= ramp::MAX_TIME;
+        let is_ramping = rollout.stage() == Some(Stage::Ramp) && !rollout.withdrawn;
+        if is_over || !is_ramping || !self.is_fresh(now) {
+            return 0.0;
+        }
+        ramp::share(&rollout.claims, &self.holder, instances)
+    }
+
     /// Records that a request goes to the version that is not judged yet.
     pub fn record_exposure(&mut self, now: Time, service: &str, route: &str) {
         let holder = self.holder.clone();
--- a/crates/forward/src/rollout/record.rs
+++ b/crates/forward/src/rollout/record.rs
@@ -7,6 +7,8 @@
 pub enum Stage {
     /// Gets a limited number of requests.
     Canary,
+    /// Gets a small share of all new requests.
+    Ramp,
     /// Gets all new requests; runs at other versions move to it.
     Shift,
     /// Has replaced all other versions. Final.
@@ -27,6 +29,7 @@
     pub const fn label(self) -> &'static str {
         match self {
             Self::Canary => "canary",
+            Self::Ramp => "ramp",
             Self::Shift => "shift",
             Self::Completed => "completed",
             Self::RolledBack => "rolled_back",
@@ -36,7 +39,13 @@
     /// The stage with this name.
     #[must_use]
     pub fn parse(label: &str) -> Option<Self> {
-        let stages = [Self::Canary, Self::Shift, Self::Completed, Self::RolledBack];
+        let stages = [
+            Self::Canary,
+            Self::Ramp,
+            Self::Shift,
+            Self::Completed,
+            Self::RolledBack,
+        ];
         stages.into_iter().find(|stage| stage.label() == label)
     }
 }
--- a/crates/forward/src/rollout/step.rs
+++ b/crates/forward/src/rollout/step.rs
@@ -5,6 +5,7 @@
         Rollout, Rollouts,
         exposure::{SLOT_REQUESTS, slots},
         order::Order,
+        ramp,
         record::{Claim, Content, Evidence, Published, Record, Stage, VersionStage},
         tally,
         verdict::{self, Verdict},
@@ -33,8 +34,9 @@
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Shares of the time until the shift at which instances without a slot publish evidence. The limit grows
-/// with the requests that are known, and owners of slots get a fraction of them.
-const CENSUS_SHARES: [f64; 3] = [0.3, 0.6, 0.85];
+/// with the requests that are known, and owners of slots get a fraction of them. The last one serves
+/// versions that are undecided by then.
+const CENSUS_SHARES: [f64; 4] = [0.3, 0.6, 0.85, 1.1];
 
 /// Number of instances that on average publish for a census. All instances read what one publishes, so
 /// that without a bound the bytes would grow with the square of their number.
@@ -121,7 +123,7 @@
             .next_decision(now, surroundings)
             .or_else(|| rollout.due_evidence(now, &holder, surroundings))
             .or_else(|| {
-                let slots = slots(limit, rollout.published_answers());
+                let slots = slots(limit, rollout.published_answers(), rollout.ramp_answers());
                 let instances = u32::try_from(surroundings.instances.max(1)).unwrap_or(u32::MAX);
                 rollout.quota = (slots * SLOT_REQUESTS).div_ceil(instances);
                 rollout.due_claim(now, &holder, slots, surroundings)
@@ -191,7 +193,7 @@
             return Some(Stage::RolledBack);
         }
         if stage == Stage::Shift {
-            let settled = now.since(self.shifted_at) >= MIN_SHIFT_TIME;
+            let settled = now.since(self.stage_since) >= MIN_SHIFT_TIME;
             let is_empty = surroundings.runs_elsewhere == 0;
             let is_late = elapsed >= order.duration + MAX_OVERRUN;
             if is_late && verdict != Verdict::Good && has_alternative {
@@ -202,10 +204,18 @@
             let is_done = settled && is_proved && is_served && (is_empty || is_late);
             return is_done.then_some(Stage::Completed);
         }
+        let is_served = surroundings.targets > 0;
         let is_good = verdict == Verdict::Good || !has_alternative;
-        if elapsed >= order.canary_time() && is_good && surroundings.targets > 0 {
+        let is_ramped = stage == Stage::Ramp && now.since(self.stage_since) >= ramp::MIN_TIME;
+        let is_due = elapsed >= order.canary_time();
+        if is_served && is_good && is_due && (is_ramped || !has_alternative) {
             return Some(Stage::Shift);
         }
+        let is_promising = is_good || verdict == Verdict::Promising;
+        let may_ramp = elapsed + ramp::MIN_TIME >= order.canary_time();
+        if is_served && is_promising && may_ramp && stage == Stage::Canary {
+            return Some(Stage::Ramp);
+        }
         (elapsed + DECISION_MARGIN >= order.duration).then_some(Stage::RolledBack)
     }
 
@@ -243,7 +253,7 @@
     ) -> Option<Action> {
         let order = self.order.clone()?;
         let stage = self.stage()?;
-        let reports = |slot: u32| stage == Stage::Canary || slot < SHIFT_REPORTERS;
+        let reports = |slot: u32| stage != Stage::Shift || slot < SHIFT_REPORTERS;
         let mut claims = self.claims.iter();
         let is_reporter = claims.any(|claim| claim.holder == holder && reports(claim.slot));
         let (published, at) = &self.own_published;
@@ -253,7 +263,7 @@
         // Answers of other versions alone only matter for the limit.
         let has_grown = tally::new_answers(&self.own) > tally::new_answers(published);
         let instances = u32::try_from(surroundings.instances.max(1)).unwrap_or(u32::MAX);
-        let is_counted = stage == Stage::Canary
+        let is_counted = stage < Stage::Shift
             && digest(holder) % instances < CENSUS_INSTANCES
             && tally::answers(&self.own) > tally::answers(published)
             && *at < self.last_census(now, holder);
@@ -294,7 +304,7 @@
         let order = self.order.as_ref()?;
         let elapsed = now.since(self.ordered_at);
         let has_requests = tally::answers(&self.own) > 0;
-        let is_wanted = self.stage()? == Stage::Canary
+        let is_wanted = self.stage()? < Stage::Shift
             && now >= self.next_claim
             && !self.withdrawn
             && has_requests
@@ -340,6 +350,15 @@
         published.sum::<u32>() + tally::answers(&self.own_published.0)
     }
 
+    /// Answers of the target beyond those for which slots were claimed.
+    fn ramp_answers(&self) -> u32 {
+        let evidence = self.evidence.iter().filter(|other| self.counts(other));
+        let published = evidence.map(|other| tally::new_answers(&other.tallies));
+        let answers = published.sum::<usize>() + tally::new_answers(&self.own);
+        let claimed = self.claimed() * SLOT_REQUESTS as usize;
+        u32::try_from(answers.saturating_sub(claimed)).unwrap_or(u32::MAX)
+    }
+
     pub(super) fn record(&self, content: Content) -> Record {
         Record {
             content,
--- a/crates/forward/src/rollout/verdict.rs
+++ b/crates/forward/src/rollout/verdict.rs
@@ -53,6 +53,10 @@
 const MAX_ROUTE_RATIO: f64 = -3.0;
 const MAX_RATIO: f64 = -4.0;
 
+/// The same before a version is promising.
+const MAX_PROMISING_ROUTE_RATIO: f64 = -2.0;
+const MAX_PROMISING_RATIO: f64 = -3.0;
+
 /// Minimum number of answers before a version is good, in all and on each route in use.
 const MIN_ANSWERS: usize = 12;
 const MIN_ROUTE_ANSWERS: usize = 5;
@@ -70,6 +74,8 @@
     /// Not clear yet.
     #[default]
     Open,
+    /// Probably as good as the others, but not clear yet.
+    Promising,
 }
 
 /// Judgement on a version.
@@ -112,10 +118,18 @@
     let is_covered = tallies.iter().all(|tally| {
         tally.old.answers() < USED_ROUTE_ANSWERS || tally.new.len() >= MIN_ROUTE_ANSWERS
     });
+    let excludes_lift = |max_route_ratio, max_ratio| {
+        let mut tests = tests.iter();
+        tests.all(|test| excludes_lift(test, faulty_share, max_route_ratio, max_ratio))
+    };
     let verdict = if score >= BAD_SCORE {
         Verdict::Bad
-    } else if is_covered && tests.iter().all(|test| is_good(test, faulty_share)) {
+    } else if !is_covered {
+        Verdict::Open
+    } else if excludes_lift(MAX_ROUTE_RATIO, MAX_RATIO) {
         Verdict::Good
+    } else if excludes_lift(MAX_PROMISING_ROUTE_RATIO, MAX_PROMISING_RATIO) {
+        Verdict::Promising
     } else {
         Verdict::Open
     };
@@ -140,15 +154,16 @@
     routes.fold(score(&all, faulty_share), f64::max)
 }
 
-fn is_good(test: &Test, faulty_share: f64) -> bool {
+/// Whether the answers make it unlikely that the version turns [`EXCLUDED_LIFT`] of the good ones bad.
+fn excludes_lift(test: &Test, faulty_share: f64, max_route_ratio: f64, max_ratio: f64) -> bool {
     let answers = test.iter().map(Vec::len).sum::<usize>();
     let ratios = test.iter().map(|trials| ratio(trials, faulty_share));
     let ratios = ratios.collect::<Vec<_>>();
     let is_unlikely = ratios
         .iter()
         .zip(test)
-        .all(|(ratio, trials)| trials.len() < MIN_ROUTE_ANSWERS || *ratio <= MAX_ROUTE_RATIO);
-    answers >= MIN_ANSWERS && is_unlikely && ratios.iter().sum::<f64>() <= MAX_RATIO
+        .all(|(ratio, trials)| trials.len() < MIN_ROUTE_ANSWERS || *ratio <= max_route_ratio);
+    answers >= MIN_ANSWERS && is_unlikely && ratios.iter().sum::<f64>() <= max_ratio
 }
 
 /// Answers of a route, of which failed ones are bad.
--- a/crates/forward/tests/rollouts/decisions.rs
+++ b/crates/forward/tests/rollouts/decisions.rs
@@ -6,7 +6,7 @@
         request::Ticket,
         rollout::{
             MAX_AGE,
-            exposure::SLOT_REQUESTS,
+            exposure::{SLOT_REQUESTS, slots},
             order::Order,
             record::{Claim, Content, Published, Record, Stage, VersionStage},
             step::Action,
@@ -365,10 +365,10 @@
     state
 }
 
-fn old_endpoint(state: &State) -> EndpointKey {
+fn listed(state: &State, id: &str) -> EndpointKey {
     let mut endpoints = state.endpoints();
-    let old = endpoints.find(|(_, endpoint)| endpoint.listing.id == "m1");
-    old.expect("it is listed").0
+    let found = endpoints.find(|(_, endpoint)| endpoint.listing.id == id);
+    found.expect("it is listed").0
 }
 
 /// A version whose answers do not decide by the time of the shift needs more of them. Without further
@@ -376,7 +376,7 @@
 #[test]
 fn undecided_version_gets_requests_until_its_order_ends() {
     let mut state = published_canary();
-    let key = old_endpoint(&state);
+    let key = listed(&state, "m1");
     state.observe(at(2000), key, "/draft/", Outcome::Answered(12));
     let shift = 1000 + u64::try_from(order(ORDER, "v2").canary_time().as_millis()).expect("short");
     for (millis, is_claimed) in [(shift + 500, true), (13_000, false)] {
@@ -404,7 +404,7 @@
     for slot in 0..20 {
         claim(&mut state, slot, "e2@1", u64::from(slot));
     }
-    let key = old_endpoint(&state);
+    let key = listed(&state, "m1");
     let mut published = 0;
     for millis in (2000..10_000).step_by(100) {
         confirm(&mut state, millis);
@@ -420,3 +420,117 @@
     }
     assert_eq!(published, 3);
 }
+
+/// An instance, one of eight, whose order has been recorded and which owns the first slot.
+fn slot_owner() -> State {
+    let mut state = published_canary();
+    for number in 2..9 {
+        state.members.set(&format!("e{number}"), "a", 100);
+    }
+    claim(&mut state, 0, HOLDER, 1);
+    claim(&mut state, 1, "e2@1", 2);
+    claim(&mut state, 30, "e3@1", 3);
+    state
+}
+
+/// Number of 400 requests, one each millisecond, that go to the new version.
+fn ramped(state: &mut State, from: u64) -> usize {
+    confirm(state, from);
+    let sent = (from..from + 400).map(|millis| sent_to(state, millis));
+    sent.filter(|id| id.starts_with('n')).count()
+}
+
+/// A version that did well by chance would get all requests at once. Only a few instances go first,
+/// with a fifth of all requests, and not for long if the version stays undecided.
+#[test]
+fn ramp_sends_a_small_share_of_requests_to_the_version() {
+    let ramp = 8000;
+    // Two of eight instances send, so each of them four fifths of its requests.
+    let mut state = slot_owner();
+    reach(&mut state, ramp, "v2", ORDER, Stage::Ramp);
+    let sent = ramped(&mut state, ramp + 1);
+    assert!((290..350).contains(&sent), "{sent}");
+    assert_eq!(ramped(&mut state, ramp + 1500), 0);
+    // Slots beyond the first ones make no sender.
+    let mut state = slot_owner();
+    state.rollouts.set_holder("e3@1".to_string());
+    reach(&mut state, ramp, "v2", ORDER, Stage::Ramp);
+    let sent = ramped(&mut state, ramp + 1);
+    assert!(sent <= SLOT_REQUESTS as usize, "{sent}, more than its slot");
+}
+
+/// A ramp that is rolled back or of which this instance has not heard for long gets nothing.
+#[test]
+fn ramp_ends_with_a_decision_and_with_stale_knowledge() {
+    let mut state = slot_owner();
+    confirm(&mut state, 8000);
+    let outdated = 8001 + u64::try_from(MAX_AGE.as_millis()).expect("short");
+    reach(&mut state, outdated, "v2", ORDER, Stage::Ramp);
+    let sent = (0..400).map(|millis| sent_to(&mut state, outdated + millis));
+    assert!(!sent.collect::<String>().contains('n'));
+    let mut state = slot_owner();
+    reach(&mut state, 8000, "v2", ORDER, Stage::Ramp);
+    reach(&mut state, 8001, "v2", ORDER, Stage::RolledBack);
+    assert_eq!(ramped(&mut state, 8002), 0);
+}
+
+/// Requests of a ramp have no slot. If slots did not make up for them, both together would pass the
+/// limit.
+#[test]
+fn requests_of_a_ramp_count_against_the_limit() {
+    let limit = settings("a").canary;
+    let before = slots(limit, 1000, 0);
+    assert_eq!(slots(limit, 1000, 7 * SLOT_REQUESTS), before - 7);
+    assert_eq!(slots(limit, 1000, 1000), 0);
+}
+
+/// The stage that an instance would record at this time, if any.
+fn next_stage(state: &mut State, millis: u64) -> Option<Stage> {
+    confirm(state, millis);
+    match state.next_rollout_action(at(millis), "e1") {
+        Some(Action::AppendNext(record)) => match record.content {
+            Content::Version(version) => Some(version.stage),
+            _ => None,
+        },
+        _ => None,
+    }
+}
+
+/// Lets an endpoint answer some requests, one each 10 ms.
+fn answer(state: &mut State, id: &str, millis: u64, count: u64, outcome: Outcome) {
+    let key = listed(state, id);
+    for number in 0..count {
+        state.observe(at(millis + number * 10), key, "/draft/", outcome);
+    }
+}
+
+/// All requests move to a version only after it has done well with a share of them for a while.
+#[test]
+fn shift_follows_a_ramp() {
+    let shift = 1000 + u64::try_from(order(ORDER, "v2").canary_time().as_millis()).expect("short");
+    let mut state = published_canary();
+    for id in ["m1", "n1", "n2"] {
+        answer(&mut state, id, 2000, 30, Outcome::Answered(12));
+    }
+    assert_eq!(next_stage(&mut state, shift - 1001), None);
+    assert_eq!(next_stage(&mut state, shift - 1000), Some(Stage::Ramp));
+    // It was recorded late.
+    reach(&mut state, shift - 800, "v2", ORDER, Stage::Ramp);
+    assert_eq!(next_stage(&mut state, shift + 199), None);
+    assert_eq!(next_stage(&mut state, shift + 200), Some(Stage::Shift));
+}
+
+/// A version that turns bad under the load of its ramp must not get all requests.
+#[test]
+fn version_that_fails_in_its_ramp_is_rolled_back() {
+    let shift = 1000 + u64::try_from(order(ORDER, "v2").canary_time().as_millis()).expect("short");
+    let mut state = published_canary();
+    for id in ["m1", "n1", "n2"] {
+        answer(&mut state, id, 2000, 30, Outcome::Answered(12));
+    }
+    reach(&mut state, shift - 1000, "v2", ORDER, Stage::Ramp);
+    for id in ["n1", "n2"] {
+        answer(&mut state, id, shift - 900, 8, Outcome::Failed);
+    }
+    assert_eq!(next_stage(&mut state, shift + 10), Some(Stage::RolledBack));
+}
