--- a/crates/forward/tests/rollouts/histories.rs
+++ b/crates/forward/tests/rollouts/histories.rs
@@ -158,3 +158,12 @@
     let result = play(history);
     check(&history, &result);
 }
+
+/// A version that fails on one route only may do so well by chance that it also passes its ramp.
+#[test]
+fn version_with_few_failures_in_its_ramp_stays_within_the_limit() {
+    let history = history(2287, Behavior::Failing(0.35));
+    let result = play(history);
+    check(&history, &result);
+    assert_eq!(result.stages, [Stage::RolledBack], "{history:?} {result:?}");
+}
