rollout: slots of two requests, and more senders in a ramp

Cause: an instance of 300 gets one request in three seconds, so the owner of a slot sends one or two of its three in time, and slots are not passed on. In a ramp the owners of 24 slots hold a twelfth of all requests, not a fifth.

Change: two requests a slot; the owners of 64 slots send in a ramp.

--- a/crates/forward/src/rollout/exposure.rs
+++ b/crates/forward/src/rollout/exposure.rs
@@ -8,7 +8,7 @@
 use {super::record::Claim, crate::prelude::*};
 
 /// Requests that the owner of a slot may send.
-pub const SLOT_REQUESTS: u32 = 3;
+pub const SLOT_REQUESTS: u32 = 2;
 
 /// Share of the allowed requests that slots use; the rest is for requests in transit when the
 /// version is rolled back.
--- a/crates/forward/src/rollout/ramp.rs
+++ b/crates/forward/src/rollout/ramp.rs
@@ -6,7 +6,7 @@
 
 use {super::record::Claim, crate::prelude::*};
 
-/// Minimum time for which a version gets [`SHARE`] of the requests. In less, hardly any answers of it are
+/// Minimum time for which a version gets its share of the requests. In less, hardly any answers of it are
 /// published and read by all instances.
 pub const MIN_TIME: Duration = Duration::from_secs(1);
 
@@ -17,7 +17,7 @@
 const SHARE: f64 = 0.2;
 
 /// Slots whose owners send to the version. Each of them publishes evidence several times a second.
-const MAX_SENDERS: u32 = 24;
+const MAX_SENDERS: u32 = 64;
 
 /// Share of the requests at the instance `holder`, one of `instances`, that go to the version.
 #[must_use]
