--- a/crates/forward/src/rollout/verdict.rs
+++ b/crates/forward/src/rollout/verdict.rs
@@ -50,8 +50,8 @@
 
 /// Maximum logarithm of the likelihood ratio between such a version and a good one, for each route
 /// and for all together.
-const MAX_ROUTE_RATIO: f64 = -5.0;
-const MAX_RATIO: f64 = -6.0;
+const MAX_ROUTE_RATIO: f64 = -6.0;
+const MAX_RATIO: f64 = -7.0;
 
 /// The same before a version is promising.
 const MAX_PROMISING_ROUTE_RATIO: f64 = -2.0;
--- a/crates/forward/tests/rollouts/histories.rs
+++ b/crates/forward/tests/rollouts/histories.rs
@@ -176,3 +176,23 @@
     let result = play(history);
     assert_eq!(result.stages, [Stage::Completed], "{history:?} {result:?}");
 }
+
+/// Few of the new version's answers fail or are slow, but more than of the old one's, by chance. That must
+/// not have a good version rolled back at the end of its order.
+#[test]
+fn good_versions_with_a_few_bad_answers_by_chance_are_completed() {
+    for seed in [3090, 3110] {
+        let history = history(seed, Behavior::Good);
+        let result = play(history);
+        assert_eq!(result.stages, [Stage::Completed], "{history:?} {result:?}");
+    }
+}
+
+/// The same for a bad version as in its ramp, on all routes, with faulty endpoints beside it.
+#[test]
+fn bad_version_of_a_short_order_stays_within_the_limit() {
+    let history = history(4282, Behavior::Failing(0.35));
+    let result = play(history);
+    check(&history, &result);
+    assert_eq!(result.stages, [Stage::RolledBack], "{history:?} {result:?}");
+}
