rollout: ask for less evidence against slow answers than against failed ones

Cause, from the tallies at the decision: no answer failed but 4 of 92 by the old version; on the rarer route 5 of 45 and 4 of 42 answers took three times the median, by chance. Against a version that makes 35% of its answers slow that is not enough evidence (e^6), and no more requests are allowed.

Change: a version that is several times slower makes most of its answers slow, so a version is good if one that makes half of them slow is unlikely. For failed answers and rejections it stays at 35%.

Ruled out: a higher threshold of what is slow, since it counts in classes of a quarter octave and four times as slow must stay apart from chance.

--- a/crates/forward/src/rollout/verdict.rs
+++ b/crates/forward/src/rollout/verdict.rs
@@ -48,6 +48,9 @@
 /// Share of the good answers that a version turns bad that must be unlikely before it is good.
 const EXCLUDED_LIFT: f64 = 0.35;
 
+/// The same for slow answers. A version that is several times slower makes most of its answers slow.
+const EXCLUDED_SLOW_LIFT: f64 = 0.5;
+
 /// Maximum logarithm of the likelihood ratio between such a version and a good one, for each route
 /// and for all together.
 const MAX_ROUTE_RATIO: f64 = -6.0;
@@ -118,17 +121,20 @@
     let is_covered = tallies.iter().all(|tally| {
         tally.old.answers() < USED_ROUTE_ANSWERS || tally.new.len() >= MIN_ROUTE_ANSWERS
     });
-    let excludes_lift = |max_route_ratio, max_ratio| {
-        let mut tests = tests.iter();
-        tests.all(|test| excludes_lift(test, faulty_share, max_route_ratio, max_ratio))
+    let lifts = [EXCLUDED_LIFT, EXCLUDED_SLOW_LIFT, EXCLUDED_LIFT];
+    let excludes_lifts = |max_route_ratio, max_ratio| {
+        let mut tests = tests.iter().zip(lifts);
+        tests.all(|(test, lift)| {
+            ratios(test, lift, faulty_share).is_below(max_route_ratio, max_ratio)
+        })
     };
     let verdict = if score >= BAD_SCORE {
         Verdict::Bad
     } else if !is_covered {
         Verdict::Open
-    } else if excludes_lift(MAX_ROUTE_RATIO, MAX_RATIO) {
+    } else if excludes_lifts(MAX_ROUTE_RATIO, MAX_RATIO) {
         Verdict::Good
-    } else if excludes_lift(MAX_PROMISING_ROUTE_RATIO, MAX_PROMISING_RATIO) {
+    } else if excludes_lifts(MAX_PROMISING_ROUTE_RATIO, MAX_PROMISING_RATIO) {
         Verdict::Promising
     } else {
         Verdict::Open
@@ -154,16 +160,36 @@
     routes.fold(score(&all, faulty_share), f64::max)
 }
 
-/// Whether the answers make it unlikely that the version turns [`EXCLUDED_LIFT`] of the good ones bad.
-fn excludes_lift(test: &Test, faulty_share: f64, max_route_ratio: f64, max_ratio: f64) -> bool {
-    let answers = test.iter().map(Vec::len).sum::<usize>();
-    let ratios = test.iter().map(|trials| ratio(trials, faulty_share));
-    let ratios = ratios.collect::<Vec<_>>();
-    let is_unlikely = ratios
-        .iter()
-        .zip(test)
-        .all(|(ratio, trials)| trials.len() < MIN_ROUTE_ANSWERS || *ratio <= max_route_ratio);
-    answers >= MIN_ANSWERS && is_unlikely && ratios.iter().sum::<f64>() <= max_ratio
+/// Logarithms of the likelihood ratios between a version that turns a certain share of the good answers
+/// bad and a good one, in one test.
+struct Ratios {
+    answers: usize,
+    /// Of routes with enough answers.
+    highest: f64,
+    total: f64,
+}
+
+impl Ratios {
+    fn is_below(&self, max_route_ratio: f64, max_ratio: f64) -> bool {
+        self.answers >= MIN_ANSWERS && self.highest <= max_route_ratio && self.total <= max_ratio
+    }
+}
+
+fn ratios(test: &Test, lift: f64, faulty_share: f64) -> Ratios {
+    let mut ratios = Ratios {
+        answers: 0,
+        highest: f64::NEG_INFINITY,
+        total: 0.0,
+    };
+    for trials in test {
+        let ratio = ratio(trials, lift, faulty_share);
+        ratios.answers += trials.len();
+        ratios.total += ratio;
+        if trials.len() >= MIN_ROUTE_ANSWERS {
+            ratios.highest = ratios.highest.max(ratio);
+        }
+    }
+    ratios
 }
 
 /// Answers of a route, of which failed ones are bad.
@@ -285,12 +311,12 @@
     }
 }
 
-/// Logarithm of the likelihood ratio between a version that turns [`EXCLUDED_LIFT`] of the good answers
-/// bad and a good one.
-fn ratio(trials: &[Trial], faulty_share: f64) -> f64 {
+/// Logarithm of the likelihood ratio between a version that turns `lift` of the good answers bad and a
+/// good one.
+fn ratio(trials: &[Trial], lift: f64, faulty_share: f64) -> f64 {
     let mut evidence = Evidence::new(faulty_share);
     for trial in trials {
-        evidence.add(*trial, EXCLUDED_LIFT);
+        evidence.add(*trial, lift);
     }
     evidence.total
 }
--- a/crates/forward/tests/rollouts/judgement.rs
+++ b/crates/forward/tests/rollouts/judgement.rs
@@ -220,3 +220,16 @@
     parts.reverse();
     assert_eq!(forward, sum(&parts));
 }
+
+/// A few answers are slow by chance. They must not keep a good version from being completed, and a third
+/// of them must.
+#[test]
+fn few_slow_answers_do_not_hold_a_version_back() {
+    for (slow, expected) in [(1, true), (4, false)] {
+        let mut tally = route("draft", 3, answered(90));
+        answer(&mut tally, 45, |number| {
+            answered(if number % 11 < slow { 90 } else { 20 })
+        });
+        assert_eq!(verdict(&[tally]) == Verdict::Good, expected, "{slow}");
+    }
+}
