Rollouts: a test of a version that proves good only after the time of the shift

The mutation "a version gets all requests without a ramp" was not detected: the tests had versions that were promising when the ramp is due, and the mutation moves all requests at once only where that comes later. The test fails with the mutation (Shift in place of Ramp) and passes without it.

--- a/crates/forward/tests/rollouts/decisions.rs
+++ b/crates/forward/tests/rollouts/decisions.rs
@@ -534,3 +534,16 @@
     }
     assert_eq!(next_stage(&mut state, shift + 10), Some(Stage::RolledBack));
 }
+
+/// A version whose answers decide only after the time of the shift must not get all requests at once
+/// either.
+#[test]
+fn version_that_proves_good_late_gets_a_ramp_first() {
+    let shift = 1000 + u64::try_from(order(ORDER, "v2").canary_time().as_millis()).expect("short");
+    let mut state = published_canary();
+    assert_eq!(next_stage(&mut state, shift - 500), None);
+    for id in ["m1", "n1", "n2"] {
+        answer(&mut state, id, shift - 400, 30, Outcome::Answered(12));
+    }
+    assert_eq!(next_stage(&mut state, shift + 100), Some(Stage::Ramp));
+}
