--- a/crates/forward/src/rollout/exposure.rs
+++ b/crates/forward/src/rollout/exposure.rs
@@ -7,7 +7,8 @@
 
 use {super::record::Claim, crate::prelude::*};
 
-/// Requests that the owner of a slot may send.
+/// Requests that the owner of a slot may send. At hundreds of instances, owners of larger slots get too
+/// few requests to use them up.
 pub const SLOT_REQUESTS: u32 = 2;
 
 /// Share of the allowed requests that slots use; the rest is for requests in transit when the
--- a/crates/forward/src/rollout/ramp.rs
+++ b/crates/forward/src/rollout/ramp.rs
@@ -13,10 +13,11 @@
 /// Maximum time for which it gets them. With more, a version that stays undecided would pass its limit.
 pub const MAX_TIME: Duration = Duration::from_millis(1500);
 
-/// Share of all requests of the service.
+/// Share of all requests of the service. With more, a bad version passes its limit before evidence of the
+/// ramp is read everywhere.
 const SHARE: f64 = 0.2;
 
-/// Slots whose owners send to the version. Each of them publishes evidence several times a second.
+/// Slots whose owners send to the version. With fewer, they do not hold the share at hundreds of instances.
 const MAX_SENDERS: u32 = 64;
 
 /// Share of the requests at the instance `holder`, one of `instances`, that go to the version.
--- a/crates/forward/src/rollout/verdict.rs
+++ b/crates/forward/src/rollout/verdict.rs
@@ -48,7 +48,8 @@
 /// Share of the good answers that a version turns bad that must be unlikely before it is good.
 const EXCLUDED_LIFT: f64 = 0.35;
 
-/// The same for slow answers. A version that is several times slower makes most of its answers slow.
+/// The same for slow answers. A version that is several times slower makes most of its answers slow; with
+/// a smaller share, a few that are slow by chance keep a good version from being completed.
 const EXCLUDED_SLOW_LIFT: f64 = 0.5;
 
 /// Maximum logarithm of the likelihood ratio between such a version and a good one, for each route
