Rollouts: a test that copies stay at the old version where new engines are emptier

Callers saw nothing; the code is as it was.

Cause: the only test of it asks for a copy while all engines are equally empty, and the first one listed, an old one, wins by its place. The mutation was detected by the one random history of rollouts that a mutation run plays, as long as that history happened to hold a run whose cheapest copy is at a new engine.

Ruled out: a verdict that differs between runs of the same tree (the test and the history are seeded).

Change: a test in which the new engines are the emptier ones, as they are in a rollout. With the mutation it fails (copy at n2), without it passes.

--- a/crates/forward/tests/rollouts/decisions.rs
+++ b/crates/forward/tests/rollouts/decisions.rs
@@ -224,6 +224,22 @@
     assert_eq!(exposed(&mut state, 1003), 0);
 }
 
+/// Copies go to the emptiest engines, and new engines are empty. A copy at a version that is not judged
+/// would expose it to a request, by a takeover that no slot accounts for.
+#[test]
+fn copy_stays_at_the_old_version_when_new_engines_are_emptier() {
+    let mut state = ordered();
+    for id in ["m1", "m2"] {
+        let key = listed(&state, id);
+        begin_run(&mut state, key, None);
+    }
+    let (key, backup) = picked(state.pick_attempt(at(1000), &ticket(), LONG, &[]).0);
+    let backup = backup.expect("there is room for a copy");
+    for endpoint in [key, backup] {
+        assert!(id(&state, endpoint).starts_with('m'));
+    }
+}
+
 /// Old endpoints stop without notice at the completion, so requests leave them first, then runs.
 #[test]
 fn shift_moves_requests_and_then_runs() {
