Wait before an outdated listing is requested again

What callers saw: nothing yet. Calls are limited over all instances; beyond the limit the reads fail on which requests wait.

Cause: a listing that ends before the history begins counted as a successful read, so that only the delay between two reads came before the next one, which found the same gap.

Ruled out: the other reads of a topic, which go on from the end of an answer.

Change: such a listing is applied, but counts as a failed call, with its delay, and does not make the knowledge of crashes current.

--- a/crates/carawayhead/tests/forwarding/knowledge.rs
+++ b/crates/carawayhead/tests/forwarding/knowledge.rs
@@ -2,6 +2,10 @@
 
 use {
     crate::instance::{Instance, wait_until},
+    decision::{
+        fingerprint::Fingerprint,
+        suspects::{Change, Crash, MAX_CRASHES},
+    },
     http::StatusCode,
     platform::standin::{
         PlainService, Store,
@@ -11,6 +15,9 @@
     std::time::Duration,
 };
 
+/// Minimum delay after a failed call of the store.
+const MIN_RETRY_DELAY_MS: u64 = 40;
+
 async fn status(instance: &Instance, key: &str) -> StatusCode {
     let mut request = CallerRequest::new("r1", "/order/7");
     request.key = key;
@@ -92,6 +99,84 @@
     .await;
 }
 
+/// Crashes of as many endpoints as it takes to refuse the request of [`status`].
+fn crashes() -> Vec<Crash> {
+    let fingerprint = Fingerprint::new(Some("ada"), "h.example", "/order/7", b"body");
+    let crashes = (0..MAX_CRASHES).map(|number| Crash {
+        endpoint: format!("m{number}"),
+        events: 0,
+        fingerprint,
+    });
+    crashes.collect()
+}
+
+/// A store with one service, in which a harmless request is listed under as many crashes as it takes to
+/// refuse it.
+async fn store_with_crashes() -> (Store, PlainService) {
+    let store = Store::start().await;
+    let service = PlainService::start("d1").await;
+    store.write_operator_record("config", &config(1, &["key-1"], 5000));
+    store.write_endpoint_entry("d1", &service.entry("desk", "a", "ready"));
+    for crash in crashes() {
+        store.write_crash(&Change::Crashed(crash));
+    }
+    (store, service)
+}
+
+/// A harmless request is cleared, and the store drops its history before all instances have read that.
+/// They must find it in the newest records, or they refuse the request until its crashes expire.
+#[tokio::test]
+async fn request_is_served_when_its_clearance_was_in_lost_history() {
+    let (store, _service) = store_with_crashes().await;
+    let one = Instance::start("e1", "a", &store).await;
+    let two = Instance::start("e2", "b", &store).await;
+    for instance in [&one, &two] {
+        wait_until("the request is refused", || async {
+            status(instance, "key-1").await == StatusCode::SERVICE_UNAVAILABLE
+        })
+        .await;
+    }
+    // The store runs on this thread, so that no read comes in between.
+    for crash in crashes() {
+        store.write_crash(&Change::Cleared(crash));
+    }
+    store.drop_history(0);
+    for instance in [&one, &two] {
+        wait_until("the request is served", || async {
+            status(instance, "key-1").await == StatusCode::OK
+        })
+        .await;
+    }
+}
+
+/// The newest records end before the history begins, as after a loss of history. Instances that ask
+/// again without a delay exhaust the rate limit of the store, and other calls of theirs fail.
+#[tokio::test]
+async fn outdated_listing_is_requested_again_after_a_delay() {
+    let (store, _service) = store_with_crashes().await;
+    store.drop_history(1);
+    let instance = Instance::start_without_waiting("e1", "a", &store).await;
+    let requested_at = || {
+        let lines = instance.log_lines_containing("requested offset is no longer in the store");
+        let lines = lines.iter().filter(|line| line.contains("Crashes"));
+        let parsed = lines.map(|line| serde_json::from_str::<serde_json::Value>(line));
+        let times = parsed.map(|line| line.expect("a line of JSON")["t"].as_u64());
+        times.collect::<Option<Vec<_>>>().expect("times")
+    };
+    wait_until("newest records are read again", || async {
+        requested_at().len() > 5
+    })
+    .await;
+    for pair in requested_at().windows(2) {
+        assert!(pair[1] - pair[0] >= MIN_RETRY_DELAY_MS, "{pair:?}");
+    }
+    store.catch_up();
+    wait_until("the instance serves requests", || async {
+        platform::standin::caller::is_ready(instance.readiness_address).await
+    })
+    .await;
+}
+
 /// One of two instances reads the store and relays its records to the other. Both must apply
 /// every change, and at least one batch must arrive from a peer.
 #[tokio::test]
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -235,16 +235,24 @@
     }
 }
 
+/// Records that the store no longer has, from the offset that was asked for up to the first one that it
+/// has.
+#[derive(Clone, Copy, Debug)]
+struct Gap {
+    from: u64,
+    first: u64,
+}
+
 /// Reads the newest record of each key; returns the offset to continue from.
 async fn read_newest(
     shared: &Rc<Shared>,
     topic: Topic,
-    known: Option<u64>,
+    gap: Option<Gap>,
 ) -> Result<u64, platform::Error> {
     let sent_at = clock::now();
     let newest = shared.store.newest(topic).await?;
     shared.metrics.record_store_call("newest");
-    if known.is_some_and(|known| newest.end < known) {
+    if gap.is_some_and(|gap| newest.end < gap.from) {
         // The store has lost records that were read before; keep what is known.
         return Err(platform::Error::Malformed(format!(
             "newest records end at {}",
@@ -252,11 +260,24 @@
         )));
     }
     // Peers may have relayed records meanwhile that are newer than the listing.
-    let is_current = shared.topic(topic).position.get() <= Some(newest.end);
+    let position = shared.topic(topic).position.get();
+    let is_current = position <= Some(newest.end);
     if topic == Topic::Crashes && is_current {
         crashes::drop_unlisted(shared, &newest.records);
     }
     apply::snapshot(shared, topic, &newest.records);
+    if let Some(gap) = gap.filter(|gap| newest.end < gap.first) {
+        // The listing is outdated, and what it lacks cannot be read. Without the delay after a failed
+        // call, instances would exhaust the rate limit of the store until the listing catches up.
+        shared
+            .topic(topic)
+            .position
+            .set(position.max(Some(newest.end)));
+        return Err(platform::Error::Malformed(format!(
+            "newest records end at {}, history begins at {}",
+            newest.end, gap.first
+        )));
+    }
     if topic == Topic::Crashes {
         // The newest records may be a little old, which only delays a refusal.
         confirm(shared, topic, sent_at);
@@ -279,7 +300,7 @@
                 topic:?, from, first;
                 "requested offset is no longer in the store; reading newest records"
             );
-            return read_newest(shared, topic, Some(from)).await;
+            return read_newest(shared, topic, Some(Gap { from, first })).await;
         }
         tail => tail?,
     };
