mutate: skip the tests of KNOWN-RED.txt

Callers saw nothing.

Evidence: by reading; the run ends at the first test that fails.

The new test did not build before.

--- a/crates/bench/src/bin/mutate.rs
+++ b/crates/bench/src/bin/mutate.rs
@@ -41,6 +41,7 @@
 fn run(options: &Options) -> io::Result<bool> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
     let mutations = mutation::read_all(&root)?;
+    let skipped = mutation::known_red(&fs::read_to_string(root.join("KNOWN-RED.txt"))?);
     let work_dir = root.join("target/mutants/work");
     copy_workspace(&root, &work_dir)?;
     let mut undetected = 0;
@@ -48,7 +49,7 @@
         .iter()
         .filter(|mutation| mutation.name.contains(&options.only))
     {
-        let detected = is_detected(&root, &work_dir, mutation, options.histories)?;
+        let detected = is_detected(&root, &work_dir, mutation, options.histories, &skipped)?;
         undetected += usize::from(!detected);
         println!(
             "{:<8} {}",
@@ -100,12 +101,13 @@
     Ok(())
 }
 
-/// Whether the tests fail with the mutation applied.
+/// Whether the tests fail with the mutation applied, but for those that are skipped.
 fn is_detected(
     root: &Path,
     work_dir: &Path,
     mutation: &Mutation,
     histories: u32,
+    skipped: &[String],
 ) -> io::Result<bool> {
     let mutated_file = work_dir.join(&mutation.file);
     fs::write(&mutated_file, mutation.apply(root)?)?;
@@ -115,6 +117,8 @@
             .args(arguments)
             .args(["--quiet", "--locked"])
             .args(test_arguments(&mutation.file))
+            .arg("--")
+            .args(skipped.iter().flat_map(|name| ["--skip", name]))
             .current_dir(work_dir)
             .env("CARGO_TARGET_DIR", &target_dir)
             .env("HISTORIES", histories.to_string())
--- a/crates/bench/src/mutation.rs
+++ b/crates/bench/src/mutation.rs
@@ -37,6 +37,14 @@
     Ok(list.mutation)
 }
 
+/// Names of the tests that `KNOWN-RED.txt` lists, given its text. They fail with every mutation, and so
+/// detect none.
+#[must_use]
+pub fn known_red(text: &str) -> Vec<String> {
+    let names = text.lines().filter_map(|line| line.strip_prefix("test: "));
+    names.map(|name| name.trim().to_string()).collect()
+}
+
 impl Mutation {
     /// The mutated text of its file.
     ///
--- a/crates/bench/tests/mutations.rs
+++ b/crates/bench/tests/mutations.rs
@@ -15,3 +15,10 @@
         .collect::<Vec<_>>();
     assert!(failed.is_empty(), "{failed:#?}");
 }
+
+/// A test that fails without a mutation too would have every mutation count as detected.
+#[test]
+fn known_red_tests_are_found() {
+    let text = "test: first_test\ncommand: cargo test first_test\n\ntest: second_test \n";
+    assert_eq!(mutation::known_red(text), ["first_test", "second_test"]);
+}
