Do not refuse streams for crashes that another request accounts for

Cause: each request was judged by its own number of crashes. The logs show that the fatal request ran at each of these engines and never got to its first event, while the streams had produced 4 to 43.

Change: a suspect that has produced events is not refused while one request that is refused, and never produced any, shares all its crashes. One crash that they do not share ends that, so that a mistake costs one engine more and those of requests in flight.

--- a/crates/carawayhead/tests/forwarding/crashes.rs
+++ b/crates/carawayhead/tests/forwarding/crashes.rs
@@ -251,3 +251,38 @@
     let response = deployment.send("/draft/7", "body", 0).await;
     assert_eq!((response.status, response.complete), (StatusCode::OK, true));
 }
+
+/// A harmless stream runs at each engine that another request crashes, and no run of it is left that could
+/// clear it. Its callers must be served as soon as there are engines again.
+#[tokio::test]
+async fn stream_is_served_after_all_its_engines_were_crashed_by_another_request() {
+    let mut deployment = Deployment::start(MAX_CRASHES, 0).await;
+    let mut begun = Pending::new();
+    for number in 0..4 * MAX_CRASHES {
+        let instance = &deployment.instances[number % deployment.instances.len()];
+        begun.spawn(send(instance.caller_address, "/draft/7", "body", number));
+    }
+    wait_until("the stream runs at each engine", || async {
+        let engines = &deployment.engines;
+        engines
+            .iter()
+            .all(|engine| !engine.executed_calls().is_empty())
+    })
+    .await;
+    sleep(HEAD_START).await;
+    deployment.crash_engines("/draft/7", 1).await;
+    for response in begun.join_all().await {
+        assert!(!response.complete, "a run has cleared the stream");
+    }
+    let (id, runs) = ("m9", &deployment.shared_runs);
+    let engine = Engine::start(runs, id, EVENTS_PER_STREAM, EVENT_INTERVAL).await;
+    deployment
+        .store
+        .write_endpoint_entry(id, &engine.entry("model", "a", "ready"));
+    deployment.engines.push(engine);
+    sleep(STABILITY_WINDOW).await;
+    deployment.assert_refused("/draft/7").await;
+    for number in 0..3 {
+        deployment.assert_served("/draft/7", "body", number).await;
+    }
+}
--- a/crates/decision/src/suspects.rs
+++ b/crates/decision/src/suspects.rs
@@ -4,7 +4,8 @@
 //! Harmless ones complete later, or are never seen again. A request under which several endpoints
 //! have been lost is refused, under whatever id and at whichever instance it arrives: without a
 //! limit over all instances, it would take down one endpoint after another. If all endpoints were
-//! lost before its first event, runs that have not got there either are stopped.
+//! lost before its first event, runs that have not got there either are stopped, and requests that did
+//! get there, and lost no other endpoints, are not refused.
 //!
 //! Instances share crashes through the log, whose records are kept there until they expire, so that
 //! an instance that has just started knows of them as well.
@@ -93,11 +94,14 @@
 }
 
 impl Suspects {
-    /// Whether a request is refused, since too many endpoints were lost under it.
+    /// Whether a request is refused, since too many endpoints were lost under it that no other request
+    /// accounts for.
     #[must_use]
     pub fn refuses(&self, now: Time, fingerprint: Fingerprint) -> bool {
-        self.find(fingerprint)
-            .is_ok_and(|index| self.entries[index].is_refused(now))
+        self.find(fingerprint).is_ok_and(|index| {
+            let suspect = &self.entries[index];
+            suspect.is_refused(now) && !self.is_explained(suspect)
+        })
     }
 
     /// Whether a run of a request that has produced `events` events is to be stopped: the request
@@ -202,6 +206,22 @@
         expired.into_iter().flat_map(Suspect::crashes).collect()
     }
 
+    /// Whether another request that is refused accounts for the crashes of this one: it ran at each of the
+    /// endpoints and never got to its first event, which this one did.
+    ///
+    /// A crash that the other one does not share ends that, so a mistake costs one endpoint more.
+    fn is_explained(&self, suspect: &Suspect) -> bool {
+        let mut others = self
+            .entries
+            .iter()
+            .filter(|other| other.events == 0 && other.endpoints.len() >= MAX_CRASHES);
+        suspect.events > 0
+            && others.any(|other| {
+                let mut endpoints = suspect.endpoints.iter();
+                endpoints.all(|endpoint| other.endpoints.contains(endpoint))
+            })
+    }
+
     fn find(&self, fingerprint: Fingerprint) -> Result<usize, usize> {
         self.entries
             .binary_search_by_key(&fingerprint, |suspect| suspect.fingerprint)
--- a/crates/forward/tests/suspects.rs
+++ b/crates/forward/tests/suspects.rs
@@ -194,6 +194,50 @@
     assert!(suspects.refuses(at(1), fingerprint("stream")));
 }
 
+/// All engines run the harmless stream that is in demand when another request crashes them, and no run of
+/// it is left that could clear it. Its callers must not be refused for that.
+#[test]
+fn stream_that_got_further_than_the_request_at_fault_is_not_refused() {
+    let mut suspects = Suspects::default();
+    let streamed = |endpoint: &str| Crash {
+        events: 17,
+        ..crash("stream", endpoint)
+    };
+    for endpoint in ["m1", "m2", "m3"] {
+        suspects.apply_crash(at(0), streamed(endpoint));
+    }
+    assert!(suspects.refuses(at(0), fingerprint("stream")));
+    crash_endpoints(&mut suspects, at(0), "fatal", MAX_CRASHES);
+    assert!(!suspects.refuses(at(0), fingerprint("stream")));
+    assert!(suspects.refuses(at(0), fingerprint("fatal")));
+    // Requests that never got to their first event cannot be told apart.
+    crash_endpoints(&mut suspects, at(0), "lookup", MAX_CRASHES);
+    assert!(suspects.refuses(at(0), fingerprint("lookup")));
+}
+
+/// A stream that crashes its engines may share them with one that waits there. It is refused again once
+/// it has crashed one without the other.
+#[test]
+fn stream_that_crashes_an_engine_by_itself_is_refused() {
+    let mut suspects = Suspects::default();
+    crash_endpoints(&mut suspects, at(0), "waiting", MAX_CRASHES);
+    for endpoint in ["m1", "m2", "m3"] {
+        let crash = Crash {
+            events: 17,
+            ..crash("fatal", endpoint)
+        };
+        assert!(suspects.record_crash(at(0), crash));
+    }
+    assert!(!suspects.refuses(at(0), fingerprint("fatal")));
+    assert!(suspects.record_crash(at(1), crash("fatal", "m4")));
+    assert!(suspects.refuses(at(1), fingerprint("fatal")));
+    // One that was lost under two other requests only is not enough to account for it.
+    let mut suspects = Suspects::default();
+    crash_endpoints(&mut suspects, at(0), "waiting", MAX_CRASHES - 1);
+    crash_endpoints(&mut suspects, at(0), "fatal", MAX_CRASHES);
+    assert!(suspects.refuses(at(0), fingerprint("fatal")));
+}
+
 /// The store drops its history with the clearance of a harmless request in it. An instance that has not
 /// read it must not go on refusing the request.
 #[test]
--- a/crates/proxy/src/crashes.rs
+++ b/crates/proxy/src/crashes.rs
@@ -149,7 +149,8 @@
             let crashes = state.suspects.crashes(fingerprint);
             // Most suspects are harmless requests that shared an endpoint with the one at fault.
             if crashes > before && crashes > 1 {
-                log_suspicion(fingerprint, crashes);
+                let refused = state.suspects.refuses(clock::now(), fingerprint);
+                log_suspicion(fingerprint, crashes, refused);
             }
             if crashes >= forward::suspects::MAX_CRASHES {
                 shared.refusals_changed.notify_waiters();
@@ -160,7 +161,6 @@
 }
 
 /// Logs that one more endpoint was lost under a request.
-pub fn log_suspicion(fingerprint: Fingerprint, crashes: usize) {
-    let refused = crashes >= forward::suspects::MAX_CRASHES;
+pub fn log_suspicion(fingerprint: Fingerprint, crashes: usize, refused: bool) {
     log::info!(fingerprint:%, crashes, refused; "request may crash endpoints");
 }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -279,7 +279,9 @@
         );
         self.metrics.record_break(&endpoint.listing.service);
         if counts {
-            crashes::log_suspicion(fingerprint, state.suspects.crashes(fingerprint));
+            let crashes = state.suspects.crashes(fingerprint);
+            let refused = state.suspects.refuses(now, fingerprint);
+            crashes::log_suspicion(fingerprint, crashes, refused);
             self.metrics.record_suspicion("crashed");
             self.suspects_changed.notify_one();
             self.refusals_changed.notify_waiters();
