rollout: no further slots for a version that has proved good

What callers saw: a version that is bad only under the load of all requests fails far more of them than its limit. Part of the cause: canaries went on until the order's shift, whatever they showed, and had used up most of the limit by then.

Change: a slot is claimed only while the version is not good yet.

The new test fails without the change (a slot is claimed).

--- a/crates/forward/src/rollout/step.rs
+++ b/crates/forward/src/rollout/step.rs
@@ -308,6 +308,7 @@
             && now >= self.next_claim
             && !self.withdrawn
             && has_requests
+            && self.judgement().verdict != Verdict::Good
             && surroundings.targets > 0
             && self.exposure.left(&self.claims, holder) == 0
             && elapsed + DECISION_MARGIN < order.duration
--- a/crates/forward/tests/rollouts/decisions.rs
+++ b/crates/forward/tests/rollouts/decisions.rs
@@ -412,6 +412,25 @@
     }
 }
 
+/// Further canaries of a version that has proved good would use up the limit, of which the shift needs the
+/// rest if the version is bad under load.
+#[test]
+fn version_that_has_proved_good_gets_no_further_slots() {
+    for (answers, is_claimed) in [(1, true), (30, false)] {
+        let mut state = published_canary();
+        for id in ["m1", "n1", "n2"] {
+            answer(&mut state, id, 2000, answers, Outcome::Answered(12));
+        }
+        confirm(&mut state, 6000);
+        // Evidence goes first.
+        let actions = [0, 10].map(|later| state.next_rollout_action(at(6000 + later), "e1"));
+        let claims = actions.iter().flatten().any(|action| {
+            matches!(action, Action::Append(record) if matches!(record.content, Content::Claim(_)))
+        });
+        assert_eq!(claims, is_claimed, "{actions:?}");
+    }
+}
+
 /// Instances without a slot know of most requests. If they kept that to themselves, the limit would
 /// stay far below what it allows, and a good version would be rolled back for want of answers.
 #[test]
