rollout: judge a version on most of its answers after the shift

What callers saw: a version that is bad only while it gets most of the requests was completed, after which the old endpoints stop.

Cause: after the shift only the owners of eight slots publish answers, a tenth of all at 80 instances, and the completion follows 1.3 s later. Evidence: the tallies at the decision; with the answers of all instances each of these versions is found.

Ruled out: the judgement itself.

Change: for 2 s after the shift up to 128 instances publish their answers, as for a census.

versions_that_are_bad_under_load_are_rolled_back and the test of a single instance failed before and pass.

--- a/crates/forward/src/rollout/step.rs
+++ b/crates/forward/src/rollout/step.rs
@@ -38,14 +38,18 @@
 /// versions that are undecided by then.
 const CENSUS_SHARES: [f64; 4] = [0.3, 0.6, 0.85, 1.1];
 
-/// Number of instances that on average publish for a census. All instances read what one publishes, so
-/// that without a bound the bytes would grow with the square of their number.
+/// Number of instances that on average publish for a census, and after the shift. All instances read what
+/// one publishes, so that without a bound the bytes would grow with the square of their number.
 const CENSUS_INSTANCES: u32 = 128;
 
 /// Time over which the publications of a census are spread.
 const CENSUS_SPREAD: Duration = Duration::from_millis(600);
 
-/// Slots whose owners go on publishing evidence after the shift, when there is much of it.
+/// Time after the shift for which instances without a slot publish evidence too. With less, or with owners
+/// of slots alone, a version that is bad only under the load of all requests is completed before it shows.
+const SHIFT_REPORT_TIME: Duration = Duration::from_secs(2);
+
+/// Slots whose owners go on publishing evidence after that, when there is much of it.
 const SHIFT_REPORTERS: u32 = 8;
 
 /// Time before the end of an order at which a version that has not proved good is rolled back.
@@ -244,7 +248,7 @@
     }
 
     /// The evidence of this instance, if it is to be published. Owners of slots publish theirs whenever
-    /// it has grown, some others for each census.
+    /// it has grown, some others for each census and after the shift.
     fn due_evidence(
         &mut self,
         now: Time,
@@ -255,16 +259,19 @@
         let stage = self.stage()?;
         let reports = |slot: u32| stage != Stage::Shift || slot < SHIFT_REPORTERS;
         let mut claims = self.claims.iter();
-        let is_reporter = claims.any(|claim| claim.holder == holder && reports(claim.slot));
+        let instances = u32::try_from(surroundings.instances.max(1)).unwrap_or(u32::MAX);
+        let is_drawn = digest(holder) % instances < CENSUS_INSTANCES;
+        let has_shifted = stage == Stage::Shift && now.since(self.stage_since) < SHIFT_REPORT_TIME;
+        let is_reporter = (has_shifted && is_drawn)
+            || claims.any(|claim| claim.holder == holder && reports(claim.slot));
         let (published, at) = &self.own_published;
         if stage.is_final() || now.since(*at) < EVIDENCE_INTERVAL {
             return None;
         }
         // Answers of other versions alone only matter for the limit.
         let has_grown = tally::new_answers(&self.own) > tally::new_answers(published);
-        let instances = u32::try_from(surroundings.instances.max(1)).unwrap_or(u32::MAX);
         let is_counted = stage < Stage::Shift
-            && digest(holder) % instances < CENSUS_INSTANCES
+            && is_drawn
             && tally::answers(&self.own) > tally::answers(published)
             && *at < self.last_census(now, holder);
         if !(is_reporter && has_grown || is_counted) {
--- a/crates/forward/tests/rollouts/decisions.rs
+++ b/crates/forward/tests/rollouts/decisions.rs
@@ -468,6 +468,34 @@
     state
 }
 
+/// Under the load of all requests a version may turn bad. Owners of slots alone see too few of its answers
+/// to find that before it is completed.
+#[test]
+fn instances_without_a_slot_publish_answers_after_the_shift() {
+    let mut state = published_canary();
+    for slot in 0..20 {
+        claim(&mut state, slot, "e2@1", u64::from(slot));
+    }
+    let shift = 9000;
+    reach(&mut state, shift, "v2", ORDER, Stage::Shift);
+    let key = listed(&state, "n1");
+    let mut published = |from: u64| {
+        confirm(&mut state, from);
+        state.observe(at(from), key, "/draft/", Outcome::Failed);
+        // Decisions come first.
+        let actions = [0, 10].map(|later| state.next_rollout_action(at(from + later), "e1"));
+        let mut records = actions.iter().filter_map(|action| match action {
+            Some(Action::Append(record)) => Some(&record.content),
+            _ => None,
+        });
+        records.any(|content| matches!(content, Content::Evidence(_)))
+    };
+    assert!(published(shift + 100));
+    assert!(published(shift + 1900));
+    // The bytes that all instances read would grow with each moment that a shift waits for runs.
+    assert!(!published(shift + 2100));
+}
+
 /// Number of 400 requests, one each millisecond, that go to the new version.
 fn ramped(state: &mut State, from: u64) -> usize {
     confirm(state, from);
--- a/crates/forward/tests/rollouts/histories.rs
+++ b/crates/forward/tests/rollouts/histories.rs
@@ -50,11 +50,38 @@
             } else {
                 0
             },
+            from_load: 0.0,
             one_route: random.random_bool(0.3),
         },
     }
 }
 
+/// A version that is bad only while it gets most of the requests.
+fn bad_under_load(seed: u64) -> History {
+    let mut history = history(seed, bad_behavior(seed));
+    history.target.from_ms = 0;
+    history.target.from_load = 0.5;
+    history
+}
+
+/// A version that is bad only after most of the time of the shortest orders.
+fn bad_late(seed: u64) -> History {
+    let mut history = history(seed, bad_behavior(seed));
+    history.target.from_ms = SmallRng::seed_from_u64(seed).random_range(4000..10_000);
+    history
+}
+
+fn bad_behavior(seed: u64) -> Behavior {
+    let behaviors = [
+        Behavior::Failing(1.0),
+        Behavior::Failing(0.5),
+        Behavior::Failing(0.35),
+        Behavior::Slow(4.0),
+        Behavior::Slow(8.0),
+    ];
+    behaviors[usize::try_from(seed).expect("small") % behaviors.len()]
+}
+
 /// Checks that hold whatever the version is.
 fn check(history: &History, result: &Result) {
     assert!(
@@ -63,31 +90,27 @@
     );
     assert_eq!(result.after_completion, 0, "{history:?} {result:?}");
     if history.target.behavior != Behavior::Good {
-        let allowed = MAX_EXPOSED_SHARE * f64::from(result.requests) + MAX_EXPOSED;
         assert!(
-            f64::from(result.exposed) <= allowed,
+            f64::from(result.exposed) <= allowed(result),
             "{history:?} {result:?}"
         );
         assert_eq!(result.late, 0, "{history:?} {result:?}");
     }
 }
 
+/// Requests that a bad version may get.
+fn allowed(result: &Result) -> f64 {
+    MAX_EXPOSED_SHARE * f64::from(result.requests) + MAX_EXPOSED
+}
+
 /// A version that fails or is slow, from the start or later, on all routes or on one, must be
 /// rolled back while it has got few requests. Otherwise callers are served by it.
 #[test]
 fn bad_versions_are_rolled_back_within_the_limit() {
     let (count, seed) = (number("ROLLOUTS", ROLLOUTS), number("SEED", 1));
-    let behaviors = [
-        Behavior::Failing(1.0),
-        Behavior::Failing(0.5),
-        Behavior::Failing(0.35),
-        Behavior::Slow(4.0),
-        Behavior::Slow(8.0),
-    ];
     let (mut missed, mut exposed) = (0, 0);
     for seed in seed..seed + count {
-        let behavior = behaviors[usize::try_from(seed).expect("small") % behaviors.len()];
-        let history = history(seed, behavior);
+        let history = history(seed, bad_behavior(seed));
         let result = play(history);
         check(&history, &result);
         exposed += result.exposed;
@@ -100,6 +123,53 @@
     assert!(missed * ERRORS_PER <= u32::try_from(count).expect("small"));
 }
 
+/// Plays bad versions, and returns how many were not rolled back in time.
+fn missed(count: u64, seeds: impl Iterator<Item = u64>, history: fn(u64) -> History) -> u32 {
+    let (mut missed, mut over) = (0, 0);
+    for seed in seeds {
+        let history = history(seed);
+        let result = play(history);
+        if f64::from(result.exposed) > allowed(&result) {
+            println!("over its limit: {history:?} {result:?}");
+            over += 1;
+        }
+        if result.stages != [Stage::RolledBack] || result.late > 0 {
+            println!("not rolled back in time: {history:?} {result:?}");
+            missed += 1;
+        }
+    }
+    println!("{count} versions: {missed} not rolled back in time, {over} over their limit");
+    missed
+}
+
+/// A version that is bad only while it gets most of the requests passes its canaries and its ramp. The
+/// answers after the shift must show it before it is completed, when the old endpoints stop.
+#[test]
+fn versions_that_are_bad_under_load_are_rolled_back() {
+    let (count, seed) = (number("ROLLOUTS", ROLLOUTS), number("SEED", 1));
+    let seeds = (seed..seed + count).chain([12, 47]);
+    let missed = missed(count, seeds, bad_under_load);
+    assert!(missed * ERRORS_PER <= u32::try_from(count).expect("small"));
+}
+
+/// The same for a version that turns bad late, before or after the shift.
+#[test]
+fn versions_that_turn_bad_late_are_rolled_back() {
+    let (count, seed) = (number("ROLLOUTS", ROLLOUTS), number("SEED", 1));
+    let missed = missed(count, seed..seed + count, bad_late);
+    assert!(missed * ERRORS_PER <= u32::try_from(count).expect("small"));
+}
+
+/// A version that is bad only under the load of all requests must not get more of them than its limit.
+#[test]
+fn versions_that_are_bad_under_load_stay_within_the_limit() {
+    for seed in [7, 15, 47, 5017] {
+        let history = bad_under_load(seed);
+        let result = play(history);
+        check(&history, &result);
+    }
+}
+
 /// A good version must be completed in time, though instances are cut off or replaced, endpoints of
 /// either version fail and the store loses answers.
 #[test]
--- a/crates/forward/tests/rollouts/simulation.rs
+++ b/crates/forward/tests/rollouts/simulation.rs
@@ -30,6 +30,9 @@
 /// Milliseconds between two reads of an instance, after each of which it acts.
 const ACTION_INTERVAL_MS: u64 = 50;
 
+/// Number of latest requests over which the load of the target is averaged.
+const LOAD_REQUESTS: f64 = 25.0;
+
 /// Maximum number of appends that an instance tries in a row.
 const MAX_TRIES: u32 = 3;
 
@@ -53,6 +56,8 @@
     pub one_route: bool,
     /// Milliseconds after the order from which on it behaves so.
     pub from_ms: u64,
+    /// Share of the latest requests from which on it behaves so.
+    pub from_load: f64,
 }
 
 /// What goes wrong meanwhile.
@@ -125,6 +130,8 @@
 
 struct World {
     history: History,
+    /// Share of the latest requests that the target got.
+    load: f64,
     nodes: Vec<Node>,
     grey: Vec<String>,
     pending: Vec<Answer>,
@@ -218,6 +225,7 @@
         bad_ms: Vec::new(),
         grey,
         history,
+        load: 0.0,
         nodes,
         pending: Vec::new(),
         random,
@@ -388,7 +396,9 @@
         self.result.after_completion +=
             u32::from(completed && !is_target && in_touch && since > 300);
         let target = self.history.target;
+        self.load += (f64::from(u8::from(is_target)) - self.load) / LOAD_REQUESTS;
         let affected = is_target
+            && self.load >= target.from_load
             && now_ms >= ORDERED_MS + target.from_ms
             && (!target.one_route || route == ROUTES[0].0);
         let own_fault = self.random.random_range(0..1000) < fails;
