Do not refuse harmless streams for one more engine either

Cause: the streams had lost three engines to the fatal request, and a fourth one at the same time to something that is not among its records. One crash that was not shared was enough to blame them for all. The logs do not tell what took the fourth, as lines of crashes did not name the endpoint; now they do.

Ruled out: lost history and lost clearances (no run completed); events of the fatal request (none).

Change: one crash that is not shared does not end the explanation, two do.

--- a/crates/decision/src/suspects.rs
+++ b/crates/decision/src/suspects.rs
@@ -18,6 +18,10 @@
 /// Number of endpoints lost under a request from which on it is refused.
 pub const MAX_CRASHES: usize = 3;
 
+/// Number of endpoints that may be lost under a request beside those that another request accounts for.
+/// With none, a harmless request is refused if one more endpoint fails by itself meanwhile.
+const MAX_UNEXPLAINED: usize = 1;
+
 /// Time after the last crash for which a request is refused. After it the request is passed on
 /// again, and refused anew after one more crash.
 pub const REFUSAL_PERIOD: Duration = Duration::from_mins(10);
@@ -206,16 +210,20 @@
         expired.into_iter().flat_map(Suspect::crashes).collect()
     }
 
-    /// Whether another request accounts for the crashes of a refused one: it ran at each of the endpoints,
-    /// so that it is refused too, and never got to its first event, which the refused one did.
+    /// Whether another request that has crashed as many endpoints as it takes accounts for the crashes of
+    /// this one: it ran at nearly all of the endpoints and never got to its first event, which this one did.
     ///
-    /// A crash that the other one does not share ends that, so a mistake costs one endpoint more.
+    /// Further crashes that the other one does not share end that, so a mistake costs two endpoints more.
     fn is_explained(&self, suspect: &Suspect) -> bool {
-        let mut others = self.entries.iter().filter(|other| other.events == 0);
+        let mut others = self
+            .entries
+            .iter()
+            .filter(|other| other.events == 0 && other.endpoints.len() >= MAX_CRASHES);
         suspect.events > 0
             && others.any(|other| {
-                let mut endpoints = suspect.endpoints.iter();
-                endpoints.all(|endpoint| other.endpoints.contains(endpoint))
+                let endpoints = suspect.endpoints.iter();
+                let unexplained = endpoints.filter(|endpoint| !other.endpoints.contains(endpoint));
+                unexplained.count() <= MAX_UNEXPLAINED
             })
     }
 
--- a/crates/proxy/src/crashes.rs
+++ b/crates/proxy/src/crashes.rs
@@ -143,14 +143,14 @@
     match change {
         Change::Cleared(crash) => state.suspects.apply_removal(crash),
         Change::Crashed(crash) => {
-            let fingerprint = crash.fingerprint;
+            let (fingerprint, endpoint) = (crash.fingerprint, crash.endpoint.clone());
             let before = state.suspects.crashes(fingerprint);
             state.suspects.apply_crash(clock::now(), crash);
             let crashes = state.suspects.crashes(fingerprint);
             // Most suspects are harmless requests that shared an endpoint with the one at fault.
             if crashes > before && crashes > 1 {
                 let refused = state.suspects.refuses(clock::now(), fingerprint);
-                log_suspicion(fingerprint, crashes, refused);
+                log_suspicion(fingerprint, &endpoint, crashes, refused);
             }
             if crashes >= forward::suspects::MAX_CRASHES {
                 shared.refusals_changed.notify_waiters();
@@ -161,6 +161,6 @@
 }
 
 /// Logs that one more endpoint was lost under a request.
-pub fn log_suspicion(fingerprint: Fingerprint, crashes: usize, refused: bool) {
-    log::info!(fingerprint:%, crashes, refused; "request may crash endpoints");
+pub fn log_suspicion(fingerprint: Fingerprint, endpoint: &str, crashes: usize, refused: bool) {
+    log::info!(fingerprint:%, endpoint, crashes, refused; "request may crash endpoints");
 }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -281,7 +281,7 @@
         if counts {
             let crashes = state.suspects.crashes(fingerprint);
             let refused = state.suspects.refuses(now, fingerprint);
-            crashes::log_suspicion(fingerprint, crashes, refused);
+            crashes::log_suspicion(fingerprint, &endpoint.listing.id, crashes, refused);
             self.metrics.record_suspicion("crashed");
             self.suspects_changed.notify_one();
             self.refusals_changed.notify_waiters();
