Count only crashes that no other request accounts for

Cause: of the four engines that the streams had lost, the fatal request's records name two; the instance where a third fatal request ran was killed before it published.

Ruled out: lost history and clearances; events of the fatal request (none).

Change: crashes that another refused request accounts for do not count, and it takes three others for a refusal.

--- a/crates/decision/src/suspects.rs
+++ b/crates/decision/src/suspects.rs
@@ -18,10 +18,6 @@
 /// Number of endpoints lost under a request from which on it is refused.
 pub const MAX_CRASHES: usize = 3;
 
-/// Number of endpoints that may be lost under a request beside those that another request accounts for.
-/// With none, a harmless request is refused if one more endpoint fails by itself meanwhile.
-const MAX_UNEXPLAINED: usize = 1;
-
 /// Time after the last crash for which a request is refused. After it the request is passed on
 /// again, and refused anew after one more crash.
 pub const REFUSAL_PERIOD: Duration = Duration::from_mins(10);
@@ -210,10 +206,10 @@
         expired.into_iter().flat_map(Suspect::crashes).collect()
     }
 
-    /// Whether another request that has crashed as many endpoints as it takes accounts for the crashes of
-    /// this one: it ran at nearly all of the endpoints and never got to its first event, which this one did.
+    /// Whether too few endpoints were lost under a request for a refusal without those for which another
+    /// refused request accounts: it ran there as well and never got to its first event, which this one did.
     ///
-    /// Further crashes that the other one does not share end that, so a mistake costs two endpoints more.
+    /// A request that crashes endpoints beside such a one takes down as many again before it is refused.
     fn is_explained(&self, suspect: &Suspect) -> bool {
         let mut others = self
             .entries
@@ -223,7 +219,7 @@
             && others.any(|other| {
                 let endpoints = suspect.endpoints.iter();
                 let unexplained = endpoints.filter(|endpoint| !other.endpoints.contains(endpoint));
-                unexplained.count() <= MAX_UNEXPLAINED
+                unexplained.count() < MAX_CRASHES
             })
     }
 
