--- a/crates/forward/tests/rollouts/decisions.rs
+++ b/crates/forward/tests/rollouts/decisions.rs
@@ -349,13 +349,7 @@
 /// A version that nobody could judge in time is rolled back before the order ends.
 #[test]
 fn version_without_answers_is_rolled_back_at_the_end() {
-    let mut state = ordered();
-    reach(&mut state, 1000, "v2", ORDER, Stage::Canary);
-    let published = Published {
-        order: ORDER,
-        stage: Stage::Canary,
-    };
-    apply(&mut state, 1000, Content::Published(published));
+    let mut state = published_canary();
     for (millis, expected) in [(12_600, None), (12_800, Some(Stage::RolledBack))] {
         confirm(&mut state, millis);
         let recorded = match state.next_rollout_action(at(millis), "e1") {
