Tell full endpoints from unreachable ones in the log and the metrics

Cause: not looked for here. The line of a request that found no endpoint did not say whether endpoints were full or unreachable, plain services had no line for a failed connection, and no metric counted one.

Change: the line names how many of the listed endpoints cannot be reached; "cannot reach endpoint" for plain services; counter sends_unreachable by service. No decision is changed.

--- a/crates/forward/src/endpoint.rs
+++ b/crates/forward/src/endpoint.rs
@@ -164,6 +164,12 @@
         self.leaving_since.is_none() && now >= self.avoid_until
     }
 
+    /// Whether it is not used because it could not be reached.
+    #[must_use]
+    pub fn is_unreachable(&self, now: Time) -> bool {
+        self.failures > 0 && now < self.avoid_until
+    }
+
     /// Records that it is leaving.
     pub fn mark_leaving(&mut self, now: Time) {
         self.leaving_since.get_or_insert(now);
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -499,6 +499,16 @@
         targets.filter(|other| other.version() == target).count()
     }
 
+    /// Number of endpoints of a service that are not leaving, and of those among them that are not
+    /// used because they could not be reached.
+    #[must_use]
+    pub fn count_unreachable(&self, now: Time, service: &str) -> (usize, usize) {
+        let unreachable = self
+            .listed(service)
+            .filter(|endpoint| endpoint.is_unreachable(now));
+        (self.listed(service).count(), unreachable.count())
+    }
+
     /// Endpoints of a service that are not leaving.
     fn listed(&self, service: &str) -> impl Iterator<Item = &Endpoint> {
         let endpoints = self.endpoints.values();
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -93,6 +93,7 @@
     ticket: &mut Ticket,
     progress: &mut Progress,
 ) -> Attempt {
+    let id = &original.inbound.id;
     let queue_timeout = ticket.route.timeout.mul_f64(QUEUE_TIMEOUT_SHARE);
     let deadline = original
         .inbound
@@ -107,7 +108,7 @@
         () = shared.stopped(original, 0) => return Attempt::Failed(Refusal::CrashesEndpoints),
     };
     let Some((key, _)) = acquired else {
-        progress.why = "no endpoint with room".to_string();
+        progress.why = shared.why_not_acquired(&ticket.service);
         return Attempt::Failed(Refusal::Full);
     };
     match shared.readmit(original, ticket) {
@@ -147,6 +148,7 @@
                 shared.observe(key, &ticket.route.name, Outcome::Failed);
                 progress.note_run(key, failure.why);
             } else {
+                log::info!(id, why = failure.why; "cannot reach endpoint");
                 progress.why = failure.why;
                 // The request never arrived, so it counts neither as an attempt nor against
                 // the retry budget. The endpoint is marked unreachable, so that the next
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -79,14 +79,18 @@
     };
     shared.record_send(destination.key);
     log_send(shared, original, destination, &endpoint);
-    exchange(
+    let outcome = exchange(
         shared,
         address,
         request,
         &original.inbound.id,
         limit.min(left),
     )
-    .await
+    .await;
+    if matches!(outcome, SendOutcome::NotWritten(_)) {
+        shared.record_unreachable(destination.key);
+    }
+    outcome
 }
 
 /// Logs the choice of an endpoint with the data that it was based on.
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -29,6 +29,7 @@
     store_calls: Counter<u64>,
     suspicions: Counter<u64>,
     total: Histogram<f64>,
+    unreachable: Counter<u64>,
     _provider: SdkMeterProvider,
 }
 
@@ -83,6 +84,10 @@
                 "crashes of endpoints that count against a request, and clearances",
             ),
             total: histogram("request_seconds", "time to the end of an answer"),
+            unreachable: counter(
+                "sends_unreachable",
+                "sends that could not reach their endpoint, by service",
+            ),
             _provider: provider,
             registry,
         })
@@ -114,6 +119,12 @@
         self.loop_late.record(late.as_secs_f64(), &[]);
     }
 
+    /// Records a send that could not reach its endpoint.
+    pub fn record_unreachable(&self, service: &str) {
+        self.unreachable
+            .add(1, &[KeyValue::new("service", service.to_string())]);
+    }
+
     /// Records the outcome of a takeover.
     pub fn record_move(&self, outcome: &'static str) {
         self.moves.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -140,6 +140,17 @@
         Some((listing.address, listing.id.clone()))
     }
 
+    /// Why a request found no endpoint of a service, for its log line.
+    #[must_use]
+    pub fn why_not_acquired(&self, service: &str) -> String {
+        let state = self.state.borrow();
+        let (listed, unreachable) = state.count_unreachable(clock::now(), service);
+        if unreachable > 0 && unreachable == listed {
+            return "no endpoint can be reached".to_string();
+        }
+        format!("no endpoint with room; {unreachable} of {listed} cannot be reached")
+    }
+
     /// Marks an endpoint as unreachable.
     pub fn mark_unreachable(&self, key: EndpointKey) {
         if let Some(endpoint) = self.state.borrow_mut().endpoint_mut(key) {
@@ -340,6 +351,13 @@
         }
     }
 
+    /// Counts a send that did not reach its endpoint, for the metrics.
+    pub fn record_unreachable(&self, key: EndpointKey) {
+        if let Some(endpoint) = self.state.borrow().endpoint(key) {
+            self.metrics.record_unreachable(&endpoint.listing.service);
+        }
+    }
+
     /// Counts a send to a service, for the retry budget and the metrics.
     pub fn record_attempt(&self, service: &str, is_retry: bool) {
         let now = clock::now();
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -63,7 +63,7 @@
             }
         };
         let Some((key, backup)) = acquired else {
-            progress.why = "no engine with room".to_string();
+            progress.why = shared.why_not_acquired(&ticket.service);
             return Err(progress.give_up(id, Refusal::Full));
         };
         // No event has reached the caller yet, so the newest configuration applies.
