--- a/crates/carawayhead/tests/forwarding/instance.rs
+++ b/crates/carawayhead/tests/forwarding/instance.rs
@@ -120,6 +120,11 @@
         rustix::process::kill_process(pid, signal).expect("the process can be signalled");
     }
 
+    /// Id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// The exit status; `None` while the process runs.
     pub fn exit_status(&mut self) -> Option<std::process::ExitStatus> {
         self.child
--- /dev/null
+++ b/crates/carawayhead/tests/forwarding/partitions.rs
@@ -0,0 +1,239 @@
+//! Instances that are partitioned from endpoints, while callers, the store and peers reach them.
+
+use {
+    crate::{
+        instance::Instance,
+        loopback::{FaultProxy, Partition},
+    },
+    http::StatusCode,
+    platform::standin::{
+        Engine, PlainService, Store,
+        caller::{CallerRequest, config, send_request},
+        engine::SharedRuns,
+    },
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{task::JoinHandle, time::sleep},
+};
+
+/// Time after the start of a partition from which callers of all instances are to be served.
+const STABILITY_WINDOW: Duration = Duration::from_secs(3);
+
+/// How long requests are counted after that.
+const OBSERVED: Duration = Duration::from_secs(4);
+
+const EVENTS_PER_STREAM: u32 = 20;
+const EVENT_INTERVAL: Duration = Duration::from_millis(15);
+const ROUTES: [&str; 4] = ["/draft/x", "/look/x", "/order/x", "/tag/x"];
+
+/// Endpoints behind proxies, and instances.
+struct Deployment {
+    desks: Vec<(PlainService, FaultProxy)>,
+    engines: Vec<(Engine, FaultProxy)>,
+    instances: Vec<Instance>,
+    _store: Store,
+}
+
+/// What the callers of one instance got for requests that were sent in the counted time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    sent: usize,
+    served: usize,
+}
+
+impl Deployment {
+    /// Starts three desks and four engines, and an instance in each of `domains`.
+    async fn start(domains: &[&str]) -> Self {
+        let store = Store::start().await;
+        store.write_operator_record("config", &config(1, &["key-1"], 2000));
+        let mut desks = Vec::new();
+        for domain in ["a", "b", "c"] {
+            let id = format!("desk-{domain}");
+            let mut desk = PlainService::start(&id).await;
+            let proxy = FaultProxy::start(desk.address).await;
+            desk.address = proxy.address;
+            store.write_endpoint_entry(&id, &desk.entry("desk", domain, "ready"));
+            desks.push((desk, proxy));
+        }
+        let runs = Arc::<SharedRuns>::default();
+        let mut engines = Vec::new();
+        for (number, domain) in ["a", "b", "c", "a"].into_iter().enumerate() {
+            let id = format!("m{number}");
+            let mut engine = Engine::start(&runs, &id, EVENTS_PER_STREAM, EVENT_INTERVAL).await;
+            let proxy = FaultProxy::start(engine.address).await;
+            engine.set_address(proxy.address);
+            store.write_endpoint_entry(&id, &engine.entry("model", domain, "ready"));
+            engines.push((engine, proxy));
+        }
+        let mut instances = Vec::new();
+        for (number, domain) in domains.iter().enumerate() {
+            let name = format!("e{number}");
+            instances.push(Instance::start(&name, domain, &store).await);
+        }
+        Self {
+            desks,
+            engines,
+            instances,
+            _store: store,
+        }
+    }
+
+    /// Proxies of all endpoints.
+    fn proxies(&self) -> impl Iterator<Item = &FaultProxy> {
+        let desks = self.desks.iter().map(|(_, proxy)| proxy);
+        desks.chain(self.engines.iter().map(|(_, proxy)| proxy))
+    }
+
+    /// Process ids of the first `count` instances.
+    fn pids(&self, count: usize) -> Vec<u32> {
+        let instances = self.instances.iter().take(count);
+        instances.map(Instance::pid).collect()
+    }
+
+    /// Partitions the first `count` instances from all endpoints while callers use all instances, and
+    /// counts what they get after the stability window.
+    async fn count_under(&self, partition: Partition, count: usize) -> Vec<Count> {
+        // Leaves idle connections to all endpoints, as in an instance that has run for a while.
+        let before = self.call_all(Instant::now(), Duration::from_secs(1));
+        for callers in before {
+            callers.await.expect("the callers do not panic");
+        }
+        let pids = self.pids(count);
+        for proxy in self.proxies() {
+            proxy.partition(partition, &pids);
+        }
+        let counted_from = Instant::now() + STABILITY_WINDOW;
+        let mut counts = Vec::new();
+        for callers in self.call_all(counted_from, STABILITY_WINDOW + OBSERVED) {
+            counts.push(callers.await.expect("the callers do not panic"));
+        }
+        println!("{partition:?}: {counts:?}");
+        counts
+    }
+
+    /// Starts callers of all instances.
+    fn call_all(&self, counted_from: Instant, length: Duration) -> Vec<JoinHandle<Count>> {
+        let instances = self.instances.iter().enumerate();
+        let started = instances.map(|(number, instance)| {
+            let address = instance.caller_address;
+            tokio::spawn(call(address, number, counted_from, length))
+        });
+        started.collect()
+    }
+
+    /// Asserts that no order ran twice.
+    fn assert_ran_once(&self) {
+        let calls = self
+            .desks
+            .iter()
+            .flat_map(|(desk, _)| desk.executed_calls());
+        let orders = calls.filter(|call| call.path.starts_with("/order"));
+        let mut ids = orders.map(|call| call.id().to_string()).collect::<Vec<_>>();
+        let count = ids.len();
+        ids.sort_unstable();
+        ids.dedup();
+        assert_eq!(ids.len(), count, "orders ran twice");
+    }
+}
+
+/// Sends requests to an instance for some time, each on a new connection and not again if it fails.
+async fn call(
+    address: SocketAddr,
+    instance: usize,
+    counted_from: Instant,
+    length: Duration,
+) -> Count {
+    let end = Instant::now() + length;
+    let mut tasks = tokio::task::JoinSet::new();
+    let mut number = 0_usize;
+    while Instant::now() < end {
+        number += 1;
+        let is_counted = Instant::now() >= counted_from;
+        tasks.spawn(async move {
+            let id = format!("{instance}-{number}-{is_counted}");
+            let path = ROUTES[number % ROUTES.len()];
+            let mut request = CallerRequest::new(&id, path);
+            request.deadline_ms = 2000;
+            let response = send_request(address, &request).await;
+            let served = response
+                .is_some_and(|response| response.complete && response.status == StatusCode::OK);
+            (is_counted, served)
+        });
+        sleep(Duration::from_millis(40)).await;
+    }
+    let mut count = Count::default();
+    while let Some(ended) = tasks.join_next().await {
+        let (is_counted, served) = ended.expect("the request does not panic");
+        count.sent += usize::from(is_counted);
+        count.served += usize::from(is_counted && served);
+    }
+    count
+}
+
+/// Asserts that the first `cut_off` instances served at least two thirds as large a share of first tries
+/// as the others, and failed no more than ten and one in fifty.
+fn assert_served_alike(counts: &[Count], cut_off: usize) {
+    let sum = |counts: &[Count]| {
+        let sent = counts.iter().map(|count| count.sent).sum::<usize>();
+        let served = counts.iter().map(|count| count.served).sum::<usize>();
+        (sent, served)
+    };
+    let (sent, served) = sum(&counts[..cut_off]);
+    let (others_sent, others_served) = sum(&counts[cut_off..]);
+    assert!(
+        3 * served * others_sent >= 2 * others_served * sent,
+        "partitioned instances served {served} of {sent}, the others {others_served} of {others_sent}"
+    );
+    let failed = sent - served;
+    assert!(failed <= 10 + sent / 50, "{failed} of {sent} failed");
+}
+
+/// An instance whose connections to all endpoints hang has to serve its callers through its peers. It
+/// refused them all, although its peers were well and an open connection of a caller stays with it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn callers_are_served_when_connections_to_endpoints_hang() {
+    let deployment = Deployment::start(&["a", "a", "b"]).await;
+    let counts = deployment.count_under(Partition::Silent, 1).await;
+    assert_served_alike(&counts, 1);
+    deployment.assert_ran_once();
+}
+
+/// The same where endpoints still receive what the instance sends, but nothing comes back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn callers_are_served_when_endpoints_cannot_answer() {
+    let deployment = Deployment::start(&["a", "a", "b"]).await;
+    let counts = deployment.count_under(Partition::SilentFromTarget, 1).await;
+    assert_served_alike(&counts, 1);
+    deployment.assert_ran_once();
+}
+
+/// The same where connections to endpoints are reset.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn callers_are_served_when_connections_to_endpoints_are_reset() {
+    let deployment = Deployment::start(&["a", "a", "b"]).await;
+    let counts = deployment.count_under(Partition::Reset, 1).await;
+    assert_served_alike(&counts, 1);
+    deployment.assert_ran_once();
+}
+
+/// The same where open connections to endpoints live on and new ones are reset.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn callers_are_served_when_new_connections_to_endpoints_are_reset() {
+    let deployment = Deployment::start(&["a", "a", "b"]).await;
+    let counts = deployment.count_under(Partition::ResetNew, 1).await;
+    assert_served_alike(&counts, 1);
+    deployment.assert_ran_once();
+}
+
+/// All instances of a failure domain and one of another are partitioned from all endpoints, so that one
+/// peer is left to serve their callers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn callers_are_served_when_most_instances_are_partitioned() {
+    let deployment = Deployment::start(&["a", "a", "b", "b"]).await;
+    let counts = deployment.count_under(Partition::Silent, 3).await;
+    assert_served_alike(&counts, 3);
+    deployment.assert_ran_once();
+}
--- a/crates/carawayhead/tests/soak/loopback.rs
+++ b/crates/carawayhead/tests/soak/loopback.rs
@@ -1,5 +1,7 @@
 //! A TCP proxy on loopback that injects faults.
 
+#![allow(dead_code, reason = "not every test program uses all of these faults")]
+
 use {
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -29,9 +31,24 @@
     Blocked,
 }
 
-#[derive(Clone, Copy, Debug)]
+/// What happens to the connections of processes that are partitioned from the target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Partition {
+    /// Nothing is forwarded either way on open and new connections.
+    Silent,
+    /// Nothing is forwarded from the target.
+    SilentFromTarget,
+    /// Open and new connections are reset.
+    Reset,
+    /// New connections are reset, open ones work.
+    ResetNew,
+}
+
+#[derive(Clone, Debug)]
 struct ProxyState {
     link: LinkState,
+    /// Processes that are partitioned from the target.
+    partition: Option<(Partition, Vec<u32>)>,
     /// Connections opened at a lower count are reset.
     reset_count: u32,
     /// Connections opened at a lower count forward nothing any more.
@@ -54,6 +71,7 @@
         let state = Arc::new(
             watch::channel(ProxyState {
                 link: LinkState::Open,
+                partition: None,
                 reset_count: 0,
                 stall_count: 0,
             })
@@ -61,8 +79,8 @@
         );
         let shared = Arc::clone(&state);
         let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(forward(stream, target, shared.subscribe()));
+            while let Ok((stream, client)) = listener.accept().await {
+                tokio::spawn(forward(stream, client, address, target, shared.subscribe()));
             }
         });
         Self {
@@ -77,6 +95,17 @@
         self.state.send_modify(|state| state.link = link);
     }
 
+    /// Partitions processes from the target until [`Self::heal`].
+    pub fn partition(&self, partition: Partition, pids: &[u32]) {
+        self.state
+            .send_modify(|state| state.partition = Some((partition, pids.to_vec())));
+    }
+
+    /// Ends a partition. Bytes held back meanwhile are forwarded.
+    pub fn heal(&self) {
+        self.state.send_modify(|state| state.partition = None);
+    }
+
     /// Resets all open connections with a TCP RST.
     pub fn reset_connections(&self) {
         self.state.send_modify(|state| state.reset_count += 1);
@@ -94,11 +123,90 @@
     }
 }
 
-async fn forward(client: TcpStream, target: SocketAddr, state: watch::Receiver<ProxyState>) {
+impl ProxyState {
+    /// The partition that a process is in.
+    fn partition_of(&self, pid: Option<u32>) -> Option<Partition> {
+        let (partition, pids) = self.partition.as_ref()?;
+        pids.contains(&pid?).then_some(*partition)
+    }
+}
+
+/// A connection and what was in force when it was opened.
+#[derive(Clone, Copy, Debug)]
+struct Opened {
+    pid: Option<u32>,
+    reset_count: u32,
+    stall_count: u32,
+}
+
+/// The process among `pids` that has the client's end of a connection.
+///
+/// Partitions are between a process and a target, but all processes share the loopback address.
+fn owner(client: SocketAddr, proxy: SocketAddr, pids: &[u32]) -> Option<u32> {
+    let hex = |address: SocketAddr| match address {
+        SocketAddr::V4(address) => {
+            let ip = u32::from_le_bytes(address.ip().octets());
+            format!("{ip:08X}:{:04X}", address.port())
+        }
+        SocketAddr::V6(_) => unreachable!("proxies listen on IPv4"),
+    };
+    let (client, proxy) = (hex(client), hex(proxy));
+    let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
+    let inode = table.lines().find_map(|line| {
+        let fields = line.split_whitespace().collect::<Vec<_>>();
+        (fields.get(1) == Some(&client.as_str()) && fields.get(2) == Some(&proxy.as_str()))
+            .then(|| fields.get(9).copied())?
+    })?;
+    let socket = format!("socket:[{inode}]");
+    pids.iter().copied().find(|pid| {
+        let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd"));
+        let descriptors = descriptors.into_iter().flatten().flatten();
+        let mut links = descriptors.filter_map(|entry| std::fs::read_link(entry.path()).ok());
+        links.any(|link| link.as_os_str() == socket.as_str())
+    })
+}
+
+/// Child processes of this one, in which instances run.
+fn children() -> Vec<u32> {
+    let own = std::process::id().to_string();
+    let processes = std::fs::read_dir("/proc").into_iter().flatten().flatten();
+    let pids = processes.filter_map(|entry| entry.file_name().to_str()?.parse::<u32>().ok());
+    let children = pids.filter(|pid| {
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+        // The fields after the name in parentheses: state, then the parent.
+        let fields = stat.rsplit_once(") ").map(|(_, fields)| fields);
+        fields.and_then(|fields| fields.split(' ').nth(1)) == Some(own.as_str())
+    });
+    children.collect()
+}
+
+async fn forward(
+    client: TcpStream,
+    client_address: SocketAddr,
+    proxy: SocketAddr,
+    target: SocketAddr,
+    state: watch::Receiver<ProxyState>,
+) {
+    let opened = {
+        let state = state.borrow();
+        Opened {
+            pid: None,
+            reset_count: state.reset_count,
+            stall_count: state.stall_count,
+        }
+    };
+    let pid = owner(client_address, proxy, &children());
+    let opened = Opened { pid, ..opened };
+    let partition = state.borrow().partition_of(pid);
+    if matches!(partition, Some(Partition::Reset | Partition::ResetNew)) {
+        // Fails if the connection is already closed.
+        let _closed = client.set_zero_linger();
+        return;
+    }
     let Ok(target_stream) = TcpStream::connect(target).await else {
         return;
     };
-    let started = *state.borrow();
+    let started = opened;
     let (client_read, client_write) = client.into_split();
     let (target_read, target_write) = target_stream.into_split();
     let to_target = copy(
@@ -123,28 +231,38 @@
     mut read: OwnedReadHalf,
     mut write: OwnedWriteHalf,
     mut state: watch::Receiver<ProxyState>,
-    started: ProxyState,
+    started: Opened,
     blocking_state: LinkState,
 ) {
+    let is_reset = move |state: &ProxyState| {
+        state.reset_count != started.reset_count
+            || state.partition_of(started.pid) == Some(Partition::Reset)
+    };
+    let is_blocked = move |state: &ProxyState| {
+        let partition = state.partition_of(started.pid);
+        let one_way = blocking_state == LinkState::BlockedFromTarget;
+        state.stall_count != started.stall_count
+            || state.link == blocking_state
+            || state.link == LinkState::Blocked
+            || partition == Some(Partition::Silent)
+            || (partition == Some(Partition::SilentFromTarget) && one_way)
+    };
     let mut buffer = vec![0; 16 << 10];
     loop {
         let count = tokio::select! {
             count = read.read(&mut buffer) => count.unwrap_or(0),
-            _ = state.wait_for(|state| state.reset_count != started.reset_count) => {
+            _ = state.wait_for(is_reset) => {
                 set_reset_on_close(&read, &write);
                 return;
             }
         };
         let delay = loop {
-            let now = *state.borrow_and_update();
-            if now.reset_count != started.reset_count {
+            let now = state.borrow_and_update().clone();
+            if is_reset(&now) {
                 set_reset_on_close(&read, &write);
                 return;
             }
-            let blocked = now.stall_count != started.stall_count
-                || now.link == blocking_state
-                || now.link == LinkState::Blocked;
-            if !blocked {
+            if !is_blocked(&now) {
                 break now.link;
             }
             if state.changed().await.is_err() {
