--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -5,7 +5,11 @@
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
     std::time::Instant,
-    tokio::{net::TcpStream, time::timeout},
+    tokio::{
+        io::{AsyncRead, AsyncWrite},
+        net::TcpStream,
+        time::timeout,
+    },
 };
 
 /// Maximum number of idle connections per address.
@@ -54,17 +58,33 @@
     ///
     /// [`Error::unwritten`] says whether the endpoint may have received anything.
     pub async fn send(&self, address: &str, request: Request<Full<Bytes>>) -> Result<Reply, Error> {
+        match self.send_idle(address, request).await? {
+            Sent::Answered(reply) => Ok(reply),
+            Sent::Unsent(request) => self.send_new(address, request).await,
+        }
+    }
+
+    /// Sends a request on an idle connection, if there is one that is still open.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke after part of the request may have been written.
+    pub async fn send_idle(
+        &self,
+        address: &str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Sent, Error> {
         let mut request = request;
         while let Some(mut sender) = self.take_idle(address) {
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.reply(address, sender, response)),
+                Ok(response) => return Ok(Sent::Answered(self.reply(address, sender, response))),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(Error::Broken(error.into_error())),
                 },
             }
         }
-        self.send_new(address, request).await
+        Ok(Sent::Unsent(request))
     }
 
     /// Sends a request on a new connection.
@@ -80,9 +100,47 @@
         address: &str,
         request: Request<Full<Bytes>>,
     ) -> Result<Reply, Error> {
-        let mut sender = self.connect(address).await?;
+        let stream = self.connect(address).await?;
+        self.send_on(address, stream, request).await
+    }
+
+    /// Sends a request on a connection that [`Self::connect`] has opened.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::unwritten`] says whether the endpoint may have received anything.
+    pub async fn send_on(
+        &self,
+        address: &str,
+        stream: TcpStream,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Reply, Error> {
+        let mut reply = self.send_over(stream, request).await?;
+        reply.address = Some(address.to_string());
+        Ok(reply)
+    }
+
+    /// Sends a request over a byte stream to the endpoint, which is used for this request only.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::unwritten`] says whether the endpoint may have received anything.
+    pub async fn send_over<S>(
+        &self,
+        stream: S,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Reply, Error>
+    where
+        S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
+        let mut sender = handshake(stream).await?;
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.reply(address, sender, response)),
+            Ok(response) => Ok(Reply {
+                address: None,
+                client: self.clone(),
+                response,
+                sender,
+            }),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let error = error.into_error();
@@ -95,23 +153,31 @@
         }
     }
 
-    async fn connect(&self, address: &str) -> Result<RequestSender, Error> {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// The endpoint refused, or did not accept in time.
+    pub async fn connect(&self, address: &str) -> Result<TcpStream, Error> {
         let stream = timeout(self.connect_timeout, TcpStream::connect(address))
             .await
             .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
             .map_err(Error::Connect)?;
         stream.set_nodelay(true).map_err(Error::Connect)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(Error::NotWritten)?;
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!(error:% = error; "connection to an endpoint failed");
-            }
-        });
-        Ok(sender)
+        Ok(stream)
     }
 
+    /// Drops the idle connections to an address.
+    ///
+    /// # Panics
+    ///
+    /// The lock is poisoned.
+    pub fn drop_idle(&self, address: &str) {
+        let mut idle = self.idle.lock().expect("the pool is never poisoned");
+        if let Ok(index) = idle.binary_search_by(|(other, _)| other.as_str().cmp(address)) {
+            idle[index].1.clear();
+        }
+    }
     fn put_back(&self, address: &str, sender: RequestSender, max_idle: Duration) {
         let mut idle = self.idle.lock().expect("the pool is never poisoned");
         let index = match idle.binary_search_by(|(other, _)| other.as_str().cmp(address)) {
@@ -133,7 +199,7 @@
 
     fn reply(&self, address: &str, sender: RequestSender, response: Response<Incoming>) -> Reply {
         Reply {
-            address: address.to_string(),
+            address: Some(address.to_string()),
             client: self.clone(),
             response,
             sender,
@@ -153,10 +219,20 @@
     }
 }
 
+/// Result of a request on an idle connection.
+#[derive(Debug)]
+pub enum Sent {
+    /// The endpoint responded.
+    Answered(Reply),
+    /// There was no idle connection that was still open; nothing was written.
+    Unsent(Request<Full<Bytes>>),
+}
+
 /// A response whose body is read on demand.
 #[derive(Debug)]
 pub struct Reply {
-    address: String,
+    /// Address under which the connection is pooled; `None` if it is not used again.
+    address: Option<String>,
     client: Client,
     response: Response<Incoming>,
     sender: RequestSender,
@@ -202,9 +278,12 @@
     /// Returns the connection to the pool. It is reused only if it is ready for another request,
     /// so the body must have been read to its end.
     pub fn release(self) {
+        let Some(address) = &self.address else {
+            return;
+        };
         let limit = self.header("keep-alive").and_then(keep_alive_timeout);
         let max_idle = limit.map_or(DEFAULT_IDLE_TIMEOUT, |limit| limit.mul_f64(REUSE_FRACTION));
-        self.client.put_back(&self.address, self.sender, max_idle);
+        self.client.put_back(address, self.sender, max_idle);
     }
 
     /// The response headers.
@@ -231,6 +310,21 @@
     }
 }
 
+async fn handshake<S>(stream: S) -> Result<RequestSender, Error>
+where
+    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+{
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(Error::NotWritten)?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!(error:% = error; "connection to an endpoint failed");
+        }
+    });
+    Ok(sender)
+}
+
 /// The `timeout` parameter of a `Keep-Alive` header.
 fn keep_alive_timeout(value: &str) -> Option<Duration> {
     let mut parameters = value.split(',');
--- a/crates/endpoint/src/error.rs
+++ b/crates/endpoint/src/error.rs
@@ -49,4 +49,21 @@
             Self::Broken(_) | Self::Timeout | Self::TooLarge => false,
         }
     }
+
+    /// Whether the connection broke at the endpoint, and not at a peer that forwards its bytes.
+    #[must_use]
+    pub fn is_break_of_endpoint(&self) -> bool {
+        let Self::Broken(error) = self else {
+            return false;
+        };
+        let mut source = std::error::Error::source(error);
+        while let Some(cause) = source {
+            let io = cause.downcast_ref::<std::io::Error>();
+            if io.is_some_and(|io| io.kind() == std::io::ErrorKind::NotConnected) {
+                return false;
+            }
+            source = cause.source();
+        }
+        true
+    }
 }
--- a/crates/forward/src/aggregate/members.rs
+++ b/crates/forward/src/aggregate/members.rs
@@ -25,6 +25,9 @@
 /// Maximum number of doublings of [`INITIAL_RETRY_BACKOFF`].
 const MAX_BACKOFF_DOUBLINGS: u32 = 2;
 
+/// Odd multiplier that mixes the low bits of a hash into the high ones (Knuth).
+const ORDER_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+
 slotmap::new_key_type! {
     /// Key of an instance in [`Members`].
     pub struct MemberKey;
@@ -143,6 +146,19 @@
         self.arena.get(key).map_or("", |member| &member.name)
     }
 
+    /// Name and failure domain of all instances but `own`, each with a number by which `own` orders
+    /// them unlike others do.
+    #[must_use]
+    pub fn others(&self, own: &str) -> Vec<(&str, &str, u64)> {
+        let seed = self.rank(own).map_or(0, |(_, hash)| hash);
+        let others = self.arena.values().filter(|member| member.name != own);
+        let others = others.map(|member| {
+            let order = (member.rank.1 ^ seed).wrapping_mul(ORDER_MULTIPLIER);
+            (member.name.as_str(), member.domain.as_str(), order)
+        });
+        others.collect()
+    }
+
     /// Failure domain of an instance.
     #[must_use]
     pub fn domain(&self, name: &str) -> Option<&str> {
--- a/crates/forward/src/config.rs
+++ b/crates/forward/src/config.rs
@@ -81,6 +81,8 @@
     pub cold_rate: f64,
     /// Set for model engines.
     pub engine: Option<Engine>,
+    /// Path of its health check.
+    pub health_path: String,
     /// Maximum number of connections to one endpoint, over all instances.
     pub max_connections: u32,
     /// Name.
--- a/crates/forward/src/endpoint.rs
+++ b/crates/forward/src/endpoint.rs
@@ -170,6 +170,14 @@
         self.failures > 0 && now < self.avoid_until
     }
 
+    /// Ends the backoff after failed connections, since they were no fault of the endpoint.
+    pub fn reset_backoff(&mut self, now: Time) {
+        if self.is_unreachable(now) {
+            self.avoid_until = now;
+        }
+        self.failures = 0;
+    }
+
     /// Records that it is leaving.
     pub fn mark_leaving(&mut self, now: Time) {
         self.leaving_since.get_or_insert(now);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod freshness;
 pub mod load;
 pub mod outcome;
+pub mod paths;
 pub mod prelude;
 pub mod probe;
 pub mod rate_limit;
@@ -22,6 +23,7 @@
 pub mod sequence;
 pub mod settings;
 pub mod state;
+pub mod tunnel;
 
 pub use {
     decision::{fingerprint, suspects},
--- a/crates/forward/src/outcome.rs
+++ b/crates/forward/src/outcome.rs
@@ -30,6 +30,8 @@
     UnknownRoute,
     /// This instance has no configuration yet.
     Unconfigured,
+    /// Neither this instance nor a peer can reach an endpoint.
+    Unreachable,
     /// The deadline passed before the request was sent.
     Expired,
 }
@@ -51,6 +53,7 @@
             Self::Unconfigured => "unconfigured",
             Self::UnknownKey => "unknown_key",
             Self::UnknownRoute => "unknown_route",
+            Self::Unreachable => "unreachable",
         }
     }
 
@@ -65,6 +68,7 @@
     pub const fn retry_after(self) -> Option<Duration> {
         match self {
             Self::Full => Some(FULL_RETRY_AFTER),
+            Self::Unreachable => Some(UNREACHABLE_RETRY_AFTER),
             Self::Stale | Self::Stopping | Self::Unconfigured => Some(OTHER_INSTANCE_RETRY_AFTER),
             Self::Bad
             | Self::BodyTooLarge
@@ -82,6 +86,9 @@
 /// to be free after a few retries.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Retry delay when no instance can reach an endpoint; by then they have all checked again.
+const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(600);
+
 /// Retry delay when only this instance cannot serve; the retry reaches another one, so the delay is
 /// short.
 const OTHER_INSTANCE_RETRY_AFTER: Duration = Duration::from_millis(100);
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -8,6 +8,7 @@
         budget::RetryBudget,
         freshness::Freshness,
         load::PeerLoads,
+        paths::Paths,
         prelude::*,
         request::Ticket,
         rollout::{
@@ -19,6 +20,7 @@
             tally::Outcome,
         },
         suspects::{Crash, Suspects},
+        tunnel::Tunnels,
     },
     rand::rngs::SmallRng,
     slotmap::SlotMap,
@@ -59,6 +61,8 @@
     pub list_freshness: Freshness,
     /// All instances.
     pub members: Members,
+    /// Whether endpoints can be reached directly.
+    pub paths: Paths,
     pub(crate) random: SmallRng,
     /// Rollouts of new versions.
     pub rollouts: Rollouts,
@@ -70,6 +74,8 @@
     pub sums: Sums,
     /// Requests that may crash endpoints.
     pub suspects: Suspects,
+    /// Peers through which endpoints are reached that cannot be reached directly.
+    pub tunnels: Tunnels,
     waiting: Vec<QueuePosition>,
     next_turn: u64,
 }
@@ -109,6 +115,7 @@
             list_freshness: Freshness::default(),
             members: Members::default(),
             next_turn: 0,
+            paths: Paths::default(),
             random,
             rollouts,
             runs: SlotMap::with_key(),
@@ -117,6 +124,7 @@
             store_recovered_at: None,
             sums: Sums::default(),
             suspects: Suspects::default(),
+            tunnels: Tunnels::default(),
             waiting: Vec::new(),
         }
     }
@@ -286,6 +294,7 @@
     /// peers.
     pub fn tick(&mut self, now: Time) {
         self.peer_loads.expire(now);
+        self.tunnels.prune(now);
         for endpoint in self.endpoints.values_mut() {
             if endpoint.grace_until.is_some_and(|until| now >= until) {
                 endpoint.grace_until = None;
@@ -510,7 +519,7 @@
     }
 
     /// Endpoints of a service that are not leaving.
-    fn listed(&self, service: &str) -> impl Iterator<Item = &Endpoint> {
+    pub(crate) fn listed(&self, service: &str) -> impl Iterator<Item = &Endpoint> {
         let endpoints = self.endpoints.values();
         endpoints.filter(move |endpoint| {
             endpoint.listing.service == service && endpoint.leaving_since.is_none()
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -90,6 +90,7 @@
         cold: Duration::from_secs(1),
         cold_rate: if engine { 28.0 } else { 0.0 },
         engine: engine.then(self::engine),
+        health_path: "/health".to_string(),
         max_connections: 100,
         name: name.to_string(),
     };
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -5,13 +5,18 @@
 //! memory.
 
 use {
-    crate::{message::MAX_MESSAGE_BYTES, prelude::*},
+    crate::{message::MAX_MESSAGE_BYTES, prelude::*, tunnel},
     bytes::Bytes,
+    std::{sync::Weak, time::Instant},
 };
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time for which a connection is kept after a tunnel was requested, since the next request is likely to
+/// need one as well.
+const TUNNEL_LINGER: Duration = Duration::from_secs(5);
+
 /// Application error code for closing a connection that is no longer used.
 const CLOSE_CODE: quinn::VarInt = quinn::VarInt::from_u32(0);
 
@@ -21,6 +26,17 @@
     address: SocketAddr,
     connection: Connection,
     initiator: Initiator,
+    /// When a tunnel over the connection was last requested.
+    tunnelled_at: Option<Instant>,
+    /// Held by each tunnel over the connection.
+    usage: tunnel::Usage,
+}
+
+impl PeerConnection {
+    fn carries_tunnels(&self) -> bool {
+        let lingers = |at: Instant| at.elapsed() < TUNNEL_LINGER;
+        Arc::strong_count(&self.usage) > 1 || self.tunnelled_at.is_some_and(lingers)
+    }
 }
 
 /// Which of the two instances opened a connection.
@@ -41,10 +57,12 @@
     endpoint: Endpoint,
     received: Sender<Bytes>,
     open: Arc<Mutex<Connections>>,
+    tunnels: Sender<tunnel::Incoming>,
 }
 
 impl DatagramSocket {
-    /// Listens on an address; data from peers goes to `received`.
+    /// Listens on an address; data from peers goes to `received`, their requests for tunnels to
+    /// `tunnels`.
     ///
     /// # Errors
     ///
@@ -53,6 +71,7 @@
         listen: SocketAddr,
         configs: tls::Configs,
         received: Sender<Bytes>,
+        tunnels: Sender<tunnel::Incoming>,
     ) -> Result<Self, Error> {
         let mut endpoint = Endpoint::server(configs.server, listen)?;
         endpoint.set_default_client_config(configs.client);
@@ -60,6 +79,7 @@
             endpoint,
             received,
             open: Arc::default(),
+            tunnels,
         };
         tokio::spawn(accept(datagrams.clone()));
         Ok(datagrams)
@@ -98,17 +118,28 @@
 
     /// Stores a connection and reads from it; closes the one that it replaces, if any.
     fn register(&self, address: SocketAddr, connection: Connection, initiator: Initiator) {
+        let usage = tunnel::Usage::default();
         tokio::spawn(read(connection.clone(), self.received.clone()));
+        tokio::spawn(read_tunnels(
+            connection.clone(),
+            Arc::downgrade(&usage),
+            self.tunnels.clone(),
+        ));
         let entry = PeerConnection {
             address,
             connection,
             initiator,
+            tunnelled_at: None,
+            usage,
         };
         let mut open = self.lock();
         match open.binary_search_by_key(&address, |other| other.address) {
             Ok(index) => {
                 let replaced = std::mem::replace(&mut open[index], entry);
-                replaced.connection.close(CLOSE_CODE, b"replaced");
+                // Tunnels keep theirs, which closes once the last of them has ended.
+                if !replaced.carries_tunnels() {
+                    replaced.connection.close(CLOSE_CODE, b"replaced");
+                }
             }
             Err(index) => open.insert(index, entry),
         }
@@ -147,12 +178,40 @@
         Ok(())
     }
 
-    /// Closes all connections for which `keep` returns false, and drops those that have
-    /// failed.
+    /// Opens a tunnel to an endpoint through a peer, over a new connection if none is open.
+    ///
+    /// # Errors
+    ///
+    /// The peer cannot be reached, refused, or cannot connect to the endpoint.
+    pub async fn open_tunnel(
+        &self,
+        address: SocketAddr,
+        endpoint: SocketAddr,
+    ) -> Result<tunnel::Stream, tunnel::Failure> {
+        self.connect(address)
+            .await
+            .map_err(tunnel::Failure::Unanswered)?;
+        let (connection, usage) = self
+            .used(address)
+            .ok_or(tunnel::Failure::Unanswered(Error::NoResponse))?;
+        tunnel::open(&connection, usage, endpoint).await
+    }
+
+    fn used(&self, address: SocketAddr) -> Option<(Connection, tunnel::Usage)> {
+        let mut open = self.lock();
+        let index = open.binary_search_by_key(&address, |entry| entry.address);
+        let entry = &mut open[index.ok()?];
+        entry.tunnelled_at = Some(Instant::now());
+        Some((entry.connection.clone(), Arc::clone(&entry.usage)))
+    }
+
+    /// Closes all connections for which `keep` returns false and that carry no tunnel, and drops those
+    /// that have failed.
     pub fn retain(&self, keep: impl Fn(SocketAddr, Initiator) -> bool) {
         self.lock().retain(|entry| {
             let is_open = entry.connection.close_reason().is_none();
-            let keep_open = is_open && keep(entry.address, entry.initiator);
+            let keep_open =
+                is_open && (entry.carries_tunnels() || keep(entry.address, entry.initiator));
             if is_open && !keep_open {
                 entry.connection.close(CLOSE_CODE, b"not wanted");
             }
@@ -162,7 +221,12 @@
 
     /// Closes the connection to a peer.
     pub fn close(&self, address: SocketAddr) {
-        self.retain(|other, _| other != address);
+        self.lock().retain(|entry| {
+            if entry.address == address {
+                entry.connection.close(CLOSE_CODE, b"silent");
+            }
+            entry.address != address
+        });
     }
 
     /// Whether a connection to a peer is open.
@@ -216,6 +280,23 @@
     streams.abort();
 }
 
+/// Forwards requests for tunnels of a connection until it closes.
+async fn read_tunnels(connection: Connection, usage: Weak<()>, tunnels: Sender<tunnel::Incoming>) {
+    while let Ok((send, receive)) = connection.accept_bi().await {
+        let Some(usage) = usage.upgrade() else {
+            return;
+        };
+        match tunnel::Incoming::read(send, receive, usage).await {
+            Ok(incoming) => {
+                if tunnels.send(incoming).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => log::debug!(error:%; "cannot read request for a tunnel"),
+        }
+    }
+}
+
 async fn read_streams(connection: Connection, received: Sender<Bytes>) {
     while let Ok(mut stream) = connection.accept_uni().await {
         match stream.read_to_end(MAX_MESSAGE_BYTES).await {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod prelude;
 pub mod request;
 pub mod tls;
+pub mod tunnel;
 
 pub use {
     error::Error,
--- a/crates/peer/src/tls.rs
+++ b/crates/peer/src/tls.rs
@@ -19,6 +19,16 @@
 /// Idle time after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Interval of keep-alive packets on idle connections, which may carry a tunnel to an endpoint that is
+/// silent for longer than [`IDLE_TIMEOUT`].
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(3);
+
+/// Maximum number of tunnels that a peer may open on a connection.
+const MAX_TUNNELS: u32 = 256;
+
+/// Unread bytes of one stream; more would let slow readers fill the memory of a small instance.
+const STREAM_WINDOW_BYTES: u32 = 64 << 10;
+
 /// Paths of an instance's PEM files.
 #[derive(Clone, Debug)]
 pub struct Files {
@@ -80,6 +90,9 @@
 pub(crate) fn transport() -> Arc<quinn::TransportConfig> {
     let mut transport = quinn::TransportConfig::default();
     transport.max_idle_timeout(IDLE_TIMEOUT.try_into().ok());
+    transport.keep_alive_interval(Some(KEEP_ALIVE_INTERVAL));
+    transport.max_concurrent_bidi_streams(MAX_TUNNELS.into());
+    transport.stream_receive_window(STREAM_WINDOW_BYTES.into());
     Arc::new(transport)
 }
 
--- /dev/null
+++ b/crates/peer/src/tunnel.rs
@@ -0,0 +1,198 @@
+//! Byte streams to endpoints through a peer.
+//!
+//! An instance whose own links to endpoints are cut asks a peer to connect to one, and speaks to the
+//! endpoint over that stream. The peer forwards bytes and decides nothing.
+
+use {
+    crate::prelude::*,
+    quinn::{RecvStream, SendStream, VarInt},
+    std::{
+        io,
+        pin::Pin,
+        task::{Context, Poll},
+    },
+    tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _, Join, ReadBuf},
+};
+
+/// Application error code with which a stream is reset whose endpoint has broken the connection.
+const ENDPOINT_BROKE: VarInt = VarInt::from_u32(1);
+
+/// Size limit of an encoded address.
+const MAX_ADDRESS_BYTES: usize = 32;
+
+/// Held by each tunnel, so that its users can be counted.
+pub type Usage = Arc<()>;
+
+/// A connected stream, as seen by the instance that asked for it.
+#[derive(Debug)]
+pub struct Stream {
+    held: Vec<Usage>,
+    joined: Join<RecvStream, SendStream>,
+}
+
+impl Stream {
+    /// Keeps a value until the stream is dropped.
+    pub fn hold(&mut self, usage: Usage) {
+        self.held.push(usage);
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.joined).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.joined).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.joined).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.joined).poll_shutdown(cx)
+    }
+}
+
+/// How the peer answers; the values are sent as one byte.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[repr(u8)]
+enum Status {
+    Connected = 0,
+    Refused = 1,
+    Unreached = 2,
+}
+
+/// Why there is no tunnel; nothing has been sent to the endpoint.
+#[derive(Debug)]
+pub enum Failure {
+    /// The peer refused.
+    Refused,
+    /// The peer cannot be reached or did not answer.
+    Unanswered(Error),
+    /// The peer could not connect to the endpoint.
+    Unreached,
+}
+
+/// A request of a peer for a tunnel.
+#[derive(Debug)]
+pub struct Incoming {
+    /// Address of the endpoint.
+    pub endpoint: SocketAddr,
+    receive: RecvStream,
+    send: SendStream,
+    usage: Usage,
+}
+
+/// A tunnel of a peer, to be connected to the endpoint.
+#[derive(Debug)]
+pub struct Accepted {
+    /// Bytes for the endpoint.
+    pub receive: RecvStream,
+    /// Bytes of the endpoint.
+    pub send: SendStream,
+    _usage: Usage,
+}
+
+impl Accepted {
+    /// Tells the peer that the endpoint has broken the connection, so that an answer without a length
+    /// does not look complete.
+    pub fn reset(mut self) {
+        // Fails if the peer has already closed the stream.
+        let _closed = self.send.reset(ENDPOINT_BROKE);
+    }
+}
+
+impl Incoming {
+    /// Reads the request of a stream that a peer has opened.
+    pub(crate) async fn read(
+        send: SendStream,
+        mut receive: RecvStream,
+        usage: Usage,
+    ) -> Result<Self, Error> {
+        let mut data = [0; MAX_ADDRESS_BYTES];
+        let length = usize::from(receive.read_u8().await?).min(MAX_ADDRESS_BYTES);
+        receive
+            .read_exact(&mut data[..length])
+            .await
+            .map_err(|error| Error::Connection(error.to_string()))?;
+        Ok(Self {
+            endpoint: postcard::from_bytes(&data[..length])?,
+            receive,
+            send,
+            usage,
+        })
+    }
+
+    /// Confirms that the endpoint is connected.
+    ///
+    /// # Errors
+    ///
+    /// The peer has closed the stream or cannot be reached.
+    pub async fn accept(mut self) -> Result<Accepted, Error> {
+        self.send.write_u8(Status::Connected as u8).await?;
+        Ok(Accepted {
+            receive: self.receive,
+            send: self.send,
+            _usage: self.usage,
+        })
+    }
+
+    /// Refuses to connect to the endpoint.
+    pub async fn refuse(self) {
+        self.fail(Status::Refused).await;
+    }
+
+    /// Reports that the endpoint cannot be connected to.
+    pub async fn report_unreached(self) {
+        self.fail(Status::Unreached).await;
+    }
+
+    async fn fail(mut self, status: Status) {
+        if let Err(error) = self.send.write_u8(status as u8).await {
+            log::debug!(error:%; "peer instance has given up a tunnel");
+        }
+    }
+}
+
+/// Asks the peer at the other end of a connection to connect to an endpoint.
+pub(crate) async fn open(
+    connection: &Connection,
+    usage: Usage,
+    endpoint: SocketAddr,
+) -> Result<Stream, Failure> {
+    let unanswered = |error: Error| Failure::Unanswered(error);
+    let (mut send, mut receive) = connection
+        .open_bi()
+        .await
+        .map_err(|error| unanswered(Error::Connection(error.to_string())))?;
+    let address = postcard::to_stdvec(&endpoint).map_err(|error| unanswered(error.into()))?;
+    let length = u8::try_from(address.len()).unwrap_or(u8::MAX);
+    let request = [&[length], address.as_slice()].concat();
+    send.write_all(&request)
+        .await
+        .map_err(|error| unanswered(Error::Connection(error.to_string())))?;
+    let status = receive.read_u8().await;
+    let status = status.map_err(|error| unanswered(error.into()))?;
+    if status == Status::Connected as u8 {
+        return Ok(Stream {
+            held: vec![usage],
+            joined: tokio::io::join(receive, send),
+        });
+    }
+    if status == Status::Unreached as u8 {
+        return Err(Failure::Unreached);
+    }
+    Err(Failure::Refused)
+}
--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -5,9 +5,14 @@
     peer::{
         datagram::DatagramSocket,
         pinned::{Identity, Pins, configs},
+        tunnel,
+    },
+    std::{io::ErrorKind, time::Duration},
+    tokio::{
+        io::{AsyncReadExt as _, AsyncWriteExt as _},
+        sync::mpsc,
+        time::timeout,
     },
-    std::time::Duration,
-    tokio::{sync::mpsc, time::timeout},
 };
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
@@ -15,6 +20,7 @@
 struct Instance {
     datagrams: DatagramSocket,
     received: mpsc::Receiver<Bytes>,
+    requested: mpsc::Receiver<tunnel::Incoming>,
 }
 
 /// Two instances that have pinned each other.
@@ -24,12 +30,15 @@
     pins.set(identities.iter().map(|own| own.fingerprint).collect());
     identities.map(|own| {
         let (sender, received) = mpsc::channel(8);
+        let (tunnels, requested) = mpsc::channel(8);
         let configs = configs(&own, &pins).expect("a configuration");
         let listen = "127.0.0.1:0".parse().expect("an address");
-        let datagrams = DatagramSocket::listen(listen, configs, sender).expect("a free port");
+        let datagrams =
+            DatagramSocket::listen(listen, configs, sender, tunnels).expect("a free port");
         Instance {
             datagrams,
             received,
+            requested,
         }
     })
 }
@@ -76,3 +85,99 @@
     one.datagrams.connect(address).await.expect("a connection");
     assert!(is_received(&two, &mut one, "back").await);
 }
+
+/// Opens a tunnel from `one` through `two`, and returns both of its ends.
+async fn open_tunnel(one: &Instance, two: &mut Instance) -> (tunnel::Stream, tunnel::Accepted) {
+    let address = two.datagrams.address().expect("an address");
+    let endpoint = "127.0.0.1:9".parse().expect("an address");
+    let accept = async {
+        let incoming = two.requested.recv().await.expect("a request");
+        assert_eq!(incoming.endpoint, endpoint);
+        incoming.accept().await.expect("the peer waits")
+    };
+    let (opened, accepted) = tokio::join!(one.datagrams.open_tunnel(address, endpoint), accept);
+    (opened.expect("a tunnel"), accepted)
+}
+
+/// A tunnel carries bytes both ways, and is not closed with connections that gossip does not need.
+#[tokio::test]
+async fn tunnel_keeps_its_connection_open() {
+    let [one, mut two] = pair();
+    let (mut stream, mut accepted) = open_tunnel(&one, &mut two).await;
+    one.datagrams.retain(|_, _| false);
+    two.datagrams.retain(|_, _| false);
+    stream.write_all(b"request").await.expect("an open tunnel");
+    let mut request = [0; 7];
+    accepted
+        .receive
+        .read_exact(&mut request)
+        .await
+        .expect("an open tunnel");
+    assert_eq!(&request, b"request");
+    accepted
+        .send
+        .write_all(b"answer")
+        .await
+        .expect("an open tunnel");
+    drop(accepted);
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.expect("a clean end");
+    assert_eq!(answer, b"answer");
+}
+
+/// An answer without a length ends with its connection. One that the endpoint has broken off must not
+/// look complete at the other end of a tunnel.
+#[tokio::test]
+async fn broken_answer_does_not_end_in_order() {
+    let [one, mut two] = pair();
+    let (mut stream, mut accepted) = open_tunnel(&one, &mut two).await;
+    accepted
+        .send
+        .write_all(b"half")
+        .await
+        .expect("an open tunnel");
+    accepted.reset();
+    let mut answer = Vec::new();
+    let error = stream.read_to_end(&mut answer).await;
+    let error = error.expect_err("the answer is not complete");
+    assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+}
+
+/// A peer that is lost has to look unlike an endpoint that breaks a connection, since requests are
+/// refused under which several endpoints were lost.
+#[tokio::test]
+async fn lost_peer_is_told_from_a_broken_endpoint() {
+    let [one, mut two] = pair();
+    let (mut stream, _accepted) = open_tunnel(&one, &mut two).await;
+    two.datagrams
+        .close(one.datagrams.address().expect("an address"));
+    let mut answer = Vec::new();
+    let error = stream.read_to_end(&mut answer).await;
+    let error = error.expect_err("the answer is not complete");
+    assert_eq!(error.kind(), ErrorKind::NotConnected);
+}
+
+/// A peer that refuses must be told from one that cannot reach the endpoint, which says something of
+/// the endpoint.
+#[tokio::test]
+async fn refusal_is_told_from_an_unreached_endpoint() {
+    let [one, mut two] = pair();
+    let address = two.datagrams.address().expect("an address");
+    let endpoint = "127.0.0.1:9".parse().expect("an address");
+    let answer = async {
+        let first = two.requested.recv().await.expect("a request");
+        first.refuse().await;
+        let second = two.requested.recv().await.expect("a request");
+        second.report_unreached().await;
+    };
+    let ask = async {
+        let first = one.datagrams.open_tunnel(address, endpoint).await;
+        assert!(matches!(first, Err(tunnel::Failure::Refused)), "{first:?}");
+        let second = one.datagrams.open_tunnel(address, endpoint).await;
+        assert!(
+            matches!(second, Err(tunnel::Failure::Unreached)),
+            "{second:?}"
+        );
+    };
+    tokio::join!(answer, ask);
+}
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -109,7 +109,7 @@
     };
     let Some((key, _)) = acquired else {
         progress.why = shared.why_not_acquired(&ticket.service);
-        return Attempt::Failed(Refusal::Full);
+        return Attempt::Failed(shared.refusal_without_endpoint(&ticket.service));
     };
     match shared.readmit(original, ticket) {
         Ok(true) => {}
@@ -187,7 +187,7 @@
                 let headers = head::response_headers(reply.headers());
                 let body = reply.read_body(MAX_ANSWER_BYTES).await;
                 let body = body.map_err(|error| {
-                    if matches!(error, endpoint::Error::Broken(_)) {
+                    if error.is_break_of_endpoint() {
                         shared.record_break(original, key, sent_at, 0);
                     }
                     unknown(error.to_string())
@@ -274,6 +274,9 @@
 ) -> Option<(EndpointKey, Option<EndpointKey>)> {
     let mut waiting = None::<QueueSlot>;
     loop {
+        if shared.is_cut_off(&ticket.service) {
+            return None;
+        }
         let room = shared.room.notified();
         let preceded = waiting.as_ref().is_some_and(QueueSlot::is_preceded);
         if !preceded && need.prompt > 0 {
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -1,7 +1,11 @@
 //! Sends one request to one endpoint and waits for the head of its response.
 
 use {
-    crate::{clock, prelude::*},
+    crate::{
+        clock,
+        path::{self, Reuse},
+        prelude::*,
+    },
     http_body_util::Full,
     platform::head::{self, ForwardingHeaders, KvSource, ResponseFlags},
 };
@@ -57,7 +61,7 @@
     destination: &Destination<'_>,
     limit: Duration,
 ) -> SendOutcome {
-    let Some((address, endpoint)) = shared.endpoint_address(destination.key) else {
+    let Some((_, endpoint)) = shared.endpoint_address(destination.key) else {
         return SendOutcome::NotWritten("endpoint is no longer listed".to_string());
     };
     let left = destination.expires.since(clock::now());
@@ -81,7 +85,7 @@
     log_send(shared, original, destination, &endpoint);
     let outcome = exchange(
         shared,
-        address,
+        destination.key,
         request,
         &original.inbound.id,
         limit.min(left),
@@ -112,17 +116,16 @@
 
 async fn exchange(
     shared: &Shared,
-    address: SocketAddr,
+    key: EndpointKey,
     request: Request<Full<Bytes>>,
     id: &str,
     limit: Duration,
 ) -> SendOutcome {
-    let address = address.to_string();
-    let sending = shared.client.send(&address, request);
+    let sending = path::send(shared, key, request, Reuse::Allowed);
     match timeout(limit, sending).await {
         Err(_) => SendOutcome::Unknown("no response within the time limit".to_string()),
         Ok(Err(error)) if error.unwritten() => SendOutcome::NotWritten(error.to_string()),
-        Ok(Err(error @ endpoint::Error::Broken(_))) => SendOutcome::Broken(error.to_string()),
+        Ok(Err(error)) if error.is_break_of_endpoint() => SendOutcome::Broken(error.to_string()),
         Ok(Err(error)) => SendOutcome::Unknown(error.to_string()),
         Ok(Ok(reply)) => {
             let flags = head::response_flags(reply.status(), reply.headers(), id);
--- a/crates/proxy/src/gossip/mod.rs
+++ b/crates/proxy/src/gossip/mod.rs
@@ -16,7 +16,7 @@
 pub mod report;
 
 use {
-    crate::prelude::*,
+    crate::{prelude::*, tunnel},
     forward::aggregate::members::Role,
     peer::{
         datagram::DatagramSocket,
@@ -33,11 +33,12 @@
 /// set up.
 pub async fn run(shared: Rc<Shared>) {
     let (received, messages) = mpsc::channel(RECEIVE_QUEUE_LENGTH);
+    let (tunnels, requested) = mpsc::channel(RECEIVE_QUEUE_LENGTH);
     let pins = Pins::default();
     let instance = &shared.settings.instance;
     let started = Identity::new().and_then(|identity| {
         let configs = pinned::configs(&identity, &pins)?;
-        let datagrams = DatagramSocket::listen(instance.fellows, configs, received)?;
+        let datagrams = DatagramSocket::listen(instance.fellows, configs, received, tunnels)?;
         let address = datagrams.address()?;
         Ok((identity, datagrams, address))
     });
@@ -61,6 +62,7 @@
         connections::maintain(&shared, &datagrams, &pins, address),
         report::run(&shared, &datagrams),
         receive::run(&shared, &datagrams, messages),
+        tunnel::serve(&shared, requested),
     );
 }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod logging;
 pub mod message;
 pub mod metrics;
+pub mod path;
 pub mod peers;
 pub mod prelude;
 pub mod probe;
@@ -29,5 +30,6 @@
 pub mod stream;
 pub mod takeover;
 pub mod topic;
+pub mod tunnel;
 
 pub use {error::Error, serve::run, settings::Settings};
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -29,6 +29,7 @@
     store_calls: Counter<u64>,
     suspicions: Counter<u64>,
     total: Histogram<f64>,
+    tunnels: Counter<u64>,
     unreachable: Counter<u64>,
     _provider: SdkMeterProvider,
 }
@@ -84,6 +85,10 @@
                 "crashes of endpoints that count against a request, and clearances",
             ),
             total: histogram("request_seconds", "time to the end of an answer"),
+            tunnels: counter(
+                "tunnels",
+                "tunnels to endpoints through peers, and changes of whether endpoints can be reached directly",
+            ),
             unreachable: counter(
                 "sends_unreachable",
                 "sends that could not reach their endpoint, by service",
@@ -156,6 +161,12 @@
         self.suspicions.add(1, &[KeyValue::new("change", change)]);
     }
 
+    /// Records the outcome of a request for a tunnel, or that a service has become partitioned or
+    /// has healed.
+    pub fn record_tunnel(&self, outcome: &'static str) {
+        self.tunnels.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// All metrics in the Prometheus text format.
     #[must_use]
     pub fn render(&self) -> String {
--- /dev/null
+++ b/crates/proxy/src/path.rs
@@ -0,0 +1,230 @@
+//! Sends requests to endpoints, directly or through a peer.
+//!
+//! Nothing is written to an endpoint before a connection or a tunnel to it is open, so that another
+//! way may be tried until then.
+
+use {
+    crate::{clock, prelude::*},
+    endpoint::client::{Reply, Sent},
+    forward::{paths::Change, tunnel::Failure},
+    http_body_util::Full,
+    peer::tunnel,
+    std::io,
+};
+
+/// Time without an answer after which it is checked whether the endpoint can still be reached. Bytes
+/// on an open connection vanish without a trace when its links are cut.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long to wait for a peer to open a tunnel: its own attempt to connect, and the way there.
+const TUNNEL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Maximum number of peers that are asked for one tunnel.
+const MAX_TUNNEL_TRIES: usize = 4;
+
+/// Whether a request may use a connection that was open before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reuse {
+    /// It may.
+    Allowed,
+    /// It needs a new one, which shows at once whether the endpoint can be reached.
+    Never,
+}
+
+/// Sends a request to an endpoint.
+///
+/// # Errors
+///
+/// [`endpoint::Error::unwritten`] says whether the endpoint may have received anything.
+pub async fn send(
+    shared: &Shared,
+    key: EndpointKey,
+    request: Request<Full<Bytes>>,
+    reuse: Reuse,
+) -> Result<Reply, endpoint::Error> {
+    let mut request = request;
+    let Some((address, service)) = shared.endpoint_service(key) else {
+        return Err(unreachable_error("endpoint is no longer listed"));
+    };
+    let text = address.to_string();
+    if reuse == Reuse::Allowed {
+        let sending = shared.client.send_idle(&text, request);
+        match watch(shared, key, &text, sending).await? {
+            Sent::Answered(reply) => {
+                let mut state = shared.state.borrow_mut();
+                state.record_answer_on_open_connection(clock::now(), key);
+                return Ok(reply);
+            }
+            Sent::Unsent(unsent) => request = unsent,
+        }
+    }
+    if !shared.is_partitioned(&service) {
+        match shared.client.connect(&text).await {
+            Ok(stream) => return send_connected(shared, key, &text, stream, request).await,
+            Err(error) => {
+                record_unreached(shared, key, is_timeout(&error));
+                if !shared.is_partitioned(&service) {
+                    return Err(error);
+                }
+            }
+        }
+    }
+    match open_tunnel(shared, &service, address).await {
+        Some(Ok(stream)) => {
+            shared.metrics.record_tunnel("opened");
+            shared.client.send_over(stream, request).await
+        }
+        Some(Err(error)) => Err(error),
+        None => {
+            let stream = shared.client.connect(&text).await.inspect_err(|error| {
+                record_unreached(shared, key, is_timeout(error));
+            })?;
+            send_connected(shared, key, &text, stream, request).await
+        }
+    }
+}
+
+/// Sends a request on a new direct connection, and records whether it was answered.
+async fn send_connected(
+    shared: &Shared,
+    key: EndpointKey,
+    address: &str,
+    stream: tokio::net::TcpStream,
+    request: Request<Full<Bytes>>,
+) -> Result<Reply, endpoint::Error> {
+    let sending = shared.client.send_on(address, stream, request);
+    let sent = watch(shared, key, address, sending).await;
+    match &sent {
+        Ok(_) => record_reached(shared, key),
+        Err(_) => record_unreached(shared, key, false),
+    }
+    sent
+}
+
+/// Waits for a direct send, and has the endpoint checked if it is silent for long.
+async fn watch<T>(
+    shared: &Shared,
+    key: EndpointKey,
+    address: &str,
+    sending: impl Future<Output = T>,
+) -> T {
+    tokio::pin!(sending);
+    if let Ok(sent) = timeout(SILENCE_TIMEOUT, &mut sending).await {
+        return sent;
+    }
+    shared.client.drop_idle(address);
+    let now = clock::now();
+    shared.state.borrow_mut().record_silence(now, key);
+    sending.await
+}
+
+/// Opens a tunnel to an endpoint through one of the peers; `None` if there is none to ask.
+async fn open_tunnel(
+    shared: &Shared,
+    service: &str,
+    endpoint: SocketAddr,
+) -> Option<Result<tunnel::Stream, endpoint::Error>> {
+    let own = &shared.settings.instance.name;
+    let datagrams = shared.peers.datagrams.borrow().clone()?;
+    for _ in 0..MAX_TUNNEL_TRIES {
+        let picked = {
+            let state = shared.state.borrow();
+            state.pick_tunnel(clock::now(), own, service)
+        };
+        let name = picked?;
+        let Some(address) = shared.peers.address(&name) else {
+            record_failure(shared, &name, Failure::Unanswered);
+            continue;
+        };
+        let opened = timeout(TUNNEL_TIMEOUT, datagrams.open_tunnel(address, endpoint)).await;
+        let failure = match opened {
+            Ok(Ok(mut stream)) => {
+                stream.hold(shared.state.borrow_mut().tunnels.record_opened(&name));
+                return Some(Ok(stream));
+            }
+            Ok(Err(tunnel::Failure::Unreached)) => {
+                record_failure(shared, &name, Failure::Unreached);
+                return Some(Err(unreachable_error("a peer cannot reach it either")));
+            }
+            Ok(Err(tunnel::Failure::Refused)) => Failure::Refused,
+            Ok(Err(tunnel::Failure::Unanswered(_))) | Err(_) => Failure::Unanswered,
+        };
+        record_failure(shared, &name, failure);
+    }
+    None
+}
+
+fn record_failure(shared: &Shared, peer: &str, failure: Failure) {
+    log::info!(fellow = peer, failure:?; "peer instance opened no tunnel");
+    shared.metrics.record_tunnel(match failure {
+        Failure::Refused => "refused",
+        Failure::Unanswered => "unanswered",
+        Failure::Unreached => "unreached",
+    });
+    let mut state = shared.state.borrow_mut();
+    state.tunnels.record_failure(clock::now(), peer, failure);
+}
+
+/// Records that an endpoint was reached directly.
+pub fn record_reached(shared: &Shared, key: EndpointKey) {
+    let change = shared.state.borrow_mut().record_reached(clock::now(), key);
+    if change.is_some() {
+        announce(
+            shared,
+            key,
+            "endpoints can be reached directly again",
+            "healed",
+        );
+    }
+}
+
+/// Records that an endpoint could not be reached directly. If connections hang, those that are open
+/// to other endpoints of a partitioned service do so too, and are not used again.
+pub fn record_unreached(shared: &Shared, key: EndpointKey, hangs: bool) {
+    let change = shared
+        .state
+        .borrow_mut()
+        .record_unreached(clock::now(), key);
+    if change != Some(Change::Partitioned) {
+        return;
+    }
+    announce(
+        shared,
+        key,
+        "endpoints cannot be reached directly",
+        "partitioned",
+    );
+    let Some((_, service)) = shared.endpoint_service(key).filter(|_| hangs) else {
+        return;
+    };
+    let state = shared.state.borrow();
+    for (_, endpoint) in state.endpoints() {
+        if endpoint.listing.service == service {
+            let address = endpoint.listing.address.to_string();
+            shared.client.drop_idle(&address);
+        }
+    }
+}
+
+fn announce(shared: &Shared, key: EndpointKey, event: &str, change: &'static str) {
+    let Some((_, service)) = shared.endpoint_service(key) else {
+        return;
+    };
+    let (listed, unreachable) = {
+        let state = shared.state.borrow();
+        state.count_unreachable(clock::now(), &service)
+    };
+    log::info!(service, listed, unreachable; "{event}");
+    shared.metrics.record_tunnel(change);
+    shared.room.notify_waiters();
+}
+
+/// Whether a connection was not answered at all, rather than refused.
+#[must_use]
+pub fn is_timeout(error: &endpoint::Error) -> bool {
+    matches!(error, endpoint::Error::Connect(error) if error.kind() == io::ErrorKind::TimedOut)
+}
+
+fn unreachable_error(why: &'static str) -> endpoint::Error {
+    endpoint::Error::Connect(io::Error::new(io::ErrorKind::HostUnreachable, why))
+}
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -1,7 +1,12 @@
-//! Probes that ask engines whether they are leaving, while the endpoint list may be stale.
+//! Probes: whether engines are leaving, while the endpoint list may be stale, and whether endpoints can be
+//! reached.
 
 use {
-    crate::{clock, prelude::*},
+    crate::{
+        clock,
+        path::{self, Reuse},
+        prelude::*,
+    },
     platform::engine,
     tokio::task::spawn_local,
 };
@@ -23,6 +28,10 @@
         for key in due {
             spawn_local(probe_engine(Rc::clone(&shared), key));
         }
+        let due = shared.state.borrow_mut().due_path_checks(clock::now());
+        for key in due {
+            spawn_local(check_path(Rc::clone(&shared), key));
+        }
     }
 }
 
@@ -30,7 +39,7 @@
     let Some((address, endpoint)) = shared.endpoint_address(key) else {
         return;
     };
-    let asked = timeout(ANSWER_TIMEOUT, answer(&shared, address));
+    let asked = timeout(ANSWER_TIMEOUT, answer(&shared, key, address));
     let answered = asked
         .await
         .unwrap_or_else(|_| Err("no response within the time limit".to_string()));
@@ -54,9 +63,41 @@
     }
 }
 
-async fn answer(shared: &Shared, address: SocketAddr) -> Result<bool, String> {
+/// Checks whether an endpoint answers on a new direct connection; any answer will do.
+async fn check_path(shared: Rc<Shared>, key: EndpointKey) {
+    let request = {
+        let state = shared.state.borrow();
+        let Some(endpoint) = state.endpoint(key) else {
+            return;
+        };
+        let service = state.service(&endpoint.listing.service);
+        let address = endpoint.listing.address;
+        let request = match service {
+            Some(service) if service.engine.is_none() => {
+                engine::health_request(address, &service.health_path)
+            }
+            Some(_) | None => engine::report_request(address),
+        };
+        request.map(|request| (address.to_string(), request))
+    };
+    let (address, request) = match request {
+        Ok(request) => request,
+        Err(error) => {
+            log::warn!(error:%; "cannot build the check of an endpoint");
+            return;
+        }
+    };
+    let asked = shared.client.send_new(&address, request);
+    match timeout(ANSWER_TIMEOUT, asked).await {
+        Ok(Ok(_)) => path::record_reached(&shared, key),
+        Ok(Err(error)) => path::record_unreached(&shared, key, path::is_timeout(&error)),
+        Err(_) => path::record_unreached(&shared, key, true),
+    }
+}
+
+async fn answer(shared: &Shared, key: EndpointKey, address: SocketAddr) -> Result<bool, String> {
     let request = engine::report_request(address).map_err(|error| error.to_string())?;
-    let answer = shared.client.send(&address.to_string(), request).await;
+    let answer = path::send(shared, key, request, Reuse::Allowed).await;
     let answer = answer.map_err(|error| error.to_string())?;
     let status = answer.status();
     let body = answer.read_body(MAX_ANSWER_BYTES).await;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -321,7 +321,9 @@
     fn events(&mut self, chunk: Result<Option<Bytes>, endpoint::Error>) -> Step {
         match chunk {
             Err(error) => {
-                self.record_break();
+                if error.is_break_of_endpoint() {
+                    self.record_break();
+                }
                 Step::Lost(error.to_string())
             }
             Ok(None) if self.source.splitter.has_partial_event() => {
--- a/crates/proxy/src/relocate.rs
+++ b/crates/proxy/src/relocate.rs
@@ -1,7 +1,11 @@
 //! Moving the KV cache of runs between engines.
 
 use {
-    crate::{clock, gossip, prelude::*},
+    crate::{
+        clock, gossip,
+        path::{self, Reuse},
+        prelude::*,
+    },
     platform::engine::{self, MoveResult},
 };
 
@@ -162,12 +166,8 @@
     let request =
         engine::move_request(source, id, target, stop).map_err(|error| error.to_string())?;
     let asked = async {
-        let address = source.to_string();
-        let answer = if stop {
-            shared.client.send_new(&address, request).await
-        } else {
-            shared.client.send(&address, request).await
-        };
+        let reuse = if stop { Reuse::Never } else { Reuse::Allowed };
+        let answer = path::send(shared, ends.source_key, request, reuse).await;
         let answer = answer.map_err(|error| error.to_string())?;
         let status = answer.status();
         let body = answer.read_body(MAX_ANSWER_BYTES).await;
--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -107,7 +107,8 @@
         | Refusal::Full
         | Refusal::Stale
         | Refusal::Stopping
-        | Refusal::Unconfigured => StatusCode::SERVICE_UNAVAILABLE,
+        | Refusal::Unconfigured
+        | Refusal::Unreachable => StatusCode::SERVICE_UNAVAILABLE,
         Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
         Refusal::UnknownRoute => StatusCode::NOT_FOUND,
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -82,6 +82,8 @@
     pub suspects_changed: Notify,
     /// Notified when an aggregator has sent rows.
     pub rows_received: Notify,
+    /// Tunnels that peers have open through this instance.
+    pub tunnels: Cell<usize>,
     /// Read progress of each topic.
     topics: [TopicState; TOPICS],
 }
@@ -121,6 +123,7 @@
             suspects_changed: Notify::new(),
             rows_received: Notify::new(),
             topics: Default::default(),
+            tunnels: Cell::new(0),
             client,
             settings,
         }))
@@ -140,6 +143,37 @@
         Some((listing.address, listing.id.clone()))
     }
 
+    /// Address and service of an endpoint.
+    #[must_use]
+    pub fn endpoint_service(&self, key: EndpointKey) -> Option<(SocketAddr, String)> {
+        let state = self.state.borrow();
+        let listing = &state.endpoint(key)?.listing;
+        Some((listing.address, listing.service.clone()))
+    }
+
+    /// Whether the endpoints of a service cannot be reached directly.
+    #[must_use]
+    pub fn is_partitioned(&self, service: &str) -> bool {
+        self.state.borrow().paths.is_partitioned(service)
+    }
+
+    /// Whether endpoints of a service can be reached neither directly nor through peers.
+    #[must_use]
+    pub fn is_cut_off(&self, service: &str) -> bool {
+        let own = &self.settings.instance.name;
+        let state = self.state.borrow();
+        state.is_cut_off(clock::now(), own, service)
+    }
+
+    /// Why a request that found no endpoint of a service is refused.
+    #[must_use]
+    pub fn refusal_without_endpoint(&self, service: &str) -> Refusal {
+        if self.is_cut_off(service) {
+            return Refusal::Unreachable;
+        }
+        Refusal::Full
+    }
+
     /// Why a request found no endpoint of a service, for its log line.
     #[must_use]
     pub fn why_not_acquired(&self, service: &str) -> String {
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -64,7 +64,8 @@
         };
         let Some((key, backup)) = acquired else {
             progress.why = shared.why_not_acquired(&ticket.service);
-            return Err(progress.give_up(id, Refusal::Full));
+            let refusal = shared.refusal_without_endpoint(&ticket.service);
+            return Err(progress.give_up(id, refusal));
         };
         // No event has reached the caller yet, so the newest configuration applies.
         match shared.readmit(original, &mut ticket) {
@@ -262,7 +263,9 @@
         let chunk = match answer.chunk().await {
             Ok(chunk) => chunk,
             Err(error) => {
-                shared.record_break(original, key, sent_at, 0);
+                if error.is_break_of_endpoint() {
+                    shared.record_break(original, key, sent_at, 0);
+                }
                 return fail(shared, key, error.to_string());
             }
         };
