Do not take crashed endpoints for a partition

Cause: two failed connections in a row made the service partitioned before any other endpoint was tried. Both engines had crashed; both peers said truthfully that they cannot reach these either, which counted against the peers, so that the instance took itself for cut off.

Change: three endpoints instead of two; at two, one that was not tried yet is checked first. That a peer cannot reach an endpoint speaks against the endpoint, and requests are refused as unreachable only when all peers have refused or are silent.

Checks and bounds are as they were.

--- a/crates/forward/src/paths.rs
+++ b/crates/forward/src/paths.rs
@@ -7,8 +7,8 @@
 use crate::{prelude::*, state::State};
 
 /// Endpoints that cannot be reached, with none that can, from which on a service counts as
-/// partitioned.
-const MIN_UNREACHED: usize = 2;
+/// partitioned. With fewer, crashes of two endpoints would send all requests on a detour.
+const MIN_UNREACHED: usize = 3;
 
 /// Time for which a failed connection counts, so that single failures minutes apart do not add up.
 const FAILURE_MEMORY: Duration = Duration::from_secs(5);
@@ -119,14 +119,20 @@
         unreached.push((key, now));
         let needed = self.listed(&service).count().clamp(1, MIN_UNREACHED);
         let is_partitioned = unreached.len() >= needed;
-        let other = self.listed_keys(&service).find(|other| *other != key);
-        let links = self.paths.links_mut(&service);
+        let is_doubtful = unreached.len() + 1 >= needed && !is_partitioned;
+        let mut links = self.paths.links_mut(&service).clone();
         links.unreached = unreached;
-        if links.suspect == Some(key) {
-            // Another endpoint shows whether only this one is silent.
-            links.suspect = other.filter(|_| !is_partitioned);
+        if links.suspect == Some(key) || is_doubtful {
+            // Another endpoint shows whether only these have failed.
+            links.suspect = None;
+            links.suspect = self.next_to_check(now, &mut links);
             links.next_check_at = now;
         }
+        if is_partitioned {
+            links.suspect = None;
+        }
+        *self.paths.links_mut(&service) = links;
+        let links = self.paths.links_mut(&service);
         if links.is_partitioned || !is_partitioned {
             return None;
         }
--- a/crates/forward/src/tunnel.rs
+++ b/crates/forward/src/tunnel.rs
@@ -39,6 +39,8 @@
 struct Peer {
     avoid_until: Time,
     name: String,
+    /// Until when it is of no use, whatever the endpoint.
+    useless_until: Time,
     /// Held by each open tunnel through it.
     usage: Arc<()>,
 }
@@ -66,6 +68,7 @@
             let peer = Peer {
                 avoid_until: Time::default(),
                 name: name.to_string(),
+                useless_until: Time::default(),
                 usage: Arc::default(),
             };
             self.0.insert(index, peer);
@@ -89,6 +92,9 @@
         };
         let peer = self.peer_mut(name);
         peer.avoid_until = peer.avoid_until.max(now.after(backoff));
+        if failure != Failure::Unreached {
+            peer.useless_until = peer.avoid_until;
+        }
     }
 
     /// Forgets peers without tunnels that may be asked again.
@@ -129,6 +135,18 @@
     }
 }
 
+impl Tunnels {
+    /// Whether all peers have refused or not answered recently. That one cannot reach an endpoint says
+    /// nothing of others.
+    fn are_useless(&self, now: Time, members: &Members, own: &str) -> bool {
+        let mut others = members.others(own).into_iter();
+        others.all(|(name, _, _)| {
+            let peer = self.peer(name);
+            peer.is_some_and(|peer| now < peer.useless_until)
+        })
+    }
+}
+
 impl State {
     /// The peer to reach endpoints of a service through; `None` if they can be reached directly, or no
     /// peer is left to ask.
@@ -146,6 +164,6 @@
     pub fn is_cut_off(&self, now: Time, own: &str, service: &str) -> bool {
         self.paths.is_partitioned(service)
             && self.members.count() > 1
-            && self.tunnels.pick(now, &self.members, own).is_none()
+            && self.tunnels.are_useless(now, &self.members, own)
     }
 }
