Keep to the rejections that brittle endpoints bear

What callers would see: endpoints that state Server-Brittle = N fall over when they reject more than N requests in a second (LIMIT).

Cause: each instance sends on while it sees room; what it sees of the others is up to 50 ms old and more, so that all are rejected together.

Change: the limit is read from each answer and kept by service. While it holds, an instance has at most its share of unanswered and recently rejected sends at an endpoint, one at least; a share below one is a longer wait.

--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -394,6 +394,13 @@
             && endpoint.usable(now)
             && !self.is_disabled(&endpoint.listing.domain)
             && endpoint.rate_limiter.allows(now, self.send_quota(service))
+            && self.may_be_rejected(now, endpoint)
+    }
+
+    /// Whether a rejection of one more request is within what a brittle endpoint bears.
+    fn may_be_rejected(&self, now: Time, endpoint: &Endpoint) -> bool {
+        let limit = self.brittleness.limit(now, &endpoint.listing.service);
+        limit.is_none_or(|limit| endpoint.exposure.allows(now, limit, self.instances))
     }
 
     /// This instance's share of the requests per second to one cold endpoint of a service; at least
--- a/crates/forward/src/endpoint.rs
+++ b/crates/forward/src/endpoint.rs
@@ -1,6 +1,6 @@
 //! State of one endpoint, as seen by this instance.
 
-use crate::{load::digest, prelude::*, rate_limit::RateLimiter};
+use crate::{brittleness::Exposure, load::digest, prelude::*, rate_limit::RateLimiter};
 
 /// Backoff after the first failed connection; it doubles with each failure.
 ///
@@ -90,6 +90,8 @@
     /// When it may next be probed.
     pub(crate) next_probe_at: Time,
     avoid_until: Time,
+    /// Sends that may be rejected.
+    pub exposure: Exposure,
     /// Digest of its id, which identifies it in load reports.
     pub digest: u32,
     /// Until when it is cold.
@@ -118,6 +120,7 @@
         Self {
             next_probe_at: Time::default(),
             avoid_until: Time::default(),
+            exposure: Exposure::default(),
             cold_until: now.after(listing.cold),
             digest: digest(&listing.id),
             grace_until: None,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod aggregate;
+pub mod brittleness;
 pub mod budget;
 pub mod choice;
 pub mod config;
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -5,6 +5,7 @@
 use {
     crate::{
         aggregate::{Sums, members::Members},
+        brittleness::Brittleness,
         budget::RetryBudget,
         freshness::Freshness,
         load::PeerLoads,
@@ -44,6 +45,8 @@
 /// State of an instance.
 #[derive(Debug)]
 pub struct State {
+    /// Services whose endpoints fall over when they reject too much.
+    pub brittleness: Brittleness,
     /// Budget for retries.
     pub budget: RetryBudget,
     pub(crate) config: Option<Config>,
@@ -104,6 +107,7 @@
         let mut rollouts = Rollouts::default();
         rollouts.set_limit(settings.canary);
         Self {
+            brittleness: Brittleness::default(),
             budget: RetryBudget::new(&settings),
             config: None,
             config_freshness: Freshness::default(),
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -83,6 +83,7 @@
     };
     shared.record_send(destination.key);
     log_send(shared, original, destination, &endpoint);
+    let _unanswered = Unanswered::new(shared, destination.key);
     let outcome = exchange(
         shared,
         destination.key,
@@ -91,12 +92,37 @@
         limit.min(left),
     )
     .await;
-    if matches!(outcome, SendOutcome::NotWritten(_)) {
-        shared.record_unreachable(destination.key);
+    match &outcome {
+        SendOutcome::NotWritten(_) => shared.record_unreachable(destination.key),
+        SendOutcome::Answer(_, flags) => shared.record_flags(destination.key, *flags),
+        SendOutcome::Broken(_) | SendOutcome::Unknown(_) => {}
     }
     outcome
 }
 
+/// Counts a send that an endpoint has not answered yet, until dropped.
+struct Unanswered<'a> {
+    key: EndpointKey,
+    shared: &'a Shared,
+}
+
+impl<'a> Unanswered<'a> {
+    fn new(shared: &'a Shared, key: EndpointKey) -> Self {
+        if let Some(endpoint) = shared.state.borrow_mut().endpoint_mut(key) {
+            endpoint.exposure.record_send();
+        }
+        Self { key, shared }
+    }
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if let Some(endpoint) = self.shared.state.borrow_mut().endpoint_mut(self.key) {
+            endpoint.exposure.record_end();
+        }
+    }
+}
+
 /// Logs the choice of an endpoint with the data that it was based on.
 fn log_send(shared: &Shared, original: &Original, destination: &Destination, endpoint: &str) {
     let now = clock::now();
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -25,7 +25,7 @@
         state::QueuePosition,
     },
     peer::datagram::DatagramSocket,
-    platform::{Store, store::Topic},
+    platform::{Store, head::ResponseFlags, store::Topic},
     rand::{RngExt as _, SeedableRng as _, rngs::SmallRng},
     tokio::sync::Notify,
 };
@@ -385,6 +385,24 @@
         }
     }
 
+    /// Records what an answer says of its endpoint: whether it is brittle, and whether it rejected the
+    /// request for want of room.
+    pub fn record_flags(&self, key: EndpointKey, flags: ResponseFlags) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let Some(endpoint) = state.endpoint_mut(key) else {
+            return;
+        };
+        if flags.not_run {
+            endpoint.exposure.record_rejection(now);
+        }
+        let service = endpoint.listing.service.clone();
+        let limit = flags.max_rejections;
+        if state.brittleness.record(now, &service, limit) {
+            log::info!(service, limit:?; "limit of rejections changed");
+        }
+    }
+
     /// Counts a send that did not reach its endpoint, for the metrics.
     pub fn record_unreachable(&self, key: EndpointKey) {
         if let Some(endpoint) = self.state.borrow().endpoint(key) {
