Open one connection to a peer at a time

What callers would see: where instances are many, no connection to the peer is open when a partition begins, and requests that need a tunnel together each open one; the last replaces the others, and their tunnels fail ("replaced"). The peer was then left alone for two seconds.

Change: whoever connects to an address has a turn; those who waited use the connection that is open by then.

--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -48,6 +48,9 @@
     Local,
 }
 
+/// Held by the task that connects to an address.
+type Turn = Arc<tokio::sync::Mutex<()>>;
+
 /// Connections to peers, sorted by address.
 type Connections = Vec<PeerConnection>;
 
@@ -56,6 +59,8 @@
 pub struct DatagramSocket {
     endpoint: Endpoint,
     received: Sender<Bytes>,
+    /// Addresses that are being connected to.
+    connecting: Arc<Mutex<Vec<(SocketAddr, Turn)>>>,
     open: Arc<Mutex<Connections>>,
     tunnels: Sender<tunnel::Incoming>,
 }
@@ -78,6 +83,7 @@
         let datagrams = Self {
             endpoint,
             received,
+            connecting: Arc::default(),
             open: Arc::default(),
             tunnels,
         };
@@ -100,6 +106,12 @@
     ///
     /// The peer cannot be reached within 800 ms, or its certificate is not accepted.
     pub async fn connect(&self, address: SocketAddr) -> Result<(), Error> {
+        if self.existing(address).is_some() {
+            return Ok(());
+        }
+        // A second connection would replace the first one, and end the tunnels that wait for it.
+        let turn = self.turn(address);
+        let _turn = turn.lock().await;
         if self.existing(address).is_some() {
             return Ok(());
         }
@@ -116,6 +128,21 @@
         Ok(())
     }
 
+    /// Held while an address is connected to.
+    fn turn(&self, address: SocketAddr) -> Turn {
+        let mut connecting = self
+            .connecting
+            .lock()
+            .expect("the connections are never poisoned");
+        connecting.retain(|(_, turn)| Arc::strong_count(turn) > 1);
+        if let Some((_, turn)) = connecting.iter().find(|(other, _)| *other == address) {
+            return Arc::clone(turn);
+        }
+        let turn = Arc::default();
+        connecting.push((address, Arc::clone(&turn)));
+        turn
+    }
+
     /// Stores a connection and reads from it; closes the one that it replaces, if any.
     fn register(&self, address: SocketAddr, connection: Connection, initiator: Initiator) {
         let usage = tunnel::Usage::default();
--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -181,3 +181,31 @@
     };
     tokio::join!(answer, ask);
 }
+
+/// Requests that need a tunnel at the same time, with no connection open yet, must not replace each
+/// other's connection.
+#[tokio::test]
+async fn tunnels_that_are_opened_together_share_a_connection() {
+    let [one, mut two] = pair();
+    let address = two.datagrams.address().expect("an address");
+    let endpoint = "127.0.0.1:9".parse().expect("an address");
+    let accept = async {
+        for _ in 0..8 {
+            let incoming = two.requested.recv().await.expect("a request");
+            let accepted = incoming.accept().await.expect("the peer waits");
+            drop(accepted);
+        }
+    };
+    let open = async {
+        let mut tunnels = tokio::task::JoinSet::new();
+        for _ in 0..8 {
+            let datagrams = one.datagrams.clone();
+            tunnels.spawn(async move { datagrams.open_tunnel(address, endpoint).await });
+        }
+        while let Some(opened) = tunnels.join_next().await {
+            opened.expect("no panic").expect("a tunnel");
+        }
+    };
+    let both = async { tokio::join!(accept, open) };
+    timeout(TEST_TIMEOUT, both).await.expect("all are opened");
+}
