--- a/crates/carawayhead/tests/common/mod.rs
+++ b/crates/carawayhead/tests/common/mod.rs
@@ -76,6 +76,10 @@
         rustix::process::kill_process(pid, signal).expect("the process can be signalled");
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn kill(&mut self) {
         self.child.kill().expect("the process can be killed");
         self.child.wait().expect("the process can be waited for");
--- a/crates/carawayhead/tests/partitions.rs
+++ b/crates/carawayhead/tests/partitions.rs
@@ -1,5 +1,6 @@
 //! Instances that are partitioned from endpoints, while callers, the store and peers reach them.
 
+mod common;
 #[path = "forwarding/instance.rs"]
 mod instance;
 #[path = "soak/loopback.rs"]
@@ -146,11 +147,17 @@
 
     /// Asserts that no order ran twice.
     fn assert_ran_once(&self) {
+        self.assert_ran_once_but("");
+    }
+
+    /// The same, without the order with id `repeated`, which the test itself repeats.
+    fn assert_ran_once_but(&self, repeated: &str) {
         let calls = self
             .desks
             .iter()
             .flat_map(|(desk, _)| desk.executed_calls());
         let orders = calls.filter(|call| call.path.starts_with("/order"));
+        let orders = orders.filter(|call| call.id() != repeated);
         let mut ids = orders.map(|call| call.id().to_string()).collect::<Vec<_>>();
         let count = ids.len();
         ids.sort_unstable();
@@ -257,3 +264,124 @@
     assert_served_alike(&counts, 3);
     deployment.assert_ran_once();
 }
+
+/// Where no instance reaches endpoints, requests must be refused as not run with a time to come back, rather
+/// than look for a way until their time is up, and be served again once the links have healed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_are_refused_as_unreachable_when_all_instances_are_partitioned() {
+    let deployment = Deployment::start(&["a", "b"]).await;
+    let counts = deployment.count_under(Partition::Reset, 2).await;
+    assert!(counts.iter().all(|count| count.served == 0), "{counts:?}");
+    let address = deployment.instances[0].caller_address;
+    for number in 0..20 {
+        let id = format!("refused-{number}");
+        let request = CallerRequest::new(&id, ROUTES[number % ROUTES.len()]);
+        let response = send_request(address, &request).await.expect("a response");
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(response.retry_after.is_some());
+    }
+    let refused = deployment.instances[0].log_lines_containing(r#""outcome":"unreachable""#);
+    let late = refused.iter().filter(|line| line.contains("refused-"));
+    assert!(late.count() >= 10, "{refused:?}");
+    for proxy in deployment.proxies() {
+        proxy.heal();
+    }
+    for path in ROUTES {
+        instance::wait_until("requests are served again", || async {
+            let response = send_request(address, &CallerRequest::new("healed", path)).await;
+            response.is_some_and(|response| response.status == StatusCode::OK)
+        })
+        .await;
+    }
+    deployment.assert_ran_once_but("healed");
+}
+
+/// A partition resets all connections of the instances at once. Engines that live on must not count as
+/// crashed by the requests that ran there, or all instances refuse these for ten minutes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn connections_reset_by_a_partition_are_no_crashes() {
+    let deployment = Deployment::start(&["a", "b"]).await;
+    let pids = deployment.pids(2);
+    let mut streams = tokio::task::JoinSet::new();
+    for number in 0..16 {
+        let address = deployment.instances[number % 2].caller_address;
+        streams.spawn(async move {
+            let id = format!("running-{number}");
+            send_request(address, &CallerRequest::new(&id, "/draft/x")).await
+        });
+    }
+    instance::wait_until("streams run at all engines", || async {
+        let engines = &deployment.engines;
+        engines
+            .iter()
+            .all(|(engine, _)| !engine.executed_calls().is_empty())
+    })
+    .await;
+    for proxy in deployment.proxies() {
+        proxy.partition(Partition::Reset, &pids);
+    }
+    while streams.join_next().await.is_some() {}
+    for proxy in deployment.proxies() {
+        proxy.heal();
+    }
+    sleep(STABILITY_WINDOW).await;
+    for instance in &deployment.instances {
+        let request = CallerRequest::new("later", "/draft/x");
+        let response = send_request(instance.caller_address, &request).await;
+        let response = response.expect("a response");
+        assert_eq!(response.status, StatusCode::OK);
+    }
+}
+
+/// The same at an instance of `serve`.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn serve_callers_are_served_when_connections_to_endpoints_hang() {
+    let _alone = DEPLOYMENT.lock().await;
+    let mut cluster = common::Builder {
+        instance_domains: Vec::new(),
+        service_domains: Vec::new(),
+        ..common::Builder::default()
+    }
+    .start()
+    .await;
+    let mut proxies = Vec::new();
+    for engine in &mut cluster.engines {
+        let target = engine.address.parse().expect("an address");
+        let proxy = FaultProxy::start(target).await;
+        engine.address = proxy.address.to_string();
+        proxies.push(proxy);
+    }
+    for (engine, domain) in cluster.engines.iter().zip(["north", "south"]) {
+        cluster.register(engine, domain, "engine", "live").await;
+    }
+    for (name, domain) in [("entry-0", "north"), ("entry-1", "south")] {
+        cluster.add_instance(name, domain).await;
+    }
+    let pids = cluster.instances.iter().map(common::Process::pid);
+    let pids = pids.collect::<Vec<_>>();
+    for proxy in &proxies {
+        proxy.set_known_pids(&pids);
+    }
+    for number in 0..2 {
+        cluster.wait_until_ready(number).await;
+    }
+    for proxy in &proxies {
+        proxy.partition(Partition::Silent, &pids[..1]);
+    }
+    let counted_from = Instant::now() + STABILITY_WINDOW;
+    let body = r#"{"model": "survey", "prompt": "tokens=4", "stream": true}"#;
+    let mut counts = [Count::default(); 2];
+    while Instant::now() < counted_from + OBSERVED {
+        for (number, count) in counts.iter_mut().enumerate() {
+            let is_counted = Instant::now() >= counted_from;
+            let request = common::CallerRequest::post("/v1/completions", body);
+            let called = cluster.call(number, request);
+            let called = tokio::time::timeout(Duration::from_secs(1), called).await;
+            count.sent += usize::from(is_counted);
+            count.served +=
+                usize::from(is_counted && called.is_ok_and(|(status, _)| status == 200));
+        }
+    }
+    println!("serve: {counts:?}");
+    assert_served_alike(&counts, 1);
+}
--- a/crates/carawayhead/tests/soak/deployment.rs
+++ b/crates/carawayhead/tests/soak/deployment.rs
@@ -130,10 +130,31 @@
             slot.start().await;
             deployment.slots.push(slot);
         }
+        deployment.tell_pids();
         deployment.wait_until_ready().await;
         deployment
     }
 
+    /// Process ids of the running instances.
+    pub fn pids(&self) -> Vec<u32> {
+        let instances = self.slots.iter().filter_map(|slot| slot.instance.as_ref());
+        instances.map(Instance::pid).collect()
+    }
+
+    /// Proxies of all endpoints.
+    pub fn endpoint_proxies(&self) -> impl Iterator<Item = &FaultProxy> {
+        let engines = self.engines.iter().map(|engine| &engine.proxy);
+        engines.chain(self.services.iter().map(|service| &service.proxy))
+    }
+
+    /// Tells the proxies of endpoints which processes may be partitioned.
+    pub fn tell_pids(&self) {
+        let pids = self.pids();
+        for proxy in self.endpoint_proxies() {
+            proxy.set_known_pids(&pids);
+        }
+    }
+
     /// Waits until every instance is ready.
     pub async fn wait_until_ready(&self) {
         for slot in &self.slots {
@@ -174,6 +195,7 @@
         server.set_address(proxy.address);
         self.store
             .write_endpoint_entry(&id, &server.entry("model", domain, "ready"));
+        proxy.set_known_pids(&self.pids());
         self.engines.push(ProxiedServer {
             server,
             proxy,
