Retract crashes of endpoints that live on

Cause: a reset connection counts as a crash of its endpoint, and nothing ever asked whether the endpoint lives on.

Change: an endpoint whose connections broke is checked at once, then after 0.5, 1, 2 s and so on, directly and then through a peer. If it answers as the same run of its process (an engine says when it started), its crashes are retracted and that is published. An engine is checked for 20 s, a plain service, which does not say when it started, for 1 s. Until then the crash counts as before, so that a request which does crash endpoints is refused as early as before.

--- a/crates/decision/src/suspects.rs
+++ b/crates/decision/src/suspects.rs
@@ -143,6 +143,28 @@
         self.clear(fingerprint)
     }
 
+    /// Drops all crashes of an endpoint that has proved to live on, and publishes that; returns their
+    /// number.
+    pub fn retract(&mut self, endpoint: &str) -> usize {
+        let mut retracted = Vec::new();
+        for suspect in &mut self.entries {
+            let found = suspect.endpoints.iter().position(|other| other == endpoint);
+            if let Some(index) = found {
+                retracted.push(Crash {
+                    fingerprint: suspect.fingerprint,
+                    endpoint: suspect.endpoints.remove(index),
+                    events: suspect.events,
+                });
+            }
+        }
+        self.entries.retain(|suspect| !suspect.endpoints.is_empty());
+        let count = retracted.len();
+        for crash in retracted {
+            self.publish(Change::Cleared(crash));
+        }
+        count
+    }
+
     /// Applies a crash that an instance has published. It is cleared if an equal request has just
     /// completed here.
     pub fn apply_crash(&mut self, now: Time, crash: Crash) {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod endpoint;
 pub mod freshness;
 pub mod load;
+pub mod losses;
 pub mod outcome;
 pub mod paths;
 pub mod prelude;
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -9,6 +9,7 @@
         budget::RetryBudget,
         freshness::Freshness,
         load::PeerLoads,
+        losses::Losses,
         paths::Paths,
         prelude::*,
         request::Ticket,
@@ -62,6 +63,8 @@
     pub(crate) instances: u32,
     /// Age of the endpoint list.
     pub list_freshness: Freshness,
+    /// Endpoints whose connections broke.
+    pub(crate) losses: Losses,
     /// All instances.
     pub members: Members,
     /// Whether endpoints can be reached directly.
@@ -117,6 +120,7 @@
             peer_loads: PeerLoads::default(),
             instances: settings.min_instances.max(1),
             list_freshness: Freshness::default(),
+            losses: Losses::default(),
             members: Members::default(),
             next_turn: 0,
             paths: Paths::default(),
@@ -455,13 +459,15 @@
         endpoint: EndpointKey,
         events: u32,
     ) -> bool {
-        let Some(endpoint) = self.endpoints.get(endpoint) else {
+        let key = endpoint;
+        let Some(endpoint) = self.endpoints.get(key) else {
             return false;
         };
         if endpoint.leaving_since.is_some() {
             return false;
         }
         let endpoint = endpoint.listing.incarnation();
+        self.losses.record(now, key, endpoint.clone());
         self.suspects.record_crash(
             now,
             Crash {
--- a/crates/forward/src/tunnel.rs
+++ b/crates/forward/src/tunnel.rs
@@ -148,16 +148,6 @@
 }
 
 impl State {
-    /// The peer to reach endpoints of a service through; `None` if they can be reached directly, or no
-    /// peer is left to ask.
-    #[must_use]
-    pub fn pick_tunnel(&self, now: Time, own: &str, service: &str) -> Option<String> {
-        if !self.paths.is_partitioned(service) {
-            return None;
-        }
-        self.tunnels.pick(now, &self.members, own)
-    }
-
     /// Whether endpoints of a service can be reached neither directly nor through peers. Without any
     /// peer it stays unknown whether the endpoints have failed, so that they are tried on.
     #[must_use]
--- /dev/null
+++ b/crates/forward/tests/losses.rs
@@ -0,0 +1,73 @@
+//! Endpoints whose connections broke, and whether they live on.
+
+mod common;
+
+use {common::*, forward::fingerprint::Fingerprint};
+
+fn fingerprint() -> Fingerprint {
+    Fingerprint::new(Some("ada"), "h.example", "/draft/x", b"body")
+}
+
+/// Three engines, under which a request has broken at 10 s.
+fn instance_with_losses() -> (State, Vec<EndpointKey>) {
+    let engines = ["m1", "m2", "m3"].map(|id| listing(id, "model", "a"));
+    let mut state = instance(&engines);
+    let keys = state.endpoints().map(|(key, _)| key).collect::<Vec<_>>();
+    for key in &keys {
+        assert!(state.record_break(at(10_000), fingerprint(), *key, 0));
+    }
+    assert!(state.suspects.refuses(at(10_000), fingerprint()));
+    (state, keys)
+}
+
+/// A cut link resets connections as a crash does. A request must not be refused for endpoints that
+/// live on, and other instances must learn that.
+#[test]
+fn endpoint_that_lives_on_counts_against_no_request() {
+    let (mut state, keys) = instance_with_losses();
+    assert_eq!(state.due_loss_checks(at(10_000)), keys);
+    assert_eq!(state.record_alive(keys[0], Some(1)), 1);
+    assert!(!state.suspects.refuses(at(10_100), fingerprint()));
+    assert_eq!(state.suspects.crashes(fingerprint()), 2);
+    assert_eq!(state.suspects.unpublished().len(), 3);
+    assert_eq!(state.record_alive(keys[0], Some(1)), 0);
+}
+
+/// An engine that crashed may be back under its id before its new entry has been read.
+#[test]
+fn restarted_engine_has_crashed() {
+    let (mut state, keys) = instance_with_losses();
+    assert_eq!(state.record_alive(keys[0], Some(2)), 0);
+    assert!(state.suspects.refuses(at(10_100), fingerprint()));
+    assert!(!state.due_loss_checks(at(10_100)).contains(&keys[0]));
+}
+
+/// A partition may last for seconds, after which engines prove to live on; most of them have crashed,
+/// and must not be asked for ever.
+#[test]
+fn lost_engines_are_checked_less_and_less_often() {
+    let (mut state, keys) = instance_with_losses();
+    let mut checked = Vec::new();
+    for now in (10_000..60_000).step_by(100) {
+        if state.due_loss_checks(at(now)).contains(&keys[1]) {
+            checked.push(now);
+        }
+    }
+    assert!(checked.len() <= 8, "{checked:?}");
+    assert!(
+        checked[1] <= 10_500 && checked.last() > Some(&16_000),
+        "{checked:?}"
+    );
+    assert!(checked.last() <= Some(&30_000), "{checked:?}");
+}
+
+/// A plain service does not say when it started, so that one that answers seconds later may have
+/// crashed.
+#[test]
+fn plain_service_is_checked_for_a_short_time() {
+    let mut state = instance(&[listing("d1", "desk", "a")]);
+    let key = state.endpoints().next().expect("listed").0;
+    state.record_break(at(10_000), fingerprint(), key, 0);
+    assert_eq!(state.due_loss_checks(at(10_000)), [key]);
+    assert!(state.due_loss_checks(at(11_100)).is_empty());
+}
--- a/crates/forward/tests/paths.rs
+++ b/crates/forward/tests/paths.rs
@@ -67,16 +67,13 @@
     }
     assert_eq!(state.record_unreached(at(100), keys[0]), None);
     assert_eq!(state.record_unreached(at(120), keys[1]), None);
-    assert_eq!(state.pick_tunnel(at(120), "own", "desk"), None);
+    assert!(!state.paths.is_partitioned("desk"));
     let change = state.record_unreached(at(150), keys[2]);
     assert_eq!(change, Some(paths::Change::Partitioned));
     let usable = |state: &State, key| state.endpoint(key).is_some_and(|e| e.usable(at(150)));
     assert!(usable(&state, keys[0]) && usable(&state, keys[1]));
-    assert_eq!(
-        state.pick_tunnel(at(150), "own", "desk").as_deref(),
-        Some("e2")
-    );
-    assert_eq!(state.pick_tunnel(at(150), "own", "model"), None);
+    assert!(state.paths.is_partitioned("desk"));
+    assert!(!state.paths.is_partitioned("model"));
 }
 
 /// Failures minutes apart are crashes of single endpoints.
@@ -192,7 +189,7 @@
     let mut state = instance(&desks(1));
     with_peers(&mut state, &[("e2", "a"), ("e3", "b")]);
     state.record_unreached(at(0), keys(&state)[0]);
-    let pick = |state: &State, now| state.pick_tunnel(at(now), "own", "desk");
+    let pick = |state: &State, now| state.tunnels.pick(at(now), &state.members, "own");
     assert_eq!(pick(&state, 0).as_deref(), Some("e2"));
     let tunnels = &mut state.tunnels;
     tunnels.record_failure(at(0), "e2", tunnel::Failure::Refused);
@@ -217,7 +214,10 @@
     let mut open = Vec::new();
     let mut counts = [0; 3];
     for _ in 0..30 {
-        let name = state.pick_tunnel(at(0), "own", "desk").expect("a peer");
+        let name = state
+            .tunnels
+            .pick(at(0), &state.members, "own")
+            .expect("a peer");
         let index = ["e2", "e3", "e4"].iter().position(|peer| *peer == name);
         counts[index.expect("a peer")] += 1;
         open.push(state.tunnels.record_opened(&name));
@@ -244,7 +244,10 @@
         let mut open = Vec::new();
         let mut used = Vec::new();
         for _ in 0..40 {
-            let name = state.pick_tunnel(at(0), &own, "desk").expect("a peer");
+            let name = state
+                .tunnels
+                .pick(at(0), &state.members, &own)
+                .expect("a peer");
             let number = name[1..].parse::<usize>().expect("a number");
             counts[number] += 1;
             used.push(number);
@@ -330,7 +333,7 @@
                     continue;
                 }
             }
-            let Some(name) = self.states[index].pick_tunnel(at(now), &own, service) else {
+            let Some(name) = self.pick_peer(now, index) else {
                 let (connected, took) = self.connect(now, index, key);
                 now += took;
                 if connected {
@@ -360,6 +363,12 @@
         None
     }
 
+    fn pick_peer(&self, now: u64, index: usize) -> Option<String> {
+        let state = &self.states[index];
+        let own = format!("e{index}");
+        state.tunnels.pick(at(now), &state.members, &own)
+    }
+
     fn check_paths(&mut self, now: u64) {
         for index in 0..self.states.len() {
             for key in self.states[index].due_path_checks(at(now)) {
--- a/crates/proxy/src/path.rs
+++ b/crates/proxy/src/path.rs
@@ -69,7 +69,7 @@
             }
         }
     }
-    match open_tunnel(shared, &service, address).await {
+    match open_tunnel(shared, address).await {
         Some(Ok(stream)) => {
             shared.metrics.record_tunnel("opened");
             shared.client.send_over(stream, request).await
@@ -84,6 +84,38 @@
     }
 }
 
+/// One of the ways to an endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Route {
+    /// A new connection of this instance.
+    Direct,
+    /// A tunnel through a peer.
+    Peer,
+}
+
+/// Sends a request over the given way only.
+///
+/// # Errors
+///
+/// The endpoint cannot be reached over this way.
+pub async fn send_by(
+    shared: &Shared,
+    key: EndpointKey,
+    request: Request<Full<Bytes>>,
+    route: Route,
+) -> Result<Reply, endpoint::Error> {
+    let Some((address, _)) = shared.endpoint_service(key) else {
+        return Err(unreachable_error("endpoint is no longer listed"));
+    };
+    if route == Route::Direct {
+        return shared.client.send_new(&address.to_string(), request).await;
+    }
+    match open_tunnel(shared, address).await {
+        Some(stream) => shared.client.send_over(stream?, request).await,
+        None => Err(unreachable_error("there is no peer to go through")),
+    }
+}
+
 /// Sends a request on a new direct connection, and records whether it was answered.
 async fn send_connected(
     shared: &Shared,
@@ -121,7 +153,6 @@
 /// Opens a tunnel to an endpoint through one of the peers; `None` if there is none to ask.
 async fn open_tunnel(
     shared: &Shared,
-    service: &str,
     endpoint: SocketAddr,
 ) -> Option<Result<tunnel::Stream, endpoint::Error>> {
     let own = &shared.settings.instance.name;
@@ -129,7 +160,7 @@
     for _ in 0..MAX_TUNNEL_TRIES {
         let picked = {
             let state = shared.state.borrow();
-            state.pick_tunnel(clock::now(), own, service)
+            state.tunnels.pick(clock::now(), &state.members, own)
         };
         let name = picked?;
         let Some(address) = shared.peers.address(&name) else {
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -1,5 +1,5 @@
-//! Probes: whether engines are leaving, while the endpoint list may be stale, and whether endpoints can be
-//! reached.
+//! Probes: whether engines are leaving, while the endpoint list may be stale, whether endpoints can be
+//! reached, and whether those whose connections broke live on.
 
 use {
     crate::{
@@ -7,6 +7,7 @@
         path::{self, Reuse},
         prelude::*,
     },
+    http_body_util::Full,
     platform::engine,
     tokio::task::spawn_local,
 };
@@ -32,6 +33,10 @@
         for key in due {
             spawn_local(check_path(Rc::clone(&shared), key));
         }
+        let due = shared.state.borrow_mut().due_loss_checks(clock::now());
+        for key in due {
+            spawn_local(check_loss(Rc::clone(&shared), key));
+        }
     }
 }
 
@@ -65,27 +70,8 @@
 
 /// Checks whether an endpoint answers on a new direct connection; any answer will do.
 async fn check_path(shared: Rc<Shared>, key: EndpointKey) {
-    let request = {
-        let state = shared.state.borrow();
-        let Some(endpoint) = state.endpoint(key) else {
-            return;
-        };
-        let service = state.service(&endpoint.listing.service);
-        let address = endpoint.listing.address;
-        let request = match service {
-            Some(service) if service.engine.is_none() => {
-                engine::health_request(address, &service.health_path)
-            }
-            Some(_) | None => engine::report_request(address),
-        };
-        request.map(|request| (address.to_string(), request))
-    };
-    let (address, request) = match request {
-        Ok(request) => request,
-        Err(error) => {
-            log::warn!(error:%; "cannot build the check of an endpoint");
-            return;
-        }
+    let Some((address, request)) = check_request(&shared, key) else {
+        return;
     };
     let asked = shared.client.send_new(&address, request);
     match timeout(ANSWER_TIMEOUT, asked).await {
@@ -95,6 +81,40 @@
     }
 }
 
+/// Checks whether an endpoint whose connections broke lives on, directly or through a peer.
+async fn check_loss(shared: Rc<Shared>, key: EndpointKey) {
+    for route in [path::Route::Direct, path::Route::Peer] {
+        let Some((_, request)) = check_request(&shared, key) else {
+            return;
+        };
+        let asked = async {
+            let reply = path::send_by(&shared, key, request, route).await.ok()?;
+            reply.read_body(MAX_ANSWER_BYTES).await.ok()
+        };
+        if let Ok(Some(body)) = timeout(ANSWER_TIMEOUT, asked).await {
+            let started_at = engine::started_at(&body);
+            shared.record_alive(key, started_at);
+            return;
+        }
+    }
+}
+
+/// Address of an endpoint, and a request that it answers without working on it for long.
+fn check_request(shared: &Shared, key: EndpointKey) -> Option<(String, Request<Full<Bytes>>)> {
+    let state = shared.state.borrow();
+    let listing = &state.endpoint(key)?.listing;
+    let request = match state.service(&listing.service) {
+        Some(service) if service.engine.is_none() => {
+            engine::health_request(listing.address, &service.health_path)
+        }
+        Some(_) | None => engine::report_request(listing.address),
+    };
+    let request = request
+        .inspect_err(|error| log::warn!(error:%; "cannot build the check of an endpoint"))
+        .ok()?;
+    Some((listing.address.to_string(), request))
+}
+
 async fn answer(shared: &Shared, key: EndpointKey, address: SocketAddr) -> Result<bool, String> {
     let request = engine::report_request(address).map_err(|error| error.to_string())?;
     let answer = path::send(shared, key, request, Reuse::Allowed).await;
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -345,6 +345,20 @@
         }
     }
 
+    /// Records that an endpoint whose connections broke lives on, so that its loss counts against no
+    /// request.
+    pub fn record_alive(&self, key: EndpointKey, started_at: Option<u64>) {
+        let mut state = self.state.borrow_mut();
+        let retracted = state.record_alive(key, started_at);
+        if retracted > 0 {
+            let endpoint = state.endpoint(key);
+            let endpoint = endpoint.map_or("", |endpoint| &endpoint.listing.id);
+            log::info!(endpoint, retracted; "endpoint has not crashed");
+            self.metrics.record_suspicion("retracted");
+            self.suspects_changed.notify_one();
+        }
+    }
+
     /// Whether requests equal to this one have crashed too many endpoints.
     #[must_use]
     pub fn refuses(&self, original: &Original) -> bool {
