Proxies of the soak: lookups that wait for one another share a result

Alone and beside load it passed 5 of 5. Each lookup of a connection's owner read all connections of the machine, those closed in the last minute among them, and several did so at the same time, so that callers, proxies and instances starved. One reads at a time now.

--- a/crates/carawayhead/tests/soak/loopback.rs
+++ b/crates/carawayhead/tests/soak/loopback.rs
@@ -3,7 +3,11 @@
 #![allow(dead_code, reason = "not every test program uses all of these faults")]
 
 use {
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
         net::{
@@ -161,7 +165,7 @@
         SocketAddr::V6(_) => unreachable!("proxies listen on IPv4"),
     };
     let (client, proxy) = (hex(client), hex(proxy));
-    let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
+    let table = connections()?;
     // The fields from the addresses on: both, then six others, then the inode.
     let row = table.split_once(&format!(" {client} {proxy} "))?.1;
     let inode = row.split_whitespace().nth(6)?;
@@ -174,6 +178,23 @@
     })
 }
 
+/// All connections of the machine, read after this call began. Reading them takes long where many have
+/// been closed lately, so that lookups which wait for one another share a result.
+fn connections() -> Option<Arc<String>> {
+    static LAST: Mutex<Option<(Instant, Arc<String>)>> = Mutex::new(None);
+    let called_at = Instant::now();
+    let mut last = LAST.lock().expect("not poisoned");
+    if let Some((read_at, table)) = last.as_ref()
+        && *read_at > called_at
+    {
+        return Some(Arc::clone(table));
+    }
+    let read_at = Instant::now();
+    let table = Arc::new(std::fs::read_to_string("/proc/net/tcp").ok()?);
+    *last = Some((read_at, Arc::clone(&table)));
+    Some(table)
+}
+
 async fn forward(
     client: TcpStream,
     client_address: SocketAddr,
