--- a/crates/forward/src/losses.rs
+++ b/crates/forward/src/losses.rs
@@ -8,6 +8,10 @@
 /// Interval between the first checks of an endpoint; it doubles, since most have crashed indeed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Maximum interval between two checks; instances must serve again within three seconds after a
+/// partition.
+const MAX_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Time after a break for which an engine is checked; it outlasts most partitions.
 const ENGINE_CHECK_TIME: Duration = Duration::from_secs(20);
 
@@ -45,6 +49,13 @@
             }),
         }
     }
+
+    /// Has all endpoints checked at once, since a partition has ended.
+    pub(crate) fn check_now(&mut self, now: Time) {
+        for loss in &mut self.0 {
+            loss.next_check_at = now;
+        }
+    }
 }
 
 impl State {
@@ -68,7 +79,8 @@
         });
         let due = losses.0.iter_mut().filter(|loss| now >= loss.next_check_at);
         let due = due.map(|loss| {
-            loss.next_check_at = now.after(CHECK_INTERVAL.max(now.since(loss.broke_at)));
+            let interval = now.since(loss.broke_at);
+            loss.next_check_at = now.after(interval.clamp(CHECK_INTERVAL, MAX_CHECK_INTERVAL));
             loss.key
         });
         let due = due.collect();
--- a/crates/forward/src/paths.rs
+++ b/crates/forward/src/paths.rs
@@ -102,6 +102,7 @@
             return None;
         }
         self.reset_backoff(now, &service);
+        self.losses.check_now(now);
         Some(Change::Healed)
     }
 
