--- a/crates/carawayhead/tests/forwarding/answers.rs
+++ b/crates/carawayhead/tests/forwarding/answers.rs
@@ -274,3 +274,37 @@
         .filter_map(|call| call.header("carawayhead-request-id"));
     assert_eq!(calls.collect::<Vec<_>>(), answered);
 }
+
+/// Endpoints say that they are brittle in their answers alone. An instance that does not read it, or does
+/// not notice its end, overloads them or wastes their room.
+#[tokio::test]
+async fn limit_of_brittle_endpoints_is_read_from_their_answers() {
+    let store = Store::start().await;
+    let service = PlainService::start("d1").await;
+    store.write_operator_record("config", &config(1, &["key-1"], 5000));
+    store.write_endpoint_entry("d1", &service.entry("desk", "a", "ready"));
+    let instance = Instance::start("e1", "a", &store).await;
+    let mut number = 0;
+    for (behavior, limit) in [
+        (ServiceBehavior::Healthy, None),
+        (ServiceBehavior::Brittle, Some("Some(5)")),
+        (ServiceBehavior::Healthy, Some("None")),
+    ] {
+        service.set_behavior(behavior);
+        for _ in 0..3 {
+            number += 1;
+            let id = format!("r{number}");
+            let request = CallerRequest::new(&id, "/look/7");
+            let response = send_request(instance.caller_address, &request).await;
+            let response = response.expect("the instance responds");
+            assert_eq!(response.status, StatusCode::OK);
+        }
+        wait_until("the change is logged", || async {
+            let lines = instance.log_lines_containing("limit of rejections changed");
+            limit.map_or(lines.is_empty(), |limit| {
+                lines.last().is_some_and(|line| line.contains(limit))
+            })
+        })
+        .await;
+    }
+}
--- a/crates/carawayhead/tests/partitions.rs
+++ b/crates/carawayhead/tests/partitions.rs
@@ -9,7 +9,7 @@
 use {
     crate::{
         instance::Instance,
-        loopback::{FaultProxy, Partition},
+        loopback::{FaultProxy, LinkState, Partition},
     },
     http::StatusCode,
     platform::standin::{
@@ -38,6 +38,9 @@
 /// How long requests are counted after that.
 const OBSERVED: Duration = Duration::from_secs(4);
 
+/// How long a sound endpoint may be silent.
+const SILENCE: Duration = Duration::from_secs(1);
+
 const EVENTS_PER_STREAM: u32 = 20;
 const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 const ROUTES: [&str; 4] = ["/draft/x", "/look/x", "/order/x", "/tag/x"];
@@ -265,6 +268,37 @@
     deployment.assert_ran_once();
 }
 
+/// A sound endpoint may fall silent for a second and go on. It must not be taken for lost: orders that it
+/// holds are answered late, and no service counts as partitioned.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_are_served_when_endpoints_are_silent_for_a_second() {
+    let deployment = Deployment::start(&["a", "b"]).await;
+    let started = Instant::now();
+    let callers = deployment.call_all(started, STABILITY_WINDOW + OBSERVED);
+    for _ in 0..2 {
+        sleep(SILENCE).await;
+        let silent = [&deployment.desks[0].1, &deployment.engines[0].1];
+        for proxy in silent {
+            proxy.set(LinkState::Blocked);
+        }
+        sleep(SILENCE).await;
+        for proxy in silent {
+            proxy.set(LinkState::Open);
+        }
+    }
+    for callers in callers {
+        let count = callers.await.expect("the callers do not panic");
+        println!("silent endpoints: {count:?}");
+        let failed = count.sent - count.served;
+        assert!(failed <= 10 + count.sent / 50, "{count:?}");
+    }
+    deployment.assert_ran_once();
+    for instance in &deployment.instances {
+        let lines = instance.log_lines_containing("endpoints cannot be reached directly");
+        assert!(lines.is_empty(), "{lines:?}");
+    }
+}
+
 /// Where no instance reaches endpoints, requests must be refused as not run with a time to come back, rather
 /// than look for a way until their time is up, and be served again once the links have healed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
