Close tunnels of peers that are not heard any more

What callers would see: a stream of which two engines make events (TWICE).

Cause: a tunnel was held open as long as the QUIC connection, whose idle timeout is ten seconds. Without a tunnel the instance itself would have been cut off from the engine.

Change: an instance that uses tunnels sends an empty datagram each 75 ms over their connections, and a peer that hears nothing of it for 300 ms closes the connections to endpoints.

Test: peer_that_is_not_heard_counts_as_lost (a UDP relay that is cut); it could not be built before.

--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -26,6 +26,8 @@
     address: SocketAddr,
     connection: Connection,
     initiator: Initiator,
+    /// Whether heartbeats are sent while it carries tunnels of this instance.
+    is_kept_alive: bool,
     /// When a tunnel over the connection was last requested.
     tunnelled_at: Option<Instant>,
     /// Held by each tunnel over the connection.
@@ -156,6 +158,7 @@
             address,
             connection,
             initiator,
+            is_kept_alive: false,
             tunnelled_at: None,
             usage,
         };
@@ -221,7 +224,32 @@
         let (connection, usage) = self
             .used(address)
             .ok_or(tunnel::Failure::Unanswered(Error::NoResponse))?;
-        tunnel::open(&connection, usage, endpoint).await
+        let stream = tunnel::open(&connection, Arc::clone(&usage), endpoint).await?;
+        self.keep_alive(connection, &usage);
+        Ok(stream)
+    }
+
+    /// Shows the peer at short intervals that this instance can be heard, while it uses tunnels of the
+    /// connection.
+    fn keep_alive(&self, connection: Connection, usage: &tunnel::Usage) {
+        let mut open = self.lock();
+        let entry = open
+            .iter_mut()
+            .find(|entry| Arc::ptr_eq(&entry.usage, usage));
+        // A connection that was replaced meanwhile has a task of its own already, or none.
+        if entry.is_some_and(|entry| std::mem::replace(&mut entry.is_kept_alive, true)) {
+            return;
+        }
+        let usage = Arc::downgrade(usage);
+        tokio::spawn(async move {
+            // The registry holds the usage as well, as long as the connection is there.
+            while usage.strong_count() > 0 && connection.close_reason().is_none() {
+                if usage.strong_count() > 1 && connection.send_datagram(Bytes::new()).is_err() {
+                    return;
+                }
+                tokio::time::sleep(tunnel::HEARTBEAT_INTERVAL).await;
+            }
+        });
     }
 
     fn used(&self, address: SocketAddr) -> Option<(Connection, tunnel::Usage)> {
@@ -300,6 +328,10 @@
 async fn read(connection: Connection, received: Sender<Bytes>) {
     let streams = tokio::spawn(read_streams(connection.clone(), received.clone()));
     while let Ok(data) = connection.read_datagram().await {
+        if data.is_empty() {
+            // A heartbeat.
+            continue;
+        }
         if received.send(data).await.is_err() {
             break;
         }
@@ -313,7 +345,7 @@
         let Some(usage) = usage.upgrade() else {
             return;
         };
-        match tunnel::Incoming::read(send, receive, usage).await {
+        match tunnel::Incoming::read(connection.clone(), send, receive, usage).await {
             Ok(incoming) => {
                 if tunnels.send(incoming).await.is_err() {
                     return;
--- a/crates/peer/src/tunnel.rs
+++ b/crates/peer/src/tunnel.rs
@@ -10,6 +10,7 @@
         io,
         pin::Pin,
         task::{Context, Poll},
+        time::Instant,
     },
     tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _, Join, ReadBuf},
 };
@@ -17,6 +18,20 @@
 /// Application error code with which a stream is reset whose endpoint has broken the connection.
 const ENDPOINT_BROKE: VarInt = VarInt::from_u32(1);
 
+/// Interval of heartbeats of an instance that uses tunnels.
+pub(crate) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(75);
+
+/// Time after which a peer that is not heard counts as lost. It may take a stream over elsewhere some 100
+/// ms after it has lost this instance, and two engines may run a stream for 400 ms.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Polls without a sign of a peer after which it counts as lost. After a pause of this process there is
+/// one before what has arrived meanwhile is read.
+const MIN_SILENT_POLLS: u32 = 3;
+
+/// How often it is checked whether a peer has been heard.
+const SILENCE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Size limit of an encoded address.
 const MAX_ADDRESS_BYTES: usize = 32;
 
@@ -88,6 +103,7 @@
 /// A request of a peer for a tunnel.
 #[derive(Debug)]
 pub struct Incoming {
+    connection: Connection,
     /// Address of the endpoint.
     pub endpoint: SocketAddr,
     receive: RecvStream,
@@ -102,10 +118,29 @@
     pub receive: RecvStream,
     /// Bytes of the endpoint.
     pub send: SendStream,
+    connection: Connection,
     _usage: Usage,
 }
 
 impl Accepted {
+    /// Waits until the peer has not been heard for [`SILENCE_TIMEOUT`]. It can then not say any more that
+    /// it does not need the endpoint's work, and may have it done elsewhere.
+    pub fn peer_lost(&self) -> impl Future<Output = ()> + use<> {
+        let connection = self.connection.clone();
+        async move {
+            let mut heard = connection.stats().udp_rx.datagrams;
+            let (mut heard_at, mut polls) = (Instant::now(), 0);
+            while polls < MIN_SILENT_POLLS || heard_at.elapsed() < SILENCE_TIMEOUT {
+                tokio::time::sleep(SILENCE_POLL_INTERVAL).await;
+                polls += 1;
+                let now_heard = connection.stats().udp_rx.datagrams;
+                if std::mem::replace(&mut heard, now_heard) != now_heard {
+                    (heard_at, polls) = (Instant::now(), 0);
+                }
+            }
+        }
+    }
+
     /// Tells the peer that the endpoint has broken the connection, so that an answer without a length
     /// does not look complete.
     pub fn reset(mut self) {
@@ -117,6 +152,7 @@
 impl Incoming {
     /// Reads the request of a stream that a peer has opened.
     pub(crate) async fn read(
+        connection: Connection,
         send: SendStream,
         mut receive: RecvStream,
         usage: Usage,
@@ -128,6 +164,7 @@
             .await
             .map_err(|error| Error::Connection(error.to_string()))?;
         Ok(Self {
+            connection,
             endpoint: postcard::from_bytes(&data[..length])?,
             receive,
             send,
@@ -145,6 +182,7 @@
         Ok(Accepted {
             receive: self.receive,
             send: self.send,
+            connection: self.connection,
             _usage: self.usage,
         })
     }
--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -7,9 +7,18 @@
         pinned::{Identity, Pins, configs},
         tunnel,
     },
-    std::{io::ErrorKind, time::Duration},
+    std::{
+        io::ErrorKind,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
+        net::UdpSocket,
         sync::mpsc,
         time::timeout,
     },
@@ -209,3 +218,47 @@
     let both = async { tokio::join!(accept, open) };
     timeout(TEST_TIMEOUT, both).await.expect("all are opened");
 }
+
+/// Forwards UDP between a client and a target until `is_cut` is set; returns its address.
+async fn start_relay(target: SocketAddr, is_cut: Arc<AtomicBool>) -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    let address = socket.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let mut client = None;
+        let mut buffer = vec![0; 2048];
+        while let Ok((length, from)) = socket.recv_from(&mut buffer).await {
+            if from != target {
+                client = Some(from);
+            }
+            let to = if from == target { client } else { Some(target) };
+            if let Some(to) = to.filter(|_| !is_cut.load(Ordering::Relaxed)) {
+                // Fails if the other end is gone.
+                let _sent = socket.send_to(&buffer[..length], to).await;
+            }
+        }
+    });
+    address
+}
+
+/// A peer that is cut off from an instance takes its streams over elsewhere, and cannot close the tunnels
+/// through it. Their endpoints must not go on for long, or two of them work on one stream.
+#[tokio::test]
+async fn peer_that_is_not_heard_counts_as_lost() {
+    let [one, mut two] = pair();
+    let is_cut = Arc::new(AtomicBool::new(false));
+    let target = two.datagrams.address().expect("an address");
+    let relay = start_relay(target, Arc::clone(&is_cut)).await;
+    let endpoint = "127.0.0.1:9".parse().expect("an address");
+    let accept = async {
+        let incoming = two.requested.recv().await.expect("a request");
+        incoming.accept().await.expect("the peer waits")
+    };
+    let (opened, accepted) = tokio::join!(one.datagrams.open_tunnel(relay, endpoint), accept);
+    let _stream = opened.expect("a tunnel");
+    let heard = timeout(Duration::from_secs(1), accepted.peer_lost()).await;
+    assert!(heard.is_err(), "the peer of an idle tunnel is heard");
+    is_cut.store(true, Ordering::Relaxed);
+    timeout(TEST_TIMEOUT, accepted.peer_lost())
+        .await
+        .expect("the peer is lost");
+}
--- a/crates/proxy/src/tunnel.rs
+++ b/crates/proxy/src/tunnel.rs
@@ -74,9 +74,15 @@
 async fn forward(stream: TcpStream, mut accepted: Accepted) {
     let started_at = clock::now();
     let (mut from_endpoint, mut to_endpoint) = stream.into_split();
+    let lost = accepted.peer_lost();
     let result = tokio::select! {
         // The peer's request needs no answer any more.
         _ = tokio::io::copy(&mut accepted.receive, &mut to_endpoint) => return,
+        () = lost => {
+            log::info!("peer instance of a tunnel does not answer; connection to its endpoint closed");
+            accepted.reset();
+            return;
+        }
         copied = tokio::io::copy(&mut from_endpoint, &mut accepted.send) => copied,
     };
     if let Err(error) = result {
