--- a/crates/peer/src/tunnel.rs
+++ b/crates/peer/src/tunnel.rs
@@ -123,8 +123,8 @@
 }
 
 impl Accepted {
-    /// Waits until the peer has not been heard for [`SILENCE_TIMEOUT`]. It can then not say any more that
-    /// it does not need the endpoint's work, and may have it done elsewhere.
+    /// Waits until the peer has not been heard for 300 ms. It can then not say any more that it does not
+    /// need the endpoint's work, and may have it done elsewhere.
     pub fn peer_lost(&self) -> impl Future<Output = ()> + use<> {
         let connection = self.connection.clone();
         async move {
