Instances check different endpoints of a partitioned service

What endpoints would see: where a failure domain of many instances is cut off, all of them check the same endpoint first, at the same moment.

--- a/crates/forward/src/paths.rs
+++ b/crates/forward/src/paths.rs
@@ -4,7 +4,10 @@
 //! be and none can, the links of this instance are cut, and requests go through peers instead. The
 //! evidence is kept by service, since a cut may concern the endpoints of one service only.
 
-use crate::{prelude::*, state::State};
+use {
+    crate::{prelude::*, state::State},
+    rand::RngExt as _,
+};
 
 /// Endpoints that cannot be reached, with none that can, from which on a service counts as
 /// partitioned. With fewer, crashes of two endpoints would send all requests on a detour.
@@ -35,7 +38,8 @@
 struct Links {
     /// When an endpoint last answered directly.
     answered_at: Option<Time>,
-    /// Position of the next endpoint to check.
+    /// Position of the last endpoint that was checked. It starts at random, so that instances do not all
+    /// check the same one at the same time.
     cursor: usize,
     is_partitioned: bool,
     next_check_at: Time,
@@ -110,35 +114,35 @@
     /// the service partitioned, its endpoints are used again at once, through peers.
     pub fn record_unreached(&mut self, now: Time, key: EndpointKey) -> Option<Change> {
         let service = self.service_of(key)?;
-        let mut unreached = std::mem::take(&mut self.paths.links_mut(&service).unreached);
-        unreached.retain(|(other, at)| {
+        let mut links = self.paths.links_mut(&service).clone();
+        links.unreached.retain(|(other, at)| {
             let listed = self.endpoints.get(*other);
             *other != key
                 && now.since(*at) <= FAILURE_MEMORY
                 && listed.is_some_and(|endpoint| endpoint.leaving_since.is_none())
         });
-        unreached.push((key, now));
+        links.unreached.push((key, now));
         let needed = self.listed(&service).count().clamp(1, MIN_UNREACHED);
-        let is_partitioned = unreached.len() >= needed;
-        let is_doubtful = unreached.len() + 1 >= needed && !is_partitioned;
-        let mut links = self.paths.links_mut(&service).clone();
-        links.unreached = unreached;
-        if links.suspect == Some(key) || is_doubtful {
-            // Another endpoint shows whether only these have failed.
+        let is_partitioned = links.unreached.len() >= needed;
+        let is_doubtful = links.unreached.len() + 1 >= needed;
+        if is_partitioned {
             links.suspect = None;
+        } else if is_doubtful || links.suspect == Some(key) {
+            // Another endpoint shows whether only these have failed.
+            links.cursor = usize::from(self.random.random::<u16>());
             links.suspect = self.next_to_check(now, &mut links);
             links.next_check_at = now;
         }
-        if is_partitioned {
-            links.suspect = None;
+        let is_new = is_partitioned && !links.is_partitioned;
+        if is_new {
+            links.cursor = usize::from(self.random.random::<u16>());
+            links.is_partitioned = true;
+            links.next_check_at = now;
         }
         *self.paths.links_mut(&service) = links;
-        let links = self.paths.links_mut(&service);
-        if links.is_partitioned || !is_partitioned {
+        if !is_new {
             return None;
         }
-        links.is_partitioned = true;
-        links.next_check_at = now;
         self.reset_backoff(now, &service);
         Some(Change::Partitioned)
     }
@@ -181,18 +185,18 @@
             .unreached
             .retain(|(_, at)| now.since(*at) <= FAILURE_MEMORY);
         let failed = |key| links.unreached.iter().any(|(other, _)| *other == key);
-        let fresh = self.listed_keys(&links.service).filter(|key| !failed(*key));
-        let is_foreign = |key: &EndpointKey| {
-            let endpoint = &self.endpoints[*key];
-            endpoint.listing.domain != self.settings.domain
-        };
-        if let Some(key) = fresh.min_by_key(is_foreign) {
-            return Some(key);
+        let mut candidates = self.listed_keys(&links.service).collect::<Vec<_>>();
+        if candidates.iter().any(|key| !failed(*key)) {
+            candidates.retain(|key| !failed(*key));
+            let is_own =
+                |key: &EndpointKey| self.endpoints[*key].listing.domain == self.settings.domain;
+            if candidates.iter().any(is_own) {
+                candidates.retain(is_own);
+            }
         }
         links.cursor = links.cursor.wrapping_add(1);
-        let count = self.listed_keys(&links.service).count();
-        let index = links.cursor.checked_rem(count)?;
-        self.listed_keys(&links.service).nth(index)
+        let index = links.cursor.checked_rem(candidates.len())?;
+        Some(candidates[index])
     }
 
     /// Endpoints of a service that are not leaving.
