Admit a request again after each failed try to reach its endpoint

What could have happened (by reading): a request that found its service partitioned waited 250 ms for its own connection and then up to 1.6 s for four peers, without being admitted again: its key may have been revoked meanwhile (the margin is 300 ms), its failure domain disabled, its endpoint leaving.

Change: a failed connection goes back to the caller of the send, which admits the request again and picks an endpoint; all peers together have 280 ms.

--- a/crates/proxy/src/path.rs
+++ b/crates/proxy/src/path.rs
@@ -1,7 +1,8 @@
 //! Sends requests to endpoints, directly or through a peer.
 //!
 //! Nothing is written to an endpoint before a connection or a tunnel to it is open, so that another
-//! way may be tried until then.
+//! way may be tried until then. Each try takes less than 300 ms, after which the request is admitted
+//! again: its key may have been revoked, and its endpoint may be leaving.
 
 use {
     crate::{clock, prelude::*},
@@ -16,8 +17,8 @@
 /// on an open connection vanish without a trace when its links are cut.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// How long to wait for a peer to open a tunnel: its own attempt to connect, and the way there.
-const TUNNEL_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long to wait for peers to open a tunnel: an attempt to connect of one of them, and the way there.
+const TUNNEL_TIMEOUT: Duration = Duration::from_millis(280);
 
 /// Maximum number of peers that are asked for one tunnel.
 const MAX_TUNNEL_TRIES: usize = 4;
@@ -59,15 +60,7 @@
         }
     }
     if !shared.is_partitioned(&service) {
-        match shared.client.connect(&text).await {
-            Ok(stream) => return send_connected(shared, key, &text, stream, request).await,
-            Err(error) => {
-                record_unreached(shared, key, is_timeout(&error));
-                if !shared.is_partitioned(&service) {
-                    return Err(error);
-                }
-            }
-        }
+        return send_directly(shared, key, &text, request).await;
     }
     match open_tunnel(shared, address).await {
         Some(Ok(stream)) => {
@@ -75,12 +68,7 @@
             shared.client.send_over(stream, request).await
         }
         Some(Err(error)) => Err(error),
-        None => {
-            let stream = shared.client.connect(&text).await.inspect_err(|error| {
-                record_unreached(shared, key, is_timeout(error));
-            })?;
-            send_connected(shared, key, &text, stream, request).await
-        }
+        None => send_directly(shared, key, &text, request).await,
     }
 }
 
@@ -117,13 +105,14 @@
 }
 
 /// Sends a request on a new direct connection, and records whether it was answered.
-async fn send_connected(
+async fn send_directly(
     shared: &Shared,
     key: EndpointKey,
     address: &str,
-    stream: tokio::net::TcpStream,
     request: Request<Full<Bytes>>,
 ) -> Result<Reply, endpoint::Error> {
+    let stream = shared.client.connect(address).await;
+    let stream = stream.inspect_err(|error| record_unreached(shared, key, is_timeout(error)))?;
     let sending = shared.client.send_on(address, stream, request);
     let sent = watch(shared, key, address, sending).await;
     match &sent {
@@ -157,6 +146,7 @@
 ) -> Option<Result<tunnel::Stream, endpoint::Error>> {
     let own = &shared.settings.instance.name;
     let datagrams = shared.peers.datagrams.borrow().clone()?;
+    let deadline = clock::now().after(TUNNEL_TIMEOUT);
     for _ in 0..MAX_TUNNEL_TRIES {
         let picked = {
             let state = shared.state.borrow();
@@ -167,7 +157,11 @@
             record_failure(shared, &name, Failure::Unanswered);
             continue;
         };
-        let opened = timeout(TUNNEL_TIMEOUT, datagrams.open_tunnel(address, endpoint)).await;
+        let left = deadline.since(clock::now());
+        if left.is_zero() {
+            return Some(Err(unreachable_error("no peer has answered in time")));
+        }
+        let opened = timeout(left, datagrams.open_tunnel(address, endpoint)).await;
         let failure = match opened {
             Ok(Ok(mut stream)) => {
                 stream.hold(shared.state.borrow_mut().tunnels.record_opened(&name));
