End heartbeats with the last tunnel of a connection

They also began only after the peer had opened the first tunnel.

Change: they begin before the request for a tunnel and end when no tunnel is left. Losses::record is shorter, with the same result.

--- a/crates/forward/src/losses.rs
+++ b/crates/forward/src/losses.rs
@@ -36,7 +36,6 @@
     /// Records that the connection to an endpoint broke.
     pub(crate) fn record(&mut self, now: Time, key: EndpointKey, incarnation: String) {
         match self.0.iter_mut().find(|loss| loss.key == key) {
-            Some(loss) if loss.incarnation == incarnation => loss.broke_at = now,
             Some(loss) => {
                 loss.broke_at = now;
                 loss.incarnation = incarnation;
--- a/crates/forward/src/tunnel.rs
+++ b/crates/forward/src/tunnel.rs
@@ -133,9 +133,7 @@
         let rest = others.iter().find(|(name, _, _)| usable(name));
         rest.map(|(name, _, _)| (*name).to_string())
     }
-}
 
-impl Tunnels {
     /// Whether all peers have refused or not answered recently. That one cannot reach an endpoint says
     /// nothing of others.
     fn are_useless(&self, now: Time, members: &Members, own: &str) -> bool {
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -224,9 +224,8 @@
         let (connection, usage) = self
             .used(address)
             .ok_or(tunnel::Failure::Unanswered(Error::NoResponse))?;
-        let stream = tunnel::open(&connection, Arc::clone(&usage), endpoint).await?;
-        self.keep_alive(connection, &usage);
-        Ok(stream)
+        self.keep_alive(connection.clone(), &usage);
+        tunnel::open(&connection, usage, endpoint).await
     }
 
     /// Shows the peer at short intervals that this instance can be heard, while it uses tunnels of the
@@ -236,22 +235,32 @@
         let entry = open
             .iter_mut()
             .find(|entry| Arc::ptr_eq(&entry.usage, usage));
-        // A connection that was replaced meanwhile has a task of its own already, or none.
-        if entry.is_some_and(|entry| std::mem::replace(&mut entry.is_kept_alive, true)) {
+        if entry.is_none_or(|entry| std::mem::replace(&mut entry.is_kept_alive, true)) {
             return;
         }
-        let usage = Arc::downgrade(usage);
+        let (datagrams, usage) = (self.clone(), Arc::downgrade(usage));
         tokio::spawn(async move {
-            // The registry holds the usage as well, as long as the connection is there.
-            while usage.strong_count() > 0 && connection.close_reason().is_none() {
-                if usage.strong_count() > 1 && connection.send_datagram(Bytes::new()).is_err() {
-                    return;
-                }
+            while datagrams.needs_heartbeat(&usage)
+                && connection.send_datagram(Bytes::new()).is_ok()
+            {
                 tokio::time::sleep(tunnel::HEARTBEAT_INTERVAL).await;
             }
         });
     }
 
+    /// Whether tunnels use a connection; if not, notes that its heartbeats end.
+    fn needs_heartbeat(&self, usage: &Weak<()>) -> bool {
+        let mut open = self.lock();
+        let mut entries = open.iter_mut();
+        let entry = entries.find(|entry| Weak::ptr_eq(&Arc::downgrade(&entry.usage), usage));
+        let Some(entry) = entry else {
+            // The connection was replaced, and only tunnels hold it.
+            return usage.strong_count() > 0;
+        };
+        entry.is_kept_alive = Arc::strong_count(&entry.usage) > 1;
+        entry.is_kept_alive
+    }
+
     fn used(&self, address: SocketAddr) -> Option<(Connection, tunnel::Usage)> {
         let mut open = self.lock();
         let index = open.binary_search_by_key(&address, |entry| entry.address);
