Ask a peer that answered late again after 250 ms

Where it is the only one that reaches endpoints, each late answer cost two seconds of requests.

Change: 250 ms after the first late answer, doubled with each further one up to four seconds; a tunnel that opens ends that.

--- a/crates/forward/src/tunnel.rs
+++ b/crates/forward/src/tunnel.rs
@@ -16,13 +16,20 @@
 /// Time for which a peer is not asked again after it refused.
 const REFUSED_BACKOFF: Duration = Duration::from_secs(1);
 
-/// Time for which a peer is not asked again after it did not answer.
-const UNANSWERED_BACKOFF: Duration = Duration::from_secs(2);
+/// Time for which a peer is not asked again after it did not answer; it doubles with each further failure.
+/// A busy peer answers late now and then, and may be the only one that reaches endpoints.
+const UNANSWERED_BACKOFF: Duration = Duration::from_millis(250);
+
+/// Maximum number of doublings of [`UNANSWERED_BACKOFF`].
+const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 
 /// Time for which a peer is not asked again after it could not reach an endpoint either. It may be
 /// partitioned itself and not know yet.
 const UNREACHED_BACKOFF: Duration = Duration::from_millis(250);
 
+/// Time for which a peer without tunnels is remembered after it may be asked again.
+const PEER_MEMORY: Duration = Duration::from_secs(10);
+
 /// Why a peer opened no tunnel.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Failure {
@@ -39,6 +46,8 @@
 struct Peer {
     avoid_until: Time,
     name: String,
+    /// Requests in a row that it did not answer.
+    unanswered: u32,
     /// Until when it is of no use, whatever the endpoint.
     useless_until: Time,
     /// Held by each open tunnel through it.
@@ -68,6 +77,7 @@
             let peer = Peer {
                 avoid_until: Time::default(),
                 name: name.to_string(),
+                unanswered: 0,
                 useless_until: Time::default(),
                 usage: Arc::default(),
             };
@@ -80,17 +90,26 @@
     /// Counts a tunnel through a peer for as long as the result is held.
     #[must_use]
     pub fn record_opened(&mut self, name: &str) -> Arc<()> {
-        Arc::clone(&self.peer_mut(name).usage)
+        let peer = self.peer_mut(name);
+        peer.unanswered = 0;
+        Arc::clone(&peer.usage)
     }
 
     /// Records that a peer opened no tunnel.
     pub fn record_failure(&mut self, now: Time, name: &str, failure: Failure) {
+        let peer = self.peer_mut(name);
         let backoff = match failure {
             Failure::Refused => REFUSED_BACKOFF,
-            Failure::Unanswered => UNANSWERED_BACKOFF,
+            Failure::Unanswered => {
+                let doublings = peer.unanswered.min(MAX_BACKOFF_DOUBLINGS);
+                UNANSWERED_BACKOFF * 2_u32.pow(doublings)
+            }
             Failure::Unreached => UNREACHED_BACKOFF,
         };
-        let peer = self.peer_mut(name);
+        peer.unanswered = match failure {
+            Failure::Unanswered => peer.unanswered.saturating_add(1),
+            Failure::Refused | Failure::Unreached => 0,
+        };
         peer.avoid_until = peer.avoid_until.max(now.after(backoff));
         if failure != Failure::Unreached {
             peer.useless_until = peer.avoid_until;
@@ -100,7 +119,7 @@
     /// Forgets peers without tunnels that may be asked again.
     pub fn prune(&mut self, now: Time) {
         self.0
-            .retain(|peer| peer.open() > 0 || now < peer.avoid_until);
+            .retain(|peer| peer.open() > 0 || now.since(peer.avoid_until) < PEER_MEMORY);
     }
 
     /// The peer to open a tunnel through; `None` if all have failed recently.
--- a/crates/forward/tests/paths.rs
+++ b/crates/forward/tests/paths.rs
@@ -425,3 +425,29 @@
         }
     }
 }
+
+/// A busy peer that answers late once may be the only one that reaches endpoints; one that never answers
+/// must not cost each request its time.
+#[test]
+fn silent_peers_are_asked_less_and_less_often() {
+    let mut state = instance(&desks(1));
+    with_peers(&mut state, &[("e2", "a")]);
+    let pick = |state: &State, now| state.tunnels.pick(at(now), &state.members, "own");
+    let mut waits = Vec::new();
+    let mut now = 0;
+    for _ in 0..6 {
+        let tunnels = &mut state.tunnels;
+        tunnels.record_failure(at(now), "e2", tunnel::Failure::Unanswered);
+        let asked = now;
+        while pick(&state, now).is_none() {
+            now += 50;
+            state.tick(at(now));
+        }
+        waits.push(now - asked);
+    }
+    assert_eq!(waits, [250, 500, 1000, 2000, 4000, 4000]);
+    let _tunnel = state.tunnels.record_opened("e2");
+    let tunnels = &mut state.tunnels;
+    tunnels.record_failure(at(now), "e2", tunnel::Failure::Unanswered);
+    assert_eq!(pick(&state, now + 250).as_deref(), Some("e2"));
+}
