Mutations: run the tests of the mutated package, the likely file first

Cause: its file is in package peer, and for all files outside forward the tool ran the tests of package decision, none of which uses tunnels. The test that detects it, broken_answer_does_not_end_in_order, exists and had detected it by hand. Ruled out: a test that is skipped as known red (the listed ones are in carawayhead and forward).

A mutation counts as missed on the same evidence as before.

--- a/crates/bench/src/bin/mutate.rs
+++ b/crates/bench/src/bin/mutate.rs
@@ -76,17 +76,6 @@
     Ok(())
 }
 
-/// `cargo test` arguments that select the tests for a mutation of this file.
-fn test_arguments(file: &Path) -> Vec<&str> {
-    let is_shared = ["fingerprint.rs", "suspects.rs"]
-        .iter()
-        .any(|name| file.ends_with(name));
-    if file.starts_with("crates/forward") || is_shared {
-        return vec!["-p", "forward"];
-    }
-    vec!["-p", "decision", "--test", "histories", "--test", "crashes"]
-}
-
 fn copy_directory(from: &Path, to: &Path) -> io::Result<()> {
     fs::create_dir_all(to)?;
     for entry in fs::read_dir(from)? {
@@ -112,11 +101,11 @@
     let mutated_file = work_dir.join(&mutation.file);
     fs::write(&mutated_file, mutation.apply(root)?)?;
     let target_dir = root.join("target/mutants/target");
-    let cargo = |arguments: &[&str]| {
+    let cargo = |arguments: &[&str], tests: &[&str]| {
         Command::new(env!("CARGO"))
             .args(arguments)
             .args(["--quiet", "--locked"])
-            .args(test_arguments(&mutation.file))
+            .args(tests)
             .arg("--")
             .args(skipped.iter().flat_map(|name| ["--skip", name]))
             .current_dir(work_dir)
@@ -126,15 +115,21 @@
             .env("RUST_BACKTRACE", "0")
             .output()
     };
-    let build = cargo(&["test", "--no-run"])?;
-    if !build.status.success() {
-        let message = String::from_utf8_lossy(&build.stderr).into_owned();
-        return Err(io::Error::other(format!(
-            "{} does not build: {message}",
-            mutation.name
-        )));
+    let mut detected = false;
+    for tests in mutation.test_runs() {
+        let build = cargo(&["test", "--no-run"], &tests)?;
+        if !build.status.success() {
+            let message = String::from_utf8_lossy(&build.stderr).into_owned();
+            return Err(io::Error::other(format!(
+                "{} does not build: {message}",
+                mutation.name
+            )));
+        }
+        detected = !cargo(&["test"], &tests)?.status.success();
+        if detected {
+            break;
+        }
     }
-    let detected = !cargo(&["test"])?.status.success();
     fs::copy(root.join(&mutation.file), &mutated_file)?;
     Ok(detected)
 }
--- a/crates/bench/src/mutation.rs
+++ b/crates/bench/src/mutation.rs
@@ -19,6 +19,8 @@
     pub name: String,
     /// What replaces the text.
     pub replace: String,
+    /// Name of the test file that is likely to detect the fault. It runs before all others.
+    pub test: Option<String>,
 }
 
 #[derive(Deserialize)]
@@ -45,7 +47,36 @@
     names.map(|name| name.trim().to_string()).collect()
 }
 
+/// Files of package `decision` that the tests of `forward` use as well, and test further.
+const SHARED_FILES: [&str; 2] = ["fingerprint.rs", "suspects.rs"];
+
 impl Mutation {
+    /// `cargo test` arguments that select the tests that should detect it.
+    #[must_use]
+    pub fn test_arguments(&self) -> Vec<&str> {
+        let path = self.file.strip_prefix("crates").unwrap_or(&self.file);
+        let package = path.iter().next().and_then(|name| name.to_str());
+        let package = package.unwrap_or_default();
+        let is_shared = SHARED_FILES.iter().any(|name| self.file.ends_with(name));
+        match package {
+            "decision" if is_shared => vec!["-p", "forward"],
+            "decision" => vec!["-p", package, "--test", "histories", "--test", "crashes"],
+            _ => vec!["-p", package],
+        }
+    }
+
+    /// `cargo test` arguments of each run of tests, until one detects it: the likely test file, if one is
+    /// named, then all tests that should detect it.
+    #[must_use]
+    pub fn test_runs(&self) -> Vec<Vec<&str>> {
+        let all = self.test_arguments();
+        let likely = self.test.as_ref().map(|test| {
+            let package = all.iter().take(2).copied();
+            package.chain(["--test", test]).collect()
+        });
+        likely.into_iter().chain([all]).collect()
+    }
+
     /// The mutated text of its file.
     ///
     /// # Errors
