Spread the backoff of instances after an endpoint failed

Callers saw: brittle endpoints fell over again whenever they came back, among many instances (simulation of brittle_endpoints_do_not_fall_over_among_many_instances: falls at 0.1 and at 4.8 s of the same desk). Cause: all instances lose an endpoint at the same moment and double the same backoff, so that they return together with what waits. From the third failure on each waits a share of its own; the first two, 300 and 600 ms, are shorter than any restart. Drawn from a seed beside the state's generator, so that seeded histories stay what they were.

--- a/crates/forward/src/endpoint.rs
+++ b/crates/forward/src/endpoint.rs
@@ -11,6 +11,9 @@
 /// Maximum backoff before an unreachable endpoint is tried again.
 const MAX_BACKOFF: Duration = Duration::from_secs(4);
 
+/// Failed connections in a row whose backoff is too short for an endpoint to be back.
+const UNSPREAD_FAILURES: u32 = 2;
+
 /// Backoff after an endpoint rejected a request because it is full; about the time in which a slot
 /// becomes free.
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
@@ -99,6 +102,9 @@
     /// End of the grace period after its entry was removed; the endpoint stays usable until then.
     pub grace_until: Option<Time>,
     failures: u32,
+    /// Share of a longer backoff after failed connections that this instance waits, from 0.5 to 1. All
+    /// instances lose an endpoint at the same moment, and would come back together.
+    pub(crate) backoff_share: f64,
     /// Moving average of the share of failed answers, from 0 to 1.
     pub failure_rate: f64,
     /// Requests of this instance in progress there, without runs.
@@ -120,6 +126,7 @@
         Self {
             next_probe_at: Time::default(),
             avoid_until: Time::default(),
+            backoff_share: 1.0,
             exposure: Exposure::default(),
             cold_until: now.after(listing.cold),
             digest: digest(&listing.id),
@@ -202,6 +209,10 @@
     pub fn mark_unreachable(&mut self, now: Time) {
         let backoff = INITIAL_BACKOFF * 2_u32.saturating_pow(self.failures.min(8));
         self.failures = self.failures.saturating_add(1);
-        self.avoid_until = self.avoid_until.max(now.after(backoff.min(MAX_BACKOFF)));
+        let mut backoff = backoff.min(MAX_BACKOFF);
+        if self.failures > UNSPREAD_FAILURES {
+            backoff = backoff.mul_f64(self.backoff_share);
+        }
+        self.avoid_until = self.avoid_until.max(now.after(backoff));
     }
 }
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -24,7 +24,7 @@
         suspects::{Crash, Suspects},
         tunnel::Tunnels,
     },
-    rand::rngs::SmallRng,
+    rand::{RngExt as _, SeedableRng as _, rngs::SmallRng},
     slotmap::SlotMap,
 };
 
@@ -34,6 +34,9 @@
 /// Time that endpoints get to register again after the store was unreachable.
 const REREGISTRATION_GRACE: Duration = Duration::from_secs(2);
 
+/// Minimum share of the backoff after failed connections that an instance waits.
+const MIN_BACKOFF_SHARE: f64 = 0.5;
+
 /// A change of the endpoint list.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -46,6 +49,8 @@
 /// State of an instance.
 #[derive(Debug)]
 pub struct State {
+    /// Spreads the backoff of instances.
+    backoff_seed: u64,
     /// Services whose endpoints fall over when they reject too much.
     pub brittleness: Brittleness,
     /// Budget for retries.
@@ -110,6 +115,7 @@
         let mut rollouts = Rollouts::default();
         rollouts.set_limit(settings.canary);
         Self {
+            backoff_seed: random.clone().random(),
             brittleness: Brittleness::default(),
             budget: RetryBudget::new(&settings),
             config: None,
@@ -221,7 +227,13 @@
                         }
                         (key, is_new_version)
                     }
-                    None => (self.endpoints.insert(Endpoint::new(listing, now)), true),
+                    None => {
+                        let mut endpoint = Endpoint::new(listing, now);
+                        let seed = self.backoff_seed ^ u64::from(endpoint.digest);
+                        let mut random = SmallRng::seed_from_u64(seed);
+                        endpoint.backoff_share = random.random_range(MIN_BACKOFF_SHARE..=1.0);
+                        (self.endpoints.insert(endpoint), true)
+                    }
                 };
                 if is_new_version {
                     self.endpoints[key].unverified_since = unverified_since;
