Choose at random among endpoints of equal cost

Hundreds of instances have had a random addition to costs for this reason; few had none. It is at most a millisecond of waiting here, so that it decides between equal costs only.

--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -78,6 +78,10 @@
 /// preferred.
 const MAX_JITTER_MS: f64 = 200.0;
 
+/// Maximum random addition to a cost where there are few instances. They would all take the first of
+/// several endpoints without load.
+const MAX_TIE_JITTER_MS: f64 = 1.0;
+
 /// Endpoints of a version in each failure domain that get requests before it is judged.
 const CANARIES_PER_DOMAIN: usize = 2;
 
@@ -201,7 +205,8 @@
     /// Chooses an endpoint for a request, and an engine for its copy.
     #[must_use]
     pub fn pick(&mut self, now: Time, service: &str, need: Need, tried: &[EndpointKey]) -> Pick {
-        let jitter = self.jitter();
+        let mut jitter = self.jitter();
+        jitter.max_ms = jitter.max_ms.max(MAX_TIE_JITTER_MS);
         let Some(service) = self.service(service) else {
             return Pick::Wait;
         };
