Pace sends of many instances to brittle endpoints

Cause: a share below one rejection was kept by waiting after a rejection, and each of 80 instances had a first one free; and no instance sees enough rejections to know that an endpoint is crowded. The class: a limit that counts over all instances, kept by what one of them sees.

The load of an endpoint over all instances is known from their reports. It gives the probability of a rejection (Erlang's loss formula), and so the rate at which each instance may send so that the expected rejections stay three deviations below the limit. Sends are spaced at random, since all know the same load. Ruled out: a store of expected rejections that each send takes from (falls each four seconds: all are full at the same moment), and holding slots by turns (without messages 60 of 80 instances would serve nobody).

--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -4,6 +4,7 @@
 
 use {
     crate::{
+        brittleness,
         endpoint::Load,
         prelude::*,
         request::Ticket,
@@ -205,6 +206,7 @@
     /// Chooses an endpoint for a request, and an engine for its copy.
     #[must_use]
     pub fn pick(&mut self, now: Time, service: &str, need: Need, tried: &[EndpointKey]) -> Pick {
+        self.pace_brittle(now, service);
         let mut jitter = self.jitter();
         jitter.max_ms = jitter.max_ms.max(MAX_TIE_JITTER_MS);
         let Some(service) = self.service(service) else {
@@ -405,7 +407,33 @@
     /// Whether a rejection of one more request is within what a brittle endpoint bears.
     fn may_be_rejected(&self, now: Time, endpoint: &Endpoint) -> bool {
         let limit = self.brittleness.limit(now, &endpoint.listing.service);
-        limit.is_none_or(|limit| endpoint.exposure.allows(now, limit, self.instances))
+        limit.is_none_or(|limit| {
+            endpoint.exposure.allows(now, limit, self.instances) && endpoint.exposure.is_due()
+        })
+    }
+
+    /// Paces sends to the endpoints of a brittle service that bear less than one rejection per second for
+    /// each instance.
+    fn pace_brittle(&mut self, now: Time, service: &str) {
+        let limit = self.brittleness.limit(now, service);
+        let Some(limit) = limit.filter(|limit| *limit < self.instances) else {
+            return;
+        };
+        let share = brittleness::expected_share(limit, self.instances);
+        let engine = self.service(service).and_then(|service| service.engine);
+        let loads = self.loads();
+        let listed = self.endpoints.iter();
+        let listed = listed.filter(|(_, endpoint)| endpoint.listing.service == service);
+        let occupied = listed.map(|(key, endpoint)| {
+            let load = self.load(key, endpoint, &loads);
+            (key, occupied_slots(load, endpoint.listing.slots, engine))
+        });
+        for (key, occupied) in occupied.collect::<Vec<_>>() {
+            let random = self.random.random();
+            let endpoint = &mut self.endpoints[key];
+            let slots = endpoint.listing.slots;
+            endpoint.exposure.pace(now, occupied, slots, share, random);
+        }
     }
 
     /// This instance's share of the requests per second to one cold endpoint of a service; at least
@@ -516,3 +544,14 @@
         report
     }
 }
+
+/// Slots of an endpoint that are in use, or the same share of them as of an engine's KV cache, if that is
+/// larger.
+fn occupied_slots(load: Load, slots: u32, engine: Option<Engine>) -> f64 {
+    let requests = f64::from(load.requests);
+    let Some(engine) = engine else {
+        return requests;
+    };
+    let fill = f64::from(load.tokens) / f64::from(engine.kv_tokens.max(1));
+    requests.max(fill * f64::from(slots))
+}
