Move the choice of peers for tunnels, and their relay, to where serve can use them

No change of behaviour: the choice is in package decision, which both ways in share, and takes candidates in place of forward's members; copying the bytes of a tunnel is in package peer. The three mutations of the choice go with it and are detected by forward's tests as before.

--- a/crates/bench/src/mutation.rs
+++ b/crates/bench/src/mutation.rs
@@ -48,7 +48,7 @@
 }
 
 /// Files of package `decision` that the tests of `forward` use as well, and test further.
-const SHARED_FILES: [&str; 2] = ["fingerprint.rs", "suspects.rs"];
+const SHARED_FILES: [&str; 3] = ["fingerprint.rs", "suspects.rs", "tunnel.rs"];
 
 impl Mutation {
     /// `cargo test` arguments that select the tests that should detect it.
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -43,3 +43,4 @@
 pub mod subset;
 pub mod suspects;
 pub mod time;
+pub mod tunnel;
--- a/crates/peer/src/tunnel.rs
+++ b/crates/peer/src/tunnel.rs
@@ -12,7 +12,10 @@
         task::{Context, Poll},
         time::Instant,
     },
-    tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _, Join, ReadBuf},
+    tokio::{
+        io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _, Join, ReadBuf},
+        net::TcpStream,
+    },
 };
 
 /// Application error code with which a stream is reset whose endpoint has broken the connection.
@@ -141,6 +144,27 @@
         }
     }
 
+    /// Forwards bytes until one side ends. What the endpoint closes in order, the peer sees closed in order,
+    /// and else reset.
+    pub async fn relay(mut self, stream: TcpStream) {
+        let (mut from_endpoint, mut to_endpoint) = stream.into_split();
+        let lost = self.peer_lost();
+        let result = tokio::select! {
+            // The peer's request needs no answer any more.
+            _ = tokio::io::copy(&mut self.receive, &mut to_endpoint) => return,
+            () = lost => {
+                log::info!("peer instance of a tunnel does not answer; connection to its endpoint closed");
+                self.reset();
+                return;
+            }
+            copied = tokio::io::copy(&mut from_endpoint, &mut self.send) => copied,
+        };
+        if let Err(error) = result {
+            log::debug!(error:%; "tunnel broke");
+            self.reset();
+        }
+    }
+
     /// Tells the peer that the endpoint has broken the connection, so that an answer without a length
     /// does not look complete.
     pub fn reset(mut self) {
@@ -156,9 +180,21 @@
         send: SendStream,
         mut receive: RecvStream,
         usage: Usage,
+    ) -> Result<Self, Error> {
+        let length = receive.read_u8().await?;
+        Self::read_address(connection, send, receive, usage, length).await
+    }
+
+    /// Reads the address of a request, after its length in bytes.
+    pub(crate) async fn read_address(
+        connection: Connection,
+        send: SendStream,
+        mut receive: RecvStream,
+        usage: Usage,
+        length: u8,
     ) -> Result<Self, Error> {
         let mut data = [0; MAX_ADDRESS_BYTES];
-        let length = usize::from(receive.read_u8().await?).min(MAX_ADDRESS_BYTES);
+        let length = usize::from(length).min(MAX_ADDRESS_BYTES);
         receive
             .read_exact(&mut data[..length])
             .await
--- a/crates/proxy/src/tunnel.rs
+++ b/crates/proxy/src/tunnel.rs
@@ -1,9 +1,9 @@
 //! Tunnels that peers open to endpoints through this instance.
 
 use {
-    crate::{clock, path, prelude::*},
-    peer::tunnel::{Accepted, Incoming},
-    tokio::{net::TcpStream, sync::mpsc, task::spawn_local},
+    crate::{path, prelude::*},
+    peer::tunnel::Incoming,
+    tokio::{sync::mpsc, task::spawn_local},
 };
 
 /// Maximum number of tunnels at a time; each takes a connection and some 20 kB.
@@ -53,7 +53,7 @@
         }
     };
     match incoming.accept().await {
-        Ok(accepted) => forward(stream, accepted).await,
+        Ok(accepted) => accepted.relay(stream).await,
         Err(error) => log::debug!(error:%; "peer instance has given up a tunnel"),
     }
 }
@@ -68,26 +68,3 @@
     let (key, endpoint) = endpoints.find(|(_, endpoint)| endpoint.listing.address == address)?;
     (!state.paths.is_partitioned(&endpoint.listing.service)).then_some(key)
 }
-
-/// Forwards bytes until one side ends. What the endpoint closes in order, the peer sees closed in order,
-/// and else reset.
-async fn forward(stream: TcpStream, mut accepted: Accepted) {
-    let started_at = clock::now();
-    let (mut from_endpoint, mut to_endpoint) = stream.into_split();
-    let lost = accepted.peer_lost();
-    let result = tokio::select! {
-        // The peer's request needs no answer any more.
-        _ = tokio::io::copy(&mut accepted.receive, &mut to_endpoint) => return,
-        () = lost => {
-            log::info!("peer instance of a tunnel does not answer; connection to its endpoint closed");
-            accepted.reset();
-            return;
-        }
-        copied = tokio::io::copy(&mut from_endpoint, &mut accepted.send) => copied,
-    };
-    if let Err(error) = result {
-        let ms = clock::now().since(started_at).as_millis();
-        log::debug!(error:%, ms; "tunnel broke");
-        accepted.reset();
-    }
-}
