serve: reach endpoints through peers while their links are cut

Failed load reports, calls that could not connect and checks of endpoints that are silent under a call show that a kind of endpoints is partitioned (decision::reachability: three of them, or all there are). Its requests, reports, resumes and cancellations then go through tunnels of peers (daemon::detour), until a direct check each 500 ms is answered. Peers are chosen as in forward. The loss of a peer is a failure of its own, so that it is no crash of the endpoint.

Ruled out: a dialer that falls back to a peer for each single endpoint; a crashed engine would send requests on a detour, and each of its polls to all peers.

--- a/crates/carawayhead/src/daemon/instance.rs
+++ b/crates/carawayhead/src/daemon/instance.rs
@@ -15,7 +15,10 @@
         server::{self, Pem},
     },
     decision::fingerprint::Fingerprint,
-    peer::{Hello, IncomingRequest, RequestSocket},
+    peer::{
+        Hello, IncomingRequest, RequestSocket,
+        tunnel::{Incoming, Usage},
+    },
     std::net::SocketAddr,
     streamlog::stream::Stream,
     tokio::{sync::oneshot, time::MissedTickBehavior},
@@ -81,6 +84,9 @@
     inbox: Receiver<Event>,
     inbound: Receiver<InboundRequest>,
     pub(super) peer_socket: Option<RequestSocket>,
+    tunnel_requests: Receiver<Incoming>,
+    /// Held by each tunnel of a peer through this instance.
+    pub(super) tunnel_usage: Usage,
     longest_iteration: Duration,
     ready: Arc<AtomicBool>,
     shared: SharedStatus,
@@ -118,7 +124,8 @@
     )
     .await?;
     let (peer_sender, peer_requests) = mpsc::channel(CHANNEL_CAPACITY);
-    let peer_socket = peer_socket(&settings, peer_sender)?;
+    let (tunnel_sender, tunnel_requests) = mpsc::channel(CHANNEL_CAPACITY);
+    let peer_socket = peer_socket(&settings, peer_sender, tunnel_sender)?;
     let peer = peer_socket
         .as_ref()
         .map(RequestSocket::address)
@@ -149,6 +156,8 @@
             seed,
         ),
         timeline,
+        tunnel_requests,
+        tunnel_usage: Usage::default(),
     };
     let (drain, drain_request) = oneshot::channel();
     let caller = listener.address;
@@ -198,6 +207,7 @@
 fn peer_socket(
     settings: &Settings,
     requests: Sender<IncomingRequest>,
+    tunnels: Sender<Incoming>,
 ) -> Result<Option<RequestSocket>, Error> {
     let Some(peer) = &settings.peer else {
         return Ok(None);
@@ -211,7 +221,9 @@
         .listen
         .parse()
         .map_err(|_error| Error::Listen(peer.listen.clone(), "not an address".to_string()))?;
-    Ok(Some(RequestSocket::listen(listen, configs, requests)?))
+    Ok(Some(RequestSocket::listen(
+        listen, configs, requests, tunnels,
+    )?))
 }
 
 fn pem(settings: &Settings) -> Result<Option<Pem>, Error> {
@@ -241,6 +253,7 @@
                 Some(event) = self.inbox.recv() => self.handle_events(event),
                 Some(inbound) = self.inbound.recv() => self.handle_request(inbound),
                 Some(request) = self.peer_requests.recv() => self.answer_peer(request),
+                Some(incoming) = self.tunnel_requests.recv() => self.connect_tunnel(incoming),
                 _ = tick.tick() => self.tick(),
                 () = drain_requested(&mut drain_request) => {
                     drain_request = None;
@@ -275,7 +288,7 @@
 
     /// Whether the drain notice has passed and no request or log entry is pending.
     fn is_drained(&self, since: Instant) -> bool {
-        let idle = self.exchanges.is_empty() && self.inbound.is_empty();
+        let idle = self.exchanges.is_empty() && self.inbound.is_empty() && self.open_tunnels() == 0;
         let notice_passed = since.elapsed() >= self.drain_notice;
         // While the log is unavailable, pending entries cannot be appended. The timeout keeps
         // an outage of the log from blocking the exit.
@@ -299,6 +312,21 @@
         self.longest_iteration = self.longest_iteration.max(begun.elapsed());
     }
 
+    /// Records that endpoints of some kind can be reached directly no more, or again.
+    fn record_partitions(&mut self, before: usize) {
+        let now = self.state.reachability.partitioned();
+        let what = match now.cmp(&before) {
+            std::cmp::Ordering::Equal => return,
+            std::cmp::Ordering::Greater => "partitioned",
+            std::cmp::Ordering::Less => "partition ended",
+        };
+        self.record(TimelineEntry {
+            what: what.to_string(),
+            detail: format!("{now} kinds of endpoints are reached through peers"),
+            ..TimelineEntry::default()
+        });
+    }
+
     pub(super) fn step(&mut self, event: Event) {
         let (now, wall) = (self.clock.now(), self.clock.wall());
         self.step_at(now, wall, event);
@@ -306,7 +334,9 @@
 
     fn step_at(&mut self, now: Time, wall: Wall, event: Event) {
         let next = self.state.config.next();
+        let partitioned = self.state.reachability.partitioned();
         self.state.step(now, wall, event, &mut self.actions);
+        self.record_partitions(partitioned);
         if self.state.config.next() != next {
             self.record(TimelineEntry {
                 what: "configured".to_string(),
--- a/crates/carawayhead/src/daemon/metrics.rs
+++ b/crates/carawayhead/src/daemon/metrics.rs
@@ -94,6 +94,11 @@
         "longest turn of the loop of late",
         |s| s.longest_iteration,
     );
+    gauge(
+        "partitioned",
+        "kinds of endpoints that cannot be reached directly",
+        |s| s.partitioned as u64,
+    );
     gauge("peers", "entry instances in the instance list", |s| {
         s.peers as u64
     });
@@ -143,6 +148,9 @@
     });
     counter("sent", "requests sent to endpoints", |s| s.stats.sent);
     counter("tokens", "tokens delivered", |s| s.stats.tokens);
+    counter("tunnels", "requests that went through a peer", |s| {
+        s.stats.tunnels
+    });
 }
 
 fn violations(meter: &Meter, shared: &SharedStatus) {
--- a/crates/carawayhead/src/daemon/mod.rs
+++ b/crates/carawayhead/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! An entry instance: the event loop that owns the state, and its I/O adapters.
 
+mod detour;
 pub mod exchange;
 pub mod instance;
 pub mod metrics;
--- a/crates/carawayhead/src/daemon/perform.rs
+++ b/crates/carawayhead/src/daemon/perform.rs
@@ -37,10 +37,11 @@
                     unattached,
                 } => {
                     if let Some(address) = self.address(endpoint) {
-                        let client = self.client.clone();
+                        let client = self.client_of(endpoint);
                         tokio::spawn(engine::cancel(client, address, generation, unattached));
                     }
                 }
+                Action::Check(endpoint) => self.check(endpoint),
                 Action::Deliver(key, index, data) => {
                     let sent = self
                         .exchanges
@@ -55,6 +56,11 @@
                         exchange.detach();
                     }
                 }
+                Action::DropIdle(endpoint) => {
+                    if let Some(address) = self.address(endpoint) {
+                        self.client.drop_idle(&address);
+                    }
+                }
                 Action::Finish(key, outcome) => self.finish(key, outcome),
                 Action::Gossip(address) => self.gossip(&address),
                 Action::Poll(endpoint) => self.poll(endpoint),
@@ -194,11 +200,29 @@
         });
     }
 
-    fn poll(&self, endpoint: target::Key) {
+    /// Checks whether an endpoint can be reached directly.
+    fn check(&self, endpoint: target::Key) {
         let Some(address) = self.address(endpoint) else {
             return;
         };
         let (client, events) = (self.client.clone(), self.events.clone());
+        tokio::spawn(async move {
+            let event = match service::check(&client, &address, LOAD_TIMEOUT).await {
+                Ok(()) => Event::Reached(endpoint),
+                Err(error) => {
+                    log::debug!(address, error:%; "check of an endpoint failed");
+                    Event::Unreached(endpoint)
+                }
+            };
+            send_event(&events, event).await;
+        });
+    }
+
+    fn poll(&mut self, endpoint: target::Key) {
+        let Some(address) = self.address(endpoint) else {
+            return;
+        };
+        let (client, events) = (self.client_of(endpoint), self.events.clone());
         tokio::spawn(async move {
             let event = match engine::load(&client, &address, LOAD_TIMEOUT).await {
                 Ok(report) => Event::Reported(endpoint, report),
@@ -215,7 +239,7 @@
         let Some(address) = self.address(endpoint) else {
             return;
         };
-        let (client, events) = (self.client.clone(), self.events.clone());
+        let (client, events) = (self.client_of(endpoint), self.events.clone());
         self.record_attempt("resumed", attempt, endpoint);
         let Some(exchange) = self.exchanges.get_mut(attempt.request) else {
             return;
@@ -234,7 +258,7 @@
         let Some(address) = self.address(endpoint) else {
             return;
         };
-        let (client, events) = (self.client.clone(), self.events.clone());
+        let (client, events) = (self.client_of(endpoint), self.events.clone());
         let work = self
             .state
             .requests
--- a/crates/carawayhead/src/daemon/status.rs
+++ b/crates/carawayhead/src/daemon/status.rs
@@ -29,6 +29,8 @@
     pub load_reports: usize,
     /// Name of the instance.
     pub name: String,
+    /// Kinds of endpoints that cannot be reached directly.
+    pub partitioned: usize,
     /// Entry instances in the instance list.
     pub peers: usize,
     /// Whether the load balancer may send requests to this instance.
@@ -58,6 +60,7 @@
             load_reports: state.load_reports(),
             longest_iteration,
             name: state.name.clone(),
+            partitioned: state.reachability.partitioned(),
             peers: state.peers.len(),
             ready,
             requests: state.requests.len(),
@@ -90,6 +93,7 @@
           "longest_turn_us": self.longest_iteration,
           "may_have_run": self.stats.may_have_run,
           "not_run": self.stats.not_run,
+          "partitioned": self.partitioned,
           "peers": self.peers,
           "ready": self.ready,
           "requests": self.requests,
@@ -97,6 +101,7 @@
           "retried": self.stats.retried,
           "sent": self.stats.sent,
           "tokens": self.stats.tokens,
+          "tunnels": self.stats.tunnels,
           "usable": self.usable,
         })
     }
--- a/crates/decision/src/action.rs
+++ b/crates/decision/src/action.rs
@@ -16,10 +16,14 @@
         /// Cancel only if no connection reads it.
         unattached: bool,
     },
+    /// Connect to an endpoint directly, and report whether it answers.
+    Check(endpoint::Key),
     /// Deliver a token with its index to the caller.
     Deliver(request::Key, u32, Bytes),
     /// Stop reading a generation without cancelling it.
     Detach(request::Key),
+    /// Drop idle connections to an endpoint; its links are cut, and they would hang.
+    DropIdle(endpoint::Key),
     /// Append this change of the requests that crash endpoints to the log.
     PublishCrash(Change),
     /// Deliver the outcome to the caller and forget the request.
--- a/crates/decision/src/completion.rs
+++ b/crates/decision/src/completion.rs
@@ -54,6 +54,11 @@
         if failure == Failure::Broken {
             self.record_break(now, attempt);
         }
+        if failure == Failure::NotRun(Evidence::NothingWritten)
+            && let Some(endpoint) = self.run(attempt).map(|run| run.endpoint)
+        {
+            self.record_unreached(now, endpoint, out);
+        }
         match self.requests[attempt.request].work {
             Work::Call { .. } => self.handle_call_failure(now, attempt, failure, out),
             Work::Generation { .. } | Work::Resume { .. } => {
@@ -229,7 +234,12 @@
             generation: run.generation,
             request: key,
         };
+        let is_silent = now.since(run.last_progress) >= self.limits.silence;
         if call {
+            if is_silent {
+                let endpoint = run.endpoint;
+                self.record_silence(endpoint);
+            }
             return;
         }
         if let Some(disconnected_at) = run.disconnected_at {
@@ -240,7 +250,7 @@
             }
             return;
         }
-        if now.since(run.last_progress) >= self.limits.silence {
+        if is_silent {
             self.resume(now, attempt, out);
         }
     }
--- a/crates/decision/src/event.rs
+++ b/crates/decision/src/event.rs
@@ -5,6 +5,7 @@
     gossip::{ConfigRecord, PeerUpdate},
     prelude::*,
     suspects::Change,
+    tunnel,
 };
 
 /// An input of the state machine.
@@ -36,6 +37,8 @@
     PeerUpdate(PeerUpdate),
     /// The instance list was read: endpoints and entry instances.
     Listed(Vec<Member>, Vec<Peer>),
+    /// An endpoint answered [`Action::Check`].
+    Reached(endpoint::Key),
     /// An endpoint reported its load.
     Reported(endpoint::Key, crate::endpoint::Report),
     /// A snapshot of the configuration was read.
@@ -46,8 +49,12 @@
     Tick,
     /// A token of a generation was received.
     Token(Attempt, u32, Bytes),
+    /// A peer opened a tunnel, or failed to.
+    Tunnel(String, Result<(), tunnel::Failure>),
     /// A request for an endpoint's load report failed.
     Unreachable(endpoint::Key),
+    /// An endpoint did not answer [`Action::Check`].
+    Unreached(endpoint::Key),
 }
 
 /// An entry instance in the platform's instance list.
@@ -72,6 +79,8 @@
     Forgotten,
     /// The attempt provably did not run.
     NotRun(Evidence),
+    /// The peer through which the endpoint was reached is lost. The request may have run.
+    PeerLost,
     /// No connection could be opened to resume on.
     Unreachable,
 }
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod output_length;
 pub mod prelude;
 pub mod proposal;
+pub mod reachability;
 pub mod record;
 pub mod request;
 pub mod retry_budget;
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -5,6 +5,7 @@
         event::Peer,
         gossip::History,
         prelude::*,
+        reachability::Reachability,
         request::Run,
         routing::rendezvous,
         suspects::{Change, Crash, Suspects},
@@ -44,6 +45,8 @@
     pub name: String,
     /// Listed entry instances, sorted by name.
     pub peers: Vec<Peer>,
+    /// Whether endpoints can be reached directly.
+    pub reachability: Reachability,
     /// Requests in progress.
     pub requests: SlotMap<request::Key, Request>,
     /// Counters.
@@ -104,6 +107,7 @@
             endpoint_names: Vec::new(),
             orders: Vec::new(),
             peers: Vec::new(),
+            reachability: Reachability::default(),
             requests: SlotMap::default(),
             rng: StdRng::seed_from_u64(seed),
             gossip_round: 0,
@@ -205,11 +209,15 @@
             Event::SnapshotSeen(at) => self.record_snapshot_seen(at),
             Event::Tick => self.tick(now, wall, out),
             Event::Token(attempt, index, data) => self.handle_token(now, attempt, index, data, out),
+            Event::Reached(endpoint) => self.record_reached(endpoint),
+            Event::Tunnel(peer, result) => self.record_tunnel(now, &peer, result),
             Event::Unreachable(endpoint) => {
+                self.record_unreached(now, endpoint, out);
                 if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
                     endpoint.report = None;
                 }
             }
+            Event::Unreached(endpoint) => self.record_unreached(now, endpoint, out),
         }
     }
 
@@ -372,6 +380,7 @@
         for key in keys {
             self.check_timeouts(now, key, out);
         }
+        self.check_links(now, out);
         self.poll_endpoints(now, out);
         self.track_absent_instances(now);
         self.propose_slow_start(now);
--- a/crates/decision/src/stats.rs
+++ b/crates/decision/src/stats.rs
@@ -21,4 +21,6 @@
     pub sent: u64,
     /// Tokens delivered.
     pub tokens: u64,
+    /// Requests and load reports that went through a peer.
+    pub tunnels: u64,
 }
--- a/crates/decision/src/stream.rs
+++ b/crates/decision/src/stream.rs
@@ -96,7 +96,7 @@
                 self.retry(now, attempt, Some(evidence), out);
             }
             Failure::Forgotten if next == 0 => self.retry(now, attempt, None, out),
-            Failure::Broken if next == 0 => {
+            Failure::Broken | Failure::PeerLost if next == 0 => {
                 self.cancel(attempt, false, out);
                 self.retry(now, attempt, None, out);
             }
@@ -109,7 +109,7 @@
                 self.dispatch(now, out);
             }
             // A refusal after the first token belongs to an abandoned connection.
-            Failure::Broken | Failure::NotRun(_) | Failure::Unreachable => {
+            Failure::Broken | Failure::NotRun(_) | Failure::PeerLost | Failure::Unreachable => {
                 // The first failure is followed by an immediate resume, later ones only after
                 // `Limits::silence`, so that a failed endpoint is not polled in a tight loop.
                 if resumes == 0 {
--- a/crates/decision/tests/world/mod.rs
+++ b/crates/decision/tests/world/mod.rs
@@ -553,7 +553,9 @@
                     request.next += 1;
                 }
                 // The requests of a history differ, so no crash counts against a later one.
-                Action::Detach(_)
+                Action::Check(_)
+                | Action::Detach(_)
+                | Action::DropIdle(_)
                 | Action::Gossip(_)
                 | Action::Poll(_)
                 | Action::PublishCrash(_)
--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -4,7 +4,7 @@
     crate::prelude::*,
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
-    std::time::Instant,
+    std::{io, net::SocketAddr, pin::Pin, time::Instant},
     tokio::{
         io::{AsyncRead, AsyncWrite},
         net::TcpStream,
@@ -35,10 +35,36 @@
     reusable_until: Instant,
 }
 
+/// A byte stream to an endpoint.
+pub trait Stream: AsyncRead + AsyncWrite + Send + Unpin {}
+
+impl<S: AsyncRead + AsyncWrite + Send + Unpin> Stream for S {}
+
+/// A stream that is being opened.
+pub type Opening = Pin<Box<dyn Future<Output = io::Result<Box<dyn Stream>>> + Send>>;
+
+/// Opens streams to endpoints over another way than a direct connection.
+#[derive(Clone)]
+pub struct Dialer(Arc<dyn Fn(SocketAddr) -> Opening + Send + Sync>);
+
+impl Dialer {
+    /// A dialer that calls `open` with the address of the endpoint.
+    pub fn new(open: impl Fn(SocketAddr) -> Opening + Send + Sync + 'static) -> Self {
+        Self(Arc::new(open))
+    }
+}
+
+impl fmt::Debug for Dialer {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Dialer").finish_non_exhaustive()
+    }
+}
+
 /// HTTP/1.1 client; clones share one connection pool.
 #[derive(Clone, Debug)]
 pub struct Client {
     connect_timeout: Duration,
+    dialer: Option<Dialer>,
     idle: Arc<Mutex<IdleConnections>>,
 }
 
@@ -48,10 +74,20 @@
     pub fn new(connect_timeout: Duration) -> Self {
         Self {
             connect_timeout,
+            dialer: None,
             idle: Arc::new(Mutex::new(Vec::new())),
         }
     }
 
+    /// A client that opens all streams with `dialer`, one for each request.
+    #[must_use]
+    pub fn with_dialer(&self, dialer: Dialer) -> Self {
+        Self {
+            dialer: Some(dialer),
+            ..self.clone()
+        }
+    }
+
     /// Sends a request on an idle connection, or on a new one.
     ///
     /// # Errors
@@ -74,6 +110,9 @@
         address: &str,
         request: Request<Full<Bytes>>,
     ) -> Result<Sent, Error> {
+        if self.dialer.is_some() {
+            return Ok(Sent::Unsent(request));
+        }
         let mut request = request;
         while let Some(mut sender) = self.take_idle(address) {
             match sender.try_send_request(request).await {
@@ -100,8 +139,14 @@
         address: &str,
         request: Request<Full<Bytes>>,
     ) -> Result<Reply, Error> {
-        let stream = self.connect(address).await?;
-        self.send_on(address, stream, request).await
+        let Some(Dialer(open)) = &self.dialer else {
+            let stream = self.connect(address).await?;
+            return self.send_on(address, stream, request).await;
+        };
+        let invalid = |error| io::Error::new(io::ErrorKind::InvalidInput, error);
+        let address = address.parse().map_err(invalid).map_err(Error::Connect)?;
+        let stream = open(address).await.map_err(Error::Connect)?;
+        self.send_over(stream, request).await
     }
 
     /// Sends a request on a connection that [`Self::connect`] has opened.
@@ -178,6 +223,7 @@
             idle[index].1.clear();
         }
     }
+
     fn put_back(&self, address: &str, sender: RequestSender, max_idle: Duration) {
         let mut idle = self.idle.lock().expect("the pool is never poisoned");
         let index = match idle.binary_search_by(|(other, _)| other.as_str().cmp(address)) {
--- a/crates/endpoint/src/engine.rs
+++ b/crates/endpoint/src/engine.rs
@@ -143,11 +143,19 @@
     let failure = if error.unwritten() {
         Failure::NotRun(Evidence::NothingWritten)
     } else {
-        Failure::Broken
+        break_of(error)
     };
     Event::Failed(attempt, failure)
 }
 
+/// The failure of a connection after the request was sent.
+pub(crate) fn break_of(error: &Error) -> Failure {
+    match error {
+        Error::Broken(_) if !error.is_break_of_endpoint() => Failure::PeerLost,
+        _ => Failure::Broken,
+    }
+}
+
 /// Sends tokens as events until the stream ends; returns the event for its end.
 async fn read(
     mut reply: crate::client::Reply,
@@ -163,8 +171,9 @@
             Ok(None) => return Event::Failed(attempt, Failure::Broken),
             Err(error) => Err(error),
         };
-        let Ok(parsed) = parsed else {
-            return Event::Failed(attempt, Failure::Broken);
+        let parsed = match parsed {
+            Ok(parsed) => parsed,
+            Err(error) => return Event::Failed(attempt, break_of(&error)),
         };
         for event in parsed {
             if event.data == END_OF_STREAM {
@@ -198,7 +207,7 @@
                 status: status.as_u16(),
             },
         ),
-        Err(_) => Event::Failed(attempt, Failure::Broken),
+        Err(error) => Event::Failed(attempt, break_of(&error)),
     }
 }
 
--- a/crates/endpoint/src/service.rs
+++ b/crates/endpoint/src/service.rs
@@ -1,8 +1,11 @@
 //! Client of plain HTTP services.
 
-use crate::{
-    engine::{TIMEOUT_HEADER, format_seconds, send_event},
-    prelude::*,
+use {
+    crate::{
+        engine::{TIMEOUT_HEADER, break_of, format_seconds, send_event},
+        prelude::*,
+    },
+    tokio::time::timeout,
 };
 
 /// Maximum size of a response body.
@@ -42,7 +45,7 @@
         }
         Err(error) => {
             log::info!(attempt:% = attempt.generation, error:%; "service call failed");
-            Event::Failed(attempt, Failure::Broken)
+            Event::Failed(attempt, break_of(&error))
         }
     };
     send_event(&events, event).await;
@@ -56,6 +59,19 @@
     matches!(answer.status, 429 | 503)
 }
 
+/// Checks whether an endpoint answers on a new connection, with a request that it does not work on.
+///
+/// # Errors
+///
+/// It cannot be reached, or does not answer in time.
+pub async fn check(client: &Client, address: &str, wait: Duration) -> Result<(), Error> {
+    let request = Request::options("*")
+        .header(http::header::HOST, address)
+        .body(Full::default())?;
+    let answered = timeout(wait, client.send_new(address, request)).await;
+    answered.unwrap_or(Err(Error::Timeout)).map(drop)
+}
+
 async fn exchange(client: &Client, address: &str, call: Call) -> Result<Answer, Error> {
     let mut request = Request::builder()
         .method(call.method)
--- a/crates/peer/src/tls.rs
+++ b/crates/peer/src/tls.rs
@@ -1,7 +1,7 @@
 //! Mutual TLS between instances.
 
 use {
-    crate::prelude::*,
+    crate::{prelude::*, tunnel},
     quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig},
     rustls::{
         RootCertStore,
@@ -88,9 +88,18 @@
 }
 
 pub(crate) fn transport() -> Arc<quinn::TransportConfig> {
+    transport_with(KEEP_ALIVE_INTERVAL)
+}
+
+/// For connections that carry tunnels, on which the peer has to hear this instance all the time.
+pub(crate) fn tunnel_transport() -> Arc<quinn::TransportConfig> {
+    transport_with(tunnel::HEARTBEAT_INTERVAL)
+}
+
+fn transport_with(keep_alive_interval: Duration) -> Arc<quinn::TransportConfig> {
     let mut transport = quinn::TransportConfig::default();
     transport.max_idle_timeout(IDLE_TIMEOUT.try_into().ok());
-    transport.keep_alive_interval(Some(KEEP_ALIVE_INTERVAL));
+    transport.keep_alive_interval(Some(keep_alive_interval));
     transport.max_concurrent_bidi_streams(MAX_TUNNELS.into());
     transport.stream_receive_window(STREAM_WINDOW_BYTES.into());
     Arc::new(transport)
