Take over streams of silent engines only once these have been asked to stop

Callers would have got one stream from two engines at work: after 90 ms of silence the engine with the copy took the run over, and the silent one, which reads nothing, kept it for the rest of its second.

A silent stream's engine is asked to stop the run after 600 ms, as before, and the takeover follows its answer, or the failure to connect (850 ms) or to answer (1.8 s). The early takeover at the copy is removed.

Changed check: stream_of_silent_engine_continues_at_the_backup asserted the early takeover ("quiet"). It asserts the takeover of an engine that stays silent ("silent") and now also that the caller's pause stays under the two seconds after which it gives up; all its other assertions are as they were.

--- a/crates/carawayhead/tests/forwarding/streams.rs
+++ b/crates/carawayhead/tests/forwarding/streams.rs
@@ -13,6 +13,9 @@
 
 const EVENTS_PER_STREAM: u32 = 120;
 
+/// Pause after which callers abandon a stream, in milliseconds.
+const CALLER_PATIENCE_MS: u64 = 2000;
+
 struct Deployment {
     engines: Vec<Engine>,
     instance: Instance,
@@ -158,8 +161,8 @@
     assert!(sent.iter().all(|line| line.contains(fingerprint)));
 }
 
-/// An engine stops sending events without closing its connection. The backup engine must be
-/// asked before the silence timeout, so that the caller sees no late event.
+/// An engine stops sending events without closing its connection, for good. The stream must go on at the
+/// backup engine before its caller gives up, which it does after two seconds.
 #[tokio::test]
 async fn stream_of_silent_engine_continues_at_the_backup() {
     let deployment = deployment(3).await;
@@ -177,9 +180,37 @@
     assert_all_events(&response.body);
     let takeovers = deployment.instance.log_lines_containing("\"takeover\"");
     assert!(
-        takeovers.iter().any(|line| line.contains("\"quiet\"")),
+        takeovers.iter().any(|line| line.contains("\"silent\"")),
         "{takeovers:?}"
     );
+    let ended = || deployment.instance.log_lines_containing("\"stream ended\"");
+    wait_until("the end is logged", || async { !ended().is_empty() }).await;
+    let ended = ended();
+    let ended = serde_json::from_str::<serde_json::Value>(&ended[0]).expect("a log line is JSON");
+    let pause = ended["pause_ms"].as_u64().expect("a number");
+    assert!(pause < CALLER_PATIENCE_MS, "{pause}");
+}
+
+/// A sound engine is silent for a second and goes on. Its run must not be taken over meanwhile, or two
+/// engines work on one stream at the same time.
+#[tokio::test]
+async fn stream_of_engine_that_is_silent_for_a_second_stays_there() {
+    let deployment = deployment(3).await;
+    let caller_address = deployment.instance.caller_address;
+    let stream = tokio::spawn(async move {
+        send_request(caller_address, &CallerRequest::new("r1", "/draft/7")).await
+    });
+    let index = deployment.wait_for_run().await;
+    deployment.engines[index].freeze();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    deployment.engines[index].thaw();
+    let response = stream
+        .await
+        .expect("the task does not panic")
+        .expect("the instance responds");
+    assert_eq!((response.status, response.complete), (StatusCode::OK, true));
+    assert_all_events(&response.body);
+    assert_eq!(deployment.shared_runs.max_engines_per_run(), 1);
 }
 
 /// An engine leaves, its backup takes the run over, and a partition drops the backup's
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -9,7 +9,6 @@
         listen::RequestGuard,
         prelude::*,
         progress::Progress,
-        relocate::RunCopy,
         reply::BodyPart,
         shared::RunGuard,
         takeover::{EventSource, TakeoverContext, TakeoverOutcome},
@@ -24,15 +23,11 @@
     tokio::sync::mpsc,
 };
 
-/// Silence after which the engine is asked to stop the run. Events are about 30 ms apart, but a
-/// preempted run may pause for a long time, so it is given up only after the engine has been asked.
+/// Silence after which the engine is asked to stop the run. A preempted run may pause for a long time, and a
+/// sound engine may be silent for a second and go on, so that the run is taken over only once the engine
+/// has been asked: it would work beside its successor.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Fraction of the route's longest allowed gap after which the engine with the backup copy
-/// takes the stream over. If the network drops packets without a reset, events stop arriving;
-/// taking over early avoids a late event, since the other engine needs about 25 ms.
-const QUIET_GAP_SHARE: f64 = 0.5;
-
 /// Longest allowed gap between events where the route sets none.
 const DEFAULT_MAX_GAP: Duration = Duration::from_millis(180);
 
@@ -48,8 +43,6 @@
 /// Relays the events of one stream to its caller.
 #[derive(Debug)]
 pub struct Relay {
-    /// Whether the engine with the backup copy has been asked since the last event.
-    backup_asked: bool,
     /// Number of events before the current engine's.
     earlier_events: u32,
     guard: Option<RequestGuard>,
@@ -100,8 +93,6 @@
     Expired,
     Lost(String),
     Moved(TakeoverOutcome),
-    /// No event for [`QUIET_GAP_SHARE`] of the gap that the route allows.
-    Quiet,
     /// No event for [`SILENCE_TIMEOUT`].
     Silent,
     /// Equal requests have crashed too many engines.
@@ -135,7 +126,6 @@
         let inbound = &start.original.inbound;
         let resume_after = start.ticket.resume_after(inbound);
         Self {
-            backup_asked: false,
             earlier_events: 0,
             guard: start.guard,
             first_event_delay: now.since(inbound.arrived),
@@ -211,10 +201,6 @@
                     pending_move = None;
                     self.moved(moved).await
                 }
-                Step::Quiet => {
-                    self.take_over_at_backup(&mut pending_move);
-                    Ok(())
-                }
                 Step::Silent => {
                     self.quiet_since = clock::now();
                     if pending_move.is_some() {
@@ -246,26 +232,6 @@
         ));
     }
 
-    /// Asks the engine with the backup copy to take over, since the run's own engine is quiet.
-    fn take_over_at_backup(&mut self, pending_move: &mut Option<PendingMove>) {
-        self.backup_asked = true;
-        if pending_move.is_some() {
-            return;
-        }
-        if let Some(copy) = self.healthy_backup_copy() {
-            *pending_move = Some(Box::pin(self.takeover_context().take_over(copy, "quiet")));
-        }
-    }
-
-    /// The backup copy, if its engine is healthy.
-    fn healthy_backup_copy(&self) -> Option<RunCopy> {
-        let healthy = {
-            let state = self.shared.state.borrow();
-            state.healthy_backup(clock::now(), self.running.key)
-        };
-        self.backup_copy().filter(|copy| Some(copy.key) == healthy)
-    }
-
     /// The data that a takeover needs, without the stream itself.
     fn takeover_context(&self) -> TakeoverContext {
         TakeoverContext {
@@ -292,10 +258,7 @@
         if remaining.is_zero() {
             return Step::Expired;
         }
-        let quiet_timeout = self.quiet_timeout().filter(|_| !self.backup_asked);
-        let until = self
-            .quiet_since
-            .after(quiet_timeout.unwrap_or(SILENCE_TIMEOUT));
+        let until = self.quiet_since.after(SILENCE_TIMEOUT);
         let wait = remaining.min(until.since(now));
         let events = self.events_here();
         tokio::select! {
@@ -304,20 +267,10 @@
             chunk = self.source.answer.chunk() => self.events(chunk),
             moved = ended(pending_move) => Step::Moved(moved),
             () = self.shared.stopped(&self.original, events) => Step::Stopped,
-            () = sleep(wait) => match quiet_timeout {
-                _ if wait == remaining => Step::Expired,
-                Some(_) => Step::Quiet,
-                None => Step::Silent,
-            },
+            () = sleep(wait) => if wait == remaining { Step::Expired } else { Step::Silent },
         }
     }
 
-    /// Silence after which the engine with the backup copy is asked to take over.
-    fn quiet_timeout(&self) -> Option<Duration> {
-        let gap = self.ticket.route.gap.unwrap_or(DEFAULT_MAX_GAP);
-        Some(gap.mul_f64(QUIET_GAP_SHARE)).filter(|quiet_timeout| *quiet_timeout < SILENCE_TIMEOUT)
-    }
-
     fn events(&mut self, chunk: Result<Option<Bytes>, endpoint::Error>) -> Step {
         match chunk {
             Err(error) => {
@@ -389,7 +342,6 @@
             .replace(self.sequence.last().map(str::to_string));
         let now = clock::now();
         self.quiet_since = now;
-        self.backup_asked = false;
         self.longest_pause = self.longest_pause.max(now.since(self.last_event_at));
         self.last_event_at = now;
         if let Some(run) = self.shared.state.borrow_mut().run_mut(self.running.key) {
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -266,7 +266,6 @@
         drop(state);
         self.shared.load.notify_one();
         self.quiet_since = clock::now();
-        self.backup_asked = false;
         self.earlier_events = self.sequence.count();
         self.unjudged = false;
         self.source = opened.source;
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -109,11 +109,6 @@
         }
     }
 
-    /// Takes over at the engine that holds a copy; does not fall back to a move.
-    pub async fn take_over(self, copy: RunCopy, why: &'static str) -> TakeoverOutcome {
-        self.open_within_overlap(&copy, why).await
-    }
-
     /// Asks an engine to take over while the previous engine may still be running.
     async fn open_within_overlap(&self, copy: &RunCopy, why: &str) -> TakeoverOutcome {
         match timeout(MAX_OVERLAP, self.open_from_copy(copy, why)).await {
