serve: go directly where there is no peer; smaller replies

By reading the diff: an instance without peers would have sent nothing to a partitioned kind of endpoints until a check succeeded, up to half a second after a crashed engine is back. A function of its own for new endpoints.

--- a/crates/carawayhead/src/daemon/detour.rs
+++ b/crates/carawayhead/src/daemon/detour.rs
@@ -22,15 +22,16 @@
 const MAX_TUNNELS: usize = 160;
 
 impl Instance {
-    /// The client with which an endpoint is reached now: directly, or through peers.
+    /// The client with which an endpoint is reached now: directly, or through peers if there are any.
     pub(super) fn client_of(&mut self, endpoint: target::Key) -> Client {
-        let Some(socket) = self.peer_socket.clone() else {
+        let needed = self.state.needs_detour(endpoint);
+        let Some(socket) = self.peer_socket.clone().filter(|_| needed) else {
             return self.client.clone();
         };
-        if !self.state.needs_detour(endpoint) {
+        let detours = self.state.detours(self.clock.now());
+        if detours.is_empty() {
             return self.client.clone();
         }
-        let detours = self.state.detours(self.clock.now());
         let events = self.events.clone();
         self.client.with_dialer(Dialer::new(move |address| {
             let (socket, events) = (socket.clone(), events.clone());
--- a/crates/decision/src/reachability.rs
+++ b/crates/decision/src/reachability.rs
@@ -3,11 +3,14 @@
 //! An endpoint that cannot be connected to has failed, or its links have. Where several of a kind cannot
 //! be, the links of this instance are cut, and requests go through peers instead.
 
-use crate::{
-    endpoint::Kind,
-    prelude::*,
-    routing::rendezvous,
-    tunnel::{self, Candidate, Tunnels},
+use {
+    crate::{
+        endpoint::Kind,
+        prelude::*,
+        routing::rendezvous,
+        tunnel::{self, Candidate, Tunnels},
+    },
+    std::sync::Arc,
 };
 
 /// Endpoints of a kind that cannot be reached, from which on it counts as partitioned. With fewer,
@@ -87,7 +90,7 @@
     /// Its name.
     pub name: String,
     /// Counts a tunnel through the peer while it is held.
-    pub usage: std::sync::Arc<()>,
+    pub usage: Arc<()>,
 }
 
 impl State {
@@ -127,7 +130,7 @@
         detours
     }
 
-    /// Whether a tunnel of a peer to this address may be opened: the endpoint is listed, and this
+    /// The endpoint at this address, if a tunnel of a peer to it may be opened: it is listed, and this
     /// instance reaches its kind itself.
     #[must_use]
     pub fn accepts_tunnel(&self, address: &str) -> Option<endpoint::Key> {
@@ -228,8 +231,8 @@
             }
             let failed =
                 |key: &endpoint::Key| links.unreached.iter().any(|(other, _)| other == key);
-            let untried = listed.iter().copied().filter(|key| !failed(key));
-            let mut candidates = untried.collect::<Vec<_>>();
+            let others = listed.iter().copied().filter(|key| !failed(key));
+            let mut candidates = others.collect::<Vec<_>>();
             if candidates.is_empty() {
                 candidates = listed;
             }
--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -182,7 +182,7 @@
         match sender.try_send_request(request).await {
             Ok(response) => Ok(Reply {
                 address: None,
-                client: self.clone(),
+                idle: Arc::clone(&self.idle),
                 response,
                 sender,
             }),
@@ -224,29 +224,10 @@
         }
     }
 
-    fn put_back(&self, address: &str, sender: RequestSender, max_idle: Duration) {
-        let mut idle = self.idle.lock().expect("the pool is never poisoned");
-        let index = match idle.binary_search_by(|(other, _)| other.as_str().cmp(address)) {
-            Ok(index) => index,
-            Err(index) => {
-                idle.insert(index, (address.to_string(), Vec::new()));
-                index
-            }
-        };
-        let connections = &mut idle[index].1;
-        if connections.len() < MAX_IDLE_PER_ADDRESS {
-            let reusable_until = Instant::now() + max_idle;
-            connections.push(IdleConnection {
-                sender,
-                reusable_until,
-            });
-        }
-    }
-
     fn reply(&self, address: &str, sender: RequestSender, response: Response<Incoming>) -> Reply {
         Reply {
             address: Some(address.to_string()),
-            client: self.clone(),
+            idle: Arc::clone(&self.idle),
             response,
             sender,
         }
@@ -279,7 +260,7 @@
 pub struct Reply {
     /// Address under which the connection is pooled; `None` if it is not used again.
     address: Option<String>,
-    client: Client,
+    idle: Arc<Mutex<IdleConnections>>,
     response: Response<Incoming>,
     sender: RequestSender,
 }
@@ -329,7 +310,7 @@
         };
         let limit = self.header("keep-alive").and_then(keep_alive_timeout);
         let max_idle = limit.map_or(DEFAULT_IDLE_TIMEOUT, |limit| limit.mul_f64(REUSE_FRACTION));
-        self.client.put_back(address, self.sender, max_idle);
+        put_back(&self.idle, address, self.sender, max_idle);
     }
 
     /// The response headers.
@@ -356,6 +337,31 @@
     }
 }
 
+/// Adds a connection to the pool, unless there are enough of them.
+fn put_back(
+    idle: &Mutex<IdleConnections>,
+    address: &str,
+    sender: RequestSender,
+    max_idle: Duration,
+) {
+    let mut idle = idle.lock().expect("the pool is never poisoned");
+    let index = match idle.binary_search_by(|(other, _)| other.as_str().cmp(address)) {
+        Ok(index) => index,
+        Err(index) => {
+            idle.insert(index, (address.to_string(), Vec::new()));
+            index
+        }
+    };
+    let connections = &mut idle[index].1;
+    if connections.len() < MAX_IDLE_PER_ADDRESS {
+        let reusable_until = Instant::now() + max_idle;
+        connections.push(IdleConnection {
+            sender,
+            reusable_until,
+        });
+    }
+}
+
 async fn handshake<S>(stream: S) -> Result<RequestSender, Error>
 where
     S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -227,13 +227,7 @@
                         }
                         (key, is_new_version)
                     }
-                    None => {
-                        let mut endpoint = Endpoint::new(listing, now);
-                        let seed = self.backoff_seed ^ u64::from(endpoint.digest);
-                        let mut random = SmallRng::seed_from_u64(seed);
-                        endpoint.backoff_share = random.random_range(MIN_BACKOFF_SHARE..=1.0);
-                        (self.endpoints.insert(endpoint), true)
-                    }
+                    None => (self.insert_endpoint(now, listing), true),
                 };
                 if is_new_version {
                     self.endpoints[key].unverified_since = unverified_since;
@@ -242,6 +236,14 @@
         }
     }
 
+    fn insert_endpoint(&mut self, now: Time, listing: Listing) -> EndpointKey {
+        let mut endpoint = Endpoint::new(listing, now);
+        let seed = self.backoff_seed ^ u64::from(endpoint.digest);
+        let mut random = SmallRng::seed_from_u64(seed);
+        endpoint.backoff_share = random.random_range(MIN_BACKOFF_SHARE..=1.0);
+        self.endpoints.insert(endpoint)
+    }
+
     /// Since when the version of an endpoint has been known, if an order for it may be unknown yet:
     /// sending there would not count as part of its rollout. Versions of the first list are in use.
     ///
