Choose at random among equal costs at plain services only

Cause: had made the choice random among engines of equal cost too. The requests in flight then run at engines of their own, and a fatal one that comes meanwhile meets other ones, whose repeats at further engines are under way before its crashes are known. With one order for all they share a few engines.

LIMIT, for which the random choice was made, is about plain services as much as engines; the test of it is of plain services and keeps it. At engines instances have had a random addition where they are many, and still have.

--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -79,8 +79,9 @@
 /// preferred.
 const MAX_JITTER_MS: f64 = 200.0;
 
-/// Maximum random addition to a cost where there are few instances. They would all take the first of
-/// several endpoints without load.
+/// Maximum random addition to a cost where there are few instances, at endpoints that are not model
+/// engines. They would all take the first of several without load. At engines they do, so that equal
+/// requests which crash theirs share a few of them.
 const MAX_TIE_JITTER_MS: f64 = 1.0;
 
 /// Endpoints of a version in each failure domain that get requests before it is judged.
@@ -208,10 +209,12 @@
     pub fn pick(&mut self, now: Time, service: &str, need: Need, tried: &[EndpointKey]) -> Pick {
         self.pace_brittle(now, service);
         let mut jitter = self.jitter();
-        jitter.max_ms = jitter.max_ms.max(MAX_TIE_JITTER_MS);
         let Some(service) = self.service(service) else {
             return Pick::Wait;
         };
+        if service.engine.is_none() {
+            jitter.max_ms = jitter.max_ms.max(MAX_TIE_JITTER_MS);
+        }
         let loads = self.loads();
         match self.cheapest(now, service, need.tokens(), tried, &loads, jitter) {
             None => Pick::Wait,
