--- a/crates/forward/tests/leaving.rs
+++ b/crates/forward/tests/leaving.rs
@@ -127,6 +127,25 @@
     assert!(state.endpoint(key).expect("known").usable(at(900)));
 }
 
+/// All instances lose an endpoint at the same moment. If they came back together, what waits at them would
+/// overload it as soon as it is back.
+#[test]
+fn instances_come_back_to_a_failed_endpoint_at_different_times() {
+    let returns = (0..8).map(|seed| {
+        let mut state = instance_in("a", seed, &pair());
+        let (key, _) = state.endpoints().next().expect("listed");
+        let endpoint = state.endpoint_mut(key).expect("listed");
+        for _ in 0..4 {
+            endpoint.mark_unreachable(at(0));
+        }
+        (0..5000).find(|millis| endpoint.usable(at(*millis)))
+    });
+    let mut returns = returns.collect::<Vec<_>>();
+    returns.sort_unstable();
+    returns.dedup();
+    assert!(returns.len() > 4, "{returns:?}");
+}
+
 /// An engine that has restarted has lost the copies that it held. A takeover there would run the
 /// request a second time.
 #[test]
