Log which engine a stop was requested from, how long it took, and breaks that follow it

The lines of a cut stream could not tell whether its engine had obeyed a stop that the instance had given up. Stops are counted by outcome (runs_stopped). No change of logic.

--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -28,6 +28,7 @@
     registry: Registry,
     rollouts: Counter<u64>,
     sends: Counter<u64>,
+    stops: Counter<u64>,
     store_calls: Counter<u64>,
     suspicions: Counter<u64>,
     total: Histogram<f64>,
@@ -89,6 +90,10 @@
                 "requests to versions that are not judged yet, and stages recorded",
             ),
             sends: counter("requests_sent", "sends to endpoints, by service and order"),
+            stops: counter(
+                "runs_stopped",
+                "silent generations that engines were asked to stop, by outcome",
+            ),
             store_calls: counter("store_calls", "calls to the store by outcome"),
             suspicions: counter(
                 "suspect_requests",
@@ -170,6 +175,11 @@
         self.sends.add(1, &[KeyValue::new("order", order)]);
     }
 
+    /// Records the outcome of a request to stop a run.
+    pub fn record_stop(&self, outcome: &'static str) {
+        self.stops.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records a call to the store.
     pub fn record_store_call(&self, outcome: &'static str) {
         self.store_calls
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -63,6 +63,8 @@
     sequence: Sequence,
     shared: Rc<Shared>,
     source: EventSource,
+    /// When the current engine was last asked to stop the run.
+    stop_asked_at: Option<Time>,
     takeovers: u32,
     ticket: Ticket,
     /// Whether the answer is to count in the judgement of its engine's version.
@@ -144,6 +146,7 @@
             sequence: Sequence::after(resume_after),
             shared: Rc::clone(shared),
             source: start.source,
+            stop_asked_at: None,
             takeovers: 0,
             original: start.original,
             ticket: start.ticket,
@@ -310,6 +313,10 @@
     fn record_break(&mut self) {
         let EventSource { key, sent_at, .. } = &self.source;
         let events = self.events_here();
+        if let Some(stop_asked_at) = self.stop_asked_at {
+            let ms = clock::now().since(stop_asked_at).as_millis();
+            log::info!(id = self.original.inbound.id, ms; "connection broke after a stop was requested");
+        }
         self.shared
             .record_break(&self.original, *key, *sent_at, events);
         self.shared.mark_disconnected(*key);
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -83,6 +83,7 @@
     pub(super) async fn silent(&mut self) -> Result<(), Ending> {
         let id = self.original.inbound.id.clone();
         log::info!(id, events = self.sequence.count(); "stream is silent");
+        self.stop_asked_at = Some(clock::now());
         match relocate::stop(&self.shared, self.running.key, &id, None).await {
             relocate::StopOutcome::Busy => Ok(()),
             stopped => self.stopped(stopped, "silent").await,
@@ -268,6 +269,7 @@
         self.began_at = None;
         self.quiet_since = clock::now();
         self.earlier_events = self.sequence.count();
+        self.stop_asked_at = None;
         self.unjudged = false;
         self.source = opened.source;
     }
--- a/crates/proxy/src/relocate.rs
+++ b/crates/proxy/src/relocate.rs
@@ -104,8 +104,9 @@
     let Some(ends) = moved.or_else(|| ends_at(shared, run, duplicate?)) else {
         return StopOutcome::Busy;
     };
+    let asked_at = clock::now();
     let result = call(shared, &ends, id, true, STOP_TIMEOUT).await;
-    log::info!(id, result:?; "stop requested from engine");
+    log_stop(shared, &ends, id, clock::now().since(asked_at), &result);
     match result {
         Ok(MoveResult::Busy) => StopOutcome::Busy,
         Ok(MoveResult::Copied { handle, .. }) => StopOutcome::Stopped(RunCopy {
@@ -127,6 +128,30 @@
     }
 }
 
+fn log_stop(
+    shared: &Shared,
+    ends: &MoveEnds,
+    id: &str,
+    took: Duration,
+    result: &Result<MoveResult, String>,
+) {
+    let state = shared.state.borrow();
+    let name = |key| state.endpoint(key).map(|known| known.listing.id.as_str());
+    log::info!(
+        id, endpoint = name(ends.source_key).unwrap_or_default(),
+        target = name(ends.target_key).unwrap_or_default(), ms = took.as_millis(), result:?;
+        "stop requested from engine"
+    );
+    shared.metrics.record_stop(match result {
+        Ok(MoveResult::Busy) => "busy",
+        Ok(MoveResult::Copied { .. }) => "copied",
+        Ok(MoveResult::NoRun) => "no_run",
+        Ok(MoveResult::Refused(Some(_))) => "stopped",
+        Ok(MoveResult::Refused(None)) => "refused",
+        Err(_) => "unanswered",
+    });
+}
+
 /// Source and target of a move.
 struct MoveEnds {
     source: SocketAddr,
