--- a/crates/carawayhead/tests/forwarding/main.rs
+++ b/crates/carawayhead/tests/forwarding/main.rs
@@ -6,5 +6,6 @@
 mod knowledge;
 mod load;
 mod rollouts;
+mod silences;
 mod streams;
 mod undelimited;
--- /dev/null
+++ b/crates/carawayhead/tests/forwarding/silences.rs
@@ -0,0 +1,208 @@
+//! Streams whose engines fall silent and come back, like paused processes.
+
+use {
+    crate::{
+        instance::wait_until,
+        streams::{Deployment, assert_all_events, deployment},
+    },
+    futures_util::future::join_all,
+    http::StatusCode,
+    platform::standin::caller::{CallerRequest, CallerResponse, send_request},
+    std::{net::SocketAddr, time::Duration},
+    tokio::{task::JoinHandle, time::sleep},
+};
+
+const ENGINES: usize = 3;
+const STREAMS: usize = 8;
+
+/// Interval between the starts of two streams, so that some are young when the silence begins.
+const START_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Time that the stand-in takes to copy a run.
+const COPY_TIME: Duration = Duration::from_millis(300);
+
+/// Events that an engine may send of a run that has gone on elsewhere: those of 400 ms.
+const MAX_OVERLAPPING_EVENTS: u32 = 26;
+
+/// A silence of engines at the same time.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    engines: usize,
+    has_backups: bool,
+    length: Duration,
+}
+
+impl Silence {
+    const fn new(engines: usize, length_ms: u64) -> Self {
+        Self {
+            engines,
+            has_backups: true,
+            length: Duration::from_millis(length_ms),
+        }
+    }
+
+    const fn without_backups(self) -> Self {
+        Self {
+            has_backups: false,
+            ..self
+        }
+    }
+}
+
+fn start_stream(address: SocketAddr, id: String) -> JoinHandle<Option<CallerResponse>> {
+    tokio::spawn(async move { send_request(address, &CallerRequest::new(&id, "/draft/7")).await })
+}
+
+/// Starts streams and waits until an engine has begun each of them.
+async fn start_streams(deployment: &Deployment) -> Vec<JoinHandle<Option<CallerResponse>>> {
+    let mut streams = Vec::new();
+    for number in 0..STREAMS {
+        let address = deployment.instance.caller_address;
+        streams.push(start_stream(address, format!("r{number}")));
+        sleep(START_INTERVAL).await;
+    }
+    wait_until("all streams have begun", || async {
+        let engines = deployment.engines.iter();
+        engines
+            .map(|engine| engine.executed_calls().len())
+            .sum::<usize>()
+            == STREAMS
+    })
+    .await;
+    sleep(START_INTERVAL).await;
+    streams
+}
+
+/// Lets engines fall silent under streams, and asserts that each stream ends complete.
+async fn assert_streams_survive(silence: Silence) {
+    let deployment = deployment(ENGINES).await;
+    deployment.shared_runs.set_copy_time(COPY_TIME);
+    let streams = start_streams(&deployment).await;
+    if !silence.has_backups {
+        deployment.shared_runs.drop_copies();
+    }
+    let silent = &deployment.engines[..silence.engines];
+    silent.iter().for_each(platform::standin::Engine::freeze);
+    sleep(silence.length).await;
+    silent.iter().for_each(platform::standin::Engine::thaw);
+    let responses = join_all(streams).await;
+    let responses = responses.into_iter().map(|response| {
+        let response = response.expect("the task does not panic");
+        response.expect("the instance responds")
+    });
+    let responses = responses.collect::<Vec<_>>();
+    let cut = responses
+        .iter()
+        .filter(|response| !response.complete || response.status != StatusCode::OK);
+    let lost = deployment.instance.log_lines_containing("\"lost\"");
+    let stopped = deployment
+        .engines
+        .iter()
+        .map(platform::standin::Engine::stopped_runs);
+    let stopped = stopped.collect::<Vec<_>>();
+    assert_eq!(
+        cut.count(),
+        0,
+        "{silence:?}: {lost:#?}, stopped: {stopped:?}"
+    );
+    for response in &responses {
+        assert_all_events(&response.body);
+    }
+    let overlapping = deployment.shared_runs.max_overlapping_events();
+    assert!(
+        overlapping <= MAX_OVERLAPPING_EVENTS,
+        "{silence:?}: {overlapping}"
+    );
+    let response = start_stream(deployment.instance.caller_address, "equal".to_string()).await;
+    let response = response.expect("the task does not panic");
+    let status = response.map(|response| response.status);
+    assert_eq!(
+        status,
+        Some(StatusCode::OK),
+        "{silence:?}: an equal request"
+    );
+}
+
+async fn assert_streams_survive_each(silences: Vec<Silence>) {
+    join_all(silences.into_iter().map(assert_streams_survive)).await;
+}
+
+/// Engines come back while they are being asked to stop silent runs, and obey. The streams must not end because
+/// the answer comes late, behind the copies of other runs.
+#[tokio::test]
+async fn streams_survive_late_answers_to_stops() {
+    let silences = [Silence::new(2, 1200), Silence::new(3, 1200)];
+    let without_backups = silences.map(Silence::without_backups);
+    assert_streams_survive_each([silences, without_backups].concat()).await;
+}
+
+/// All engines are silent for so long that the engine with the copy of a run is asked to take it over and does not
+/// answer. The streams must not end while their own engines may come back.
+#[tokio::test]
+async fn streams_survive_silent_engines_with_their_copies() {
+    assert_streams_survive_each(vec![Silence::new(3, 4600)]).await;
+}
+
+/// Engines are silent for less time than it takes to ask them to stop, or for longer.
+#[tokio::test]
+async fn streams_survive_silences_of_any_length() {
+    let silences = [700, 1000, 1500, 1900, 2500].map(|length_ms| Silence::new(2, length_ms));
+    let of_all = silences.map(|silence| Silence {
+        engines: ENGINES,
+        ..silence
+    });
+    assert_streams_survive_each([silences, of_all].concat()).await;
+}
+
+/// The same without copies of the runs at other engines.
+#[tokio::test]
+async fn streams_without_backups_survive_silences_of_any_length() {
+    let silences = [700, 1000, 1500, 1900, 2500];
+    let silences = silences.map(|length_ms| Silence::new(2, length_ms).without_backups());
+    let of_all = silences.map(|silence| Silence {
+        engines: ENGINES,
+        ..silence
+    });
+    assert_streams_survive_each([silences, of_all].concat()).await;
+}
+
+/// An engine that answers calls refuses to stop a run that makes no progress, and goes on with it later. The run must
+/// not be taken over meanwhile, or two engines work on one stream.
+#[tokio::test]
+async fn run_stays_where_its_stop_is_refused() {
+    let deployment = deployment(ENGINES).await;
+    let stream = start_stream(deployment.instance.caller_address, "r1".to_string());
+    let index = deployment.wait_for_run().await;
+    let engine = &deployment.engines[index];
+    engine.refuse_moves();
+    engine.set_stalled(true);
+    let refused = || {
+        let stops = deployment
+            .instance
+            .log_lines_containing("stop requested from engine");
+        stops.iter().any(|line| line.contains("Refused"))
+    };
+    wait_until("the stop is refused", || async { refused() }).await;
+    sleep(Duration::from_millis(200)).await;
+    engine.set_stalled(false);
+    let response = stream.await.expect("the task does not panic");
+    let response = response.expect("the instance responds");
+    assert!(response.complete);
+    assert_all_events(&response.body);
+    assert_eq!(deployment.shared_runs.max_engines_per_run(), 1);
+}
+
+/// A run makes no progress at an engine that answers calls. It must go on at another engine.
+#[tokio::test]
+async fn run_without_progress_goes_on_elsewhere() {
+    let deployment = deployment(ENGINES).await;
+    deployment.shared_runs.set_copy_time(COPY_TIME);
+    let stream = start_stream(deployment.instance.caller_address, "r1".to_string());
+    let index = deployment.wait_for_run().await;
+    deployment.engines[index].set_stalled(true);
+    let response = stream.await.expect("the task does not panic");
+    let response = response.expect("the instance responds");
+    assert!(response.complete);
+    assert_all_events(&response.body);
+    assert_eq!(deployment.engines[index].stopped_runs(), ["r1"]);
+}
--- a/crates/carawayhead/tests/forwarding/streams.rs
+++ b/crates/carawayhead/tests/forwarding/streams.rs
@@ -16,14 +16,14 @@
 /// Pause after which callers abandon a stream, in milliseconds.
 const CALLER_PATIENCE_MS: u64 = 2000;
 
-struct Deployment {
-    engines: Vec<Engine>,
-    instance: Instance,
+pub struct Deployment {
+    pub engines: Vec<Engine>,
+    pub instance: Instance,
     store: Store,
-    shared_runs: Arc<SharedRuns>,
+    pub shared_runs: Arc<SharedRuns>,
 }
 
-async fn deployment(engines: usize) -> Deployment {
+pub async fn deployment(engines: usize) -> Deployment {
     deployment_with(engines, EVENTS_PER_STREAM, Duration::from_millis(15)).await
 }
 
@@ -69,7 +69,7 @@
     }
 
     /// Waits until an engine has a run, and returns its index.
-    async fn wait_for_run(&self) -> usize {
+    pub async fn wait_for_run(&self) -> usize {
         wait_until("an engine has the run", || async {
             self.engines
                 .iter()
@@ -87,7 +87,7 @@
 }
 
 /// Asserts that `body` has every event exactly once and in order.
-fn assert_all_events(body: &str) {
+pub fn assert_all_events(body: &str) {
     let events =
         (1..=EVENTS_PER_STREAM).map(|number| format!("id: {number}\ndata: token {number}\n\n"));
     assert_eq!(body, events.collect::<String>());
