Do not take over a run whose stop its engine has refused

Two engines worked on one stream. An engine that refuses a stop, as its target has no room or is paused itself, answers 503 without a handle; this was taken for a run that has ended, and the engine with the copy was asked to take it over.

--- a/crates/proxy/src/relocate.rs
+++ b/crates/proxy/src/relocate.rs
@@ -43,7 +43,8 @@
 /// Result of stopping a silent run.
 #[derive(Clone, Debug)]
 pub enum StopOutcome {
-    /// A move of the run is in progress, or no other engine has room for it.
+    /// A move of the run is in progress, no other engine has room for it, or the engine has refused. The run goes on
+    /// there.
     Busy,
     /// The engine does not have the run.
     NoRun,
@@ -108,7 +109,7 @@
     let result = call(shared, &ends, id, true, STOP_TIMEOUT).await;
     log_stop(shared, &ends, id, clock::now().since(asked_at), &result);
     match result {
-        Ok(MoveResult::Busy) => StopOutcome::Busy,
+        Ok(MoveResult::Busy | MoveResult::Refused(None)) => StopOutcome::Busy,
         Ok(MoveResult::Copied { handle, .. }) => StopOutcome::Stopped(RunCopy {
             address: ends.source,
             handle,
@@ -123,7 +124,7 @@
             handle,
             key: ends.source_key,
         }),
-        Ok(MoveResult::NoRun | MoveResult::Refused(None)) => StopOutcome::NoRun,
+        Ok(MoveResult::NoRun) => StopOutcome::NoRun,
         Err(_) => StopOutcome::Unreachable,
     }
 }
