Keep a stream whose engine is silent while the engine with its copy does not answer either

Streams ended though their engines lived on: after 2.5 s without an answer of the engine with the copy, which was silent as well, the answer was ended, while nobody had read from the run's own engine or asked it again. Its connection is still open, so the stream is lost only once that breaks.

--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -124,8 +124,8 @@
 
     /// The engine cannot be reached, or no longer has the run. It may still be running it
     /// behind a network partition, or have finished with its last events in transit. So the
-    /// stream is lost only once another engine may have taken it over or its connection
-    /// breaks.
+    /// stream is lost only once its connection breaks. An engine that has not answered drops the
+    /// run once its own connection is closed.
     async fn take_over_or_wait(&mut self, why: &str) -> Result<(), Ending> {
         let refusal = match self.backup_copy() {
             None => "no copy".to_string(),
@@ -134,10 +134,7 @@
                     self.switch_over(opened);
                     return Ok(());
                 }
-                Err(takeover::Failure::NotRun(why)) => why,
-                Err(takeover::Failure::Unknown(error)) => {
-                    return self.restart(why, format!("{why}; copy {error}")).await;
-                }
+                Err(takeover::Failure::NotRun(why) | takeover::Failure::Unknown(why)) => why,
             },
         };
         if self.may_run_again() {
