Ask silent engines whether they live on before their runs are stopped, and read on meanwhile

Callers saw streams cut after pauses of their engines of 1.0 to 1.8 s. After 0.6 s without an event the engine was asked to stop the run. A paused engine read that when it came back, stopped the run, closed its stream without an end, and answered once the copy was complete, behind other copies. The instance had waited for 1.2 s without reading the stream, taken the lack of an answer for an engine that cannot be reached, and thrown the handle away; what it then read was the end of the connection. Evidence: in the process tests each cut stream is among the runs that its engine has stopped. The end of such a connection was also counted as a crash of its engine: equal requests were refused ("copy crashes_endpoints").

The class: a call that changes something, whose outcome is unknown after its time limit, is treated as if it had not happened; and a silence, which proves nothing, triggers what cannot be undone.

Now a silent engine is first asked for its report, once for all its runs. One that answers is asked to stop a run that makes no progress; the call is never given up while the stream is wanted, the stream is read meanwhile, and a connection that ends then waits for the handle. The silence of all engines leads to nothing.

--- a/crates/forward/src/endpoint.rs
+++ b/crates/forward/src/endpoint.rs
@@ -1,6 +1,8 @@
 //! State of one endpoint, as seen by this instance.
 
-use crate::{brittleness::Exposure, load::digest, prelude::*, rate_limit::RateLimiter};
+use crate::{
+    brittleness::Exposure, load::digest, prelude::*, rate_limit::RateLimiter, silence::Liveness,
+};
 
 /// Backoff after the first failed connection; it doubles with each failure.
 ///
@@ -111,6 +113,8 @@
     pub in_flight: u32,
     /// Its entry, as last read.
     pub listing: Listing,
+    /// When it was heard, and asked whether it lives on.
+    pub liveness: Liveness,
     /// Limits the requests per second that this instance sends there.
     pub rate_limiter: RateLimiter,
     /// When this instance learned that it is leaving.
@@ -136,6 +140,7 @@
             in_flight: 0,
             leaving_since: listing.leaving.then_some(now),
             listing,
+            liveness: Liveness::default(),
             rate_limiter: RateLimiter::default(),
             unverified_since: None,
         }
@@ -150,6 +155,7 @@
             self.avoid_until = Time::default();
             self.failures = 0;
             self.failure_rate = 0.0;
+            self.liveness = Liveness::default();
         }
         self.cold_until = now.after(listing.cold);
         self.grace_until = None;
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod run;
 pub mod sequence;
 pub mod settings;
+pub mod silence;
 pub mod state;
 pub mod tunnel;
 
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -160,6 +160,7 @@
         Ok(Err(error)) if error.is_break_of_endpoint() => SendOutcome::Broken(error.to_string()),
         Ok(Err(error)) => SendOutcome::Unknown(error.to_string()),
         Ok(Ok(reply)) => {
+            shared.record_heard(key);
             let flags = head::response_flags(reply.status(), reply.headers(), id);
             if !flags.matches {
                 // A late response to an earlier request. The right one may follow, but the
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -18,6 +18,9 @@
 /// How long to wait for a response, which does not depend on room at the engine.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How long to wait for the answer of an engine that may be paused.
+const LIVENESS_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Size limit of a response, which lists the engine's runs.
 const MAX_ANSWER_BYTES: usize = 1 << 18;
 
@@ -40,6 +43,32 @@
     }
 }
 
+/// Checks whether the engine of a silent run lives on.
+pub async fn check_liveness(shared: Rc<Shared>, key: EndpointKey) {
+    let Some((_, request)) = check_request(&shared, key) else {
+        return;
+    };
+    let asked = async {
+        let reply = path::send(&shared, key, request, Reuse::Never).await?;
+        reply.read_body(MAX_ANSWER_BYTES).await
+    };
+    let answered = timeout(LIVENESS_TIMEOUT, asked).await;
+    if let Some(endpoint) = shared.state.borrow_mut().endpoint_mut(key) {
+        endpoint.liveness.end_check();
+    }
+    match answered {
+        Ok(Ok(_)) => shared.record_heard(key),
+        Ok(Err(error)) => log_unanswered(&shared, key, &error.to_string()),
+        Err(_) => log_unanswered(&shared, key, "no response within the time limit"),
+    }
+}
+
+fn log_unanswered(shared: &Shared, key: EndpointKey, why: &str) {
+    if let Some((_, endpoint)) = shared.endpoint_address(key) {
+        log::info!(endpoint, why; "silent engine does not answer");
+    }
+}
+
 async fn probe_engine(shared: Rc<Shared>, key: EndpointKey) {
     let Some((address, endpoint)) = shared.endpoint_address(key) else {
         return;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -1,8 +1,10 @@
 //! Event streams from the first event to the end, across moves and lost engines.
 
+mod attempt;
 mod failover;
 
 use {
+    self::attempt::{Attempt, Settled},
     crate::{
         clock,
         exchange::Original,
@@ -11,7 +13,7 @@
         progress::Progress,
         reply::BodyPart,
         shared::RunGuard,
-        takeover::{EventSource, TakeoverContext, TakeoverOutcome},
+        takeover::{EventSource, TakeoverContext},
     },
     endpoint::sse,
     forward::{
@@ -19,16 +21,11 @@
         request::Ticket,
         rollout::tally::{Outcome, Timing},
         sequence::Sequence,
+        silence::CHECK_AFTER,
     },
-    std::pin::Pin,
     tokio::sync::mpsc,
 };
 
-/// Silence after which the engine is asked to stop the run. A preempted run may pause for a long time, and a
-/// sound engine may be silent for a second and go on, so that the run is taken over only once the engine
-/// has been asked: it would work beside its successor.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
-
 /// Longest allowed gap between events where the route sets none.
 const DEFAULT_MAX_GAP: Duration = Duration::from_millis(180);
 
@@ -38,12 +35,11 @@
 /// Number of events after which an answer counts in the judgement of its engine's version.
 const OBSERVED_EVENTS: u32 = 12;
 
-/// A move in progress.
-type PendingMove = Pin<Box<dyn Future<Output = TakeoverOutcome>>>;
-
 /// Relays the events of one stream to its caller.
 #[derive(Debug)]
 pub struct Relay {
+    /// How the connection to the current engine ended, if it has.
+    broken: Option<Break>,
     /// Number of events before the current engine's.
     earlier_events: u32,
     guard: Option<RequestGuard>,
@@ -55,13 +51,17 @@
     longest_pause: Duration,
     next_move: Time,
     original: Rc<Original>,
-    /// Since when the engine has been silent; reset after each attempt to resume elsewhere.
+    /// Since when the engine has been silent; reset after each attempt to stop the run.
     quiet_since: Time,
+    /// When the silence is looked at next.
+    next_look: Time,
     out: mpsc::Sender<BodyPart>,
     progress: Progress,
     running: RunGuard,
     sequence: Sequence,
     shared: Rc<Shared>,
+    /// When the silence was last logged; `None` until it is.
+    silence_logged_at: Option<Time>,
     source: EventSource,
     /// When the current engine was last asked to stop the run.
     stop_asked_at: Option<Time>,
@@ -69,6 +69,8 @@
     ticket: Ticket,
     /// Whether the answer is to count in the judgement of its engine's version.
     unjudged: bool,
+    /// Whether it has been logged that only its own engine can continue the run.
+    waits_for_engine: bool,
 }
 
 /// Initial state of a [`Relay`].
@@ -96,14 +98,26 @@
     Events(Vec<Bytes>),
     Ended,
     Expired,
-    Lost(String),
-    Moved(TakeoverOutcome),
-    /// No event for [`SILENCE_TIMEOUT`].
+    Lost(Break),
+    /// An attempt to continue elsewhere has not ended in time after the connection broke.
+    Overdue,
+    Settled(Settled),
+    /// No event for a while.
     Silent,
     /// Equal requests have crashed too many engines.
     Stopped,
 }
 
+/// The end of the connection to an engine before that of the stream.
+#[derive(Clone, Debug)]
+struct Break {
+    /// Whether the engine may have crashed.
+    is_crash: bool,
+    /// Until when an attempt that was in progress is awaited.
+    until: Time,
+    why: String,
+}
+
 /// How a stream ended.
 enum Ending {
     CallerLeft,
@@ -131,6 +145,7 @@
         let inbound = &start.original.inbound;
         let resume_after = start.ticket.resume_after(inbound);
         Self {
+            broken: None,
             earlier_events: 0,
             guard: start.guard,
             first_event_delay: now.since(inbound.arrived),
@@ -142,15 +157,18 @@
             out: start.out,
             progress: start.progress,
             quiet_since: now,
+            next_look: now.after(CHECK_AFTER),
             running: start.running,
             sequence: Sequence::after(resume_after),
             shared: Rc::clone(shared),
+            silence_logged_at: None,
             source: start.source,
             stop_asked_at: None,
             takeovers: 0,
             original: start.original,
             ticket: start.ticket,
             unjudged: true,
+            waits_for_engine: false,
         }
     }
 
@@ -190,11 +208,10 @@
         if ended {
             return Ending::Complete;
         }
-        let mut pending_move = None::<PendingMove>;
+        let mut attempt = None::<Attempt>;
         loop {
-            self.start_move(&mut pending_move);
-            let step = self.step(&mut pending_move).await;
-            let result = match step {
+            self.start_move(&mut attempt);
+            let result = match self.step(&mut attempt).await {
                 Step::CallerLeft => return Ending::CallerLeft,
                 Step::Ended => return Ending::Complete,
                 Step::Expired => return Ending::Expired,
@@ -202,20 +219,17 @@
                     let why = Refusal::CrashesEndpoints.label().to_string();
                     return Ending::Lost(why);
                 }
-                Step::Events(blocks) => self.pass_on(blocks).await,
-                Step::Lost(why) => self.lost(pending_move.take(), &why).await,
-                Step::Moved(moved) => {
-                    pending_move = None;
-                    self.moved(moved).await
+                Step::Events(blocks) => {
+                    self.cancel_takeover(&mut attempt);
+                    self.pass_on(blocks).await
                 }
-                Step::Silent => {
-                    self.quiet_since = clock::now();
-                    if pending_move.is_some() {
-                        Ok(())
-                    } else {
-                        self.silent().await
-                    }
+                Step::Lost(broken) => self.lost(&mut attempt, broken).await,
+                Step::Overdue => self.overdue(&mut attempt).await,
+                Step::Settled(settled) => {
+                    attempt = None;
+                    self.settle(&mut attempt, settled).await
                 }
+                Step::Silent => self.silent(&mut attempt).await,
             };
             if let Err(ending) = result {
                 return ending;
@@ -224,9 +238,10 @@
     }
 
     /// Starts to move the run if its engine is leaving.
-    fn start_move(&mut self, pending_move: &mut Option<PendingMove>) {
+    fn start_move(&mut self, attempt: &mut Option<Attempt>) {
         let now = clock::now();
-        if pending_move.is_some() || now < self.next_move || !self.is_leaving() {
+        let is_due = attempt.is_none() && self.broken.is_none() && now >= self.next_move;
+        if !is_due || !self.is_leaving() {
             return;
         }
         if self.backup_copy().is_none() && self.ends_soon() {
@@ -234,8 +249,9 @@
             return;
         }
         log::info!(id = self.original.inbound.id, events = self.sequence.count(); "move begins");
-        *pending_move = Some(Box::pin(
-            self.takeover_context().move_run(self.backup_copy()),
+        *attempt = Some(Attempt::to_move(
+            self.takeover_context(),
+            self.backup_copy(),
         ));
     }
 
@@ -259,49 +275,56 @@
         state.must_move(clock::now(), self.running.key)
     }
 
-    async fn step(&mut self, pending_move: &mut Option<PendingMove>) -> Step {
+    async fn step(&mut self, attempt: &mut Option<Attempt>) -> Step {
         let now = clock::now();
         let remaining = self.ticket.expires.since(now);
         if remaining.is_zero() {
             return Step::Expired;
         }
-        let until = self.quiet_since.after(SILENCE_TIMEOUT);
+        let (until, due) = match &self.broken {
+            Some(broken) => (broken.until, Step::Overdue),
+            None => (self.next_look, Step::Silent),
+        };
         let wait = remaining.min(until.since(now));
         let events = self.events_here();
+        let is_open = self.broken.is_none();
         tokio::select! {
             biased;
             () = self.out.closed() => Step::CallerLeft,
-            chunk = self.source.answer.chunk() => self.events(chunk),
-            moved = ended(pending_move) => Step::Moved(moved),
+            chunk = self.source.answer.chunk(), if is_open => self.events(chunk),
+            settled = attempt::settled(attempt) => Step::Settled(settled),
             () = self.shared.stopped(&self.original, events) => Step::Stopped,
-            () = sleep(wait) => if wait == remaining { Step::Expired } else { Step::Silent },
+            () = sleep(wait) => if wait == remaining { Step::Expired } else { due },
         }
     }
 
     fn events(&mut self, chunk: Result<Option<Bytes>, endpoint::Error>) -> Step {
+        let lost = |is_crash, why: String| {
+            Step::Lost(Break {
+                is_crash,
+                until: self.ticket.expires,
+                why,
+            })
+        };
         match chunk {
-            Err(error) => {
-                if error.is_break_of_endpoint() {
-                    self.record_break();
-                }
-                Step::Lost(error.to_string())
-            }
+            Err(error) => lost(error.is_break_of_endpoint(), error.to_string()),
             Ok(None) if self.source.splitter.has_partial_event() => {
-                self.record_break();
-                Step::Lost("connection closed inside an event".to_string())
+                lost(true, "connection closed inside an event".to_string())
             }
             Ok(None) if self.events_here() == 0 && !self.source.answer.is_delimited() => {
-                self.record_break();
-                Step::Lost("connection closed before the first event".to_string())
+                lost(true, "connection closed before the first event".to_string())
             }
             Ok(None) => {
                 self.judge_answer();
                 Step::Ended
             }
-            Ok(Some(chunk)) => match self.source.splitter.feed(chunk) {
-                Ok(blocks) => Step::Events(blocks),
-                Err(error) => Step::Lost(error.to_string()),
-            },
+            Ok(Some(chunk)) => {
+                self.shared.record_heard(self.source.key);
+                match self.source.splitter.feed(chunk) {
+                    Ok(blocks) => Step::Events(blocks),
+                    Err(error) => lost(false, error.to_string()),
+                }
+            }
         }
     }
 
@@ -310,7 +333,10 @@
         self.sequence.count().saturating_sub(self.earlier_events)
     }
 
-    fn record_break(&mut self) {
+    fn record_crash(&mut self, broken: &Break) {
+        if !broken.is_crash {
+            return;
+        }
         let EventSource { key, sent_at, .. } = &self.source;
         let events = self.events_here();
         if let Some(stop_asked_at) = self.stop_asked_at {
@@ -340,6 +366,13 @@
         self.shared.observe(self.source.key, route, outcome);
     }
 
+    fn end_silence(&mut self, now: Time) {
+        self.quiet_since = now;
+        self.next_look = now.after(CHECK_AFTER);
+        self.silence_logged_at = None;
+        self.waits_for_engine = false;
+    }
+
     async fn pass_on(&mut self, blocks: Vec<Bytes>) -> Result<(), Ending> {
         for block in blocks {
             if !self.sequence.accept(sse::event_id(&block)) {
@@ -360,7 +393,7 @@
         if now.since(began_at) >= PROOF_DELAY {
             self.shared.record_proof(&self.original);
         }
-        self.quiet_since = now;
+        self.end_silence(now);
         self.longest_pause = self.longest_pause.max(now.since(self.last_event_at));
         self.last_event_at = now;
         if let Some(run) = self.shared.state.borrow_mut().run_mut(self.running.key) {
@@ -372,11 +405,3 @@
         Ok(())
     }
 }
-
-/// Waits for the pending move; never returns if there is none.
-async fn ended(pending_move: &mut Option<PendingMove>) -> TakeoverOutcome {
-    match pending_move {
-        Some(pending_move) => pending_move.await,
-        None => std::future::pending().await,
-    }
-}
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -1,15 +1,22 @@
 //! Resuming a stream at another engine when its own is leaving, silent or lost.
 
 use {
-    super::{Ending, PendingMove, Relay},
+    super::{
+        Break, Ending, Relay,
+        attempt::{Attempt, Kind, Settled},
+    },
     crate::{
         buffered::acquire_endpoint,
         clock,
         prelude::*,
-        relocate::{self, RunCopy},
-        takeover::{self, Opened, TakeoverOutcome},
+        relocate::{self, Abandoned, RunCopy, StopOutcome},
+        takeover::{self, Opened, TAKEOVER_TIMEOUT, TakeoverOutcome},
+    },
+    forward::{
+        choice::Need,
+        silence::{CHECK_AFTER, Silence, Step},
     },
-    forward::choice::Need,
+    tokio::task::spawn_local,
 };
 
 /// Maximum number of takeovers for one stream. An engine usually runs for ten seconds at least, and a
@@ -24,11 +31,11 @@
 /// repeated prefill takes half a second.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// Attempts to stop a run that another engine may have taken over, while a move of the run is
-/// in progress. With [`STOP_RETRY_DELAY`] they take less time than two engines may run it
-/// concurrently.
-const MAX_STOP_TRIES: u32 = 3;
-const STOP_RETRY_DELAY: Duration = Duration::from_millis(40);
+/// How long the copy of a run that has stopped is awaited where there is a backup copy as well.
+const STOPPED_TIMEOUT: Duration = Duration::from_millis(1200);
+
+/// Interval between two log lines of one silence.
+const SILENCE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Delay before a move is retried.
 const MOVE_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -37,32 +44,100 @@
     /// Handles the end of the engine's connection: it was stopped for a move, or failed.
     pub(super) async fn lost(
         &mut self,
-        pending_move: Option<PendingMove>,
-        why: &str,
+        attempt: &mut Option<Attempt>,
+        broken: Break,
     ) -> Result<(), Ending> {
-        if let Some(pending_move) = pending_move
-            && let Ok(TakeoverOutcome::Opened(opened)) =
-                timeout(relocate::MOVE_TIMEOUT, pending_move).await
+        let Some(kind) = attempt.as_ref().map(|attempt| attempt.kind) else {
+            self.record_crash(&broken);
+            return self.take_over_or_restart(attempt, broken).await;
+        };
+        let now = clock::now();
+        let until = match kind {
+            Kind::Move => now.after(relocate::MOVE_TIMEOUT),
+            Kind::Stop if self.backup_copy().is_some() => now.after(STOPPED_TIMEOUT),
+            Kind::Stop | Kind::TakeOver | Kind::Continue => self.ticket.expires,
+        };
+        // Whether the engine has crashed or has stopped the run as it was asked to is shown by its answer.
+        if kind != Kind::Stop {
+            self.record_crash(&broken);
+        }
+        self.broken = Some(Break { until, ..broken });
+        Ok(())
+    }
+
+    /// An attempt that was in progress when the connection broke has taken too long.
+    pub(super) async fn overdue(&mut self, attempt: &mut Option<Attempt>) -> Result<(), Ending> {
+        if let Some(attempt) = attempt.take() {
+            log::info!(id = self.original.inbound.id, attempt:?; "attempt abandoned");
+            attempt.detach();
+        }
+        self.fail_over(attempt, "attempt abandoned").await
+    }
+
+    /// Drops an attempt to take over from an engine that is back. The engine that was asked drops the run once its
+    /// connection is closed.
+    pub(super) fn cancel_takeover(&self, attempt: &mut Option<Attempt>) {
+        if let Some(Attempt {
+            kind: Kind::TakeOver,
+            ..
+        }) = attempt
         {
-            self.switch_over(*opened);
-            return Ok(());
+            log::info!(id = self.original.inbound.id; "takeover cancelled, its engine is back");
+            *attempt = None;
+        }
+    }
+
+    /// Handles the end of an attempt.
+    pub(super) async fn settle(
+        &mut self,
+        attempt: &mut Option<Attempt>,
+        settled: Settled,
+    ) -> Result<(), Ending> {
+        match settled {
+            Settled::Moved(outcome) => self.moved(attempt, outcome).await,
+            Settled::Stopped(outcome) => self.stopped(attempt, outcome).await,
+            Settled::TakenOver(Ok(opened)) => {
+                self.switch_over(*opened);
+                Ok(())
+            }
+            Settled::TakenOver(Err(failure)) => {
+                if let Some(broken) = self.broken.take() {
+                    let lost = format!("{}; copy {failure}", broken.why);
+                    return self.restart(&broken.why, lost).await;
+                }
+                self.wait_for_engine(&failure.to_string());
+                Ok(())
+            }
         }
-        self.take_over_or_restart(why).await
     }
 
-    pub(super) async fn moved(&mut self, outcome: TakeoverOutcome) -> Result<(), Ending> {
+    async fn moved(
+        &mut self,
+        attempt: &mut Option<Attempt>,
+        outcome: TakeoverOutcome,
+    ) -> Result<(), Ending> {
         match outcome {
-            TakeoverOutcome::Opened(opened) => self.switch_over(*opened),
+            TakeoverOutcome::Opened(opened) => {
+                self.switch_over(*opened);
+                Ok(())
+            }
             TakeoverOutcome::Unknown(key) => {
                 self.shared.mark_unreachable(key);
-                return self.stop_duplicate(key).await;
+                if self.broken.is_some() {
+                    return self.fail_over(attempt, "move").await;
+                }
+                self.stop_duplicate(attempt, key);
+                Ok(())
+            }
+            TakeoverOutcome::Deferred(why) if self.broken.is_some() => {
+                self.fail_over(attempt, &why).await
             }
             TakeoverOutcome::Deferred(why) => {
                 log::info!(id = self.original.inbound.id, why; "move put off");
                 self.next_move = clock::now().after(MOVE_RETRY_DELAY);
+                Ok(())
             }
         }
-        Ok(())
     }
 
     /// Relays the events that a stopped run had already sent.
@@ -78,79 +153,200 @@
         Ok(())
     }
 
-    /// Handles a long silence: the engine may have failed without a reset, or the run may be
-    /// preempted.
-    pub(super) async fn silent(&mut self) -> Result<(), Ending> {
-        let id = self.original.inbound.id.clone();
-        log::info!(id, events = self.sequence.count(); "stream is silent");
-        self.stop_asked_at = Some(clock::now());
-        match relocate::stop(&self.shared, self.running.key, &id, None).await {
-            relocate::StopOutcome::Busy => Ok(()),
-            stopped => self.stopped(stopped, "silent").await,
+    /// Handles a silence: the engine may have failed without a reset, may be paused, or may have preempted the run.
+    pub(super) async fn silent(&mut self, attempt: &mut Option<Attempt>) -> Result<(), Ending> {
+        let now = clock::now();
+        let kind = attempt.as_ref().map(|attempt| attempt.kind);
+        if !matches!(kind, None | Some(Kind::Stop)) {
+            self.next_look = now.after(CHECK_AFTER);
+            return Ok(());
         }
+        let silence = Silence {
+            is_resumable: self.may_run_again(),
+            is_stopping: kind.is_some(),
+            run: self.running.key,
+            since: self.quiet_since,
+        };
+        let step = self
+            .shared
+            .state
+            .borrow_mut()
+            .next_silence_step(now, silence);
+        self.log_silence(now);
+        match step {
+            Step::Wait(until) => self.next_look = until,
+            Step::WaitForEngine(until) => {
+                self.next_look = until;
+                if !std::mem::replace(&mut self.waits_for_engine, true) {
+                    let why = "no other engine that answers has a copy";
+                    log::info!(id = self.original.inbound.id, why; "waits for its engine");
+                }
+            }
+            Step::Check(key) => self.shared.check_liveness(key),
+            Step::Stop => self.stop(attempt),
+            Step::TakeOver(_) => self.take_over_from_silent(attempt),
+            Step::Resume => {
+                self.shared.mark_unreachable(self.source.key);
+                return self.resume_from_silent().await;
+            }
+        }
+        Ok(())
+    }
+
+    fn log_silence(&mut self, now: Time) {
+        let logged_at = self.silence_logged_at;
+        if logged_at.is_some_and(|at| now.since(at) < SILENCE_LOG_INTERVAL) {
+            return;
+        }
+        self.silence_logged_at = Some(now);
+        let ms = now.since(self.last_event_at).as_millis();
+        let events = self.sequence.count();
+        log::info!(id = self.original.inbound.id, events, ms; "stream is silent");
+    }
+
+    fn stop(&mut self, attempt: &mut Option<Attempt>) {
+        self.stop_asked_at = Some(clock::now());
+        *attempt = Some(Attempt::to_stop(self.takeover_context(), None));
     }
 
     /// Another engine that does not respond may have taken the run over, so that two engines
     /// would run a stream that must not be repeated. Stops the run where it can be reached,
     /// and resumes from there.
-    async fn stop_duplicate(&mut self, other: EndpointKey) -> Result<(), Ending> {
-        let id = self.original.inbound.id.clone();
-        log::info!(id, events = self.sequence.count(); "two engines may be running the stream");
-        for _ in 0..MAX_STOP_TRIES {
-            match relocate::stop(&self.shared, self.running.key, &id, Some(other)).await {
-                relocate::StopOutcome::Busy => sleep(STOP_RETRY_DELAY).await,
-                stopped => return self.stopped(stopped, "duplicate run").await,
-            }
+    fn stop_duplicate(&mut self, attempt: &mut Option<Attempt>, other: EndpointKey) {
+        log::info!(
+            id = self.original.inbound.id, events = self.sequence.count();
+            "two engines may be running the stream"
+        );
+        self.stop_asked_at = Some(clock::now());
+        *attempt = Some(Attempt::to_stop(self.takeover_context(), Some(other)));
+    }
+
+    /// Has the engine with the copy take over from one that does not answer.
+    fn take_over_from_silent(&mut self, attempt: &mut Option<Attempt>) {
+        let Some(copy) = self.backup_copy() else {
+            return self.wait_for_engine("no copy");
+        };
+        if self.takeovers >= MAX_TAKEOVERS {
+            return self.wait_for_engine("too many takeovers");
+        }
+        self.shared.mark_unreachable(self.source.key);
+        if let Some(stopping) = attempt.take() {
+            stopping.detach();
         }
-        let lost = "two engines may be running the stream, and none can be stopped".to_string();
-        self.restart("duplicate run", lost).await
+        *attempt = Some(Attempt::to_take_over(
+            Kind::TakeOver,
+            self.takeover_context(),
+            copy,
+            "silent",
+            TAKEOVER_TIMEOUT,
+        ));
     }
 
-    /// Resumes a run after an attempt to stop it.
-    async fn stopped(&mut self, stop: relocate::StopOutcome, why: &str) -> Result<(), Ending> {
-        match stop {
-            relocate::StopOutcome::Busy => Ok(()),
-            relocate::StopOutcome::NoRun => self.take_over_or_wait("gone").await,
-            relocate::StopOutcome::Stopped(copy) => {
+    /// Handles the answer to a request to stop the run.
+    async fn stopped(
+        &mut self,
+        attempt: &mut Option<Attempt>,
+        outcome: StopOutcome,
+    ) -> Result<(), Ending> {
+        if let StopOutcome::Stopped(copy) = outcome {
+            if self.broken.is_none() {
                 self.last_events().await?;
-                self.take_over(copy, why).await
-            }
-            relocate::StopOutcome::Unreachable => {
-                self.shared.mark_unreachable(self.source.key);
-                self.take_over_or_wait(why).await
             }
+            let why = "silent";
+            return self.continue_from(attempt, copy, why);
+        }
+        if let Some(broken) = self.broken.take() {
+            self.record_crash(&broken);
+            return self.take_over_or_restart(attempt, broken).await;
+        }
+        match outcome {
+            StopOutcome::Stopped(_) | StopOutcome::Busy => self.wait_for_engine("busy"),
+            StopOutcome::Refused => self.wait_for_engine("stop refused"),
+            StopOutcome::Unknown(why) => self.wait_for_engine(&why),
+            StopOutcome::NoRun => self.take_over_missing(attempt),
         }
+        Ok(())
     }
 
-    /// The engine cannot be reached, or no longer has the run. It may still be running it
-    /// behind a network partition, or have finished with its last events in transit. So the
-    /// stream is lost only once its connection breaks. An engine that has not answered drops the
-    /// run once its own connection is closed.
-    async fn take_over_or_wait(&mut self, why: &str) -> Result<(), Ending> {
-        let refusal = match self.backup_copy() {
-            None => "no copy".to_string(),
-            Some(copy) => match self.takeover_context().open_from_copy(&copy, why).await {
-                Ok(opened) => {
-                    self.switch_over(opened);
-                    return Ok(());
-                }
-                Err(takeover::Failure::NotRun(why) | takeover::Failure::Unknown(why)) => why,
-            },
+    /// The engine does not have the run: it has lost it, or has finished with the last events in transit.
+    fn take_over_missing(&mut self, attempt: &mut Option<Attempt>) {
+        let Some(copy) = self.backup_copy() else {
+            return self.wait_for_engine("no copy");
         };
-        if self.may_run_again() {
-            return self.restart(why, refusal).await;
-        }
-        log::info!(id = self.original.inbound.id, why = refusal; "waits for its engine");
-        Ok(())
+        *attempt = Some(Attempt::to_take_over(
+            Kind::TakeOver,
+            self.takeover_context(),
+            copy,
+            "gone",
+            TAKEOVER_TIMEOUT,
+        ));
+    }
+
+    /// The connection is still open, so that the stream is not lost.
+    fn wait_for_engine(&mut self, why: &str) {
+        log::info!(id = self.original.inbound.id, why; "waits for its engine");
+        let now = clock::now();
+        self.quiet_since = now;
+        self.next_look = now.after(CHECK_AFTER);
+    }
+
+    /// Continues elsewhere once nothing more can come from the engine.
+    async fn fail_over(&mut self, attempt: &mut Option<Attempt>, why: &str) -> Result<(), Ending> {
+        let broken = self.broken.take().unwrap_or_else(|| Break {
+            is_crash: false,
+            until: self.ticket.expires,
+            why: why.to_string(),
+        });
+        self.take_over_or_restart(attempt, broken).await
     }
 
     /// The engine is lost: takes over from the backup copy, or else restarts after the last
     /// event if the route allows it.
-    async fn take_over_or_restart(&mut self, why: &str) -> Result<(), Ending> {
-        match self.backup_copy() {
-            None => self.restart(why, format!("{why}; no copy")).await,
-            Some(copy) => self.take_over(copy, why).await,
+    async fn take_over_or_restart(
+        &mut self,
+        attempt: &mut Option<Attempt>,
+        broken: Break,
+    ) -> Result<(), Ending> {
+        let Some(copy) = self.backup_copy() else {
+            let lost = format!("{}; no copy", broken.why);
+            return self.restart(&broken.why, lost).await;
+        };
+        let why = broken.why.clone();
+        self.broken = Some(broken);
+        self.continue_from(attempt, copy, &why)
+    }
+
+    /// Continues a run that has ended at its engine from a copy.
+    fn continue_from(
+        &mut self,
+        attempt: &mut Option<Attempt>,
+        copy: RunCopy,
+        why: &str,
+    ) -> Result<(), Ending> {
+        if self.takeovers >= MAX_TAKEOVERS {
+            return Err(Ending::Lost(format!("{why}; too many takeovers")));
         }
+        let until = self.ticket.expires;
+        let broken = self.broken.take().unwrap_or_else(|| Break {
+            is_crash: false,
+            until,
+            why: why.to_string(),
+        });
+        self.broken = Some(Break { until, ..broken });
+        // Nothing else can end the stream well, unless it may run again.
+        let limit = if self.may_run_again() {
+            TAKEOVER_TIMEOUT
+        } else {
+            until.since(clock::now())
+        };
+        *attempt = Some(Attempt::to_take_over(
+            Kind::Continue,
+            self.takeover_context(),
+            copy,
+            why,
+            limit,
+        ));
+        Ok(())
     }
 
     /// Restarts after the last event if the stream is resumable; otherwise it is lost.
@@ -169,6 +365,24 @@
         Err(Ending::Lost(lost))
     }
 
+    /// Restarts a resumable stream after its last event, while its own engine may come back.
+    async fn resume_from_silent(&mut self) -> Result<(), Ending> {
+        let source = self.source.key;
+        if !self.progress.may_send(&self.shared, &self.ticket) {
+            self.wait_for_engine("no further attempt is allowed");
+            return Ok(());
+        }
+        match self.resume("silent").await {
+            Ok(Some(opened)) => {
+                self.progress.note_run(source, "silent".to_string());
+                self.switch_over(opened);
+            }
+            Ok(None) => self.wait_for_engine("not resumed"),
+            Err(why) => self.wait_for_engine(&why),
+        }
+        Ok(())
+    }
+
     /// Whether the stream may restart after its last event once this run is given up.
     fn may_run_again(&self) -> bool {
         self.ticket.may_run_again(self.progress.runs + 1)
@@ -233,24 +447,17 @@
         })
     }
 
-    /// Takes over from a copy after the previous run has stopped or failed.
-    async fn take_over(&mut self, copy: RunCopy, why: &str) -> Result<(), Ending> {
-        self.takeovers += 1;
-        if self.takeovers > MAX_TAKEOVERS {
-            return Err(Ending::Lost(format!("{why}; too many takeovers")));
-        }
-        match self.takeover_context().open_from_copy(&copy, why).await {
-            Ok(opened) => {
-                self.attach(opened);
-                Ok(())
-            }
-            Err(error) => self.restart(why, format!("{why}; copy {error}")).await,
-        }
-    }
-
     /// Continues with an engine that has taken the run over, and drops the previous run.
     fn switch_over(&mut self, opened: Opened) {
         self.takeovers += 1;
+        if self.broken.is_none() && !self.is_leaving() {
+            let abandoned = Abandoned {
+                id: self.original.inbound.id.clone(),
+                source: self.source.key,
+                target: opened.source.key,
+            };
+            spawn_local(relocate::stop_abandoned(Rc::clone(&self.shared), abandoned));
+        }
         self.attach(opened);
     }
 
@@ -263,11 +470,13 @@
         }
         drop(state);
         self.shared.load.notify_one();
+        let now = clock::now();
         self.began_at = None;
-        self.quiet_since = clock::now();
+        self.broken = None;
         self.earlier_events = self.sequence.count();
+        self.end_silence(now);
+        self.source = opened.source;
         self.stop_asked_at = None;
         self.unjudged = false;
-        self.source = opened.source;
     }
 }
--- a/crates/proxy/src/relocate.rs
+++ b/crates/proxy/src/relocate.rs
@@ -13,9 +13,16 @@
 /// copies may be queued on a link.
 pub const MOVE_TIMEOUT: Duration = Duration::from_millis(1800);
 
-/// Timeout for stopping a run and copying it. A dead engine is detected sooner, since the
-/// request uses a new connection.
-const STOP_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Attempts to stop a run that another engine may have taken over, while a move of the run is
+/// in progress. With [`STOP_RETRY_DELAY`] they take less time than two engines may run it
+/// concurrently.
+const MAX_STOP_TRIES: u32 = 3;
+const STOP_RETRY_DELAY: Duration = Duration::from_millis(40);
+
+/// How long an abandoned run is waited for, which must not hold the state of its engine forever.
+const ABANDONED_TIMEOUT: Duration = Duration::from_secs(10);
+
+const NO_RESPONSE: &str = "no response within the time limit";
 
 /// Size limit of an engine's response to a move.
 const MAX_ANSWER_BYTES: usize = 1 << 16;
@@ -40,18 +47,19 @@
     Ready(RunCopy),
 }
 
-/// Result of stopping a silent run.
+/// Result of a request to stop a run.
 #[derive(Clone, Debug)]
 pub enum StopOutcome {
-    /// A move of the run is in progress, no other engine has room for it, or the engine has refused. The run goes on
-    /// there.
+    /// A move of the run is in progress, or no other engine has room for it.
     Busy,
     /// The engine does not have the run.
     NoRun,
+    /// The engine has refused; the run goes on there.
+    Refused,
     /// The run has stopped and can be resumed there.
     Stopped(RunCopy),
-    /// The engine does not respond.
-    Unreachable,
+    /// The connection failed, for this reason; the run may have stopped.
+    Unknown(String),
 }
 
 /// Copies a run to another engine while it continues.
@@ -69,7 +77,8 @@
             run.target = Some(ends.target_key);
         }
         let started_at = clock::now();
-        let result = call(shared, &ends, id, false, MOVE_TIMEOUT).await;
+        let result = timeout(MOVE_TIMEOUT, call(shared, &ends, id, false)).await;
+        let result = result.unwrap_or_else(|_| Err(NO_RESPONSE.to_string()));
         log::info!(id, ms = clock::now().since(started_at).as_millis(), result:?; "copied");
         return match result {
             Ok(MoveResult::Copied { handle, .. }) => MoveOutcome::Ready(RunCopy {
@@ -90,14 +99,37 @@
     }
 }
 
-/// Stops a silent run and moves it to another engine with room. If there is none and
-/// `duplicate` names an engine that may also be running it, the run is stopped with that
-/// engine as its target, and resumes at its own engine.
+/// Stops a run and moves it to another engine with room. If `duplicate` names an engine that may
+/// also be running it, that engine is not chosen unless there is no other; the run then resumes at
+/// its own engine.
+///
+/// Waits for as long as the engine takes: it stops the run first, and answers once the copy is
+/// complete.
 pub async fn stop(
     shared: &Rc<Shared>,
     run: RunKey,
     id: &str,
     duplicate: Option<EndpointKey>,
+) -> StopOutcome {
+    let tries = if duplicate.is_some() {
+        MAX_STOP_TRIES
+    } else {
+        1
+    };
+    for _ in 1..tries {
+        match try_stop(shared, run, id, duplicate).await {
+            StopOutcome::Busy => sleep(STOP_RETRY_DELAY).await,
+            settled => return settled,
+        }
+    }
+    try_stop(shared, run, id, duplicate).await
+}
+
+async fn try_stop(
+    shared: &Rc<Shared>,
+    run: RunKey,
+    id: &str,
+    duplicate: Option<EndpointKey>,
 ) -> StopOutcome {
     gossip::report::refresh(shared).await;
     let moved = pick_ends(shared, run, duplicate.as_slice());
@@ -106,10 +138,10 @@
         return StopOutcome::Busy;
     };
     let asked_at = clock::now();
-    let result = call(shared, &ends, id, true, STOP_TIMEOUT).await;
+    let result = call(shared, &ends, id, true).await;
     log_stop(shared, &ends, id, clock::now().since(asked_at), &result);
     match result {
-        Ok(MoveResult::Busy | MoveResult::Refused(None)) => StopOutcome::Busy,
+        Ok(MoveResult::Busy) => StopOutcome::Busy,
         Ok(MoveResult::Copied { handle, .. }) => StopOutcome::Stopped(RunCopy {
             address: ends.source,
             handle,
@@ -119,16 +151,37 @@
                 ends.target_key
             },
         }),
+        Ok(MoveResult::NoRun) => StopOutcome::NoRun,
         Ok(MoveResult::Refused(Some(handle))) => StopOutcome::Stopped(RunCopy {
             address: ends.source,
             handle,
             key: ends.source_key,
         }),
-        Ok(MoveResult::NoRun) => StopOutcome::NoRun,
-        Err(_) => StopOutcome::Unreachable,
+        Ok(MoveResult::Refused(None)) => StopOutcome::Refused,
+        Err(why) => StopOutcome::Unknown(why),
     }
 }
 
+/// Stops what is left of a run that another engine has taken over, in case the engine before it has only been silent
+/// and does not notice that its connection is closed.
+pub async fn stop_abandoned(shared: Rc<Shared>, abandoned: Abandoned) {
+    let (source, target) = (abandoned.source, abandoned.target);
+    let ends = ends_between(&shared, source, target);
+    let Some(ends) = ends else {
+        return;
+    };
+    let asked_at = clock::now();
+    let asked = timeout(ABANDONED_TIMEOUT, call(&shared, &ends, &abandoned.id, true));
+    let result = asked.await.unwrap_or_else(|_| Err(NO_RESPONSE.to_string()));
+    log_stop(
+        &shared,
+        &ends,
+        &abandoned.id,
+        clock::now().since(asked_at),
+        &result,
+    );
+}
+
 fn log_stop(
     shared: &Shared,
     ends: &MoveEnds,
@@ -153,6 +206,17 @@
     });
 }
 
+/// A run that another engine has taken over from one that does not answer.
+#[derive(Clone, Debug)]
+pub struct Abandoned {
+    /// Id of the request.
+    pub id: String,
+    /// Engine that may still have the run.
+    pub source: EndpointKey,
+    /// Engine that has taken it over.
+    pub target: EndpointKey,
+}
+
 /// Source and target of a move.
 struct MoveEnds {
     source: SocketAddr,
@@ -173,6 +237,14 @@
 /// The engine that has the run, and the given target.
 fn ends_at(shared: &Shared, run: RunKey, target_key: EndpointKey) -> Option<MoveEnds> {
     let source_key = shared.state.borrow().run(run)?.endpoint;
+    ends_between(shared, source_key, target_key)
+}
+
+fn ends_between(
+    shared: &Shared,
+    source_key: EndpointKey,
+    target_key: EndpointKey,
+) -> Option<MoveEnds> {
     Some(MoveEnds {
         source: shared.endpoint_address(source_key)?.0,
         source_key,
@@ -186,21 +258,15 @@
     ends: &MoveEnds,
     id: &str,
     stop: bool,
-    wait: Duration,
 ) -> Result<MoveResult, String> {
     let (source, target) = (ends.source, ends.target);
     let request =
         engine::move_request(source, id, target, stop).map_err(|error| error.to_string())?;
-    let asked = async {
-        let reuse = if stop { Reuse::Never } else { Reuse::Allowed };
-        let answer = path::send(shared, ends.source_key, request, reuse).await;
-        let answer = answer.map_err(|error| error.to_string())?;
-        let status = answer.status();
-        let body = answer.read_body(MAX_ANSWER_BYTES).await;
-        let body = body.map_err(|error| error.to_string())?;
-        engine::move_result(status, &body).map_err(|error| error.to_string())
-    };
-    timeout(wait, asked)
-        .await
-        .unwrap_or_else(|_| Err("no response within the time limit".to_string()))
+    let reuse = if stop { Reuse::Never } else { Reuse::Allowed };
+    let answer = path::send(shared, ends.source_key, request, reuse).await;
+    let answer = answer.map_err(|error| error.to_string())?;
+    let status = answer.status();
+    let body = answer.read_body(MAX_ANSWER_BYTES).await;
+    let body = body.map_err(|error| error.to_string())?;
+    engine::move_result(status, &body).map_err(|error| error.to_string())
 }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -8,6 +8,7 @@
         metrics::Metrics,
         peers::Peers,
         prelude::*,
+        probe,
         settings::Settings,
         topic::{self, TopicState},
     },
@@ -201,6 +202,26 @@
 }
 
 impl Shared {
+    /// Records that something was read from an endpoint.
+    pub fn record_heard(&self, key: EndpointKey) {
+        let mut state = self.state.borrow_mut();
+        let Some(silence) = state.record_heard(clock::now(), key) else {
+            return;
+        };
+        if let Some(endpoint) = state.endpoint(key) {
+            let endpoint = endpoint.listing.id.as_str();
+            log::info!(endpoint, ms = silence.as_millis(); "silent engine answers");
+        }
+    }
+
+    /// Asks the engine of a silent run, or one that may take it over, whether it lives on.
+    pub fn check_liveness(self: &Rc<Self>, key: EndpointKey) {
+        if let Some(endpoint) = self.state.borrow_mut().endpoint_mut(key) {
+            endpoint.liveness.begin_check(clock::now());
+        }
+        tokio::task::spawn_local(probe::check_liveness(Rc::clone(self), key));
+    }
+
     /// Marks an endpoint as unreachable after the connection of a running stream broke. All streams
     /// there break together, which counts as one failure.
     pub fn mark_disconnected(&self, key: EndpointKey) {
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -13,7 +13,7 @@
 };
 
 /// How long to wait for the head of the response to a takeover request.
-const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(2500);
+pub const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Timeout of a takeover while the run's current engine may still be running it. Two engines
 /// may run it concurrently for up to 400 ms.
@@ -111,7 +111,8 @@
 
     /// Asks an engine to take over while the previous engine may still be running.
     async fn open_within_overlap(&self, copy: &RunCopy, why: &str) -> TakeoverOutcome {
-        match timeout(MAX_OVERLAP, self.open_from_copy(copy, why)).await {
+        let opening = self.open_from_copy(copy, why, TAKEOVER_TIMEOUT);
+        match timeout(MAX_OVERLAP, opening).await {
             Ok(Ok(opened)) => TakeoverOutcome::Opened(Box::new(opened)),
             Ok(Err(Failure::NotRun(why))) => TakeoverOutcome::Deferred(why),
             Ok(Err(Failure::Unknown(_))) | Err(_) => TakeoverOutcome::Unknown(copy.key),
@@ -122,13 +123,18 @@
     ///
     /// # Errors
     ///
-    /// The engine refused, or did not respond.
-    pub async fn open_from_copy(&self, copy: &RunCopy, why: &str) -> Result<Opened, Failure> {
+    /// The engine refused, or did not respond within `limit`.
+    pub async fn open_from_copy(
+        &self,
+        copy: &RunCopy,
+        why: &str,
+        limit: Duration,
+    ) -> Result<Opened, Failure> {
         let source = head::KvSource {
             address: copy.address,
             handle: copy.handle.clone(),
         };
-        self.open(copy.key, Some(&source), why).await
+        self.open(copy.key, Some(&source), why, limit).await
     }
 
     /// Asks an engine to start a resumable stream after the caller's last event.
@@ -137,7 +143,7 @@
     ///
     /// The engine refused, or did not respond.
     pub async fn resume(&self, key: EndpointKey, why: &str) -> Result<Opened, Failure> {
-        self.open(key, None, why).await
+        self.open(key, None, why, TAKEOVER_TIMEOUT).await
     }
 
     async fn open(
@@ -145,6 +151,7 @@
         key: EndpointKey,
         source: Option<&head::KvSource>,
         why: &str,
+        limit: Duration,
     ) -> Result<Opened, Failure> {
         if self.shared.refuses(&self.original) {
             let refusal = Refusal::CrashesEndpoints.label();
@@ -166,8 +173,7 @@
             source,
         };
         self.shared.record_attempt(&self.ticket.service, true);
-        let sent =
-            exchange::send(&self.shared, &self.original, &destination, TAKEOVER_TIMEOUT).await;
+        let sent = exchange::send(&self.shared, &self.original, &destination, limit).await;
         let result = match sent {
             SendOutcome::Answer(answer, flags)
                 if answer.status() == StatusCode::OK && flags.sealed && !flags.not_run =>
