Continue a stopped run at its own engine if the target of its copy does not answer

A takeover that the target of a stop does not answer ended the stream after 2.5 s, though the engine that had stopped the run keeps its memory, and another one may hold a backup copy. The copies are tried one after the other now, the last one until the caller's deadline. An attempt that nobody waits for ends after ten seconds. stopped_run_goes_on_at_its_engine_when_the_target_is_silent: the run's target is silent for good.

--- a/crates/carawayhead/tests/forwarding/silences.rs
+++ b/crates/carawayhead/tests/forwarding/silences.rs
@@ -206,3 +206,24 @@
     assert_all_events(&response.body);
     assert_eq!(deployment.engines[index].stopped_runs(), ["r1"]);
 }
+
+/// The engine to which a stopped run was copied falls silent for good. The run must go on at the engine that has
+/// stopped it, which keeps its memory.
+#[tokio::test]
+async fn stopped_run_goes_on_at_its_engine_when_the_target_is_silent() {
+    let deployment = deployment(2).await;
+    let stream = start_stream(deployment.instance.caller_address, "r1".to_string());
+    let index = deployment.wait_for_run().await;
+    deployment.shared_runs.drop_copies();
+    deployment.engines[1 - index].freeze();
+    deployment.engines[index].set_stalled(true);
+    wait_until("the run is stopped", || async {
+        !deployment.engines[index].stopped_runs().is_empty()
+    })
+    .await;
+    deployment.engines[index].set_stalled(false);
+    let response = stream.await.expect("the task does not panic");
+    let response = response.expect("the instance responds");
+    assert!(response.complete);
+    assert_all_events(&response.body);
+}
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -11,6 +11,7 @@
         listen::RequestGuard,
         prelude::*,
         progress::Progress,
+        relocate::RunCopy,
         reply::BodyPart,
         shared::RunGuard,
         takeover::{EventSource, TakeoverContext},
@@ -40,6 +41,8 @@
 pub struct Relay {
     /// How the connection to the current engine ended, if it has.
     broken: Option<Break>,
+    /// Further copies from which the run may continue; the last one is used first.
+    copies: Vec<RunCopy>,
     /// Number of events before the current engine's.
     earlier_events: u32,
     guard: Option<RequestGuard>,
@@ -146,6 +149,7 @@
         let resume_after = start.ticket.resume_after(inbound);
         Self {
             broken: None,
+            copies: Vec::new(),
             earlier_events: 0,
             guard: start.guard,
             first_event_delay: now.since(inbound.arrived),
--- a/crates/proxy/src/relay/attempt.rs
+++ b/crates/proxy/src/relay/attempt.rs
@@ -9,6 +9,9 @@
     std::pin::Pin,
 };
 
+/// How long an attempt may proceed that nobody waits for; it keeps a connection open.
+const DETACHED_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// What an attempt does.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
@@ -25,7 +28,11 @@
 /// Result of an attempt.
 pub enum Settled {
     Moved(TakeoverOutcome),
-    Stopped(StopOutcome),
+    Stopped {
+        outcome: StopOutcome,
+        /// Why it was asked to stop.
+        why: &'static str,
+    },
     TakenOver(Result<Box<Opened>, Failure>),
 }
 
@@ -55,13 +62,19 @@
     /// The engine stops the run before it answers, so that a call that is given up would leave the run stopped and
     /// its copy unknown.
     pub fn to_stop(context: TakeoverContext, duplicate: Option<EndpointKey>) -> Self {
+        let why = if duplicate.is_some() {
+            "duplicate run"
+        } else {
+            "silent"
+        };
         let stopping = async move {
             let id = &context.original.inbound.id;
-            relocate::stop(&context.shared, context.run, id, duplicate).await
+            let outcome = relocate::stop(&context.shared, context.run, id, duplicate).await;
+            Settled::Stopped { outcome, why }
         };
         Self {
             kind: Kind::Stop,
-            future: Box::pin(async move { Settled::Stopped(stopping.await) }),
+            future: Box::pin(stopping),
         }
     }
 
@@ -81,9 +94,9 @@
         }
     }
 
-    /// Lets the attempt proceed without anyone to use its result.
+    /// Lets the attempt proceed for a while without anyone to use its result.
     pub fn detach(self) {
-        tokio::task::spawn_local(self.future);
+        tokio::task::spawn_local(timeout(DETACHED_TIMEOUT, self.future));
     }
 }
 
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -95,20 +95,30 @@
     ) -> Result<(), Ending> {
         match settled {
             Settled::Moved(outcome) => self.moved(attempt, outcome).await,
-            Settled::Stopped(outcome) => self.stopped(attempt, outcome).await,
+            Settled::Stopped { outcome, why } => self.stopped(attempt, outcome, why).await,
             Settled::TakenOver(Ok(opened)) => {
                 self.switch_over(*opened);
                 Ok(())
             }
-            Settled::TakenOver(Err(failure)) => {
-                if let Some(broken) = self.broken.take() {
-                    let lost = format!("{}; copy {failure}", broken.why);
-                    return self.restart(&broken.why, lost).await;
-                }
-                self.wait_for_engine(&failure.to_string());
-                Ok(())
-            }
+            Settled::TakenOver(Err(failure)) => self.not_taken_over(attempt, &failure).await,
+        }
+    }
+
+    async fn not_taken_over(
+        &mut self,
+        attempt: &mut Option<Attempt>,
+        failure: &takeover::Failure,
+    ) -> Result<(), Ending> {
+        let Some(broken) = self.broken.take() else {
+            self.wait_for_engine(&failure.to_string());
+            return Ok(());
+        };
+        if self.copies.is_empty() {
+            let lost = format!("{}; copy {failure}", broken.why);
+            return self.restart(&broken.why, lost).await;
         }
+        self.broken = Some(broken);
+        self.continue_from_next(attempt)
     }
 
     async fn moved(
@@ -247,13 +257,20 @@
         &mut self,
         attempt: &mut Option<Attempt>,
         outcome: StopOutcome,
+        why: &str,
     ) -> Result<(), Ending> {
         if let StopOutcome::Stopped(copy) = outcome {
             if self.broken.is_none() {
                 self.last_events().await?;
             }
-            let why = "silent";
-            return self.continue_from(attempt, copy, why);
+            // The engine that has stopped the run keeps its memory as well.
+            let kept = RunCopy {
+                key: self.source.key,
+                ..copy.clone()
+            };
+            let mut copies = vec![copy, kept];
+            copies.extend(self.backup_copy());
+            return self.continue_from(attempt, copies, why);
         }
         if let Some(broken) = self.broken.take() {
             self.record_crash(&broken);
@@ -313,37 +330,48 @@
         };
         let why = broken.why.clone();
         self.broken = Some(broken);
-        self.continue_from(attempt, copy, &why)
+        self.continue_from(attempt, vec![copy], &why)
     }
 
-    /// Continues a run that has ended at its engine from a copy.
+    /// Continues a run that has ended at its engine from the first of these copies that allows it.
     fn continue_from(
         &mut self,
         attempt: &mut Option<Attempt>,
-        copy: RunCopy,
+        copies: Vec<RunCopy>,
         why: &str,
     ) -> Result<(), Ending> {
-        if self.takeovers >= MAX_TAKEOVERS {
-            return Err(Ending::Lost(format!("{why}; too many takeovers")));
-        }
-        let until = self.ticket.expires;
-        let broken = self.broken.take().unwrap_or_else(|| Break {
+        self.copies = copies;
+        self.copies.reverse();
+        self.copies.dedup_by(|next, first| next.key == first.key);
+        self.broken.get_or_insert_with(|| Break {
             is_crash: false,
-            until,
+            until: self.ticket.expires,
             why: why.to_string(),
         });
-        self.broken = Some(Break { until, ..broken });
-        // Nothing else can end the stream well, unless it may run again.
-        let limit = if self.may_run_again() {
-            TAKEOVER_TIMEOUT
-        } else {
+        self.continue_from_next(attempt)
+    }
+
+    fn continue_from_next(&mut self, attempt: &mut Option<Attempt>) -> Result<(), Ending> {
+        let until = self.ticket.expires;
+        let Some((broken, copy)) = self.broken.as_mut().zip(self.copies.pop()) else {
+            return Ok(());
+        };
+        broken.until = until;
+        let why = broken.why.clone();
+        if self.takeovers >= MAX_TAKEOVERS {
+            return Err(Ending::Lost(format!("{why}; too many takeovers")));
+        }
+        // The last copy is all that is left, unless the stream may run again.
+        let limit = if self.copies.is_empty() && !self.may_run_again() {
             until.since(clock::now())
+        } else {
+            TAKEOVER_TIMEOUT
         };
         *attempt = Some(Attempt::to_take_over(
             Kind::Continue,
             self.takeover_context(),
             copy,
-            why,
+            &why,
             limit,
         ));
         Ok(())
