serve: do not cut streams of engines that are only silent

A resume that is not answered says nothing; only connections that fail count now, so that a stream of a dead engine still ends as soon as before.

--- a/crates/carawayhead/tests/streams.rs
+++ b/crates/carawayhead/tests/streams.rs
@@ -6,6 +6,7 @@
     common::{Builder, CallerRequest, Events, expected_words},
     rustix::process::Signal,
     serde_json::json,
+    std::time::Duration,
 };
 
 /// Slows engines down so that a failure occurs in the middle of a stream.
@@ -84,6 +85,28 @@
     );
 }
 
+/// Engines are paused in the middle of a generation, for longer than it takes to open several connections, and go on.
+/// The stream must not end meanwhile.
+#[tokio::test]
+async fn stream_of_a_paused_engine_goes_on() {
+    let builder = Builder {
+        engine_flags: SLOW_ENGINE_FLAGS.to_vec(),
+        limits: "silence = \"100ms\"",
+        ..Builder::default()
+    };
+    let cluster = builder.start().await;
+    let (mut reply, mut events) = cluster.begin_stream(100, 10).await;
+    for engine in &cluster.engines {
+        engine.signal(Signal::STOP);
+    }
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    for engine in &cluster.engines {
+        engine.signal(Signal::CONT);
+    }
+    events.read_to_end(&mut reply).await;
+    assert_eq!(events.words(), (expected_words(100), true));
+}
+
 /// An engine freezes before the first token. The request is retried at another engine,
 /// and tokens that the first engine sends after it resumes are dropped.
 #[tokio::test]
--- a/crates/decision/src/dispatch.rs
+++ b/crates/decision/src/dispatch.rs
@@ -203,6 +203,7 @@
             generation,
             began_at: None,
             disconnected_at: None,
+            failures: 0,
             next: 0,
             last_progress: now,
             reserved_tokens: required_tokens,
--- a/crates/decision/src/request.rs
+++ b/crates/decision/src/request.rs
@@ -94,6 +94,8 @@
     pub last_progress: Time,
     /// KV-cache memory, in tokens, reserved for it at the endpoint.
     pub reserved_tokens: u64,
+    /// Number of times that its connection failed since the last token.
+    pub failures: u32,
     /// Number of times it was resumed since the last token.
     pub resumes: u32,
 }
--- a/crates/decision/src/stream.rs
+++ b/crates/decision/src/stream.rs
@@ -2,9 +2,13 @@
 
 use crate::{invariant::Rule, prelude::*, request::Run};
 
-/// Number of resumes without a token in between after which a stream is cut.
+/// Number of resumes without a token in between after which a request is retried elsewhere that has not produced one.
 const MAX_RESUMES: u32 = 5;
 
+/// Number of failed connections without a token in between after which a stream is cut. A connection that is only
+/// silent is no reason to end it, since the engine may be paused.
+const MAX_FAILURES: u32 = 5;
+
 impl State {
     /// Handles a token.
     pub(crate) fn handle_token(
@@ -23,6 +27,7 @@
             return;
         }
         run.last_progress = now;
+        run.failures = 0;
         run.resumes = 0;
         // After a resume, the old connection may still deliver tokens that the new one
         // repeats. Only the next index is passed on.
@@ -94,6 +99,7 @@
         if disconnected_at.is_some() {
             return;
         }
+        run.failures += 1;
         match failure {
             Failure::NotRun(evidence) if next == 0 => {
                 self.retry(now, attempt, Some(evidence), out);
@@ -131,7 +137,12 @@
             return;
         };
         let (next, endpoint) = (run.next, run.endpoint);
-        if run.resumes >= MAX_RESUMES {
+        let is_given_up = if next == 0 {
+            run.resumes >= MAX_RESUMES
+        } else {
+            run.failures > MAX_FAILURES
+        };
+        if is_given_up {
             self.cancel(attempt, false, out);
             if next == 0 {
                 self.retry(now, attempt, None, out);
@@ -191,6 +202,7 @@
             generation,
             began_at: None,
             disconnected_at: None,
+            failures: 0,
             next,
             last_progress: now,
             reserved_tokens: 0,
