Soak: engines that are paused, up to all, beside planned changes

Copies take 150 ms, one after the other. Logs of a failed seed hold those of earlier processes as well.

--- a/crates/carawayhead/tests/soak/callers.rs
+++ b/crates/carawayhead/tests/soak/callers.rs
@@ -132,6 +132,7 @@
 pub async fn run_caller(
     number: usize,
     seed: u64,
+    deadline: Duration,
     addresses: Addresses,
     stop: watch::Receiver<bool>,
     records: Arc<Mutex<Vec<Record>>>,
@@ -163,7 +164,7 @@
         let path = ROUTE_PATHS[random.random_range(0..ROUTE_PATHS.len())];
         let mut request = CallerRequest::new(&id, path);
         request.key = key;
-        request.deadline_ms = 3000;
+        request.deadline_ms = u32::try_from(deadline.as_millis()).unwrap_or(u32::MAX);
         let started = Instant::now();
         let response = match &mut session {
             Some(session) => session.send(&request).await,
--- a/crates/carawayhead/tests/soak/deployment.rs
+++ b/crates/carawayhead/tests/soak/deployment.rs
@@ -19,6 +19,9 @@
 /// Events of a stream; at 15 ms each it lasts 0.9 s.
 pub const EVENTS_PER_STREAM: u32 = 60;
 
+/// Time in which a run is copied where that takes time.
+const COPY_TIME: Duration = Duration::from_millis(150);
+
 /// Seconds within which a rollout has to be decided.
 const ROLLOUT_S: f64 = 5.0;
 
@@ -35,6 +38,8 @@
 
 /// An instance and what is needed to restart it.
 pub struct InstanceSlot {
+    /// Log lines of the processes before.
+    pub earlier_lines: Vec<String>,
     pub instance: Option<Instance>,
     pub proxy: FaultProxy,
     name: String,
@@ -44,6 +49,9 @@
 impl InstanceSlot {
     /// Starts the instance of this slot.
     pub async fn start(&mut self) {
+        if let Some(instance) = self.instance.take() {
+            self.earlier_lines.extend(instance.log_lines_containing(""));
+        }
         let started = Instance::start_with_store(&self.name, self.domain, self.proxy.address).await;
         self.instance = Some(started);
     }
@@ -123,6 +131,7 @@
             let proxy = FaultProxy::start(deployment.store.address).await;
             let name = format!("soak-{seed}-{domain}");
             let mut slot = InstanceSlot {
+                earlier_lines: Vec::new(),
                 instance: None,
                 proxy,
                 name,
@@ -212,6 +221,11 @@
         self.store.write_endpoint_entry(&engine.id, &entry);
     }
 
+    /// From now on, copies of runs take time, one after the other at each engine.
+    pub fn slow_copies(&self) {
+        self.shared_runs.set_copy_time(COPY_TIME);
+    }
+
     /// Replaces the engines that a request has crashed.
     pub async fn replace_crashed(&mut self) {
         while let Some(index) = self
--- a/crates/carawayhead/tests/soak/main.rs
+++ b/crates/carawayhead/tests/soak/main.rs
@@ -33,6 +33,10 @@
 
 const CALLER_COUNT: usize = 20;
 
+/// Deadline of callers, and one that a stream does not reach whose engine is paused.
+const DEADLINE: Duration = Duration::from_secs(3);
+const LONG_DEADLINE: Duration = Duration::from_secs(10);
+
 /// Time after which a revoked key must not be accepted: the configured 5 s plus 1 s for the
 /// delivery of a request on a busy machine.
 const REVOCATION_TIMEOUT: Duration = Duration::from_secs(6);
@@ -143,6 +147,23 @@
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
+/// Engines, up to all, are paused for as long as sound ones may be, while instances stop and reload, configurations
+/// change and engines leave. No stream may be cut, nor run twice.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn guarantees_hold_while_engines_are_paused() {
+    let (first, count) = (
+        env_or_default("SOAK_SEED", 1),
+        env_or_default("SOAK_SILENCE_SEEDS", 2),
+    );
+    let length = Duration::from_secs(env_or_default("SOAK_SECONDS", 6));
+    let mut violations = Vec::new();
+    for seed in first..first + count {
+        println!("seed {seed} with silences");
+        violations.extend(run_seed_in(Mode::Silences, seed, length).await);
+    }
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 /// The only trial of a harmless stream is sent to an engine that has crashed before, behind a proxy that accepts its
 /// connections. The stream must be served all the same once the faults have ended.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -169,11 +190,17 @@
     injector.publish_addresses(&deployment);
     let (stop, stopped) = watch::channel(false);
     let records = Arc::new(Mutex::new(Vec::new()));
+    let deadline = if mode == Mode::Silences {
+        LONG_DEADLINE
+    } else {
+        DEADLINE
+    };
     let callers = (0..CALLER_COUNT).map(|number| {
         let records = Arc::clone(&records);
         tokio::spawn(callers::run_caller(
             number,
             seed,
+            deadline,
             listening.clone(),
             stopped.clone(),
             records,
@@ -190,7 +217,11 @@
             )));
         }
     }
-    if mode != Mode::Planned {
+    if mode == Mode::Silences {
+        deployment.slow_copies();
+    }
+    let is_planned = matches!(mode, Mode::Planned | Mode::Silences);
+    if !is_planned {
         deployment.start_rollout(seed.is_multiple_of(2)).await;
         callers.push(tokio::spawn(callers::repeat_fatal_request(
             seed,
@@ -207,7 +238,7 @@
     let records = records.lock().expect("not poisoned").clone();
     let mut violations = check_guarantees(&deployment, &injector, &records);
     violations.extend(check_rollout(&deployment));
-    if mode == Mode::Planned {
+    if is_planned {
         violations.extend(check_uninterrupted(&records));
     }
     deployment.keys = vec!["key-1", "key-2"];
@@ -497,7 +528,9 @@
             continue;
         };
         let file = std::env::temp_dir().join(format!("soak-{seed}-{number}.log"));
-        let text = instance.log_lines_containing("").join("\n");
+        let text = slot.earlier_lines.iter().cloned();
+        let text = text.chain(instance.log_lines_containing(""));
+        let text = text.collect::<Vec<_>>().join("\n");
         match std::fs::write(&file, text) {
             Ok(()) => println!("seed {seed}: log in {}", file.display()),
             Err(error) => println!("seed {seed}: log not saved: {error}"),
--- a/crates/carawayhead/tests/soak/script.rs
+++ b/crates/carawayhead/tests/soak/script.rs
@@ -30,6 +30,8 @@
     Prompts,
     /// Planned changes only: stops, reloads, configurations, announced engine departures.
     Planned,
+    /// Planned changes, and engines that are paused, up to all of them.
+    Silences,
 }
 
 /// The undo of a change; indexes refer to the lists of the deployment.
@@ -46,6 +48,7 @@
     Restart(usize),
     StoreHistory,
     StoreLink(usize),
+    Thaw,
 }
 
 /// Injects faults and planned changes into a deployment.
@@ -97,7 +100,12 @@
                 Mode::Faults | Mode::Partitions | Mode::Prompts if self.random.random_bool(0.7) => {
                     self.inject_fault(deployment).await;
                 }
-                Mode::Faults | Mode::Partitions | Mode::Planned | Mode::Prompts => {
+                Mode::Silences if self.random.random_bool(0.4) => self.pause_engines(deployment),
+                Mode::Faults
+                | Mode::Partitions
+                | Mode::Planned
+                | Mode::Prompts
+                | Mode::Silences => {
                     self.apply_planned_change(deployment);
                 }
             }
@@ -143,6 +151,20 @@
         }
     }
 
+    /// Pauses any number of engines, unless some are already.
+    fn pause_engines(&mut self, deployment: &Deployment) {
+        if self.has_pending_undo(|undo| matches!(undo, Undo::Thaw)) {
+            return;
+        }
+        let share = [0.3, 0.6, 1.0][self.random.random_range(0..3)];
+        for engine in &deployment.engines {
+            if self.random.random_bool(share) {
+                engine.server.freeze();
+            }
+        }
+        self.schedule_undo(300, 2500, Undo::Thaw);
+    }
+
     /// Partitions any number of instances from all endpoints, unless some are already.
     fn partition(&mut self, deployment: &mut Deployment) {
         if self.has_pending_undo(|undo| matches!(undo, Undo::Partition)) {
@@ -313,6 +335,11 @@
                 Undo::Restart(index) => self.restart(deployment, index).await,
                 Undo::StoreHistory => deployment.store.catch_up(),
                 Undo::StoreLink(index) => deployment.slots[index].proxy.set(LinkState::Open),
+                Undo::Thaw => {
+                    for engine in &deployment.engines {
+                        engine.server.thaw();
+                    }
+                }
             }
         }
     }
