Tests: streams survive pauses of their instance, and silences beside planned work

Pauses of the instance for 2.5 s with streams in progress, and a silence of 1.6 s of all engines with a new configuration, a SIGHUP and a SIGTERM in between.

--- a/crates/carawayhead/tests/forwarding/silences.rs
+++ b/crates/carawayhead/tests/forwarding/silences.rs
@@ -8,6 +8,7 @@
     futures_util::future::join_all,
     http::StatusCode,
     platform::standin::caller::{CallerRequest, CallerResponse, send_request},
+    rustix::process::Signal,
     std::{net::SocketAddr, time::Duration},
     tokio::{task::JoinHandle, time::sleep},
 };
@@ -73,6 +74,16 @@
     streams
 }
 
+/// Asserts that streams end complete.
+async fn assert_complete(streams: Vec<JoinHandle<Option<CallerResponse>>>) {
+    for response in join_all(streams).await {
+        let response = response.expect("the task does not panic");
+        let response = response.expect("the instance responds");
+        assert_eq!((response.status, response.complete), (StatusCode::OK, true));
+        assert_all_events(&response.body);
+    }
+}
+
 /// Lets engines fall silent under streams, and asserts that each stream ends complete.
 async fn assert_streams_survive(silence: Silence) {
     let deployment = deployment(ENGINES).await;
@@ -166,6 +177,42 @@
     assert_streams_survive_each([silences, of_all].concat()).await;
 }
 
+/// The instance is paused in place of the engines: what they have sent meanwhile arrives at once, and its clock has gone
+/// on. None of them has been silent.
+#[tokio::test]
+async fn streams_survive_a_pause_of_their_instance() {
+    let deployment = deployment(ENGINES).await;
+    deployment.shared_runs.set_copy_time(COPY_TIME);
+    let streams = start_streams(&deployment).await;
+    deployment.instance.signal(Signal::STOP);
+    sleep(Duration::from_millis(2500)).await;
+    deployment.instance.signal(Signal::CONT);
+    assert_complete(streams).await;
+    assert_eq!(deployment.shared_runs.max_engines_per_run(), 1);
+}
+
+/// All engines are silent while the instance gets a new configuration and reloads, and is told to stop before they are
+/// back. It must not end their streams sooner for that.
+#[tokio::test]
+async fn streams_survive_silences_beside_planned_work() {
+    let deployment = deployment(ENGINES).await;
+    deployment.shared_runs.set_copy_time(COPY_TIME);
+    let streams = start_streams(&deployment).await;
+    let engines = &deployment.engines;
+    engines.iter().for_each(platform::standin::Engine::freeze);
+    let step = Duration::from_millis(400);
+    for signal in [None, Some(Signal::HUP), Some(Signal::TERM)] {
+        sleep(step).await;
+        match signal {
+            Some(signal) => deployment.instance.signal(signal),
+            None => deployment.configure(),
+        }
+    }
+    sleep(step).await;
+    engines.iter().for_each(platform::standin::Engine::thaw);
+    assert_complete(streams).await;
+}
+
 /// An engine that answers calls refuses to stop a run that makes no progress, and goes on with it later. The run must
 /// not be taken over meanwhile, or two engines work on one stream.
 #[tokio::test]
@@ -185,10 +232,7 @@
     wait_until("the stop is refused", || async { refused() }).await;
     sleep(Duration::from_millis(200)).await;
     engine.set_stalled(false);
-    let response = stream.await.expect("the task does not panic");
-    let response = response.expect("the instance responds");
-    assert!(response.complete);
-    assert_all_events(&response.body);
+    assert_complete(vec![stream]).await;
     assert_eq!(deployment.shared_runs.max_engines_per_run(), 1);
 }
 
@@ -200,10 +244,7 @@
     let stream = start_stream(deployment.instance.caller_address, "r1".to_string());
     let index = deployment.wait_for_run().await;
     deployment.engines[index].set_stalled(true);
-    let response = stream.await.expect("the task does not panic");
-    let response = response.expect("the instance responds");
-    assert!(response.complete);
-    assert_all_events(&response.body);
+    assert_complete(vec![stream]).await;
     assert_eq!(deployment.engines[index].stopped_runs(), ["r1"]);
 }
 
@@ -222,8 +263,5 @@
     })
     .await;
     deployment.engines[index].set_stalled(false);
-    let response = stream.await.expect("the task does not panic");
-    let response = response.expect("the instance responds");
-    assert!(response.complete);
-    assert_all_events(&response.body);
+    assert_complete(vec![stream]).await;
 }
--- a/crates/carawayhead/tests/forwarding/streams.rs
+++ b/crates/carawayhead/tests/forwarding/streams.rs
@@ -53,6 +53,12 @@
 }
 
 impl Deployment {
+    /// Publishes the second version of the configuration, with another timeout.
+    pub fn configure(&self) {
+        let config = config(2, &["key-1"], 20_000);
+        self.store.write_operator_record("config", &config);
+    }
+
     /// Waits until an engine has the run of this request ID, and returns its index.
     async fn wait_for_run_of(&self, id: &str) -> usize {
         let index = || {
