Apply the idle timeout of the newest configuration to connections that are open

Callers reuse connections for four fifths of the idle timeout in force. An instance took it when it accepted a connection, so that after a configuration that raises it, older connections were closed under requests on the way. The header timer of hyper is replaced by one that looks at the limits in force, and counts from the end of the last response. raised_idle_timeout_applies_to_open_connections failed before (the connection was closed after two seconds); idle_connections_are_closed passed before and after.

--- a/crates/carawayhead/tests/forwarding/knowledge.rs
+++ b/crates/carawayhead/tests/forwarding/knowledge.rs
@@ -9,7 +9,7 @@
     http::StatusCode,
     platform::standin::{
         PlainService, Store,
-        caller::{CallerRequest, config, send_request},
+        caller::{CallerRequest, Session, config, send_request},
         store::StoreBehavior,
     },
     std::time::Duration,
@@ -274,3 +274,60 @@
     })
     .await;
 }
+
+/// A configuration with this idle timeout.
+fn config_with_idle_timeout(version: u64, timeout_ms: u64) -> String {
+    let text = config(version, &["key-1"], 5000);
+    let mut config = serde_json::from_str::<serde_json::Value>(&text).expect("it is JSON");
+    config["limits"]["idleTimeoutMs"] = timeout_ms.into();
+    config.to_string()
+}
+
+/// A configuration raises the idle timeout, and callers reuse connections that were opened before for as long as it
+/// allows. Those that are closed sooner cut requests that are on the way.
+#[tokio::test]
+async fn raised_idle_timeout_applies_to_open_connections() {
+    let store = Store::start().await;
+    let service = PlainService::start("d1").await;
+    store.write_operator_record("config", &config_with_idle_timeout(1, 2000));
+    store.write_endpoint_entry("d1", &service.entry("desk", "a", "ready"));
+    let instance = Instance::start("e1", "a", &store).await;
+    let session = Session::open(instance.caller_address).await;
+    let mut session = session.expect("the instance accepts");
+    let first = session.send(&CallerRequest::new("r1", "/order/7")).await;
+    assert_eq!(first.map(|response| response.status), Some(StatusCode::OK));
+    store.write_operator_record("config", &config_with_idle_timeout(2, 20_000));
+    wait_until("the configuration is in force", || async {
+        let lines = instance.log_lines_containing("configuration read");
+        lines.iter().any(|line| line.contains("\"version\":2"))
+    })
+    .await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert!(session.is_open().await);
+    let second = session.send(&CallerRequest::new("r2", "/order/7")).await;
+    assert_eq!(second.map(|response| response.status), Some(StatusCode::OK));
+}
+
+/// Connections that are idle for longer than the timeout must not hold file descriptors, whether they have carried
+/// a request or not.
+#[tokio::test]
+async fn idle_connections_are_closed() {
+    let store = Store::start().await;
+    let service = PlainService::start("d1").await;
+    store.write_operator_record("config", &config_with_idle_timeout(1, 500));
+    store.write_endpoint_entry("d1", &service.entry("desk", "a", "ready"));
+    let instance = Instance::start("e1", "a", &store).await;
+    for is_used in [false, true] {
+        let session = Session::open(instance.caller_address).await;
+        let mut session = session.expect("the instance accepts");
+        if is_used {
+            let response = session.send(&CallerRequest::new("r1", "/order/7")).await;
+            assert_eq!(
+                response.map(|response| response.status),
+                Some(StatusCode::OK)
+            );
+        }
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        assert!(!session.is_open().await, "{is_used}");
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod exchange;
 pub mod follow;
 pub mod gossip;
+pub mod idle;
 pub mod listen;
 pub mod logging;
 pub mod message;
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -1,11 +1,18 @@
 //! Listeners for callers, readiness checks and metrics.
 
 use {
-    crate::{buffered, clock, exchange::Original, follow, prelude::*, reply, stream},
+    crate::{
+        buffered, clock,
+        exchange::Original,
+        follow,
+        idle::{Activity, Tracked},
+        prelude::*,
+        reply, stream,
+    },
     forward::request::Ticket,
     http_body_util::{BodyExt as _, LengthLimitError, Limited},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
-    hyper_util::rt::{TokioIo, TokioTimer},
+    hyper_util::rt::TokioIo,
     platform::head,
     std::convert::Infallible,
     tokio::net::{TcpListener, TcpStream},
@@ -14,6 +21,9 @@
 /// Delay after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// How long an idle connection may take to close, on which part of a request may have been read.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Purpose of a listener.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Role {
@@ -82,34 +92,41 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:%; "cannot set TCP_NODELAY");
     }
-    let limits = {
-        let state = shared.state.borrow();
-        state
-            .config()
-            .map(|config| config.limits)
-            .unwrap_or_default()
-    };
+    let activity = Activity::new();
     let service = {
-        let shared = Rc::clone(&shared);
-        service_fn(move |request| handle(Rc::clone(&shared), request, role))
+        let (shared, activity) = (Rc::clone(&shared), Rc::clone(&activity));
+        service_fn(move |request| {
+            let busy = activity.begin();
+            let handling = handle(Rc::clone(&shared), request, role);
+            async move {
+                let reply = handling.await?;
+                Ok::<_, Infallible>(reply.map(|body| Tracked { body, busy }))
+            }
+        })
     };
     let mut builder = http1::Builder::new();
-    // hyper counts the header timeout from the end of the previous request, so it has to be
-    // the idle timeout.
+    // The idle timeout may change while the connection is open, so hyper must not apply it.
     builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.header.max(16 << 10));
+        .header_read_timeout(None)
+        .max_buf_size(shared.limits().header.max(16 << 10));
     let serving = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(serving);
     let ended = tokio::select! {
-        ended = serving.as_mut() => ended,
+        ended = serving.as_mut() => Some(ended),
         () = shared.stop.notified() => {
             serving.as_mut().graceful_shutdown();
-            serving.await
+            Some(serving.await)
+        }
+        () = activity.expired(&shared) => {
+            serving.as_mut().graceful_shutdown();
+            match timeout(CLOSE_TIMEOUT, serving.as_mut()).await {
+                Ok(ended) => Some(ended),
+                Err(_) if activity.is_busy() => Some(serving.await),
+                Err(_) => None,
+            }
         }
     };
-    if let Err(error) = ended {
+    if let Some(Err(error)) = ended {
         log::debug!(error:%; "connection ended with an error");
     }
 }
@@ -258,14 +275,7 @@
 
 /// Reads the whole body.
 async fn read_body(shared: &Shared, body: Incoming) -> Result<Bytes, Refusal> {
-    let max_bytes = {
-        let state = shared.state.borrow();
-        state
-            .config()
-            .map(|config| config.limits)
-            .unwrap_or_default()
-            .body
-    };
+    let max_bytes = shared.limits().body;
     match Limited::new(body, max_bytes).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -19,6 +19,7 @@
             add_rows,
             members::{Link, MemberKey, Role},
         },
+        config::Limits,
         intake::Intake,
         load::Report,
         reader::{Readers, TOPICS},
@@ -143,6 +144,14 @@
         &self.topics[topic::index(topic)]
     }
 
+    /// Limits on what callers may send.
+    #[must_use]
+    pub fn limits(&self) -> Limits {
+        let state = self.state.borrow();
+        let config = state.config();
+        config.map(|config| config.limits).unwrap_or_default()
+    }
+
     /// Address and id of an endpoint.
     #[must_use]
     pub fn endpoint_address(&self, key: EndpointKey) -> Option<(SocketAddr, String)> {
