Do not blame requests for endpoints that had been lost before they were sent, nor send trials there

Callers of a harmless stream were refused for ten minutes: its only trial went to an engine that the fatal request had crashed six seconds before, behind a proxy that still accepts connections. The break counted as one more crash of the stream, and there is no second trial for a while. It is the class of the incident again: what follows from our own act, a send to a dead engine, is taken for a sign of the request.

An instance now knows since when an endpoint is lost, from its own connections or the records of others, until it is heard or its entry changes. A request that is sent there later is not blamed, and a trial goes elsewhere if it can. Two tests of decisions, three mutations.

--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -16,6 +16,7 @@
             return false;
         };
         self.losses.record(now, endpoint, incarnation.clone());
+        self.record_loss(now, &incarnation);
         let crash = Crash {
             fingerprint,
             endpoint: incarnation,
@@ -24,6 +25,39 @@
         self.suspects.record_crash(now, crash)
     }
 
+    /// Records that an endpoint was lost in this run of its process, as this instance or another has seen.
+    pub fn record_loss(&mut self, now: Time, incarnation: &str) {
+        let mut endpoints = self.endpoints.values_mut();
+        let lost = endpoints.find(|endpoint| endpoint.listing.incarnation() == incarnation);
+        if let Some(endpoint) = lost {
+            endpoint.lost_at.get_or_insert(now);
+        }
+    }
+
+    /// Whether an endpoint had been lost before a request was sent there at `sent_at`, and has not been heard
+    /// since, so that its loss says nothing of that request.
+    #[must_use]
+    pub fn was_lost_before(&self, sent_at: Time, endpoint: EndpointKey) -> bool {
+        let lost_at = self
+            .endpoints
+            .get(endpoint)
+            .and_then(|endpoint| endpoint.lost_at);
+        lost_at.is_some_and(|lost_at| lost_at < sent_at)
+    }
+
+    /// Endpoints of a service that were lost and have not been heard since; none if there are no others.
+    #[must_use]
+    pub fn lost_endpoints(&self, service: &str) -> Vec<EndpointKey> {
+        let listed = self.endpoints.iter().filter(|(_, endpoint)| {
+            endpoint.listing.service == service && endpoint.leaving_since.is_none()
+        });
+        let (lost, others) = listed.partition::<Vec<_>, _>(|(_, other)| other.lost_at.is_some());
+        if others.is_empty() {
+            return Vec::new();
+        }
+        lost.into_iter().map(|(key, _)| key).collect()
+    }
+
     /// Records that the connection to an endpoint broke before it had begun to answer a prompt with these
     /// parts, which it was sent at `sent_at`; returns the parts against which that counts.
     pub fn record_prompt_break(
--- a/crates/forward/src/endpoint.rs
+++ b/crates/forward/src/endpoint.rs
@@ -117,6 +117,8 @@
     pub liveness: Liveness,
     /// Limits the requests per second that this instance sends there.
     pub rate_limiter: RateLimiter,
+    /// When it was lost, if nothing has been heard of it since.
+    pub(crate) lost_at: Option<Time>,
     /// When this instance learned that it is leaving.
     pub leaving_since: Option<Time>,
     /// Since when its version has been known, if an order for that version may be unknown yet.
@@ -141,6 +143,7 @@
             leaving_since: listing.leaving.then_some(now),
             listing,
             liveness: Liveness::default(),
+            lost_at: None,
             rate_limiter: RateLimiter::default(),
             unverified_since: None,
         }
@@ -159,6 +162,7 @@
         }
         self.cold_until = now.after(listing.cold);
         self.grace_until = None;
+        self.lost_at = None;
         match (listing.leaving, self.leaving_since) {
             (true, None) => self.leaving_since = Some(now),
             (false, _) => self.leaving_since = None,
--- a/crates/forward/src/losses.rs
+++ b/crates/forward/src/losses.rs
@@ -102,6 +102,9 @@
             return 0;
         }
         self.losses.0.retain(|loss| loss.key != key);
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.lost_at = None;
+        }
         if restarted {
             return 0;
         }
--- a/crates/forward/src/silence.rs
+++ b/crates/forward/src/silence.rs
@@ -112,7 +112,9 @@
 impl State {
     /// Records that something was read from an endpoint; returns for how long it had left a check unanswered.
     pub fn record_heard(&mut self, now: Time, key: EndpointKey) -> Option<Duration> {
-        self.endpoints.get_mut(key)?.liveness.record_heard(now)
+        let endpoint = self.endpoints.get_mut(key)?;
+        endpoint.lost_at = None;
+        endpoint.liveness.record_heard(now)
     }
 
     /// What to do next about a silent run.
--- a/crates/forward/tests/losses.rs
+++ b/crates/forward/tests/losses.rs
@@ -85,3 +85,37 @@
     assert_eq!(state.due_loss_checks(at(10_000)), [key]);
     assert!(state.due_loss_checks(at(11_100)).is_empty());
 }
+
+/// An engine that is lost already, behind a proxy that still accepts connections, breaks those of harmless requests that
+/// are sent there later. They must not be blamed for it.
+#[test]
+fn request_sent_to_a_lost_endpoint_is_not_blamed() {
+    let (mut state, keys) = instance_with_losses();
+    assert!(!state.was_lost_before(at(9_999), keys[0]));
+    assert!(state.was_lost_before(at(10_001), keys[0]));
+    state.record_heard(at(10_500), keys[0]);
+    assert!(!state.was_lost_before(at(10_501), keys[0]));
+    let mut entry = listing("m2", "model", "a");
+    entry.slots = 7;
+    state.change(at(10_500), Change::Set(entry));
+    assert!(!state.was_lost_before(at(10_501), keys[1]));
+    state.record_alive(keys[2], Some(1));
+    assert!(!state.was_lost_before(at(10_501), keys[2]));
+}
+
+/// Another instance has seen the loss. A trial that is sent to the lost engine ends without a result, and there is not
+/// another one for a long time.
+#[test]
+fn trials_avoid_endpoints_that_peers_have_lost() {
+    let engines = ["m1", "m2"].map(|id| listing(id, "model", "a"));
+    let mut state = instance(&engines);
+    let keys = state.endpoints().map(|(key, _)| key).collect::<Vec<_>>();
+    state.record_loss(at(10_000), "m1@1");
+    assert_eq!(state.lost_endpoints("model"), [keys[0]]);
+    state.record_loss(at(10_100), "m2@1");
+    assert!(state.lost_endpoints("model").is_empty());
+    state.record_heard(at(10_200), keys[0]);
+    assert_eq!(state.lost_endpoints("model"), [keys[1]]);
+    state.record_loss(at(10_300), "m1@2");
+    assert_eq!(state.lost_endpoints("model"), [keys[1]]);
+}
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -65,7 +65,7 @@
     original: &Original,
     ticket: Ticket,
 ) -> Result<Reply, Refusal> {
-    let mut progress = Progress::default();
+    let mut progress = Progress::for_request(shared, original, &ticket);
     let mut ticket = ticket;
     let id = &original.inbound.id;
     loop {
--- a/crates/proxy/src/crashes.rs
+++ b/crates/proxy/src/crashes.rs
@@ -164,7 +164,9 @@
         suspects::Change::Crashed(crash) => {
             let (fingerprint, endpoint) = (crash.fingerprint, crash.endpoint.clone());
             let before = state.suspects.crashes(fingerprint);
-            state.suspects.apply_crash(clock::now(), crash);
+            let now = clock::now();
+            state.record_loss(now, &endpoint);
+            state.suspects.apply_crash(now, crash);
             let crashes = state.suspects.crashes(fingerprint);
             // Most suspects are harmless requests that shared an endpoint with the one at fault.
             if crashes > before && crashes > 1 {
--- a/crates/proxy/src/progress.rs
+++ b/crates/proxy/src/progress.rs
@@ -1,7 +1,7 @@
 //! Attempts made for a request that has no response yet.
 
 use {
-    crate::{clock, prelude::*},
+    crate::{clock, exchange::Original, prelude::*},
     forward::request::Ticket,
 };
 
@@ -26,6 +26,16 @@
 }
 
 impl Progress {
+    /// No attempts yet. A trial is not sent to an endpoint that was lost, which would end it without a result.
+    #[must_use]
+    pub fn for_request(shared: &Shared, original: &Original, ticket: &Ticket) -> Self {
+        let mut progress = Self::default();
+        if original.is_trial.get() {
+            progress.tried = shared.state.borrow().lost_endpoints(&ticket.service);
+        }
+        progress
+    }
+
     /// Records that an endpoint may have run the request without a usable response.
     pub fn note_run(&mut self, key: EndpointKey, why: String) {
         self.runs += 1;
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -41,7 +41,7 @@
     guard: crate::listen::RequestGuard,
 ) -> Result<Reply, Refusal> {
     let mut ticket = ticket;
-    let mut progress = Progress::default();
+    let mut progress = Progress::for_request(shared, original, &ticket);
     let mut guard = Some(guard);
     let id = &original.inbound.id;
     loop {
--- a/crates/proxy/src/suspicion.rs
+++ b/crates/proxy/src/suspicion.rs
@@ -15,6 +15,12 @@
     pub fn record_break(&self, original: &Original, key: EndpointKey, sent_at: Time, events: u32) {
         let (now, fingerprint) = (clock::now(), original.fingerprint);
         let mut state = self.state.borrow_mut();
+        if state.was_lost_before(sent_at, key) {
+            let endpoint = state.endpoint(key);
+            let endpoint = endpoint.map_or("", |endpoint| &endpoint.listing.id);
+            log::info!(id = original.inbound.id, endpoint; "endpoint had been lost before");
+            return;
+        }
         let counts = state.record_break(now, fingerprint, key, events);
         let parts = if original.is_proven.get() {
             Vec::new()
