Do not take a stopped stream that nothing delimits for a complete one

Since streams are read while their engines are asked to stop them, one without a length or chunks looked complete when its engine closed it for the stop: the caller got a part of the events as a whole answer. Such an end now waits for the answer to the stop, and counts as the end of the stream only if the engine says that it has not stopped it. A takeover that is not answered while the run's own connection breaks is asked for once more, until the caller's deadline. streams_that_end_at_a_stop_are_not_complete failed without the check (complete, with the first event only). What is done about silences has a file of its own.

--- a/crates/carawayhead/tests/forwarding/undelimited.rs
+++ b/crates/carawayhead/tests/forwarding/undelimited.rs
@@ -7,10 +7,12 @@
         Store,
         caller::{CallerRequest, CallerResponse, config, is_ready, send_request},
     },
-    std::net::SocketAddr,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
         net::{TcpListener, TcpStream},
+        sync::Notify,
+        time::sleep,
     },
 };
 
@@ -161,3 +163,72 @@
         assert_eq!(received, (StatusCode::OK, false, event), "{end:?}");
     }
 }
+
+/// Starts an engine whose streams make no progress after their first event. When it is asked to stop one, it closes that
+/// in order, answers later, and a stream that goes on from the copy gets the rest.
+async fn start_stalled_engine(stop: Arc<Notify>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("a free loopback port");
+    let address = listener.local_addr().expect("a bound address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_stalled(stream, Arc::clone(&stop)));
+        }
+    });
+    address
+}
+
+async fn serve_stalled(mut stream: TcpStream, stop: Arc<Notify>) {
+    let mut request = vec![0; 4096];
+    let Ok(count) = stream.read(&mut request).await else {
+        return;
+    };
+    let request = String::from_utf8_lossy(&request[..count]).to_ascii_lowercase();
+    let with_length = |body: &str| {
+        let length = body.len();
+        format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}")
+    };
+    let stream_head = "HTTP/1.1 200 OK\r\ncarawayhead-request-id: r1\r\n\
+                       carawayhead-response-seal: seal\r\n\r\n";
+    let is_move = request.starts_with("post /v1/kv-move");
+    let is_stream = request.starts_with("post /draft");
+    let answer = if is_move {
+        stop.notify_waiters();
+        sleep(Duration::from_millis(300)).await;
+        with_length(r#"{"handle":"h","createRev":1}"#)
+    } else if is_stream && request.contains("\r\nkv-from: ") {
+        format!("{stream_head}id: 2\ndata: b\n\n")
+    } else if is_stream {
+        format!("{stream_head}id: 1\ndata: a\n\n")
+    } else {
+        with_length("{}")
+    };
+    // Fails if the instance has given up.
+    let _sent = stream.write_all(answer.as_bytes()).await;
+    if is_stream && !request.contains("\r\nkv-from: ") {
+        stop.notified().await;
+    }
+}
+
+/// An engine closes a stream that it was asked to stop as it does one that has come to its end. The rest must follow
+/// from the copy; a stream that ends there must not look complete.
+#[tokio::test]
+async fn streams_that_end_at_a_stop_are_not_complete() {
+    let store = Store::start().await;
+    store.write_operator_record("config", &config(1, &["key-1"], 10_000));
+    let stop = Arc::new(Notify::new());
+    for id in ["m1", "m2"] {
+        let address = start_stalled_engine(Arc::clone(&stop)).await;
+        let entry = serde_json::json!({
+            "address": address.to_string(), "coldRemainingMs": 0, "sequence": 1,
+            "service": "model", "slots": 8, "state": "ready", "version": "v1", "zone": "a",
+        });
+        store.write_endpoint_entry(id, &entry.to_string());
+    }
+    let instance = Instance::start("e1", "a", &store).await;
+    let request = CallerRequest::new("r1", "/draft/7");
+    let response = send_request(instance.caller_address, &request).await;
+    let response = response.expect("the instance responds");
+    let events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    assert_eq!((response.complete, response.body.as_str()), (true, events));
+}
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod failover;
+mod silence;
 
 use {
     self::attempt::{Attempt, Settled},
@@ -52,12 +53,14 @@
     last_event_at: Time,
     last_event: Rc<RefCell<Option<String>>>,
     longest_pause: Duration,
+    /// Whether the engine may have stopped the run: it was asked to, and has not answered otherwise.
+    may_be_stopped: bool,
+    /// When the silence is looked at next.
+    next_look: Time,
     next_move: Time,
     original: Rc<Original>,
     /// Since when the engine has been silent; reset after each attempt to stop the run.
     quiet_since: Time,
-    /// When the silence is looked at next.
-    next_look: Time,
     out: mpsc::Sender<BodyPart>,
     progress: Progress,
     running: RunGuard,
@@ -116,6 +119,8 @@
 struct Break {
     /// Whether the engine may have crashed.
     is_crash: bool,
+    /// Whether the stream may have come to its end, which nothing delimits, rather than have been stopped.
+    is_end: bool,
     /// Until when an attempt that was in progress is awaited.
     until: Time,
     why: String,
@@ -157,6 +162,7 @@
             last_event_at: now,
             last_event: Rc::new(RefCell::new(resume_after.map(str::to_string))),
             longest_pause: Duration::ZERO,
+            may_be_stopped: false,
             next_move: Time::default(),
             out: start.out,
             progress: start.progress,
@@ -306,6 +312,7 @@
         let lost = |is_crash, why: String| {
             Step::Lost(Break {
                 is_crash,
+                is_end: false,
                 until: self.ticket.expires,
                 why,
             })
@@ -318,6 +325,15 @@
             Ok(None) if self.events_here() == 0 && !self.source.answer.is_delimited() => {
                 lost(true, "connection closed before the first event".to_string())
             }
+            // The engine closes a run that it stops as it does one that has come to its end.
+            Ok(None) if self.may_be_stopped && !self.source.answer.is_delimited() => {
+                Step::Lost(Break {
+                    is_crash: false,
+                    is_end: true,
+                    until: self.ticket.expires,
+                    why: "connection closed after a stop was requested".to_string(),
+                })
+            }
             Ok(None) => {
                 self.judge_answer();
                 Step::Ended
--- a/crates/proxy/src/relay/attempt.rs
+++ b/crates/proxy/src/relay/attempt.rs
@@ -33,7 +33,11 @@
         /// Why it was asked to stop.
         why: &'static str,
     },
-    TakenOver(Result<Box<Opened>, Failure>),
+    TakenOver {
+        /// Kind of the attempt.
+        kind: Kind,
+        result: Result<Box<Opened>, Failure>,
+    },
 }
 
 /// An attempt in progress.
@@ -87,10 +91,14 @@
         limit: Duration,
     ) -> Self {
         let why = why.to_string();
-        let taking_over = async move { context.open_from_copy(&copy, &why, limit).await };
+        let taking_over = async move {
+            let result = context.open_from_copy(&copy, &why, limit).await;
+            let result = result.map(Box::new);
+            Settled::TakenOver { kind, result }
+        };
         Self {
             kind,
-            future: Box::pin(async move { Settled::TakenOver(taking_over.await.map(Box::new)) }),
+            future: Box::pin(taking_over),
         }
     }
 
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -12,16 +12,13 @@
         relocate::{self, Abandoned, RunCopy, StopOutcome},
         takeover::{self, Opened, TAKEOVER_TIMEOUT, TakeoverOutcome},
     },
-    forward::{
-        choice::Need,
-        silence::{CHECK_AFTER, Silence, Step},
-    },
+    forward::choice::Need,
     tokio::task::spawn_local,
 };
 
 /// Maximum number of takeovers for one stream. An engine usually runs for ten seconds at least, and a
 /// generation takes about as long.
-const MAX_TAKEOVERS: u32 = 8;
+pub(super) const MAX_TAKEOVERS: u32 = 8;
 
 /// Timeout of each read of a stopped run's last events, which may still be in transit when
 /// the engine confirms the stop.
@@ -34,9 +31,6 @@
 /// How long the copy of a run that has stopped is awaited where there is a backup copy as well.
 const STOPPED_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// Interval between two log lines of one silence.
-const SILENCE_LOG_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Delay before a move is retried.
 const MOVE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -74,19 +68,6 @@
         self.fail_over(attempt, "attempt abandoned").await
     }
 
-    /// Drops an attempt to take over from an engine that is back. The engine that was asked drops the run once its
-    /// connection is closed.
-    pub(super) fn cancel_takeover(&self, attempt: &mut Option<Attempt>) {
-        if let Some(Attempt {
-            kind: Kind::TakeOver,
-            ..
-        }) = attempt
-        {
-            log::info!(id = self.original.inbound.id; "takeover cancelled, its engine is back");
-            *attempt = None;
-        }
-    }
-
     /// Handles the end of an attempt.
     pub(super) async fn settle(
         &mut self,
@@ -96,23 +77,34 @@
         match settled {
             Settled::Moved(outcome) => self.moved(attempt, outcome).await,
             Settled::Stopped { outcome, why } => self.stopped(attempt, outcome, why).await,
-            Settled::TakenOver(Ok(opened)) => {
+            Settled::TakenOver {
+                result: Ok(opened), ..
+            } => {
                 self.switch_over(*opened);
                 Ok(())
             }
-            Settled::TakenOver(Err(failure)) => self.not_taken_over(attempt, &failure).await,
+            Settled::TakenOver {
+                kind,
+                result: Err(failure),
+            } => self.not_taken_over(attempt, kind, &failure).await,
         }
     }
 
     async fn not_taken_over(
         &mut self,
         attempt: &mut Option<Attempt>,
+        kind: Kind,
         failure: &takeover::Failure,
     ) -> Result<(), Ending> {
         let Some(broken) = self.broken.take() else {
             self.wait_for_engine(&failure.to_string());
             return Ok(());
         };
+        // The connection broke while the engine with the backup copy was asked, which has not answered in time.
+        let is_unknown = matches!(failure, takeover::Failure::Unknown(_));
+        if kind == Kind::TakeOver && is_unknown {
+            self.copies = self.backup_copy().into_iter().collect();
+        }
         if self.copies.is_empty() {
             let lost = format!("{}; copy {failure}", broken.why);
             return self.restart(&broken.why, lost).await;
@@ -163,95 +155,6 @@
         Ok(())
     }
 
-    /// Handles a silence: the engine may have failed without a reset, may be paused, or may have preempted the run.
-    pub(super) async fn silent(&mut self, attempt: &mut Option<Attempt>) -> Result<(), Ending> {
-        let now = clock::now();
-        let kind = attempt.as_ref().map(|attempt| attempt.kind);
-        if !matches!(kind, None | Some(Kind::Stop)) {
-            self.next_look = now.after(CHECK_AFTER);
-            return Ok(());
-        }
-        let silence = Silence {
-            is_resumable: self.may_run_again(),
-            is_stopping: kind.is_some(),
-            run: self.running.key,
-            since: self.quiet_since,
-        };
-        let step = self
-            .shared
-            .state
-            .borrow_mut()
-            .next_silence_step(now, silence);
-        self.log_silence(now);
-        match step {
-            Step::Wait(until) => self.next_look = until,
-            Step::WaitForEngine(until) => {
-                self.next_look = until;
-                if !std::mem::replace(&mut self.waits_for_engine, true) {
-                    let why = "no other engine that answers has a copy";
-                    log::info!(id = self.original.inbound.id, why; "waits for its engine");
-                }
-            }
-            Step::Check(key) => self.shared.check_liveness(key),
-            Step::Stop => self.stop(attempt),
-            Step::TakeOver(_) => self.take_over_from_silent(attempt),
-            Step::Resume => {
-                self.shared.mark_unreachable(self.source.key);
-                return self.resume_from_silent().await;
-            }
-        }
-        Ok(())
-    }
-
-    fn log_silence(&mut self, now: Time) {
-        let logged_at = self.silence_logged_at;
-        if logged_at.is_some_and(|at| now.since(at) < SILENCE_LOG_INTERVAL) {
-            return;
-        }
-        self.silence_logged_at = Some(now);
-        let ms = now.since(self.last_event_at).as_millis();
-        let events = self.sequence.count();
-        log::info!(id = self.original.inbound.id, events, ms; "stream is silent");
-    }
-
-    fn stop(&mut self, attempt: &mut Option<Attempt>) {
-        self.stop_asked_at = Some(clock::now());
-        *attempt = Some(Attempt::to_stop(self.takeover_context(), None));
-    }
-
-    /// Another engine that does not respond may have taken the run over, so that two engines
-    /// would run a stream that must not be repeated. Stops the run where it can be reached,
-    /// and resumes from there.
-    fn stop_duplicate(&mut self, attempt: &mut Option<Attempt>, other: EndpointKey) {
-        log::info!(
-            id = self.original.inbound.id, events = self.sequence.count();
-            "two engines may be running the stream"
-        );
-        self.stop_asked_at = Some(clock::now());
-        *attempt = Some(Attempt::to_stop(self.takeover_context(), Some(other)));
-    }
-
-    /// Has the engine with the copy take over from one that does not answer.
-    fn take_over_from_silent(&mut self, attempt: &mut Option<Attempt>) {
-        let Some(copy) = self.backup_copy() else {
-            return self.wait_for_engine("no copy");
-        };
-        if self.takeovers >= MAX_TAKEOVERS {
-            return self.wait_for_engine("too many takeovers");
-        }
-        self.shared.mark_unreachable(self.source.key);
-        if let Some(stopping) = attempt.take() {
-            stopping.detach();
-        }
-        *attempt = Some(Attempt::to_take_over(
-            Kind::TakeOver,
-            self.takeover_context(),
-            copy,
-            "silent",
-            TAKEOVER_TIMEOUT,
-        ));
-    }
-
     /// Handles the answer to a request to stop the run.
     async fn stopped(
         &mut self,
@@ -272,7 +175,11 @@
             copies.extend(self.backup_copy());
             return self.continue_from(attempt, copies, why);
         }
+        self.may_be_stopped = matches!(outcome, StopOutcome::Unknown(_));
         if let Some(broken) = self.broken.take() {
+            if broken.is_end && !self.may_be_stopped {
+                return Err(Ending::Complete);
+            }
             self.record_crash(&broken);
             return self.take_over_or_restart(attempt, broken).await;
         }
@@ -285,32 +192,11 @@
         Ok(())
     }
 
-    /// The engine does not have the run: it has lost it, or has finished with the last events in transit.
-    fn take_over_missing(&mut self, attempt: &mut Option<Attempt>) {
-        let Some(copy) = self.backup_copy() else {
-            return self.wait_for_engine("no copy");
-        };
-        *attempt = Some(Attempt::to_take_over(
-            Kind::TakeOver,
-            self.takeover_context(),
-            copy,
-            "gone",
-            TAKEOVER_TIMEOUT,
-        ));
-    }
-
-    /// The connection is still open, so that the stream is not lost.
-    fn wait_for_engine(&mut self, why: &str) {
-        log::info!(id = self.original.inbound.id, why; "waits for its engine");
-        let now = clock::now();
-        self.quiet_since = now;
-        self.next_look = now.after(CHECK_AFTER);
-    }
-
     /// Continues elsewhere once nothing more can come from the engine.
     async fn fail_over(&mut self, attempt: &mut Option<Attempt>, why: &str) -> Result<(), Ending> {
         let broken = self.broken.take().unwrap_or_else(|| Break {
             is_crash: false,
+            is_end: false,
             until: self.ticket.expires,
             why: why.to_string(),
         });
@@ -345,6 +231,7 @@
         self.copies.dedup_by(|next, first| next.key == first.key);
         self.broken.get_or_insert_with(|| Break {
             is_crash: false,
+            is_end: false,
             until: self.ticket.expires,
             why: why.to_string(),
         });
@@ -393,31 +280,13 @@
         Err(Ending::Lost(lost))
     }
 
-    /// Restarts a resumable stream after its last event, while its own engine may come back.
-    async fn resume_from_silent(&mut self) -> Result<(), Ending> {
-        let source = self.source.key;
-        if !self.progress.may_send(&self.shared, &self.ticket) {
-            self.wait_for_engine("no further attempt is allowed");
-            return Ok(());
-        }
-        match self.resume("silent").await {
-            Ok(Some(opened)) => {
-                self.progress.note_run(source, "silent".to_string());
-                self.switch_over(opened);
-            }
-            Ok(None) => self.wait_for_engine("not resumed"),
-            Err(why) => self.wait_for_engine(&why),
-        }
-        Ok(())
-    }
-
     /// Whether the stream may restart after its last event once this run is given up.
-    fn may_run_again(&self) -> bool {
+    pub(super) fn may_run_again(&self) -> bool {
         self.ticket.may_run_again(self.progress.runs + 1)
     }
 
     /// Asks another engine to start after the last event; `None` if it did not.
-    async fn resume(&mut self, why: &str) -> Result<Option<Opened>, String> {
+    pub(super) async fn resume(&mut self, why: &str) -> Result<Option<Opened>, String> {
         let deadline = clock::now().after(RESUME_TIMEOUT).min(self.ticket.expires);
         let need = self.remaining_need();
         let acquired = acquire_endpoint(
@@ -476,7 +345,7 @@
     }
 
     /// Continues with an engine that has taken the run over, and drops the previous run.
-    fn switch_over(&mut self, opened: Opened) {
+    pub(super) fn switch_over(&mut self, opened: Opened) {
         self.takeovers += 1;
         if self.broken.is_none() && !self.is_leaving() {
             let abandoned = Abandoned {
@@ -504,6 +373,7 @@
         self.earlier_events = self.sequence.count();
         self.end_silence(now);
         self.source = opened.source;
+        self.may_be_stopped = false;
         self.stop_asked_at = None;
         self.unjudged = false;
     }
