--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -197,8 +197,14 @@
             Ending::Lost(why) => why.as_str(),
             _ => "",
         };
-        log::info!(
-            id = self.original.inbound.id, route = self.ticket.route.name,
+        let level = match &ending {
+            Ending::Lost(_) => log::Level::Warn,
+            _ => log::Level::Info,
+        };
+        let endpoint = self.shared.endpoint_address(self.source.key);
+        let endpoint = endpoint.map(|(_, id)| id).unwrap_or_default();
+        log::log!(
+            level, id = self.original.inbound.id, route = self.ticket.route.name, endpoint,
             outcome = ending.label(), why, events = self.sequence.count(),
             takeovers = self.takeovers, first_ms = self.first_event_delay.as_millis(),
             target_ms = self.ticket.route.target.as_millis(),
