Move runs of leaving engines only to engines that answer, and keep the copy if the target is silent

Streams of leaving engines were lost when the target of their move was paused: the takeover was given up after 250 ms and its copy thrown away, the run was stopped at its own engine in a second copy, and that engine left before it was done. Instances now wait until the target answers a check, copy to another one if it does not for 0.4 s, prefer targets that are not silent, and go on from the copy they have if the engine leaves meanwhile; without a run beside it there is no limit of 250 ms.

--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -226,13 +226,29 @@
         }
     }
 
-    /// Chooses an engine to move a run to.
+    /// Chooses an engine to move a run to, one that is silent only if there is no other.
     #[must_use]
     pub fn pick_target(
         &mut self,
         now: Time,
         run: RunKey,
         tried: &[EndpointKey],
+    ) -> Option<EndpointKey> {
+        let mut skip = tried.to_vec();
+        skip.extend(
+            self.endpoints
+                .keys()
+                .filter(|key| self.is_silent(now, *key)),
+        );
+        self.pick_target_except(now, run, &skip)
+            .or_else(|| self.pick_target_except(now, run, tried))
+    }
+
+    fn pick_target_except(
+        &mut self,
+        now: Time,
+        run: RunKey,
+        tried: &[EndpointKey],
     ) -> Option<EndpointKey> {
         let jitter = self.jitter();
         let run = self.runs.get(run)?;
--- a/crates/forward/src/silence.rs
+++ b/crates/forward/src/silence.rs
@@ -20,11 +20,14 @@
 /// Time since an engine was last heard up to which it counts as responsive.
 const RESPONSIVE_TIME: Duration = Duration::from_millis(400);
 
+/// Time within which an engine that is not silent answers a check.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
+
 /// Interval between two checks of an engine that does not answer, each of which opens a connection.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// How often a silent run is looked at while the answer to a check is awaited.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
+pub const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// When an engine was heard by this instance, and asked.
 #[derive(Clone, Debug, Default)]
@@ -117,6 +120,28 @@
         endpoint.liveness.record_heard(now)
     }
 
+    /// Whether something was read from an endpoint just now, so that it is not silent.
+    #[must_use]
+    pub fn is_responsive(&self, now: Time, key: EndpointKey) -> bool {
+        let endpoint = self.endpoints.get(key);
+        endpoint.is_some_and(|endpoint| endpoint.liveness.is_responsive(now))
+    }
+
+    /// Whether an endpoint has left a check unanswered.
+    pub(crate) fn is_silent(&self, now: Time, key: EndpointKey) -> bool {
+        let endpoint = self.endpoints.get(key);
+        let liveness = endpoint.map(|endpoint| &endpoint.liveness);
+        liveness.is_some_and(|liveness| liveness.is_unanswered_for(now, ANSWER_TIME))
+    }
+
+    /// Whether an endpoint is to be asked whether it lives on, as it has not been heard and no check of it is on the
+    /// way.
+    #[must_use]
+    pub fn may_check(&self, now: Time, key: EndpointKey) -> bool {
+        let endpoint = self.endpoints.get(key);
+        endpoint.is_some_and(|endpoint| endpoint.liveness.may_check(now))
+    }
+
     /// What to do next about a silent run.
     pub fn next_silence_step(&mut self, now: Time, silence: Silence) -> Step {
         let due = silence.since.after(CHECK_AFTER);
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -42,12 +42,14 @@
 pub struct Relay {
     /// How the connection to the current engine ended, if it has.
     broken: Option<Break>,
-    /// Further copies from which the run may continue; the last one is used first.
+    /// Further copies from which the run may continue if its engine is lost; the last one is used first.
     copies: Vec<RunCopy>,
     /// Number of events before the current engine's.
     earlier_events: u32,
     guard: Option<RequestGuard>,
     first_event_delay: Duration,
+    /// Whether the connection to the current engine is open, for attempts in progress.
+    is_connected: Rc<Cell<bool>>,
     /// When the current engine's first event was received.
     began_at: Option<Time>,
     last_event_at: Time,
@@ -159,6 +161,7 @@
             guard: start.guard,
             first_event_delay: now.since(inbound.arrived),
             began_at: None,
+            is_connected: Rc::new(Cell::new(true)),
             last_event_at: now,
             last_event: Rc::new(RefCell::new(resume_after.map(str::to_string))),
             longest_pause: Duration::ZERO,
@@ -274,6 +277,7 @@
     /// The data that a takeover needs, without the stream itself.
     fn takeover_context(&self) -> TakeoverContext {
         TakeoverContext {
+            is_connected: Rc::clone(&self.is_connected),
             last_event: Rc::clone(&self.last_event),
             original: Rc::clone(&self.original),
             run: self.running.key,
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -46,10 +46,12 @@
             return self.take_over_or_restart(attempt, broken).await;
         };
         let now = clock::now();
+        self.is_connected.set(false);
+        let has_backup = self.backup_copy().is_some();
         let until = match kind {
-            Kind::Move => now.after(relocate::MOVE_TIMEOUT),
-            Kind::Stop if self.backup_copy().is_some() => now.after(STOPPED_TIMEOUT),
-            Kind::Stop | Kind::TakeOver | Kind::Continue => self.ticket.expires,
+            Kind::Move if has_backup => now.after(relocate::MOVE_TIMEOUT),
+            Kind::Stop if has_backup => now.after(STOPPED_TIMEOUT),
+            Kind::Move | Kind::Stop | Kind::TakeOver | Kind::Continue => self.ticket.expires,
         };
         // Whether the engine has crashed or has stopped the run as it was asked to is shown by its answer.
         if kind != Kind::Stop {
@@ -131,6 +133,15 @@
                 self.stop_duplicate(attempt, key);
                 Ok(())
             }
+            TakeoverOutcome::Silent(copy) => {
+                log::info!(id = self.original.inbound.id; "engine with the copy does not answer");
+                self.copies = vec![copy];
+                self.next_move = clock::now().after(MOVE_RETRY_DELAY);
+                if self.broken.is_some() {
+                    return self.fail_over(attempt, "move").await;
+                }
+                Ok(())
+            }
             TakeoverOutcome::Deferred(why) if self.broken.is_some() => {
                 self.fail_over(attempt, &why).await
             }
@@ -210,13 +221,15 @@
         attempt: &mut Option<Attempt>,
         broken: Break,
     ) -> Result<(), Ending> {
-        let Some(copy) = self.backup_copy() else {
+        let mut copies = std::mem::take(&mut self.copies);
+        copies.extend(self.backup_copy());
+        if copies.is_empty() {
             let lost = format!("{}; no copy", broken.why);
             return self.restart(&broken.why, lost).await;
-        };
+        }
         let why = broken.why.clone();
         self.broken = Some(broken);
-        self.continue_from(attempt, vec![copy], &why)
+        self.continue_from(attempt, copies, &why)
     }
 
     /// Continues a run that has ended at its engine from the first of these copies that allows it.
@@ -370,6 +383,8 @@
         let now = clock::now();
         self.began_at = None;
         self.broken = None;
+        self.copies.clear();
+        self.is_connected = Rc::new(Cell::new(true));
         self.earlier_events = self.sequence.count();
         self.end_silence(now);
         self.source = opened.source;
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -25,6 +25,7 @@
         reader::{Readers, TOPICS},
         request::Ticket,
         rollout::tally::Outcome,
+        silence::POLL_INTERVAL,
         state::QueuePosition,
     },
     peer::datagram::DatagramSocket,
@@ -231,6 +232,24 @@
         tokio::task::spawn_local(probe::check_liveness(Rc::clone(self), key));
     }
 
+    /// Waits until an endpoint has been heard just now; asks it whether it lives on if it has not.
+    pub async fn wait_until_responsive(self: &Rc<Self>, key: EndpointKey) {
+        loop {
+            let now = clock::now();
+            let (is_responsive, may_check) = {
+                let state = self.state.borrow();
+                (state.is_responsive(now, key), state.may_check(now, key))
+            };
+            if is_responsive {
+                return;
+            }
+            if may_check {
+                self.check_liveness(key);
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
     /// Marks an endpoint as unreachable after the connection of a running stream broke. All streams
     /// there break together, which counts as one failure.
     pub fn mark_disconnected(&self, key: EndpointKey) {
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -19,6 +19,12 @@
 /// may run it concurrently for up to 400 ms.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
 
+/// How long an engine with a backup copy may take to answer a check before the run is copied to another one.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// How long the engine to which a run was copied may be silent before the run is copied to another one.
+const TARGET_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Source of a stream's events.
 #[derive(Debug)]
 pub struct EventSource {
@@ -39,6 +45,8 @@
     Opened(Box<Opened>),
     /// The run stays where it is, for this reason; a move may be retried.
     Deferred(String),
+    /// The copy is complete, but its engine does not answer; the run stays where it is.
+    Silent(RunCopy),
     /// The other engine has not confirmed or refused the takeover.
     Unknown(EndpointKey),
 }
@@ -71,6 +79,8 @@
 /// The data that a takeover needs.
 #[derive(Debug)]
 pub struct TakeoverContext {
+    /// Whether the connection to the run's engine is open, kept up to date.
+    pub is_connected: Rc<Cell<bool>>,
     /// Id of the last event sent to the caller, kept up to date.
     pub last_event: Rc<RefCell<Option<String>>>,
     /// The caller's request.
@@ -96,7 +106,10 @@
             .state
             .borrow()
             .healthy_backup(clock::now(), self.run);
-        if let Some(copy) = backup.filter(|copy| Some(copy.key) == healthy) {
+        let copy = backup.filter(|copy| Some(copy.key) == healthy);
+        if let Some(copy) = copy
+            && self.answers(copy.key).await
+        {
             match self.open_within_overlap(&copy, "leaving").await {
                 TakeoverOutcome::Deferred(_) => {}
                 settled => return settled,
@@ -109,13 +122,33 @@
         }
     }
 
-    /// Asks an engine to take over while the previous engine may still be running.
+    /// Whether an engine lives on; one that is silent would take the run over at some later time.
+    async fn answers(&self, key: EndpointKey) -> bool {
+        let answered = timeout(ANSWER_TIMEOUT, self.shared.wait_until_responsive(key));
+        answered.await.is_ok()
+    }
+
+    /// Asks an engine to take over while the previous engine may still be running, once it answers. If the previous
+    /// one ends meanwhile, there is no hurry any more.
     async fn open_within_overlap(&self, copy: &RunCopy, why: &str) -> TakeoverOutcome {
+        let responsive = self.shared.wait_until_responsive(copy.key);
+        tokio::pin!(responsive);
+        while timeout(TARGET_TIMEOUT, responsive.as_mut()).await.is_err() {
+            if self.is_connected.get() {
+                return TakeoverOutcome::Silent(copy.clone());
+            }
+        }
         let opening = self.open_from_copy(copy, why, TAKEOVER_TIMEOUT);
-        match timeout(MAX_OVERLAP, opening).await {
-            Ok(Ok(opened)) => TakeoverOutcome::Opened(Box::new(opened)),
-            Ok(Err(Failure::NotRun(why))) => TakeoverOutcome::Deferred(why),
-            Ok(Err(Failure::Unknown(_))) | Err(_) => TakeoverOutcome::Unknown(copy.key),
+        tokio::pin!(opening);
+        let opened = match timeout(MAX_OVERLAP, opening.as_mut()).await {
+            Err(_) if self.is_connected.get() => return TakeoverOutcome::Unknown(copy.key),
+            Err(_) => opening.await,
+            Ok(opened) => opened,
+        };
+        match opened {
+            Ok(opened) => TakeoverOutcome::Opened(Box::new(opened)),
+            Err(Failure::NotRun(why)) => TakeoverOutcome::Deferred(why),
+            Err(Failure::Unknown(_)) => TakeoverOutcome::Unknown(copy.key),
         }
     }
 
