--- a/crates/carawayhead/tests/soak/script.rs
+++ b/crates/carawayhead/tests/soak/script.rs
@@ -19,6 +19,9 @@
 /// Longer than any undo is scheduled ahead, so that all of them are due.
 const UNDO_ALL_HORIZON: Duration = Duration::from_hours(1);
 
+/// How much longer an engine stays that was to leave while engines are paused.
+const NOTICE_AFTER_PAUSE: Duration = Duration::from_secs(1);
+
 /// Which changes a soak run makes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Mode {
@@ -316,6 +319,8 @@
             }
             *at > until
         });
+        let is_paused = due.iter().any(|undo| matches!(undo, Undo::Thaw))
+            || self.has_pending_undo(|undo| matches!(undo, Undo::Thaw));
         for undo in due {
             match undo {
                 Undo::Service(index) => deployment.services[index]
@@ -329,6 +334,11 @@
                     }
                 }
                 Undo::EngineLink(index) => deployment.engines[index].proxy.set(LinkState::Open),
+                // A paused engine cannot use its notice, and would end as if it had crashed.
+                Undo::Leave(index) if is_paused => {
+                    self.pending_undos
+                        .push((Instant::now() + NOTICE_AFTER_PAUSE, Undo::Leave(index)));
+                }
                 Undo::Leave(index) => deployment.replace(index).await,
                 Undo::StoreBehavior => deployment.store.set_behavior(StoreBehavior::Healthy),
                 Undo::Resume(index) => deployment.slots[index].signal(Signal::CONT),
