Never drop the handle of a stopped run, and ask engines with copies again

A move was given up after 1.8 s, and its copy could not be used.

The answer to a stop is awaited beside other attempts now, and a stream that may not run again does not end before it. Attempts other than stops are dropped, which closes their connections. A stop that was not sent has not happened. The end of a stream that nothing delimits counts as its end only if no stop has an unknown outcome. stop_that_is_obeyed_after_a_failed_takeover_loses_no_stream, stops_that_are_answered_late_lose_no_stream and moves_that_take_long_lose_no_stream are new; they were not run on the code before. The soak's check leaves out no 502 any more, as leaving engines keep their notice in pauses.

--- a/crates/carawayhead/tests/forwarding/silences.rs
+++ b/crates/carawayhead/tests/forwarding/silences.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         instance::wait_until,
-        streams::{Deployment, assert_all_events, deployment},
+        streams::{Deployment, assert_all_events, deployment, deployment_with},
     },
     futures_util::future::join_all,
     http::StatusCode,
@@ -265,3 +265,74 @@
     deployment.engines[index].set_stalled(false);
     assert_complete(vec![stream]).await;
 }
+
+/// An engine reads the request to stop a run only after a pause, in which the engine with the backup copy was asked and
+/// did not have it. The stream must go on from the copy that the engine makes, though its answer comes late.
+#[tokio::test]
+async fn stop_that_is_obeyed_after_a_failed_takeover_loses_no_stream() {
+    let deployment = deployment(ENGINES).await;
+    deployment.shared_runs.set_copy_time(COPY_TIME);
+    let stream = start_stream(deployment.instance.caller_address, "r1".to_string());
+    let index = deployment.wait_for_run().await;
+    deployment.shared_runs.drop_copies();
+    let engine = &deployment.engines[index];
+    let checked = engine.reports();
+    engine.set_stalled(true);
+    wait_until("the engine has answered a check", || async {
+        engine.reports() > checked
+    })
+    .await;
+    engine.freeze();
+    wait_until("the takeover is refused", || async {
+        let takeovers = deployment.instance.log_lines_containing("\"takeover\"");
+        takeovers.iter().any(|line| line.contains("answered 503"))
+    })
+    .await;
+    engine.thaw();
+    assert_complete(vec![stream]).await;
+    assert_eq!(engine.stopped_runs(), ["r1"]);
+}
+
+/// Engines stop several runs that make no progress and copy them one after the other, for longer than an instance waits
+/// where there are backup copies, which are gone. All streams must go on.
+#[tokio::test]
+async fn stops_that_are_answered_late_lose_no_stream() {
+    let deployment = deployment(ENGINES).await;
+    deployment
+        .shared_runs
+        .set_copy_time(Duration::from_millis(900));
+    let streams = start_streams(&deployment).await;
+    deployment.shared_runs.drop_copies();
+    let engines = &deployment.engines;
+    for engine in engines {
+        engine.set_stalled(true);
+    }
+    wait_until("all runs are stopped", || async {
+        let stopped = engines.iter().map(|engine| engine.stopped_runs().len());
+        stopped.sum::<usize>() == STREAMS
+    })
+    .await;
+    for engine in engines {
+        engine.set_stalled(false);
+    }
+    assert_complete(streams).await;
+}
+
+/// The copy of a run of a leaving engine takes longer than an instance used to wait for it, and the engine leaves after
+/// that. The stream must go on from the copy.
+#[tokio::test]
+async fn moves_that_take_long_lose_no_stream() {
+    let deployment = deployment_with(ENGINES, 300, Duration::from_millis(15)).await;
+    deployment
+        .shared_runs
+        .set_copy_time(Duration::from_millis(2200));
+    let stream = start_stream(deployment.instance.caller_address, "r1".to_string());
+    let index = deployment.wait_for_run().await;
+    deployment.shared_runs.drop_copies();
+    deployment.announce_leaving(index);
+    sleep(Duration::from_secs(4)).await;
+    deployment.engines[index].crash();
+    let response = stream.await.expect("the task does not panic");
+    let response = response.expect("the instance responds");
+    assert!(response.complete);
+}
--- a/crates/carawayhead/tests/forwarding/streams.rs
+++ b/crates/carawayhead/tests/forwarding/streams.rs
@@ -32,7 +32,7 @@
     deployment_with(engines, 3, gap).await
 }
 
-async fn deployment_with(engines: usize, events: u32, gap: Duration) -> Deployment {
+pub async fn deployment_with(engines: usize, events: u32, gap: Duration) -> Deployment {
     let store = Store::start().await;
     store.write_operator_record("config", &config(1, &["key-1"], 30_000));
     let shared_runs = Arc::default();
@@ -53,6 +53,13 @@
 }
 
 impl Deployment {
+    /// Announces in the store that an engine is leaving.
+    pub fn announce_leaving(&self, index: usize) {
+        let entry = self.engines[index].leaving_entry("model", "a");
+        let id = format!("m{}", index + 1);
+        self.store.write_endpoint_entry(&id, &entry);
+    }
+
     /// Publishes the second version of the configuration, with another timeout.
     pub fn configure(&self) {
         let config = config(2, &["key-1"], 20_000);
--- a/crates/carawayhead/tests/soak/main.rs
+++ b/crates/carawayhead/tests/soak/main.rs
@@ -239,7 +239,7 @@
     let mut violations = check_guarantees(&deployment, &injector, &records);
     violations.extend(check_rollout(&deployment));
     if is_planned {
-        violations.extend(check_uninterrupted(mode, &records));
+        violations.extend(check_uninterrupted(&records));
     }
     deployment.keys = vec!["key-1", "key-2"];
     deployment.publish();
@@ -387,18 +387,10 @@
     violations
 }
 
-/// Checks that planned changes interrupt no request that an instance has started to read. An engine that leaves while
-/// it is paused may end without having answered, and break off a stream before its first event.
-fn check_uninterrupted(mode: Mode, records: &[Record]) -> Vec<String> {
-    let is_broken_off = |record: &Record, status: StatusCode| {
-        let is_stream = record.path.starts_with("/draft");
-        mode == Mode::Silences && is_stream && status == StatusCode::BAD_GATEWAY
-    };
+/// Checks that planned changes interrupt no request that an instance has started to read.
+fn check_uninterrupted(records: &[Record]) -> Vec<String> {
     let interrupted = records.iter().filter(|record| match &record.response {
-        Some(response) => {
-            let is_failure = matches!(response.status.as_u16(), 502 | 504);
-            !response.complete || (is_failure && !is_broken_off(record, response.status))
-        }
+        Some(response) => !response.complete || matches!(response.status.as_u16(), 502 | 504),
         None => false,
     });
     interrupted
--- a/crates/forward/src/silence.rs
+++ b/crates/forward/src/silence.rs
@@ -171,10 +171,8 @@
             return poll;
         }
         let backup = run.backup.filter(|key| self.may_continue_at(now, *key));
-        let successor = backup.or_else(|| {
-            let may_resume = silence.is_resumable && !silence.is_stopping;
-            may_resume.then(|| self.pick_target(now, silence.run, &[]))?
-        });
+        let successor = backup
+            .or_else(|| (silence.is_resumable).then(|| self.pick_target(now, silence.run, &[]))?);
         let Some((key, successor)) =
             successor.and_then(|key| Some((key, self.endpoints.get(key)?)))
         else {
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -46,6 +46,7 @@
 /// Checks whether the engine of a silent run lives on.
 pub async fn check_liveness(shared: Rc<Shared>, key: EndpointKey) {
     let Some((_, request)) = check_request(&shared, key) else {
+        shared.end_check(key);
         return;
     };
     let asked = async {
@@ -53,9 +54,7 @@
         reply.read_body(MAX_ANSWER_BYTES).await
     };
     let answered = timeout(LIVENESS_TIMEOUT, asked).await;
-    if let Some(endpoint) = shared.state.borrow_mut().endpoint_mut(key) {
-        endpoint.liveness.end_check();
-    }
+    shared.end_check(key);
     match answered {
         Ok(Ok(_)) => shared.record_heard(key),
         Ok(Err(error)) => log_unanswered(&shared, key, &error.to_string()),
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -44,6 +44,8 @@
     broken: Option<Break>,
     /// Further copies from which the run may continue if its engine is lost; the last one is used first.
     copies: Vec<RunCopy>,
+    /// Copy from which the run is being continued.
+    continuing: Option<RunCopy>,
     /// Number of events before the current engine's.
     earlier_events: u32,
     guard: Option<RequestGuard>,
@@ -55,8 +57,8 @@
     last_event_at: Time,
     last_event: Rc<RefCell<Option<String>>>,
     longest_pause: Duration,
-    /// Whether the engine may have stopped the run: it was asked to, and has not answered otherwise.
-    may_be_stopped: bool,
+    /// Whether the engine may have stopped the run.
+    stop: Stop,
     /// When the silence is looked at next.
     next_look: Time,
     next_move: Time,
@@ -65,6 +67,8 @@
     quiet_since: Time,
     out: mpsc::Sender<BodyPart>,
     progress: Progress,
+    /// How often engines with copies were asked again.
+    repeats: u32,
     running: RunGuard,
     sequence: Sequence,
     shared: Rc<Shared>,
@@ -73,6 +77,8 @@
     source: EventSource,
     /// When the current engine was last asked to stop the run.
     stop_asked_at: Option<Time>,
+    /// A request to stop the run whose answer is awaited beside another attempt: the engine may obey it.
+    stopping: Option<Attempt>,
     takeovers: u32,
     ticket: Ticket,
     /// Whether the answer is to count in the judgement of its engine's version.
@@ -110,6 +116,8 @@
     /// An attempt to continue elsewhere has not ended in time after the connection broke.
     Overdue,
     Settled(Settled),
+    /// The request to stop the run was answered while another attempt was in progress.
+    SettledStop(Settled),
     /// No event for a while.
     Silent,
     /// Equal requests have crashed too many engines.
@@ -128,6 +136,17 @@
     why: String,
 }
 
+/// Whether an engine has stopped a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stop {
+    /// It was not asked to, or has answered that it has not.
+    NotAsked,
+    /// It was asked to, and may still answer, or has done so.
+    Asked,
+    /// The connection failed on which it was asked, so that later answers do not show it either.
+    Unknown,
+}
+
 /// How a stream ended.
 enum Ending {
     CallerLeft,
@@ -157,6 +176,7 @@
         Self {
             broken: None,
             copies: Vec::new(),
+            continuing: None,
             earlier_events: 0,
             guard: start.guard,
             first_event_delay: now.since(inbound.arrived),
@@ -165,11 +185,12 @@
             last_event_at: now,
             last_event: Rc::new(RefCell::new(resume_after.map(str::to_string))),
             longest_pause: Duration::ZERO,
-            may_be_stopped: false,
+            stop: Stop::NotAsked,
             next_move: Time::default(),
             out: start.out,
             progress: start.progress,
             quiet_since: now,
+            repeats: 0,
             next_look: now.after(CHECK_AFTER),
             running: start.running,
             sequence: Sequence::after(resume_after),
@@ -177,6 +198,7 @@
             silence_logged_at: None,
             source: start.source,
             stop_asked_at: None,
+            stopping: None,
             takeovers: 0,
             original: start.original,
             ticket: start.ticket,
@@ -248,6 +270,7 @@
                     attempt = None;
                     self.settle(&mut attempt, settled).await
                 }
+                Step::SettledStop(settled) => self.settle_stop(&mut attempt, settled).await,
                 Step::Silent => self.silent(&mut attempt).await,
             };
             if let Err(ending) = result {
@@ -313,6 +336,7 @@
             () = self.out.closed() => Step::CallerLeft,
             chunk = self.source.answer.chunk(), if is_open => self.events(chunk),
             settled = attempt::settled(attempt) => Step::Settled(settled),
+            settled = attempt::settled(&mut self.stopping) => Step::SettledStop(settled),
             () = self.shared.stopped(&self.original, events) => Step::Stopped,
             () = sleep(wait) => if wait == remaining { Step::Expired } else { due },
         }
@@ -336,7 +360,7 @@
                 lost(true, "connection closed before the first event".to_string())
             }
             // The engine closes a run that it stops as it does one that has come to its end.
-            Ok(None) if self.may_be_stopped && !self.source.answer.is_delimited() => {
+            Ok(None) if self.stop != Stop::NotAsked && !self.source.answer.is_delimited() => {
                 Step::Lost(Break {
                     is_crash: false,
                     is_end: true,
--- a/crates/proxy/src/relay/attempt.rs
+++ b/crates/proxy/src/relay/attempt.rs
@@ -9,9 +9,6 @@
     std::pin::Pin,
 };
 
-/// How long an attempt may proceed that nobody waits for; it keeps a connection open.
-const DETACHED_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// What an attempt does.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
@@ -101,11 +98,6 @@
             future: Box::pin(taking_over),
         }
     }
-
-    /// Lets the attempt proceed for a while without anyone to use its result.
-    pub fn detach(self) {
-        tokio::task::spawn_local(timeout(DETACHED_TIMEOUT, self.future));
-    }
 }
 
 /// Waits for the attempt; never returns if there is none.
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Break, Ending, Relay,
+        Break, Ending, Relay, Stop,
         attempt::{Attempt, Kind, Settled},
     },
     crate::{
@@ -31,6 +31,9 @@
 /// How long the copy of a run that has stopped is awaited where there is a backup copy as well.
 const STOPPED_TIMEOUT: Duration = Duration::from_millis(1200);
 
+/// How often the engines with copies of a lost run that have not answered are asked again.
+const MAX_REPEATS: u32 = 8;
+
 /// Delay before a move is retried.
 const MOVE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -42,19 +45,21 @@
         broken: Break,
     ) -> Result<(), Ending> {
         let Some(kind) = attempt.as_ref().map(|attempt| attempt.kind) else {
-            self.record_crash(&broken);
+            if self.stopping.is_none() {
+                self.record_crash(&broken);
+            }
             return self.take_over_or_restart(attempt, broken).await;
         };
         let now = clock::now();
         self.is_connected.set(false);
         let has_backup = self.backup_copy().is_some();
         let until = match kind {
-            Kind::Move if has_backup => now.after(relocate::MOVE_TIMEOUT),
+            Kind::Move if has_backup || self.may_run_again() => now.after(relocate::MOVE_TIMEOUT),
             Kind::Stop if has_backup => now.after(STOPPED_TIMEOUT),
             Kind::Move | Kind::Stop | Kind::TakeOver | Kind::Continue => self.ticket.expires,
         };
         // Whether the engine has crashed or has stopped the run as it was asked to is shown by its answer.
-        if kind != Kind::Stop {
+        if kind != Kind::Stop && self.stopping.is_none() {
             self.record_crash(&broken);
         }
         self.broken = Some(Break { until, ..broken });
@@ -64,10 +69,34 @@
     /// An attempt that was in progress when the connection broke has taken too long.
     pub(super) async fn overdue(&mut self, attempt: &mut Option<Attempt>) -> Result<(), Ending> {
         if let Some(attempt) = attempt.take() {
-            log::info!(id = self.original.inbound.id, attempt:?; "attempt abandoned");
-            attempt.detach();
+            log::info!(id = self.original.inbound.id, attempt:?; "attempt takes too long");
+            if attempt.kind == Kind::Stop {
+                self.stopping = Some(attempt);
+            }
         }
-        self.fail_over(attempt, "attempt abandoned").await
+        self.fail_over(attempt, "attempt takes too long").await
+    }
+
+    /// Handles the answer to a stop that came while another attempt was in progress, or none.
+    pub(super) async fn settle_stop(
+        &mut self,
+        attempt: &mut Option<Attempt>,
+        settled: Settled,
+    ) -> Result<(), Ending> {
+        self.stopping = None;
+        let Settled::Stopped { outcome, why } = settled else {
+            return Ok(());
+        };
+        if attempt.is_none() {
+            return self.stopped(attempt, outcome, why).await;
+        }
+        self.record_stop(&outcome);
+        if let StopOutcome::Stopped(copy) = outcome {
+            // Used if the attempt in progress fails.
+            let kept = self.kept_copy(&copy);
+            self.copies.splice(0..0, [kept, copy]);
+        }
+        Ok(())
     }
 
     /// Handles the end of an attempt.
@@ -105,16 +134,31 @@
         // The connection broke while the engine with the backup copy was asked, which has not answered in time.
         let is_unknown = matches!(failure, takeover::Failure::Unknown(_));
         if kind == Kind::TakeOver && is_unknown {
-            self.copies = self.backup_copy().into_iter().collect();
+            self.copies.splice(0..0, self.backup_copy());
+        }
+        // Its engine may be back later, while nothing else can continue the run.
+        if kind == Kind::Continue && is_unknown && self.repeats < MAX_REPEATS {
+            self.repeats += 1;
+            self.copies.splice(0..0, self.continuing.take());
         }
         if self.copies.is_empty() {
             let lost = format!("{}; copy {failure}", broken.why);
-            return self.restart(&broken.why, lost).await;
+            return self.restart_or_wait(broken, lost).await;
         }
         self.broken = Some(broken);
         self.continue_from_next(attempt)
     }
 
+    /// Restarts the stream, unless its engine may have stopped it and has not answered yet.
+    async fn restart_or_wait(&mut self, broken: Break, lost: String) -> Result<(), Ending> {
+        if self.stopping.is_none() || self.may_run_again() {
+            return self.restart(&broken.why, lost).await;
+        }
+        let until = self.ticket.expires;
+        self.broken = Some(Break { until, ..broken });
+        Ok(())
+    }
+
     async fn moved(
         &mut self,
         attempt: &mut Option<Attempt>,
@@ -135,7 +179,8 @@
             }
             TakeoverOutcome::Silent(copy) => {
                 log::info!(id = self.original.inbound.id; "engine with the copy does not answer");
-                self.copies = vec![copy];
+                self.copies.retain(|other| *other != copy);
+                self.copies.push(copy);
                 self.next_move = clock::now().after(MOVE_RETRY_DELAY);
                 if self.broken.is_some() {
                     return self.fail_over(attempt, "move").await;
@@ -177,18 +222,14 @@
             if self.broken.is_none() {
                 self.last_events().await?;
             }
-            // The engine that has stopped the run keeps its memory as well.
-            let kept = RunCopy {
-                key: self.source.key,
-                ..copy.clone()
-            };
+            let kept = self.kept_copy(&copy);
             let mut copies = vec![copy, kept];
             copies.extend(self.backup_copy());
             return self.continue_from(attempt, copies, why);
         }
-        self.may_be_stopped = matches!(outcome, StopOutcome::Unknown(_));
+        self.record_stop(&outcome);
         if let Some(broken) = self.broken.take() {
-            if broken.is_end && !self.may_be_stopped {
+            if broken.is_end && self.stop == Stop::NotAsked {
                 return Err(Ending::Complete);
             }
             self.record_crash(&broken);
@@ -197,12 +238,31 @@
         match outcome {
             StopOutcome::Stopped(_) | StopOutcome::Busy => self.wait_for_engine("busy"),
             StopOutcome::Refused => self.wait_for_engine("stop refused"),
-            StopOutcome::Unknown(why) => self.wait_for_engine(&why),
-            StopOutcome::NoRun => self.take_over_missing(attempt),
+            StopOutcome::NotAsked(why) | StopOutcome::Unknown(why) => self.wait_for_engine(&why),
+            StopOutcome::NoRun => return self.take_over_missing(attempt).await,
         }
         Ok(())
     }
 
+    /// Records what the answer to a stop says of the run. Once the outcome of one is unknown, the answers to later
+    /// ones do not show whether the first has stopped it.
+    fn record_stop(&mut self, outcome: &StopOutcome) {
+        self.stop = match outcome {
+            StopOutcome::Unknown(_) => Stop::Unknown,
+            StopOutcome::Stopped(_) => self.stop,
+            _ if self.stop == Stop::Unknown => Stop::Unknown,
+            _ => Stop::NotAsked,
+        };
+    }
+
+    /// The memory that the engine which has stopped the run keeps.
+    fn kept_copy(&self, copy: &RunCopy) -> RunCopy {
+        RunCopy {
+            key: self.source.key,
+            ..copy.clone()
+        }
+    }
+
     /// Continues elsewhere once nothing more can come from the engine.
     async fn fail_over(&mut self, attempt: &mut Option<Attempt>, why: &str) -> Result<(), Ending> {
         let broken = self.broken.take().unwrap_or_else(|| Break {
@@ -225,7 +285,7 @@
         copies.extend(self.backup_copy());
         if copies.is_empty() {
             let lost = format!("{}; no copy", broken.why);
-            return self.restart(&broken.why, lost).await;
+            return self.restart_or_wait(broken, lost).await;
         }
         let why = broken.why.clone();
         self.broken = Some(broken);
@@ -241,7 +301,7 @@
     ) -> Result<(), Ending> {
         self.copies = copies;
         self.copies.reverse();
-        self.copies.dedup_by(|next, first| next.key == first.key);
+        self.copies.dedup();
         self.broken.get_or_insert_with(|| Break {
             is_crash: false,
             is_end: false,
@@ -262,11 +322,13 @@
             return Err(Ending::Lost(format!("{why}; too many takeovers")));
         }
         // The last copy is all that is left, unless the stream may run again.
-        let limit = if self.copies.is_empty() && !self.may_run_again() {
+        let is_last = self.copies.is_empty() && self.stopping.is_none();
+        let limit = if is_last && !self.may_run_again() {
             until.since(clock::now())
         } else {
             TAKEOVER_TIMEOUT
         };
+        self.continuing = Some(copy.clone());
         *attempt = Some(Attempt::to_take_over(
             Kind::Continue,
             self.takeover_context(),
@@ -383,13 +445,16 @@
         let now = clock::now();
         self.began_at = None;
         self.broken = None;
+        self.continuing = None;
         self.copies.clear();
         self.is_connected = Rc::new(Cell::new(true));
         self.earlier_events = self.sequence.count();
         self.end_silence(now);
         self.source = opened.source;
-        self.may_be_stopped = false;
+        self.stop = Stop::NotAsked;
+        self.repeats = 0;
         self.stop_asked_at = None;
+        self.stopping = None;
         self.unjudged = false;
     }
 }
--- a/crates/proxy/src/relay/silence.rs
+++ b/crates/proxy/src/relay/silence.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Ending, Relay,
+        Ending, Relay, Stop,
         attempt::{Attempt, Kind},
         failover::MAX_TAKEOVERS,
     },
@@ -24,7 +24,7 @@
         }
         let silence = Silence {
             is_resumable: self.may_run_again(),
-            is_stopping: kind.is_some(),
+            is_stopping: kind.is_some() || self.stopping.is_some(),
             run: self.running.key,
             since: self.quiet_since,
         };
@@ -47,6 +47,7 @@
             Step::Stop => self.begin_stop(attempt, None),
             Step::TakeOver(_) => self.take_over_from_silent(attempt),
             Step::Resume => {
+                self.stopping = attempt.take().or_else(|| self.stopping.take());
                 self.shared.mark_unreachable(self.source.key);
                 return self.resume_from_silent().await;
             }
@@ -73,11 +74,16 @@
             id = self.original.inbound.id, events = self.sequence.count();
             "two engines may be running the stream"
         );
+        if self.stopping.is_some() {
+            return;
+        }
         self.begin_stop(attempt, Some(other));
     }
 
     fn begin_stop(&mut self, attempt: &mut Option<Attempt>, duplicate: Option<EndpointKey>) {
-        self.may_be_stopped = true;
+        if self.stop == Stop::NotAsked {
+            self.stop = Stop::Asked;
+        }
         self.stop_asked_at = Some(clock::now());
         *attempt = Some(Attempt::to_stop(self.takeover_context(), duplicate));
     }
@@ -91,9 +97,8 @@
             return self.wait_for_engine("too many takeovers");
         }
         self.shared.mark_unreachable(self.source.key);
-        if let Some(stopping) = attempt.take() {
-            stopping.detach();
-        }
+        // The engine may still obey the stop, and its copy is needed if the takeover fails.
+        self.stopping = attempt.take().or_else(|| self.stopping.take());
         *attempt = Some(Attempt::to_take_over(
             Kind::TakeOver,
             self.takeover_context(),
@@ -117,9 +122,16 @@
     }
 
     /// The engine does not have the run: it has lost it, or has finished with the last events in transit.
-    pub(super) fn take_over_missing(&mut self, attempt: &mut Option<Attempt>) {
+    pub(super) async fn take_over_missing(
+        &mut self,
+        attempt: &mut Option<Attempt>,
+    ) -> Result<(), Ending> {
         let Some(copy) = self.backup_copy() else {
-            return self.wait_for_engine("no copy");
+            if self.may_run_again() {
+                return self.resume_from_silent().await;
+            }
+            self.wait_for_engine("no copy");
+            return Ok(());
         };
         *attempt = Some(Attempt::to_take_over(
             Kind::TakeOver,
@@ -128,6 +140,7 @@
             "gone",
             TAKEOVER_TIMEOUT,
         ));
+        Ok(())
     }
 
     /// The connection is still open, so that the stream is not lost.
--- a/crates/proxy/src/relocate.rs
+++ b/crates/proxy/src/relocate.rs
@@ -9,8 +9,8 @@
     platform::engine::{self, MoveResult},
 };
 
-/// Timeout for copying a run. 4,000 tokens take 0.44 s between failure domains, and several
-/// copies may be queued on a link.
+/// How long a copy is awaited after the engine of a run is lost, where there is a backup copy. 4,000 tokens take
+/// 0.44 s between failure domains, and several copies may be queued on a link.
 pub const MOVE_TIMEOUT: Duration = Duration::from_millis(1800);
 
 /// Attempts to stop a run that another engine may have taken over, while a move of the run is
@@ -22,13 +22,11 @@
 /// How long an abandoned run is waited for, which must not hold the state of its engine forever.
 const ABANDONED_TIMEOUT: Duration = Duration::from_secs(10);
 
-const NO_RESPONSE: &str = "no response within the time limit";
-
 /// Size limit of an engine's response to a move.
 const MAX_ANSWER_BYTES: usize = 1 << 16;
 
 /// A copy of a run and the engine that can continue it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RunCopy {
     /// Engine that knows the copy by its handle.
     pub address: SocketAddr,
@@ -58,6 +56,8 @@
     Refused,
     /// The run has stopped and can be resumed there.
     Stopped(RunCopy),
+    /// The engine could not be reached, for this reason, and was not asked.
+    NotAsked(String),
     /// The connection failed, for this reason; the run may have stopped.
     Unknown(String),
 }
@@ -77,8 +77,8 @@
             run.target = Some(ends.target_key);
         }
         let started_at = clock::now();
-        let result = timeout(MOVE_TIMEOUT, call(shared, &ends, id, false)).await;
-        let result = result.unwrap_or_else(|_| Err(NO_RESPONSE.to_string()));
+        let result = call(shared, &ends, id, false).await;
+        let result = result.map_err(|failure| failure.why);
         log::info!(id, ms = clock::now().since(started_at).as_millis(), result:?; "copied");
         return match result {
             Ok(MoveResult::Copied { handle, .. }) => MoveOutcome::Ready(RunCopy {
@@ -158,7 +158,8 @@
             key: ends.source_key,
         }),
         Ok(MoveResult::Refused(None)) => StopOutcome::Refused,
-        Err(why) => StopOutcome::Unknown(why),
+        Err(failure) if failure.is_unsent => StopOutcome::NotAsked(failure.why),
+        Err(failure) => StopOutcome::Unknown(failure.why),
     }
 }
 
@@ -172,7 +173,12 @@
     };
     let asked_at = clock::now();
     let asked = timeout(ABANDONED_TIMEOUT, call(&shared, &ends, &abandoned.id, true));
-    let result = asked.await.unwrap_or_else(|_| Err(NO_RESPONSE.to_string()));
+    let result = asked.await.unwrap_or_else(|_| {
+        Err(CallFailure {
+            is_unsent: false,
+            why: "no response within the time limit".to_string(),
+        })
+    });
     log_stop(
         &shared,
         &ends,
@@ -187,7 +193,7 @@
     ends: &MoveEnds,
     id: &str,
     took: Duration,
-    result: &Result<MoveResult, String>,
+    result: &Result<MoveResult, CallFailure>,
 ) {
     let state = shared.state.borrow();
     let name = |key| state.endpoint(key).map(|known| known.listing.id.as_str());
@@ -217,6 +223,14 @@
     pub target: EndpointKey,
 }
 
+/// Why a call for a move got no answer.
+#[derive(Debug)]
+struct CallFailure {
+    /// Whether the engine has received nothing of it.
+    is_unsent: bool,
+    why: String,
+}
+
 /// Source and target of a move.
 struct MoveEnds {
     source: SocketAddr,
@@ -258,15 +272,16 @@
     ends: &MoveEnds,
     id: &str,
     stop: bool,
-) -> Result<MoveResult, String> {
+) -> Result<MoveResult, CallFailure> {
+    let failure = |is_unsent, why: String| CallFailure { is_unsent, why };
     let (source, target) = (ends.source, ends.target);
-    let request =
-        engine::move_request(source, id, target, stop).map_err(|error| error.to_string())?;
+    let request = engine::move_request(source, id, target, stop);
+    let request = request.map_err(|error| failure(true, error.to_string()))?;
     let reuse = if stop { Reuse::Never } else { Reuse::Allowed };
     let answer = path::send(shared, ends.source_key, request, reuse).await;
-    let answer = answer.map_err(|error| error.to_string())?;
+    let answer = answer.map_err(|error| failure(error.unwritten(), error.to_string()))?;
     let status = answer.status();
     let body = answer.read_body(MAX_ANSWER_BYTES).await;
-    let body = body.map_err(|error| error.to_string())?;
-    engine::move_result(status, &body).map_err(|error| error.to_string())
+    let body = body.map_err(|error| failure(false, error.to_string()))?;
+    engine::move_result(status, &body).map_err(|error| failure(false, error.to_string()))
 }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -232,6 +232,13 @@
         tokio::task::spawn_local(probe::check_liveness(Rc::clone(self), key));
     }
 
+    /// Records that a check of an endpoint has ended.
+    pub fn end_check(&self, key: EndpointKey) {
+        if let Some(endpoint) = self.state.borrow_mut().endpoint_mut(key) {
+            endpoint.liveness.end_check();
+        }
+    }
+
     /// Waits until an endpoint has been heard just now; asks it whether it lives on if it has not.
     pub async fn wait_until_responsive(self: &Rc<Self>, key: EndpointKey) {
         loop {
