--- a/crates/carawayhead/tests/soak/script.rs
+++ b/crates/carawayhead/tests/soak/script.rs
@@ -19,8 +19,8 @@
 /// Longer than any undo is scheduled ahead, so that all of them are due.
 const UNDO_ALL_HORIZON: Duration = Duration::from_hours(1);
 
-/// How much longer an engine stays that was to leave while engines are paused.
-const NOTICE_AFTER_PAUSE: Duration = Duration::from_secs(1);
+/// Shortest notice of an engine that leaves; longer than a stream of 0.9 s, so that one that just started can complete.
+const MIN_NOTICE: Duration = Duration::from_millis(1800);
 
 /// Which changes a soak run makes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -147,7 +147,6 @@
             5 if !self.has_pending_undo(|undo| matches!(undo, Undo::Leave(_))) => {
                 let index = self.random.random_range(0..deployment.engines.len());
                 deployment.announce_leaving(index);
-                // Longer than a stream of 0.9 s, so that one that just started can complete.
                 self.schedule_undo(1800, 2600, Undo::Leave(index));
             }
             _ => {}
@@ -337,7 +336,7 @@
                 // A paused engine cannot use its notice, and would end as if it had crashed.
                 Undo::Leave(index) if is_paused => {
                     self.pending_undos
-                        .push((Instant::now() + NOTICE_AFTER_PAUSE, Undo::Leave(index)));
+                        .push((Instant::now() + MIN_NOTICE, Undo::Leave(index)));
                 }
                 Undo::Leave(index) => deployment.replace(index).await,
                 Undo::StoreBehavior => deployment.store.set_behavior(StoreBehavior::Healthy),
@@ -349,6 +348,11 @@
                     for engine in &deployment.engines {
                         engine.server.thaw();
                     }
+                    for (at, undo) in &mut self.pending_undos {
+                        if matches!(undo, Undo::Leave(_)) {
+                            *at = (*at).max(Instant::now() + MIN_NOTICE);
+                        }
+                    }
                 }
             }
         }
