--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings that decisions depend on.
 
-use crate::{prelude::*, rollout::exposure::Limit};
+use crate::{feature::Features, prelude::*, rollout::exposure::Limit};
 
 /// Limits of the deployment, and what this instance needs to compute its share of them.
 #[derive(Clone, Debug, PartialEq)]
@@ -11,6 +11,8 @@
     pub canary: Limit,
     /// Failure domain of this instance.
     pub domain: String,
+    /// Decisions that the deployment has switched on.
+    pub features: Features,
     /// Minimum number of instances that shared limits are divided by.
     pub min_instances: u32,
     /// Retries to a service within the window beyond the ratio, over all instances.
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -2,6 +2,9 @@
 //!
 //! Decisions on it are in [`crate::admission`] and [`crate::choice`].
 
+mod list;
+mod rollouts;
+
 use {
     crate::{
         aggregate::{Sums, members::Members},
@@ -15,29 +18,16 @@
         prelude::*,
         request::Ticket,
         rollout::{
-            Rollout, Rollouts,
+            Rollouts,
             access::{Access, Gate},
-            order::Order,
-            record::{Record, Stage},
-            step::{Action, Surroundings},
-            tally::Outcome,
         },
         suspects::Suspects,
         tunnel::Tunnels,
     },
-    rand::{RngExt as _, SeedableRng as _, rngs::SmallRng},
+    rand::{RngExt as _, rngs::SmallRng},
     slotmap::SlotMap,
 };
 
-/// Age of the endpoint list at which the store counts as having been unreachable.
-const STORE_OUTAGE_THRESHOLD: Duration = Duration::from_secs(3);
-
-/// Time that endpoints get to register again after the store was unreachable.
-const REREGISTRATION_GRACE: Duration = Duration::from_secs(2);
-
-/// Minimum share of the backoff after failed connections that an instance waits.
-const MIN_BACKOFF_SHARE: f64 = 0.5;
-
 /// A change of the endpoint list.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -207,108 +197,6 @@
         &self.disabled_domains
     }
 
-    /// Records that the endpoint list was complete at `sent_at`, when the store was queried.
-    pub fn confirm_list(&mut self, now: Time, sent_at: Time) {
-        // The first read after a start is not a recovery: an entry that is removed then has left.
-        let age = self.list_freshness.age(now);
-        if age.is_some_and(|age| age > STORE_OUTAGE_THRESHOLD) {
-            self.store_recovered_at = Some(now);
-        }
-        self.list_freshness.confirm(sent_at);
-    }
-
-    /// Applies a change of the endpoint list.
-    pub fn change(&mut self, now: Time, change: Change) {
-        match change {
-            Change::Removed(id) => self.remove_listing(now, &id),
-            Change::Set(listing) => {
-                let unverified_since = self.unverified_since(now, &listing);
-                let (key, is_new_version) = match self.find(&listing.id) {
-                    Some(key) => {
-                        let is_new_version = self.endpoints[key].listing.version != listing.version;
-                        if self.endpoints[key].update(listing, now) {
-                            self.forget_copies_at(key);
-                        }
-                        (key, is_new_version)
-                    }
-                    None => (self.insert_endpoint(now, listing), true),
-                };
-                if is_new_version {
-                    self.endpoints[key].unverified_since = unverified_since;
-                }
-            }
-        }
-    }
-
-    fn insert_endpoint(&mut self, now: Time, listing: Listing) -> EndpointKey {
-        let mut endpoint = Endpoint::new(listing, now);
-        let seed = self.backoff_seed ^ u64::from(endpoint.digest);
-        let mut random = SmallRng::seed_from_u64(seed);
-        endpoint.backoff_share = random.random_range(MIN_BACKOFF_SHARE..=1.0);
-        self.endpoints.insert(endpoint)
-    }
-
-    /// Since when the version of an endpoint has been known, if an order for it may be unknown yet:
-    /// sending there would not count as part of its rollout. Versions of the first list are in use.
-    ///
-    /// Does not look at other endpoints, of which thousands are listed at a start.
-    fn unverified_since(&mut self, now: Time, listing: &Listing) -> Option<Time> {
-        let version = listing.version.as_deref()?;
-        let key = (listing.service.as_str(), version);
-        let found = self
-            .known_versions
-            .binary_search_by(|known| (known.service.as_str(), known.version.as_str()).cmp(&key));
-        let index = found.unwrap_or_else(|index| {
-            let is_first_list = self.list_freshness == Freshness::default();
-            let known = KnownVersion {
-                seen_at: (!is_first_list).then_some(now),
-                service: listing.service.clone(),
-                version: version.to_string(),
-            };
-            self.known_versions.insert(index, known);
-            index
-        });
-        let seen_at = self.known_versions[index].seen_at;
-        seen_at.filter(|seen_at| !self.config_freshness.covers(*seen_at))
-    }
-
-    /// Whether an order for the endpoint's version may be unknown.
-    pub(crate) fn is_unverified(&self, endpoint: &Endpoint) -> bool {
-        let since = endpoint.unverified_since;
-        since.is_some_and(|since| !self.config_freshness.covers(since))
-    }
-
-    /// Forgets the copies that an endpoint lost in a restart.
-    fn forget_copies_at(&mut self, key: EndpointKey) {
-        for run in self.runs.values_mut() {
-            run.backup = run.backup.filter(|backup| *backup != key);
-        }
-    }
-
-    /// Handles a removed entry. If the store was unreachable the removal is delayed, since entries
-    /// of live endpoints expire in such an outage.
-    fn remove_listing(&mut self, now: Time, id: &str) {
-        let store_unreachable = !self.list_freshness.within(now, STORE_OUTAGE_THRESHOLD);
-        let recovered_at = self
-            .store_recovered_at
-            .filter(|recovered_at| now.since(*recovered_at) < REREGISTRATION_GRACE);
-        let Some(key) = self.find(id) else {
-            return;
-        };
-        let endpoint = &mut self.endpoints[key];
-        if endpoint.leaving_since.is_none() {
-            if store_unreachable {
-                endpoint.grace_until = Some(now.after(REREGISTRATION_GRACE));
-                return;
-            }
-            if let Some(recovered_at) = recovered_at {
-                endpoint.grace_until = Some(recovered_at.after(REREGISTRATION_GRACE));
-                return;
-            }
-        }
-        endpoint.leaving_since.get_or_insert(now);
-    }
-
     /// Ids of all known endpoints.
     #[must_use]
     pub fn endpoint_ids(&self) -> Vec<String> {
@@ -533,79 +421,6 @@
     }
 }
 
-impl State {
-    /// Takes an order to move a service to another version; returns whether it is new.
-    pub fn set_order(&mut self, now: Time, order: Order) -> bool {
-        self.rollouts.set_order(now, order)
-    }
-
-    /// Takes a record of a rollout.
-    pub fn apply_rollout(&mut self, now: Time, record: Record) {
-        let service = record.service.clone();
-        let stage = |rollouts: &Rollouts| rollouts.rollout(&service).and_then(Rollout::stage);
-        let before = stage(&self.rollouts);
-        self.rollouts.apply(now, record);
-        if before != Some(Stage::Completed) && stage(&self.rollouts) == Some(Stage::Completed) {
-            let replaced = self.other_versions(&service);
-            self.rollouts.set_replaced(&service, replaced);
-        }
-    }
-
-    /// Versions of a service's endpoints other than the target of its order.
-    fn other_versions(&self, service: &str) -> Vec<String> {
-        let order = self.rollouts.rollout(service).and_then(Rollout::order);
-        let target = order.map(|order| order.target.as_str());
-        let versions = self.endpoints.values().filter_map(|endpoint| {
-            let version = endpoint.listing.version.as_deref()?;
-            (endpoint.listing.service == service && Some(version) != target).then_some(version)
-        });
-        let mut versions = versions.map(str::to_string).collect::<Vec<_>>();
-        versions.sort_unstable();
-        versions.dedup();
-        versions
-    }
-
-    /// What this instance, named `own`, has to do next for a rollout.
-    pub fn next_rollout_action(&mut self, now: Time, own: &str) -> Option<Action> {
-        let services = self.rollouts.services().map(str::to_string);
-        for service in services.collect::<Vec<_>>() {
-            if self.service(&service).is_none() {
-                continue;
-            }
-            let surroundings = self.surroundings(now, own, &service);
-            let action = self.rollouts.next_action(now, &service, surroundings);
-            if action.is_some() {
-                return action;
-            }
-        }
-        None
-    }
-
-    fn surroundings(&self, now: Time, own: &str, service: &str) -> Surroundings {
-        let gate = self.rollouts.gate(now, service);
-        let target = gate.target.map(|(target, _)| target).unwrap_or_default();
-        let loads = self.loads();
-        let elsewhere = self.endpoints.iter().filter(|(_, endpoint)| {
-            endpoint.listing.service == service && endpoint.version() != target
-        });
-        let runs = elsewhere.map(|(key, endpoint)| self.load(key, endpoint, &loads).requests);
-        Surroundings {
-            alternatives: self.alternatives(&gate, service),
-            instances: self.members.count(),
-            position: self.members.position(own),
-            runs_elsewhere: runs.fold(0, u32::saturating_add),
-            targets: self.targets(target, service),
-        }
-    }
-
-    /// Takes the outcome of a request at an endpoint.
-    pub fn observe(&mut self, now: Time, key: EndpointKey, route: &str, outcome: Outcome) {
-        if let Some(endpoint) = self.endpoints.get(key) {
-            self.rollouts.observe(now, endpoint, route, outcome);
-        }
-    }
-}
-
 /// How long an engine may still be used after this instance learned that it is leaving. Engines
 /// must get no work 2 s after they start to leave, which may be known up to 1 s late.
 const LEAVING_GRACE: Duration = Duration::from_millis(900);
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -2,13 +2,20 @@
 
 use {
     crate::prelude::*,
-    forward::{intake::Resources, rollout::exposure::Limit},
+    forward::{
+        feature::{Feature, Features},
+        intake::Resources,
+        rollout::exposure::Limit,
+    },
     serde::Deserialize,
 };
 
 /// The settings file. Unknown keys are ignored, since a platform may add some.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct Settings {
+    /// Decisions that are off unless they are switched on.
+    #[serde(default)]
+    pub decisions: Decisions,
     /// The instance itself.
     pub instance: Instance,
     /// Limits that hold over all instances together.
@@ -45,6 +52,14 @@
     pub ready: SocketAddr,
 }
 
+/// Decisions that are off unless they are switched on.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+pub struct Decisions {
+    /// Names of those that are on; see [`Feature::ALL`].
+    #[serde(default)]
+    pub enabled: Vec<String>,
+}
+
 /// Limits that hold over all instances together.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct Joint {
@@ -148,12 +163,20 @@
             let key = "joint.most_instances";
             return Err(fault(format!("{key}: found 0, allowed: one or more")));
         }
+        let enabled = &settings.decisions.enabled;
+        if let Some(name) = enabled.iter().find(|name| Feature::named(name).is_none()) {
+            let names = Feature::ALL.map(|(_, name)| name).join(", ");
+            let text = format!("decisions.enabled: found {name:?}, allowed: {names}");
+            return Err(fault(text));
+        }
         Ok(settings)
     }
 
     /// The settings that decisions are based on.
     #[must_use]
     pub fn decisions(&self) -> forward::settings::Settings {
+        let enabled = self.decisions.enabled.iter();
+        let features = enabled.filter_map(|name| Feature::named(name));
         forward::settings::Settings {
             budget_window: Duration::from_secs_f64(self.joint.retry_window_s),
             canary: Limit {
@@ -161,6 +184,7 @@
                 share: self.joint.canary_share,
             },
             domain: self.instance.domain.clone(),
+            features: Features::new(features.collect()),
             min_instances: self.joint.most_instances,
             retry_burst: self.joint.retry_burst,
             retry_ratio: self.joint.retry_ratio,
