Decide by strain when a request leaves its failure domain; not used by choices yet

A constant of 150 ms decides for all deployments and moments. Strain at home and elsewhere, averaged over two seconds, and thresholds drawn for each request give a share that leaves in proportion.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod load;
 pub mod losses;
 pub mod outcome;
+pub mod overflow;
 pub mod paths;
 pub mod prelude;
 pub mod probe;
