--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -6,11 +6,15 @@
 mod copy;
 mod cost;
 mod eligible;
+mod pace;
+
+pub use self::pace::Promise;
 
 use {
-    crate::{endpoint::Load, prelude::*, request::Ticket, run::kv_demand, state::State},
+    self::pace::Knowledge,
+    crate::{prelude::*, request::Ticket, run::kv_demand, state::State},
     rand::{RngExt as _, SeedableRng as _, rngs::SmallRng},
-    slotmap::{Key as _, SecondaryMap},
+    slotmap::Key as _,
 };
 
 /// Prefill rate of an engine in tokens per millisecond beside its other runs; about half of the
@@ -100,6 +104,7 @@
         tried: &[EndpointKey],
     ) -> (Pick, bool) {
         let route = &ticket.route.name;
+        let promise = Promise::of(&ticket.route);
         if tried.is_empty()
             && self.may_expose(now, ticket)
             && let Some(key) = self.pick_canary(now, &ticket.service, need)
@@ -107,16 +112,32 @@
             self.rollouts.record_exposure(now, &ticket.service, route);
             let copy = self.service(&ticket.service).and_then(|service| {
                 let tokens = need.tokens();
-                self.pick_copy(now, service, tokens, need.output, key, &self.loads())
+                let loads = self.loads();
+                let known = self.knowledge(now, service, need, promise, &loads);
+                self.pick_copy(now, service, tokens, need.output, key, &known)
             });
             return (Pick::Send(key, copy), true);
         }
-        (self.pick(now, &ticket.service, need, tried), false)
+        (
+            self.pick_promised(now, &ticket.service, need, tried, promise),
+            false,
+        )
     }
 
     /// Chooses an endpoint for a request, and an engine for its copy.
     #[must_use]
     pub fn pick(&mut self, now: Time, service: &str, need: Need, tried: &[EndpointKey]) -> Pick {
+        self.pick_promised(now, service, need, tried, None)
+    }
+
+    fn pick_promised(
+        &mut self,
+        now: Time,
+        service: &str,
+        need: Need,
+        tried: &[EndpointKey],
+        promise: Option<Promise>,
+    ) -> Pick {
         self.pace_brittle(now, service);
         let mut jitter = self.jitter();
         let Some(service) = self.service(service) else {
@@ -126,11 +147,12 @@
             jitter.max_ms = jitter.max_ms.max(MAX_TIE_JITTER_MS);
         }
         let loads = self.loads();
-        match self.cheapest(now, service, need.tokens(), tried, &loads, jitter) {
+        let known = self.knowledge(now, service, need, promise, &loads);
+        match self.cheapest(now, service, need.tokens(), tried, &known, jitter) {
             None => Pick::Wait,
             Some(key) => {
                 let (tokens, output) = (need.tokens(), need.output);
-                let copy = self.pick_copy(now, service, tokens, output, key, &loads);
+                let copy = self.pick_copy(now, service, tokens, output, key, &known);
                 Pick::Send(key, copy)
             }
         }
@@ -168,12 +190,14 @@
         let source = self.endpoints.get(run.endpoint)?;
         let loads = self.loads();
         let gate = self.gate(now, &service.name);
+        let known = self.run_knowledge(now, service, run, &loads);
         self.cheapest_by(&skip, |key, endpoint| {
             if !self.eligible(now, endpoint, service, &gate) {
                 return None;
             }
             let cross_domain = endpoint.listing.domain != source.listing.domain;
             let cost = self.cost(key, endpoint, service, run.need(), &loads)?;
+            let cost = cost + self.pace_cost(key, endpoint, service, &known);
             let cross_domain = if cross_domain {
                 CROSS_DOMAIN_MOVE_COST_MS
             } else {
@@ -197,7 +221,7 @@
         service: &Service,
         need: u32,
         skip: &[EndpointKey],
-        loads: &SecondaryMap<EndpointKey, Load>,
+        known: &Knowledge<'_>,
         jitter: Jitter,
     ) -> Option<EndpointKey> {
         let gate = self.gate(now, &service.name);
@@ -205,7 +229,8 @@
             if !self.eligible(now, endpoint, service, &gate) {
                 return None;
             }
-            let cost = self.cost(key, endpoint, service, need, loads)?;
+            let cost = self.cost(key, endpoint, service, need, known.loads)?;
+            let cost = cost + self.pace_cost(key, endpoint, service, known);
             Some(cost + jitter.cost(key))
         })
     }
--- a/crates/forward/src/choice/copy.rs
+++ b/crates/forward/src/choice/copy.rs
@@ -1,7 +1,7 @@
 //! Engines for copies of the KV cache of runs.
 
 use {
-    super::FULL_MEMORY_COST_MS,
+    super::{FULL_MEMORY_COST_MS, pace::Knowledge},
     crate::{endpoint::Load, prelude::*, rollout::access::Access, state::State},
     slotmap::SecondaryMap,
 };
@@ -35,7 +35,9 @@
         let run = self.runs.get(run)?;
         let service = self.service(&run.service)?;
         let remaining = run.remaining();
-        self.pick_copy(now, service, run.need(), remaining, endpoint, &self.loads())
+        let loads = self.loads();
+        let known = self.run_knowledge(now, service, run, &loads);
+        self.pick_copy(now, service, run.need(), remaining, endpoint, &known)
     }
 
     pub(super) fn pick_copy(
@@ -45,13 +47,13 @@
         need: u32,
         output: u32,
         source: EndpointKey,
-        loads: &SecondaryMap<EndpointKey, Load>,
+        known: &Knowledge<'_>,
     ) -> Option<EndpointKey> {
         if output < MIN_COPY_OUTPUT_TOKENS {
             return None;
         }
         let engine = service.engine.filter(|engine| engine.backups)?;
-        if self.run_fill(now, service, engine, loads) > MAX_RUN_KV_FILL {
+        if self.run_fill(now, service, engine, known.loads) > MAX_RUN_KV_FILL {
             return None;
         }
         let max_tokens = f64::from(engine.kv_tokens) * MAX_COPY_KV_FILL;
@@ -63,7 +65,7 @@
                 && endpoint.usable(now)
                 && gate.access(endpoint) == Access::Open
                 && !self.is_disabled(&endpoint.listing.domain);
-            let load = self.load(key, endpoint, loads);
+            let load = self.load(key, endpoint, known.loads);
             let tokens = f64::from(load.tokens.saturating_add(need));
             let same_domain = source_domain == Some(endpoint.listing.domain.as_str());
             let cost = tokens / max_tokens * FULL_MEMORY_COST_MS
@@ -72,7 +74,11 @@
                 } else {
                     0.0
                 };
-            (usable && tokens <= max_tokens).then_some(cost)
+            // Where runs need the room, it is left to them.
+            let spare = 1.0 - tokens / max_tokens;
+            let hold = known.pacing.as_ref();
+            let hold = hold.map_or(0.0, |pacing| pacing.hold_ms(endpoint) * spare);
+            (usable && tokens <= max_tokens).then_some(cost + hold)
         })
     }
 
--- a/crates/forward/src/choice/cost.rs
+++ b/crates/forward/src/choice/cost.rs
@@ -51,6 +51,7 @@
                 + tokens / capacity * FULL_MEMORY_COST_MS,
         )
     }
+
     fn domain_cost(&self, endpoint: &Endpoint) -> f64 {
         if endpoint.listing.domain == self.settings.domain {
             return 0.0;
--- a/crates/forward/src/config.rs
+++ b/crates/forward/src/config.rs
@@ -199,6 +199,15 @@
         None
     }
 
+    /// Routes that send requests to a service.
+    pub fn routes_to(&self, service: &str) -> impl Iterator<Item = &Route> {
+        let routes = self.routes.iter();
+        routes.filter(move |route| {
+            let mut split = route.split.iter();
+            split.any(|(name, weight)| name == service && *weight > 0)
+        })
+    }
+
     /// Number of routes.
     #[must_use]
     pub fn routes(&self) -> usize {
--- a/crates/forward/src/endpoint.rs
+++ b/crates/forward/src/endpoint.rs
@@ -99,6 +99,8 @@
     pub exposure: Exposure,
     /// Digest of its id, which identifies it in load reports.
     pub digest: u32,
+    /// Digest of its incarnation, which identifies this start of it in profiles.
+    pub incarnation: u32,
     /// Until when it is cold.
     pub cold_until: Time,
     /// End of the grace period after its entry was removed; the endpoint stays usable until then.
@@ -136,6 +138,7 @@
             exposure: Exposure::default(),
             cold_until: now.after(listing.cold),
             digest: digest(&listing.id),
+            incarnation: digest(&listing.incarnation()),
             grace_until: None,
             failures: 0,
             failure_rate: 0.0,
@@ -159,6 +162,7 @@
             self.failures = 0;
             self.failure_rate = 0.0;
             self.liveness = Liveness::default();
+            self.incarnation = digest(&listing.incarnation());
         }
         self.cold_until = now.after(listing.cold);
         self.grace_until = None;
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod paths;
 pub mod prelude;
 pub mod probe;
+pub mod profile;
 pub mod rate_limit;
 pub mod reader;
 pub mod request;
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -16,6 +16,7 @@
         part_suspects,
         paths::Paths,
         prelude::*,
+        profile::Profiles,
         request::Ticket,
         rollout::{
             Rollouts,
@@ -67,6 +68,8 @@
     pub part_suspects: part_suspects::Suspects,
     /// Whether endpoints can be reached directly.
     pub paths: Paths,
+    /// What engines do.
+    pub profiles: Profiles,
     pub(crate) random: SmallRng,
     /// Rollouts of new versions.
     pub rollouts: Rollouts,
@@ -124,6 +127,7 @@
             next_turn: 0,
             part_suspects: part_suspects::Suspects::default(),
             paths: Paths::default(),
+            profiles: Profiles::default(),
             random,
             rollouts,
             runs: SlotMap::with_key(),
@@ -170,6 +174,12 @@
         true
     }
 
+    /// The settings that decisions depend on.
+    #[must_use]
+    pub const fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// The current configuration.
     #[must_use]
     pub const fn config(&self) -> Option<&Config> {
@@ -209,6 +219,7 @@
     pub fn tick(&mut self, now: Time) {
         self.peer_loads.expire(now);
         self.tunnels.prune(now);
+        self.profiles.expire(now);
         for endpoint in self.endpoints.values_mut() {
             if endpoint.grace_until.is_some_and(|until| now >= until) {
                 endpoint.grace_until = None;
--- a/crates/proxy/src/gossip/mod.rs
+++ b/crates/proxy/src/gossip/mod.rs
@@ -4,12 +4,14 @@
 //! * [`connections`]: connections to peers;
 //! * [`report`]: sending reports, sums and answers;
 //! * [`receive`]: handling messages of peers;
+//! * [`paces`]: what engines do;
 //! * [`records`]: relaying records of the store, with [`history`] for those that are retained.
 //!
 //! [`forward::aggregate`] decides who sends what to whom.
 
 pub mod connections;
 pub mod history;
+pub mod paces;
 pub mod receive;
 pub mod records;
 pub mod registration;
@@ -60,6 +62,7 @@
         registration::keep_published(&shared, &entry),
         registration::drop_dead_entries(&shared),
         connections::maintain(&shared, &datagrams, &pins, address),
+        paces::run(&shared, &datagrams),
         report::run(&shared, &datagrams),
         receive::run(&shared, &datagrams, messages),
         tunnel::serve(&shared, requested),
--- a/crates/proxy/src/gossip/receive.rs
+++ b/crates/proxy/src/gossip/receive.rs
@@ -1,7 +1,7 @@
 //! Handling of messages from peers.
 
 use {
-    super::{records, report, role},
+    super::{paces, records, report, role},
     crate::{
         clock, follow,
         message::{
@@ -36,6 +36,7 @@
             },
             Message::Report(report) => handle_report(shared, datagrams, report, &trailer),
             Message::Sum(sum) => handle_sum(shared, sum, &trailer),
+            Message::Paces(told) => paces::receive(shared, datagrams, &told),
         }
     }
 }
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -2,7 +2,11 @@
 
 use {
     crate::prelude::*,
-    forward::{endpoint::Load, reader::TOPICS},
+    forward::{
+        endpoint::Load,
+        profile::{News, Pace, Shape},
+        reader::TOPICS,
+    },
     serde::{Deserialize, Serialize},
 };
 
@@ -29,6 +33,8 @@
     Report(Report),
     /// Load of a failure domain, from its aggregator to those of other domains.
     Sum(Sum),
+    /// What engines do.
+    Paces(Paces),
 }
 
 /// What follows a message.
@@ -90,6 +96,125 @@
     pub watermarks: [RawWatermark; BASE_TOPICS],
 }
 
+/// Whose observations a message of paces holds.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Scope {
+    /// What the sender has observed since its last message.
+    Instance,
+    /// What the instances of the sender's failure domain have observed since then.
+    Domain,
+    /// What the sender knows, from all instances.
+    Known,
+}
+
+/// What engines do, as observed in streams.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Paces {
+    /// Name of the sender.
+    pub name: String,
+    /// Whose observations these are.
+    pub scope: Scope,
+    /// The observations.
+    pub services: Vec<ServicePaces>,
+}
+
+/// What the engines of a service do.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ServicePaces {
+    /// Digest of the engine's incarnation, number of windows in quarters, and microseconds for an event.
+    pub rows: Vec<(u32, u32, u32)>,
+    /// Digest of the service.
+    pub service: u32,
+    /// Number of intervals, sum of the lengths of their streams, and intervals by class, in quarters.
+    pub shape: Vec<u32>,
+}
+
+/// Parts of one in the number of windows and intervals of [`ServicePaces`].
+const EVIDENCE_PARTS: f64 = 4.0;
+
+/// Microseconds in a millisecond.
+const MICROS_PER_MS: f64 = 1000.0;
+
+/// Rounds to a whole number that fits.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a cast saturates"
+)]
+fn rounded(value: f64) -> u32 {
+    value.round() as u32
+}
+
+impl ServicePaces {
+    /// The intervals of a service, without engines.
+    #[must_use]
+    pub fn new(service: u32, shape: &Shape) -> Self {
+        let mut counts = vec![shape.events, shape.expected_events];
+        counts.extend(shape.counts);
+        let counts = counts
+            .into_iter()
+            .map(|count| rounded(count * EVIDENCE_PARTS));
+        let mut shape = counts.collect::<Vec<_>>();
+        while shape.last() == Some(&0) {
+            shape.pop();
+        }
+        Self {
+            rows: Vec::new(),
+            service,
+            shape,
+        }
+    }
+
+    /// Adds an engine.
+    pub fn add(&mut self, row: Pace) {
+        let windows = rounded(row.windows * EVIDENCE_PARTS);
+        self.rows
+            .push((row.digest, windows, rounded(row.pace_ms * MICROS_PER_MS)));
+    }
+
+    fn shape(&self) -> Shape {
+        let mut counts = self.shape.iter();
+        let mut next = || {
+            counts
+                .next()
+                .map_or(0.0, |count| f64::from(*count) / EVIDENCE_PARTS)
+        };
+        let mut shape = Shape {
+            events: next(),
+            expected_events: next(),
+            ..Shape::default()
+        };
+        for count in &mut shape.counts {
+            *count = next();
+        }
+        shape
+    }
+
+    fn engines(&self) -> impl Iterator<Item = Pace> {
+        self.rows.iter().map(|(digest, windows, micros)| Pace {
+            digest: *digest,
+            pace_ms: f64::from((*micros).max(1)) / MICROS_PER_MS,
+            service: self.service,
+            windows: f64::from(*windows) / EVIDENCE_PARTS,
+        })
+    }
+}
+
+impl Paces {
+    /// The observations in the message.
+    #[must_use]
+    pub fn news(&self) -> News {
+        let mut news = News::default();
+        for service in &self.services {
+            news.add_shape(service.service, &service.shape());
+            for row in service.engines() {
+                news.add(row);
+            }
+        }
+        news
+    }
+}
+
 /// An aggregator's answer to a report.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Answer {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod failover;
+mod pace;
 mod silence;
 
 use {
@@ -20,6 +21,7 @@
     endpoint::sse,
     forward::{
         part_suspects::PROOF_DELAY,
+        profile::Window,
         request::Ticket,
         rollout::tally::{Outcome, Timing},
         sequence::Sequence,
@@ -83,6 +85,8 @@
     ticket: Ticket,
     /// Whether the answer is to count in the judgement of its engine's version.
     unjudged: bool,
+    /// Intervals between the events of the current engine.
+    window: Window,
     /// Whether it has been logged that only its own engine can continue the run.
     waits_for_engine: bool,
 }
@@ -204,6 +208,7 @@
             ticket: start.ticket,
             unjudged: true,
             waits_for_engine: false,
+            window: Window::default(),
         }
     }
 
@@ -428,6 +433,8 @@
     }
 
     async fn pass_on(&mut self, blocks: Vec<Bytes>) -> Result<(), Ending> {
+        let read_at = clock::now();
+        let events_before = self.sequence.count();
         for block in blocks {
             if !self.sequence.accept(sse::event_id(&block)) {
                 continue;
@@ -443,6 +450,8 @@
         self.last_event
             .replace(self.sequence.last().map(str::to_string));
         let now = clock::now();
+        let events = self.sequence.count().saturating_sub(events_before);
+        self.observe_pace(read_at, now, events);
         let began_at = *self.began_at.get_or_insert(now);
         if now.since(began_at) >= PROOF_DELAY {
             self.shared.record_proof(&self.original);
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -444,6 +444,7 @@
         self.shared.load.notify_one();
         let now = clock::now();
         self.began_at = None;
+        self.window.restart();
         self.broken = None;
         self.continuing = None;
         self.copies.clear();
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -22,6 +22,7 @@
         config::Limits,
         intake::Intake,
         load::Report,
+        profile::News,
         reader::{Readers, TOPICS},
         request::Ticket,
         rollout::tally::Outcome,
@@ -59,6 +60,8 @@
     pub history: [RefCell<History>; TOPICS],
     /// Random number that identifies this run of the process; never zero.
     pub incarnation: u64,
+    /// What is answered to members that tell what engines do.
+    pub known_paces: RefCell<News>,
     /// Notified when the load of this instance has changed.
     pub load: Notify,
     /// Counters and histograms.
@@ -118,6 +121,7 @@
             in_progress: Cell::new(0),
             incarnation,
             intake: RefCell::new(Intake::new(settings.instance.resources())),
+            known_paces: RefCell::default(),
             load: Notify::new(),
             metrics: Metrics::new()?,
             readers: RefCell::default(),
