--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -8,7 +8,7 @@
 mod eligible;
 mod pace;
 
-pub use self::pace::Promise;
+pub use self::pace::{Judgement, Promise};
 
 use {
     self::pace::Knowledge,
--- a/crates/forward/src/choice/copy.rs
+++ b/crates/forward/src/choice/copy.rs
@@ -74,11 +74,11 @@
                 } else {
                     0.0
                 };
-            // Where runs need the room, it is left to them.
-            let spare = 1.0 - tokens / max_tokens;
-            let hold = known.pacing.as_ref();
-            let hold = hold.map_or(0.0, |pacing| pacing.hold_ms(endpoint) * spare);
-            (usable && tokens <= max_tokens).then_some(cost + hold)
+            let pacing = known.pacing.as_ref();
+            let pace = pacing.map_or(0.0, |pacing| {
+                pacing.copy_cost(endpoint, tokens / max_tokens)
+            });
+            (usable && tokens <= max_tokens).then_some(cost + pace)
         })
     }
 
--- a/crates/forward/src/choice/pace.rs
+++ b/crates/forward/src/choice/pace.rs
@@ -68,19 +68,27 @@
         let queued = f64::from(load.prefill_tokens) / PREFILL_TOKENS_PER_MS * (relative - 1.0);
         let prefill = self.prompt / PREFILL_TOKENS_PER_MS * relative;
         let harm = self.harm_ms(pace_ms, prefill, load);
-        queued
-            + prefill
-            + self.hold_ms(endpoint)
-            + harm
-            + self.room_ms(pace_ms, prefill, load, fill)
+        queued + prefill + self.hold_ms(pace_ms) + harm + self.room_ms(pace_ms, prefill, load, fill)
     }
 
-    /// Cost of the pauses that the request itself is likely to have there.
-    pub(super) fn hold_ms(&self, endpoint: &Endpoint) -> f64 {
+    /// Cost of a copy at an engine that is filled to this share. A run may have to go on there, but most copies are never
+    /// used, so where room is short it is left to runs.
+    pub(super) fn copy_cost(&self, endpoint: &Endpoint, fill: f64) -> f64 {
         let pace_ms = self.pace_ms(endpoint);
+        let hold = self.hold_ms(pace_ms) * (1.0 - fill);
+        hold + self.spared(pace_ms) * fill * self.promise.cost_ms()
+    }
+
+    /// Cost of the pauses that the request itself is likely to have there.
+    fn hold_ms(&self, pace_ms: f64) -> f64 {
         self.risk(pace_ms, self.events) * self.promise.cost_ms()
     }
 
+    /// By how much less likely a long stream is to have a pause than at a usual engine.
+    fn spared(&self, pace_ms: f64) -> f64 {
+        (self.usual_risk - self.risk(pace_ms, self.usual_length)).max(0.0)
+    }
+
     fn pace_ms(&self, endpoint: &Endpoint) -> f64 {
         self.profiles
             .pace_ms(self.now, &self.usual, endpoint.incarnation)
@@ -98,15 +106,11 @@
 
     /// Cost of the room that a short request takes where long streams would have fewer pauses than elsewhere.
     fn room_ms(&self, pace_ms: f64, prefill_ms: f64, load: Load, fill: f64) -> f64 {
-        let spared = self.usual_risk - self.risk(pace_ms, self.usual_length);
-        if spared <= 0.0 {
-            return 0.0;
-        }
         let needless = (1.0 - self.events / self.usual_length).max(0.0);
         let held_ms = prefill_ms * (1.0 + streams(load)) + self.events * pace_ms;
         let long_ms = prefill_ms + self.usual_length * pace_ms;
         let share = (held_ms / long_ms).min(1.0);
-        needless * share * fill * spared * self.promise.cost_ms()
+        needless * share * fill * self.spared(pace_ms) * self.promise.cost_ms()
     }
 }
 
@@ -129,7 +133,43 @@
     f64::from(load.requests) * (1.0 - reading).max(0.0)
 }
 
+/// How an engine was judged for a request, for logs.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Judgement {
+    /// Time of an event there, in milliseconds.
+    pub pace_ms: f64,
+    /// Probability of a pause over what the route allows.
+    pub pause_risk: f64,
+    /// Time of an event at the usual engine, in milliseconds.
+    pub usual_ms: f64,
+    /// Probability of such a pause in a long stream at the usual engine.
+    pub usual_risk: f64,
+    /// Share of the engines that are busy with a prefill.
+    pub prefill_share: f64,
+    /// Length of a long stream in events.
+    pub usual_length: f64,
+}
+
 impl State {
+    /// How an engine is judged for a run that it has.
+    #[must_use]
+    pub fn judgement(&self, now: Time, run: RunKey) -> Option<Judgement> {
+        let run = self.runs.get(run)?;
+        let endpoint = self.endpoints.get(run.endpoint)?;
+        let service = self.service(&run.service)?;
+        let loads = self.loads();
+        let pacing = self.run_knowledge(now, service, run, &loads).pacing?;
+        let pace_ms = pacing.pace_ms(endpoint);
+        Some(Judgement {
+            pace_ms,
+            pause_risk: pacing.risk(pace_ms, pacing.events),
+            usual_ms: pacing.usual.pace_ms,
+            usual_risk: pacing.usual_risk,
+            prefill_share: pacing.prefill_share,
+            usual_length: pacing.usual_length,
+        })
+    }
+
     /// What is known of the endpoints for a request of a service.
     pub(super) fn knowledge<'a>(
         &'a self,
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -231,6 +231,12 @@
             Ending::Lost(_) => log::Level::Warn,
             _ => log::Level::Info,
         };
+        let judgement = self
+            .shared
+            .state
+            .borrow()
+            .judgement(clock::now(), self.running.key);
+        let judgement = judgement.unwrap_or_default();
         let endpoint = self.shared.endpoint_address(self.source.key);
         let endpoint = endpoint.map(|(_, id)| id).unwrap_or_default();
         log::log!(
@@ -239,6 +245,7 @@
             takeovers = self.takeovers, first_ms = self.first_event_delay.as_millis(),
             target_ms = self.ticket.route.target.as_millis(),
             gap_ms = self.ticket.route.gap.unwrap_or(DEFAULT_MAX_GAP).as_millis(),
+            pace_us = (judgement.pace_ms*1000.0) as u32, usual_us = (judgement.usual_ms*1000.0) as u32, risk = (judgement.usual_risk*1000.0) as u32, pfs=(judgement.prefill_share*1000.0) as u32, ulen=judgement.usual_length as u32,
             pause_ms = self.longest_pause.as_millis(), ms = took.as_millis(); "stream ended"
         );
         self.shared
