--- a/crates/forward/src/choice/pace.rs
+++ b/crates/forward/src/choice/pace.rs
@@ -14,10 +14,6 @@
     slotmap::SecondaryMap,
 };
 
-/// Minimum share of engines that counts as busy with a prefill. Pauses are put down to prefills, and where these are
-/// rare, one of them must not count for more than all pauses.
-const MIN_PREFILL_SHARE: f64 = 0.1;
-
 /// What a route promises of its streams.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Promise {
@@ -47,8 +43,6 @@
     /// Events that it is expected to have.
     events: f64,
     now: Time,
-    /// Share of the engines that are busy with a prefill.
-    prefill_share: f64,
     profiles: &'a Profiles,
     /// Its promise; that of other streams of the service is taken to be the same.
     promise: Promise,
@@ -100,8 +94,10 @@
 
     /// Cost of the pauses that its prefill is likely to make in streams that run there.
     fn harm_ms(&self, pace_ms: f64, prefill_ms: f64, load: Load) -> f64 {
-        let events = prefill_ms / pace_ms / self.prefill_share;
-        streams(load) * self.risk(pace_ms, events) * self.promise.cost_ms()
+        let risk = self
+            .usual
+            .reading_risk(pace_ms, self.promise.gap, prefill_ms / pace_ms);
+        streams(load) * risk * self.promise.cost_ms()
     }
 
     /// Cost of the room that a short request takes where long streams would have fewer pauses than elsewhere.
@@ -133,21 +129,15 @@
     f64::from(load.requests) * (1.0 - reading).max(0.0)
 }
 
-/// How an engine was judged for a request, for logs.
+/// How the engine of a run is judged, for logs.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Judgement {
-    /// Time of an event there, in milliseconds.
-    pub pace_ms: f64,
-    /// Probability of a pause over what the route allows.
-    pub pause_risk: f64,
-    /// Time of an event at the usual engine, in milliseconds.
-    pub usual_ms: f64,
-    /// Probability of such a pause in a long stream at the usual engine.
+    /// Time of an event there without disturbance.
+    pub pace: Duration,
+    /// The same at the usual engine.
+    pub usual: Duration,
+    /// Probability of a pause over what the route allows in a long stream at the usual engine.
     pub usual_risk: f64,
-    /// Share of the engines that are busy with a prefill.
-    pub prefill_share: f64,
-    /// Length of a long stream in events.
-    pub usual_length: f64,
 }
 
 impl State {
@@ -159,14 +149,10 @@
         let service = self.service(&run.service)?;
         let loads = self.loads();
         let pacing = self.run_knowledge(now, service, run, &loads).pacing?;
-        let pace_ms = pacing.pace_ms(endpoint);
         Some(Judgement {
-            pace_ms,
-            pause_risk: pacing.risk(pace_ms, pacing.events),
-            usual_ms: pacing.usual.pace_ms,
+            pace: Duration::from_secs_f64(pacing.pace_ms(endpoint) / 1000.0),
+            usual: Duration::from_secs_f64(pacing.usual.pace_ms / 1000.0),
             usual_risk: pacing.usual_risk,
-            prefill_share: pacing.prefill_share,
-            usual_length: pacing.usual_length,
         })
     }
 
@@ -179,7 +165,7 @@
         promise: Option<Promise>,
         loads: &'a SecondaryMap<EndpointKey, Load>,
     ) -> Knowledge<'a> {
-        let pacing = self.pacing(now, service, need, promise, loads);
+        let pacing = self.pacing(now, service, need, promise);
         Knowledge { loads, pacing }
     }
 
@@ -191,7 +177,6 @@
         service: &Service,
         need: Need,
         promise: Option<Promise>,
-        loads: &SecondaryMap<EndpointKey, Load>,
     ) -> Option<Pacing<'_>> {
         let engine = service.engine?;
         if !self.settings.features.has(Feature::EngineProfiles) {
@@ -204,7 +189,6 @@
         Some(Pacing {
             events,
             now,
-            prefill_share: self.prefill_share(service, loads),
             profiles: &self.profiles,
             promise,
             prompt: f64::from(need.prompt),
@@ -253,21 +237,18 @@
         promises.min_by_key(|promise| promise.gap)
     }
 
-    /// Share of a service's engines that are busy with a prefill.
-    fn prefill_share(&self, service: &Service, loads: &SecondaryMap<EndpointKey, Load>) -> f64 {
-        let (mut engines, mut busy) = (0.0, 0.0);
-        for (key, endpoint) in &self.endpoints {
-            if endpoint.listing.service != service.name {
-                continue;
-            }
-            let load = self.load(key, endpoint, loads);
-            engines += f64::from(u8::from(load.requests > 0));
-            busy += f64::from(u8::from(load.prefill_tokens > 0));
-        }
-        if engines > 0.0 {
-            (busy / engines).max(MIN_PREFILL_SHARE)
-        } else {
-            1.0
-        }
+    /// Whether an engine reads a prompt, as far as is known.
+    #[must_use]
+    pub fn is_reading(&self, key: EndpointKey) -> bool {
+        let Some(endpoint) = self.endpoints.get(key) else {
+            return false;
+        };
+        let mut runs = self.runs.values();
+        let own = runs.any(|run| run.endpoint == key && run.events == 0);
+        own || self
+            .sums
+            .others(&self.peer_loads, endpoint.digest)
+            .prefill_tokens
+            > 0
     }
 }
--- a/crates/forward/src/profile.rs
+++ b/crates/forward/src/profile.rs
@@ -10,7 +10,7 @@
 
 pub use self::{
     news::News,
-    shape::{BUCKETS, Shape},
+    shape::{BUCKETS, Counts, Shape},
     window::{Interval, Window},
 };
 
@@ -118,9 +118,21 @@
     /// Probability that a stream of this many events has a pause over `gap` at an engine of this pace.
     #[must_use]
     pub fn pause_risk(&self, pace_ms: f64, gap: Duration, events: f64) -> f64 {
-        let each = self.shape.share_over(gap.as_secs_f64() * 1000.0 / pace_ms);
+        let ratio = gap.as_secs_f64() * 1000.0 / pace_ms;
+        let reading = self.shape.reading_share();
+        let each = self.shape.reading.share_over(ratio) * reading
+            + self.shape.calm.share_over(ratio) * (1.0 - reading);
         1.0 - (1.0 - each).powf(events)
     }
+
+    /// Probability that a prompt makes a pause over `gap` in a stream beside it, if the stream has this many events
+    /// until it is read.
+    #[must_use]
+    pub fn reading_risk(&self, pace_ms: f64, gap: Duration, events: f64) -> f64 {
+        let ratio = gap.as_secs_f64() * 1000.0 / pace_ms;
+        let each = self.shape.reading.share_over(ratio) - self.shape.calm.share_over(ratio);
+        1.0 - (1.0 - each.max(0.0)).powf(events)
+    }
 }
 
 impl Profiles {
@@ -194,7 +206,10 @@
         if let Some(known) = known.filter(|known| known.windows >= PRIOR_WINDOWS) {
             let mut shape = Shape::default();
             let ratio = seen.interval.longest.as_secs_f64() * 1000.0 / known.pace_ms;
-            shape.record(ratio, seen.interval.events, seen.expected_events);
+            let Interval {
+                events, is_reading, ..
+            } = seen.interval;
+            shape.record(ratio, is_reading, events, seen.expected_events);
             self.add_shape(now, seen.service, &shape);
             self.own_news.add_shape(seen.service, &shape);
         }
@@ -202,7 +217,7 @@
             let row = Pace {
                 digest: seen.digest,
                 service: seen.service,
-                windows: 1.0,
+                windows: seen.interval.certainty,
                 pace_ms: undisturbed.as_secs_f64() * 1000.0,
             };
             self.add(now, row);
--- a/crates/forward/src/profile/window.rs
+++ b/crates/forward/src/profile/window.rs
@@ -12,11 +12,18 @@
 /// Time that passing an event on may take. A caller that reads more slowly holds up the engine.
 const MAX_PASS_TIME: Duration = Duration::from_millis(2);
 
+/// How much a window counts in which the engine read a prompt. Where it always does, this shows how it compares.
+const READING_WEIGHT: f64 = 0.1;
+
 /// An interval between events.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Interval {
+    /// How much [`Self::undisturbed`] counts, from 0 to 1.
+    pub certainty: f64,
     /// Number of events that it was followed by.
     pub events: u32,
+    /// Whether the engine read a prompt meanwhile, as far as is known.
+    pub is_reading: bool,
     /// The interval.
     pub longest: Duration,
     /// Time of an event without disturbance, once enough intervals have been seen.
@@ -27,6 +34,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Window {
     intervals: [Duration; WINDOW],
+    /// Whether the engine read a prompt in one of them.
+    is_reading: bool,
     last_at: Option<Time>,
     len: usize,
 }
@@ -36,7 +45,13 @@
     ///
     /// Returns no interval for the first events after a start, nor after a silence, for which engines that are paused or
     /// cut off are to blame, nor after a delay at this instance or its caller.
-    pub fn record(&mut self, now: Time, passed_at: Time, events: u32) -> Option<Interval> {
+    pub fn record(
+        &mut self,
+        now: Time,
+        passed_at: Time,
+        events: u32,
+        is_reading: bool,
+    ) -> Option<Interval> {
         let last_at = self.last_at.replace(passed_at);
         if passed_at.since(now) > MAX_PASS_TIME {
             self.restart();
@@ -45,9 +60,13 @@
         if events == 0 || interval >= CHECK_AFTER {
             return None;
         }
+        self.is_reading |= is_reading;
+        let was_reading = self.is_reading;
         let undisturbed = self.undisturbed(interval, events);
         Some(Interval {
+            certainty: if was_reading { READING_WEIGHT } else { 1.0 },
             events,
+            is_reading,
             longest: interval,
             undisturbed,
         })
@@ -56,6 +75,11 @@
     /// Forgets the intervals so far, as the stream goes on at another engine.
     pub const fn restart(&mut self) {
         self.last_at = None;
+        self.start_window();
+    }
+
+    const fn start_window(&mut self) {
+        self.is_reading = false;
         self.len = 0;
     }
 
@@ -63,7 +87,7 @@
     /// that catches up with a late one does not lower it.
     fn undisturbed(&mut self, interval: Duration, events: u32) -> Option<Duration> {
         if events > MAX_EVENTS_AT_ONCE {
-            self.len = 0;
+            self.start_window();
             return None;
         }
         self.intervals[self.len] = interval / events;
@@ -71,7 +95,7 @@
         if self.len < WINDOW {
             return None;
         }
-        self.len = 0;
+        self.start_window();
         self.intervals.sort_unstable();
         Some(self.intervals[1])
     }
--- a/crates/forward/tests/profile_histories.rs
+++ b/crates/forward/tests/profile_histories.rs
@@ -21,7 +21,8 @@
 /// Target time to the first event.
 const TARGET_MS: u64 = 1800;
 
-/// Time after which instances are expected to know the engines.
+/// Time after which instances are expected to know the engines: a long stream's length, so that one stream that suffers is
+/// enough.
 const LEARNING_MS: u64 = 6000;
 
 /// Age of the load that instances know of each other.
@@ -69,6 +70,8 @@
     /// Engines whose number is a multiple of this are fast; zero: all are alike.
     fast_each: usize,
     instances: usize,
+    /// Long streams that begin after this count.
+    counted_from_ms: u64,
     length_ms: u64,
     /// When the engines that were fast turn slow and others fast.
     turn_ms: Option<u64>,
@@ -163,19 +166,12 @@
     let own = states
         .iter_mut()
         .map(|state| state.profiles.take_news(64).0);
-    let own = own.collect::<Vec<_>>();
-    for news in &own {
-        sum.append(news);
+    for news in own {
+        sum.append(&news);
     }
-    let mut aggregator = forward::profile::Profiles::default();
-    // As one aggregator would know it: members take what is more than they know.
-    aggregator.add_all(at(now), &sum);
-    for (index, state) in states.iter_mut().enumerate() {
-        for (other, news) in own.iter().enumerate() {
-            if other != index {
-                state.profiles.add_all(at(now), news);
-            }
-        }
+    // What an instance has seen itself counts twice, as it may where aggregators add up.
+    for state in states {
+        state.profiles.add_all(at(now), &sum);
         state.tick(at(now));
     }
 }
@@ -218,6 +214,12 @@
         if now % 1000 == 0 && scene.is_on {
             exchange_news(&mut states, now);
         }
+        if now % 1000 == 0 {
+            for state in &mut states {
+                state.config_freshness.confirm(at(now));
+                state.confirm_list(at(now), at(now));
+            }
+        }
         if now % LOAD_AGE_MS == 0 {
             old_loads = total_load(&states);
         }
@@ -281,7 +283,7 @@
                     run,
                     window: Window::default(),
                 }));
-                if is_long && now > LEARNING_MS {
+                if is_long && now > scene.counted_from_ms {
                     outcome.long += 1;
                 }
             }
@@ -307,6 +309,11 @@
                 continue;
             }
             let engine = &engines[stream.engine];
+            let key = states[stream.instance]
+                .run(stream.run)
+                .expect("a run")
+                .endpoint;
+            tell_load(&mut states[stream.instance], &old_loads, now);
             let read_at = Time::from_micros((stream.next_ms * 1000.0) as u64);
             let state = &mut states[stream.instance];
             if stream.events == 0 {
@@ -318,13 +325,12 @@
             }
             stream.last_ms = stream.next_ms;
             stream.events += 1;
-            if let Some(interval) = stream.window.record(read_at, read_at, 1)
+            if let Some(interval) = stream
+                .window
+                .record(read_at, read_at, 1, state.is_reading(key))
                 && scene.is_on
             {
-                let listed = state
-                    .endpoints()
-                    .find(|(_, endpoint)| endpoint.listing.id == format!("m{}", stream.engine));
-                let incarnation = listed.expect("an engine").1.incarnation;
+                let incarnation = state.endpoint(key).expect("an engine").incarnation;
                 let seen = Observation {
                     digest: incarnation,
                     expected_events: stream.length,
@@ -346,7 +352,8 @@
             stream.next_ms += step;
             if stream.events >= stream.length {
                 state.end(stream.run);
-                if stream.began_ms > LEARNING_MS && stream.length > 3 && stream.is_paused {
+                if stream.began_ms > scene.counted_from_ms && stream.length > 3 && stream.is_paused
+                {
                     outcome.paused += 1;
                 }
                 *slot = None;
@@ -361,6 +368,7 @@
         engines,
         fast_each: 4,
         instances,
+        counted_from_ms: LEARNING_MS,
         is_on: true,
         length_ms: 30_000,
         seed,
@@ -368,19 +376,83 @@
     }
 }
 
-/// Long streams at engines that take twice as long for an event are late by their pauses; where the fast engines have room
-/// for all of them, at most 3 in 100 may be, and no queue of prompts may outlast the target of the first event.
+/// Ratio of the choices of the busiest engine to those of the mean one, among engines whose number leaves 0 when divided
+/// by `each`.
+fn busiest(outcome: &Outcome, each: usize) -> f64 {
+    let chosen = outcome.choices.iter().step_by(each.max(1));
+    let (sum, count) = chosen
+        .clone()
+        .fold((0, 0), |(sum, count), choices| (sum + choices, count + 1));
+    let most = chosen.max().copied().unwrap_or_default();
+    most as f64 * f64::from(count) / sum as f64
+}
+
+/// What callers need where the engines that hold pauses have room: nothing is refused, a first event in a hundred is late
+/// at most, and three long streams in a hundred by a pause.
+fn assert_served(scene: &Scene, outcome: &Outcome) {
+    let context = format!(
+        "{} instances, seed {}: {outcome:?}",
+        scene.instances, scene.seed
+    );
+    assert_eq!(outcome.refused, 0, "{context}");
+    assert!(outcome.first_late * 100 <= outcome.all, "{context}");
+    assert!(outcome.paused * 100 <= outcome.long * 3, "{context}");
+}
+
+/// Instances and engines.
+const SIZES: [(usize, usize); 3] = [(7, 24), (80, 44), (300, 88)];
+
+/// Guards against long streams at engines that take twice as long for an event, where their pauses are too long, and
+/// against a herd at those that do not.
 #[test]
-fn long_streams_are_spread_over_engines_where_pauses_hold() {
-    for (instances, engines) in [(7, 24), (80, 44), (300, 88)] {
+fn long_streams_go_where_their_pauses_hold() {
+    for (instances, engines) in SIZES {
         for seed in 1..=2 {
-            let off = play(&Scene {
-                is_on: false,
-                ..uneven(instances, engines, seed)
-            });
-            let on = play(&uneven(instances, engines, seed));
-            println!("{instances} instances, seed {seed}: off {off:?}");
-            println!("{instances} instances, seed {seed}: on {on:?}");
+            let scene = uneven(instances, engines, seed);
+            let outcome = play(&scene);
+            println!(
+                "{instances} instances, seed {seed}: {} of {} paused",
+                outcome.paused, outcome.long
+            );
+            assert_served(&scene, &outcome);
+            assert!(
+                busiest(&outcome, scene.fast_each) <= 2.0,
+                "a herd: {outcome:?}"
+            );
         }
     }
 }
+
+/// Guards against streams that go on to engines which were fast and have turned slow for good.
+#[test]
+fn engines_that_turn_slow_are_left() {
+    for (instances, engines) in SIZES {
+        let turn_ms = 15_000;
+        let scene = Scene {
+            counted_from_ms: turn_ms + LEARNING_MS,
+            turn_ms: Some(turn_ms),
+            ..uneven(instances, engines, 3)
+        };
+        let outcome = play(&scene);
+        println!(
+            "{instances} instances: {} of {} paused",
+            outcome.paused, outcome.long
+        );
+        assert_served(&scene, &outcome);
+    }
+}
+
+/// Guards against a preference among engines that are alike, for which noise would decide.
+#[test]
+fn engines_that_are_alike_are_used_alike() {
+    for (instances, engines) in SIZES {
+        let scene = Scene {
+            fast_each: 0,
+            ..uneven(instances, engines, 4)
+        };
+        let outcome = play(&scene);
+        println!("{instances} instances: busiest {:.2}", busiest(&outcome, 1));
+        assert_served(&scene, &outcome);
+        assert!(busiest(&outcome, 1) <= 2.0, "a herd: {outcome:?}");
+    }
+}
--- a/crates/proxy/src/gossip/paces.rs
+++ b/crates/proxy/src/gossip/paces.rs
@@ -23,7 +23,7 @@
 const INTERVAL: Duration = Duration::from_secs(1);
 
 /// Maximum number of engines in a message, so that it fits into a datagram.
-const MAX_ROWS: usize = 64;
+const MAX_ROWS: usize = 56;
 
 /// Maximum number of services in a message.
 const MAX_SERVICES: usize = 4;
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -125,7 +125,8 @@
     pub rows: Vec<(u32, u32, u32)>,
     /// Digest of the service.
     pub service: u32,
-    /// Number of intervals, sum of the lengths of their streams, and intervals by class, in quarters.
+    /// Sum of the lengths of the intervals' streams, then for engines without and with a prompt to read the number of
+    /// intervals and that in each class, all in quarters.
     pub shape: Vec<u32>,
 }
 
@@ -149,8 +150,11 @@
     /// The intervals of a service, without engines.
     #[must_use]
     pub fn new(service: u32, shape: &Shape) -> Self {
-        let mut counts = vec![shape.events, shape.expected_events];
-        counts.extend(shape.counts);
+        let mut counts = vec![shape.expected_events];
+        for part in [shape.calm, shape.reading] {
+            counts.push(part.events);
+            counts.extend(part.classes);
+        }
         let counts = counts
             .into_iter()
             .map(|count| rounded(count * EVIDENCE_PARTS));
@@ -180,12 +184,12 @@
                 .map_or(0.0, |count| f64::from(*count) / EVIDENCE_PARTS)
         };
         let mut shape = Shape {
-            events: next(),
             expected_events: next(),
             ..Shape::default()
         };
-        for count in &mut shape.counts {
-            *count = next();
+        for part in [&mut shape.calm, &mut shape.reading] {
+            part.events = next();
+            part.classes.fill_with(&mut next);
         }
         shape
     }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -245,7 +245,8 @@
             takeovers = self.takeovers, first_ms = self.first_event_delay.as_millis(),
             target_ms = self.ticket.route.target.as_millis(),
             gap_ms = self.ticket.route.gap.unwrap_or(DEFAULT_MAX_GAP).as_millis(),
-            pace_us = (judgement.pace_ms*1000.0) as u32, usual_us = (judgement.usual_ms*1000.0) as u32, risk = (judgement.usual_risk*1000.0) as u32, pfs=(judgement.prefill_share*1000.0) as u32, ulen=judgement.usual_length as u32,
+            pace_us = judgement.pace.as_micros(), usual_us = judgement.usual.as_micros(),
+            risk = judgement.usual_risk,
             pause_ms = self.longest_pause.as_millis(), ms = took.as_millis(); "stream ended"
         );
         self.shared
--- a/crates/proxy/src/relay/pace.rs
+++ b/crates/proxy/src/relay/pace.rs
@@ -13,7 +13,9 @@
         if !state.settings().features.has(Feature::EngineProfiles) {
             return;
         }
-        let Some(interval) = self.window.record(read_at, passed_at, events) else {
+        let is_reading = state.is_reading(self.source.key);
+        let interval = self.window.record(read_at, passed_at, events, is_reading);
+        let Some(interval) = interval else {
             return;
         };
         let Some(endpoint) = state.endpoint(self.source.key) else {
