--- a/crates/forward/src/choice/pace.rs
+++ b/crates/forward/src/choice/pace.rs
@@ -14,6 +14,10 @@
     slotmap::SecondaryMap,
 };
 
+/// Cost of a stream that is late by a pause, in targets of the first event. Waiting makes a first event late only where it
+/// comes near the target, while a pause over what is allowed is late whatever came before.
+const LATE_COST_TARGETS: f64 = 4.0;
+
 /// What a route promises of its streams.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Promise {
@@ -33,7 +37,7 @@
     }
 
     fn cost_ms(self) -> f64 {
-        self.target.as_secs_f64() * 1000.0
+        self.target.as_secs_f64() * 1000.0 * LATE_COST_TARGETS
     }
 }
 
