--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod failover;
+mod pace;
 mod silence;
 
 use {
@@ -20,6 +21,7 @@
     endpoint::sse,
     forward::{
         part_suspects::PROOF_DELAY,
+        profile::Window,
         request::Ticket,
         rollout::tally::{Outcome, Timing},
         sequence::Sequence,
@@ -83,6 +85,8 @@
     ticket: Ticket,
     /// Whether the answer is to count in the judgement of its engine's version.
     unjudged: bool,
+    /// Intervals between the events of the current engine.
+    window: Window,
     /// Whether it has been logged that only its own engine can continue the run.
     waits_for_engine: bool,
 }
@@ -204,6 +208,7 @@
             ticket: start.ticket,
             unjudged: true,
             waits_for_engine: false,
+            window: Window::default(),
         }
     }
 
@@ -226,6 +231,12 @@
             Ending::Lost(_) => log::Level::Warn,
             _ => log::Level::Info,
         };
+        let judgement = self
+            .shared
+            .state
+            .borrow()
+            .judgement(clock::now(), self.running.key);
+        let judgement = judgement.unwrap_or_default();
         let endpoint = self.shared.endpoint_address(self.source.key);
         let endpoint = endpoint.map(|(_, id)| id).unwrap_or_default();
         log::log!(
@@ -234,6 +245,8 @@
             takeovers = self.takeovers, first_ms = self.first_event_delay.as_millis(),
             target_ms = self.ticket.route.target.as_millis(),
             gap_ms = self.ticket.route.gap.unwrap_or(DEFAULT_MAX_GAP).as_millis(),
+            pace_us = judgement.pace.as_micros(), usual_us = judgement.usual.as_micros(),
+            risk = judgement.usual_risk,
             pause_ms = self.longest_pause.as_millis(), ms = took.as_millis(); "stream ended"
         );
         self.shared
@@ -428,6 +441,8 @@
     }
 
     async fn pass_on(&mut self, blocks: Vec<Bytes>) -> Result<(), Ending> {
+        let read_at = clock::now();
+        let events_before = self.sequence.count();
         for block in blocks {
             if !self.sequence.accept(sse::event_id(&block)) {
                 continue;
@@ -443,6 +458,8 @@
         self.last_event
             .replace(self.sequence.last().map(str::to_string));
         let now = clock::now();
+        let events = self.sequence.count().saturating_sub(events_before);
+        self.observe_pace(read_at, now, events);
         let began_at = *self.began_at.get_or_insert(now);
         if now.since(began_at) >= PROOF_DELAY {
             self.shared.record_proof(&self.original);
