Name the customer in the lines on a request's sends and end, and in explain

Callers of some customers were refused and late while one customer pressed, and no line said which customers paid. `sent`, `given up`, `request ended` and `stream ended` now name the customer (never its key), and `carawayhead explain` shows for each cause the customers with the most requests.

--- a/crates/carawayhead/tests/forwarding/answers.rs
+++ b/crates/carawayhead/tests/forwarding/answers.rs
@@ -308,3 +308,26 @@
         .await;
     }
 }
+
+/// When callers are refused or late, an operator has to see whose requests they are. Lines name the customer;
+/// its key is a secret.
+#[tokio::test]
+async fn log_lines_of_a_request_name_its_customer_and_never_the_key() {
+    let service = PlainService::start("d1").await;
+    let (_store, instance) = deployment(&[&service]).await;
+    service.set_behavior(ServiceBehavior::NoAnswer);
+    let request = CallerRequest::new("r1", "/order/7");
+    let response = send_request(instance.caller_address, &request).await;
+    let status = response.expect("the instance responds").status;
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
+    for event in ["\"sent\"", "\"given up\"", "\"request ended\""] {
+        wait_until("the line is written", || async {
+            !instance.log_lines_containing(event).is_empty()
+        })
+        .await;
+        for line in instance.log_lines_containing(event) {
+            assert!(line.contains("\"customer\":\"ada\""), "{line}");
+        }
+    }
+    assert_eq!(instance.log_lines_containing("key-1"), [""; 0]);
+}
--- a/crates/explain/src/request.rs
+++ b/crates/explain/src/request.rs
@@ -11,6 +11,8 @@
 struct LogLine {
     event: String,
     #[serde(default)]
+    customer: String,
+    #[serde(default)]
     id: String,
     #[serde(default)]
     first_ms: u64,
@@ -36,6 +38,8 @@
 pub struct Request {
     /// Cause of its end, once a line reported it.
     pub cause: Option<Cause>,
+    /// Name of its customer, if a line names one.
+    pub customer: String,
     /// Wall time of its last line, in milliseconds.
     pub last_ms: u64,
     /// Wall time in milliseconds and outcome of the last attempt to move it to another engine.
@@ -103,6 +107,9 @@
 impl Request {
     fn update(&mut self, line: &LogLine) {
         self.last_ms = self.last_ms.max(line.t);
+        if !line.customer.is_empty() {
+            self.customer.clone_from(&line.customer);
+        }
         match line.event.as_str() {
             "move begins" | "copied" => self.last_move = Some((line.t, MoveState::InProgress)),
             "move put off" => {
--- a/crates/explain/src/table.rs
+++ b/crates/explain/src/table.rs
@@ -12,6 +12,9 @@
 /// Number of request ids shown per cause.
 const MAX_EXAMPLES: usize = 3;
 
+/// Number of customers shown per cause.
+const MAX_CUSTOMERS: usize = 3;
+
 /// The requests of one cause.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Row {
@@ -19,6 +22,8 @@
     pub cause: String,
     /// Number of requests.
     pub count: usize,
+    /// The customers with the most requests, and their numbers.
+    pub customers: Vec<(String, usize)>,
     /// The first request ids by time.
     pub examples: Vec<String>,
     /// Wall time of the first end, in milliseconds.
@@ -47,7 +52,12 @@
         let mut ends = Vec::new();
         for (id, request) in requests {
             let cause = request.cause.clone().unwrap_or(Cause::Open);
-            ends.push((cause, request.last_ms, id.as_str()));
+            ends.push((
+                cause,
+                request.last_ms,
+                id.as_str(),
+                request.customer.as_str(),
+            ));
         }
         ends.sort();
         let groups = ends.chunk_by(|one, other| one.0 == other.0);
@@ -62,21 +72,39 @@
 }
 
 /// Builds the row of one cause from its ends, which are sorted by time.
-fn row(ends: &[(Cause, u64, &str)]) -> Row {
-    let times = ends.iter().map(|(_, at, _)| *at);
+fn row(ends: &[(Cause, u64, &str, &str)]) -> Row {
+    let times = ends.iter().map(|(_, at, _, _)| *at);
     let examples = ends.iter().take(MAX_EXAMPLES);
     let seconds = ends.chunk_by(|one, other| one.1 / 1000 == other.1 / 1000);
     let worst = seconds.max_by_key(|ends| ends.len());
     Row {
         cause: ends[0].0.to_string(),
         count: ends.len(),
-        examples: examples.map(|(_, _, id)| (*id).to_string()).collect(),
+        customers: customers(ends),
+        examples: examples.map(|(_, _, id, _)| (*id).to_string()).collect(),
         first: times.clone().min().unwrap_or_default(),
         last: times.max().unwrap_or_default(),
         worst_second: worst.map_or((0, 0), |ends| (ends[0].1 / 1000, ends.len())),
     }
 }
 
+/// The customers with the most of these ends, most first.
+fn customers(ends: &[(Cause, u64, &str, &str)]) -> Vec<(String, usize)> {
+    let mut names = ends
+        .iter()
+        .map(|(_, _, _, customer)| *customer)
+        .filter(|customer| !customer.is_empty())
+        .collect::<Vec<_>>();
+    names.sort_unstable();
+    let mut counts = names
+        .chunk_by(|one, other| one == other)
+        .map(|same| (same[0].to_string(), same.len()))
+        .collect::<Vec<_>>();
+    counts.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    counts.truncate(MAX_CUSTOMERS);
+    counts
+}
+
 impl Display for Table {
     /// Writes a Markdown table with times relative to the earliest end.
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
@@ -84,15 +112,18 @@
         let start = start.unwrap_or_default();
         writeln!(
             f,
-            "| cause | requests | from s | to s | most in a second | examples |"
+            "| cause | requests | from s | to s | most in a second | most by customer | examples |"
         )?;
-        writeln!(f, "|---|---:|---:|---:|---|---|")?;
+        writeln!(f, "|---|---:|---:|---:|---|---|---|")?;
         for row in &self.rows {
             let (second, most) = row.worst_second;
             let second = second.saturating_sub(start / 1000);
+            let customers = row.customers.iter();
+            let customers = customers.map(|(customer, count)| format!("{customer} {count}"));
+            let customers = customers.collect::<Vec<_>>().join(", ");
             writeln!(
                 f,
-                "| {} | {} | {} | {} | {most} at {second} s | {} |",
+                "| {} | {} | {} | {} | {most} at {second} s | {customers} | {} |",
                 row.cause,
                 row.count,
                 seconds(row.first - start),
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -136,7 +136,8 @@
     let load = state.load_at(destination.key);
     let age = state.list_freshness.age(now).unwrap_or(Duration::MAX);
     log::info!(
-        id = original.inbound.id, fingerprint:% = original.fingerprint, endpoint, copy = copy.map_or("", |copy| copy.listing.id.as_str()),
+        id = original.inbound.id, customer = destination.customer.unwrap_or_default(),
+        fingerprint:% = original.fingerprint, endpoint, copy = copy.map_or("", |copy| copy.listing.id.as_str()),
         goes_on = destination.source.is_some(),
         parts = part::join(&original.inbound.parts),
         last_event = destination.last_event.unwrap_or_default(), requests = load.requests,
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -183,6 +183,8 @@
 /// Route data for the log line of a request, once it is known.
 #[derive(Debug, Default)]
 struct RouteInfo {
+    /// Name of the customer; empty if the route requires no key.
+    customer: String,
     name: String,
     target: Duration,
 }
@@ -212,7 +214,7 @@
     let took = clock::now().since(arrived);
     let age = shared.state.borrow().config_freshness.age(clock::now());
     log::info!(
-        id, route = route.name, path, outcome, status = reply.status().as_u16(),
+        id, route = route.name, customer = route.customer, path, outcome, status = reply.status().as_u16(),
         ms = took.as_millis(), target_ms = route.target.as_millis(),
         config_age_ms = age.unwrap_or(Duration::MAX).as_millis(); "request ended"
     );
@@ -231,6 +233,7 @@
     let body = read_body(shared, body).await?;
     let now = clock::now();
     let ticket = admit(shared, &inbound).await?;
+    route.customer = ticket.customer.clone().unwrap_or_default();
     route.name.clone_from(&ticket.route.name);
     route.target = ticket.route.target;
     shared
--- a/crates/proxy/src/progress.rs
+++ b/crates/proxy/src/progress.rs
@@ -11,6 +11,8 @@
 /// Attempts made for a request that has no response yet.
 #[derive(Debug, Default)]
 pub struct Progress {
+    /// Name of the customer; empty if the route requires no key.
+    customer: String,
     /// Endpoint whose error response led to a retry.
     pub failed_at: Option<EndpointKey>,
     /// An endpoint's error response, returned if no other endpoint succeeds.
@@ -29,7 +31,10 @@
     /// No attempts yet. A trial is not sent to an endpoint that was lost, which would end it without a result.
     #[must_use]
     pub fn for_request(shared: &Shared, original: &Original, ticket: &Ticket) -> Self {
-        let mut progress = Self::default();
+        let mut progress = Self {
+            customer: ticket.customer.clone().unwrap_or_default(),
+            ..Self::default()
+        };
         if original.is_trial.get() {
             progress.tried = shared.state.borrow().lost_endpoints(&ticket.service);
         }
@@ -81,7 +86,7 @@
             _ => Refusal::Broken,
         };
         log::info!(
-            id, sends = self.sends, runs = self.runs, why = self.why,
+            id, customer = self.customer, sends = self.sends, runs = self.runs, why = self.why,
             outcome = reported.label(); "given up"
         );
         reported
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -229,7 +229,8 @@
         let endpoint = self.shared.endpoint_address(self.source.key);
         let endpoint = endpoint.map(|(_, id)| id).unwrap_or_default();
         log::log!(
-            level, id = self.original.inbound.id, route = self.ticket.route.name, endpoint,
+            level, id = self.original.inbound.id, route = self.ticket.route.name,
+            customer = self.ticket.customer.as_deref().unwrap_or_default(), endpoint,
             outcome = ending.label(), why, events = self.sequence.count(),
             takeovers = self.takeovers, first_ms = self.first_event_delay.as_millis(),
             target_ms = self.ticket.route.target.as_millis(),
