Hold customers that press to their share of a service that is short of room

`forward::fairness` keeps what each customer asks for, exchanges the sums along the links of load reports, and admits requests of a customer that presses with the probability that fits. Not measured yet.

--- a/crates/forward/src/aggregate/domains.rs
+++ b/crates/forward/src/aggregate/domains.rs
@@ -54,7 +54,7 @@
 }
 
 /// Whether an aggregator covers nearly as many members as the one with the most.
-pub(super) const fn covers_enough_members(members: u32, max_members: u32) -> bool {
+pub(crate) const fn covers_enough_members(members: u32, max_members: u32) -> bool {
     members.saturating_mul(5) >= max_members.saturating_mul(4)
 }
 
--- a/crates/forward/src/config.rs
+++ b/crates/forward/src/config.rs
@@ -1,6 +1,6 @@
 //! Configuration: routes, services, customers, and limits.
 
-use crate::prelude::*;
+use crate::{load, prelude::*};
 
 /// Whether requests may be repeated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -199,6 +199,22 @@
         None
     }
 
+    /// Name of the customer whose name has this digest.
+    #[must_use]
+    pub fn customer_by_digest(&self, digest: u32) -> Option<&str> {
+        let mut customers = self.customers.iter();
+        let found = customers.find(|customer| load::digest(&customer.name) == digest);
+        found.map(|customer| customer.name.as_str())
+    }
+
+    /// Name of the service whose name has this digest.
+    #[must_use]
+    pub fn service_by_digest(&self, digest: u32) -> Option<&str> {
+        let mut services = self.services.iter();
+        let found = services.find(|service| load::digest(&service.name) == digest);
+        found.map(|service| service.name.as_str())
+    }
+
     /// Number of routes.
     #[must_use]
     pub fn routes(&self) -> usize {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod crashes;
 pub mod endpoint;
+pub mod fairness;
 pub mod feature;
 pub mod freshness;
 pub mod intake;
--- a/crates/forward/src/outcome.rs
+++ b/crates/forward/src/outcome.rs
@@ -18,6 +18,9 @@
     CrashesEndpoints,
     /// No endpoint had capacity in time.
     Full,
+    /// The customer asks for more than its share of a service that is short of room; it may return
+    /// after this time.
+    OverShare(Duration),
     /// The configuration of this instance is too old.
     Stale,
     /// This instance is stopping, and the answer might not be complete by then.
@@ -47,6 +50,7 @@
             Self::CrashesEndpoints => "crashes_endpoints",
             Self::Expired => "expired",
             Self::Full => "full",
+            Self::OverShare(_) => "over_share",
             Self::Stale => "stale",
             Self::Stopping => "stopping",
             Self::TimedOut => "timed_out",
@@ -68,6 +72,7 @@
     pub const fn retry_after(self) -> Option<Duration> {
         match self {
             Self::Full => Some(FULL_RETRY_AFTER),
+            Self::OverShare(after) => Some(after),
             Self::Unreachable => Some(UNREACHABLE_RETRY_AFTER),
             Self::Stale | Self::Stopping | Self::Unconfigured => Some(OTHER_INSTANCE_RETRY_AFTER),
             Self::Bad
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -4,12 +4,14 @@
 
 mod list;
 mod rollouts;
+mod shares;
 
 use {
     crate::{
         aggregate::{Sums, members::Members},
         brittleness::Brittleness,
         budget::RetryBudget,
+        fairness::Shares,
         freshness::Freshness,
         load::PeerLoads,
         losses::Losses,
@@ -72,6 +74,8 @@
     pub rollouts: Rollouts,
     pub(crate) runs: SlotMap<RunKey, Run>,
     pub(crate) settings: Settings,
+    /// Shares of customers.
+    pub shares: Shares,
     pub(crate) stops_at: Option<Time>,
     store_recovered_at: Option<Time>,
     /// Load of other instances, from sums of aggregators.
@@ -128,6 +132,7 @@
             rollouts,
             runs: SlotMap::with_key(),
             settings,
+            shares: Shares::default(),
             stops_at: None,
             store_recovered_at: None,
             sums: Sums::default(),
@@ -310,8 +315,8 @@
     }
 
     /// Removes a run that has ended.
-    pub fn end(&mut self, key: RunKey) {
-        self.runs.remove(key);
+    pub fn end(&mut self, key: RunKey) -> Option<Run> {
+        self.runs.remove(key)
     }
 
     /// Whether the engine of a run is leaving or its version is being replaced, so that the run has
--- a/crates/proxy/src/gossip/mod.rs
+++ b/crates/proxy/src/gossip/mod.rs
@@ -3,12 +3,14 @@
 //! * [`registration`]: the instance's entry in the store;
 //! * [`connections`]: connections to peers;
 //! * [`report`]: sending reports, sums and answers;
+//! * [`customers`]: exchanging what customers ask for;
 //! * [`receive`]: handling messages of peers;
 //! * [`records`]: relaying records of the store, with [`history`] for those that are retained.
 //!
 //! [`forward::aggregate`] decides who sends what to whom.
 
 pub mod connections;
+pub mod customers;
 pub mod history;
 pub mod receive;
 pub mod records;
@@ -61,6 +63,7 @@
         registration::drop_dead_entries(&shared),
         connections::maintain(&shared, &datagrams, &pins, address),
         report::run(&shared, &datagrams),
+        customers::run(&shared, &datagrams),
         receive::run(&shared, &datagrams, messages),
         tunnel::serve(&shared, requested),
     );
--- a/crates/proxy/src/gossip/receive.rs
+++ b/crates/proxy/src/gossip/receive.rs
@@ -1,7 +1,7 @@
 //! Handling of messages from peers.
 
 use {
-    super::{records, report, role},
+    super::{customers, records, report, role},
     crate::{
         clock, follow,
         message::{
@@ -30,6 +30,9 @@
         };
         match message {
             Message::Answer(answer) => handle_answer(shared, answer, &trailer),
+            Message::Customers(customers) => {
+                customers::receive(shared, datagrams, &customers);
+            }
             Message::Records(data) => match Batch::decompress(&data) {
                 Ok(batch) => records::receive(shared, batch),
                 Err(error) => log::warn!(error:%; "cannot decode records from peer instance"),
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -236,6 +236,7 @@
     route.customer = ticket.customer.clone().unwrap_or_default();
     route.name.clone_from(&ticket.route.name);
     route.target = ticket.route.target;
+    shared.check_share(&ticket, &inbound)?;
     shared
         .state
         .borrow_mut()
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -15,6 +15,9 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8,
 ];
 
+/// Maximum number of customers that are named in labels.
+const MAX_CUSTOMER_LABELS: usize = 32;
+
 /// All exported metrics.
 #[derive(Debug)]
 pub struct Metrics {
@@ -22,6 +25,9 @@
     closed: Counter<u64>,
     endings: Counter<u64>,
     first_event: Histogram<f64>,
+    held_back: Counter<u64>,
+    /// Customers with a label of their own, sorted.
+    held_customers: RefCell<Vec<String>>,
     loop_late: Histogram<f64>,
     moves: Counter<u64>,
     parts: Counter<u64>,
@@ -76,6 +82,11 @@
             ),
             endings: counter("requests_ended", "requests by route and outcome"),
             first_event: histogram("first_event_seconds", "time to a stream's first event"),
+            held_back: counter(
+                "requests_held_back",
+                "requests refused since their customer was over its share, by service and customer",
+            ),
+            held_customers: RefCell::default(),
             loop_late: histogram("loop_late_seconds", "how late the loop's timer was"),
             moves: counter(
                 "runs_moved",
@@ -139,6 +150,28 @@
         self.first_event.record(took.as_secs_f64(), &[]);
     }
 
+    /// Records a request that was refused since its customer was over its share.
+    pub fn record_held_back(&self, service: &str, customer: &str) {
+        let labels = [
+            KeyValue::new("service", service.to_string()),
+            KeyValue::new("customer", self.customer_label(customer)),
+        ];
+        self.held_back.add(1, &labels);
+    }
+
+    /// Label of a customer: its name, or `other` once [`MAX_CUSTOMER_LABELS`] customers have one.
+    fn customer_label(&self, customer: &str) -> String {
+        let mut labelled = self.held_customers.borrow_mut();
+        match labelled.binary_search_by(|other| other.as_str().cmp(customer)) {
+            Err(_) if labelled.len() >= MAX_CUSTOMER_LABELS => "other".to_string(),
+            Err(index) => {
+                labelled.insert(index, customer.to_string());
+                customer.to_string()
+            }
+            Ok(_) => customer.to_string(),
+        }
+    }
+
     /// Records how late the event loop's timer was.
     pub fn record_loop_lateness(&self, late: Duration) {
         self.loop_late.record(late.as_secs_f64(), &[]);
--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -105,6 +105,7 @@
         Refusal::CrashesEndpoints
         | Refusal::Expired
         | Refusal::Full
+        | Refusal::OverShare(_)
         | Refusal::Stale
         | Refusal::Stopping
         | Refusal::Unconfigured
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -10,6 +10,7 @@
         prelude::*,
         probe,
         settings::Settings,
+        stream,
         topic::{self, TopicState},
     },
     endpoint::Client,
@@ -19,6 +20,7 @@
             add_rows,
             members::{Link, MemberKey, Role},
         },
+        choice::Need,
         config::Limits,
         intake::Intake,
         load::Report,
@@ -304,6 +306,7 @@
 /// Counts a buffered request at an endpoint until dropped.
 #[derive(Debug)]
 pub struct InFlight {
+    begun_at: Time,
     key: EndpointKey,
     shared: Rc<Shared>,
 }
@@ -316,6 +319,7 @@
             endpoint.in_flight += 1;
         }
         Self {
+            begun_at: clock::now(),
             key,
             shared: Rc::clone(shared),
         }
@@ -324,9 +328,14 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        if let Some(endpoint) = self.shared.state.borrow_mut().endpoint_mut(self.key) {
+        let took = clock::now().since(self.begun_at);
+        let mut state = self.shared.state.borrow_mut();
+        if let Some(endpoint) = state.endpoint_mut(self.key) {
             endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+            let service = endpoint.listing.service.clone();
+            state.record_duration(&service, None, took);
         }
+        drop(state);
         self.shared.room.notify_waiters();
     }
 }
@@ -334,6 +343,7 @@
 /// A run in progress, removed on drop.
 #[derive(Debug)]
 pub struct RunGuard {
+    begun_at: Time,
     /// Key of the run.
     pub key: RunKey,
     shared: Rc<Shared>,
@@ -347,6 +357,7 @@
         shared.load.notify_one();
         shared.report_now.notify_one();
         Self {
+            begun_at: clock::now(),
             key,
             shared: Rc::clone(shared),
         }
@@ -355,7 +366,16 @@
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        self.shared.state.borrow_mut().end(self.key);
+        let took = clock::now().since(self.begun_at);
+        let mut state = self.shared.state.borrow_mut();
+        if let Some(run) = state.end(self.key) {
+            let need = Need {
+                output: run.expected,
+                prompt: run.prompt,
+            };
+            state.record_duration(&run.service, Some(need), took);
+        }
+        drop(state);
         self.shared.load.notify_one();
         self.shared.room.notify_waiters();
     }
@@ -453,6 +473,25 @@
         Ok(same)
     }
 
+    /// Records what a request asks for, and refuses it if its customer is over its share.
+    ///
+    /// # Errors
+    ///
+    /// The customer is over its share.
+    pub fn check_share(&self, ticket: &Ticket, inbound: &Inbound) -> Result<(), Refusal> {
+        let need = Need {
+            output: stream::expected_output_tokens(inbound),
+            prompt: inbound.prompt,
+        };
+        let now = clock::now();
+        let checked = self.state.borrow_mut().check_share(now, ticket, need);
+        if checked.is_err() {
+            let customer = ticket.customer.as_deref().unwrap_or_default();
+            self.metrics.record_held_back(&ticket.service, customer);
+        }
+        checked
+    }
+
     /// Refunds a retry that did not reach its endpoint.
     pub fn refund_send(&self, service: &str, is_retry: bool) {
         if is_retry {
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -137,7 +137,8 @@
 }
 
 /// Expected output tokens: the caller's estimate, at most its limit.
-fn expected_output_tokens(inbound: &Inbound) -> u32 {
+#[must_use]
+pub fn expected_output_tokens(inbound: &Inbound) -> u32 {
     let limit = if inbound.max_output_tokens == 0 {
         DEFAULT_OUTPUT_TOKENS
     } else {
