--- a/crates/forward/tests/profile_histories.rs
+++ b/crates/forward/tests/profile_histories.rs
@@ -3,6 +3,13 @@
 //! Engines read prompts between the events of streams, which doubles the time of an event, and have slow spells of some
 //! hundred milliseconds. Instances know each other's load after a while, and what engines do after a second.
 
+#![allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "times and counts of a simulation are small and positive"
+)]
+
 mod common;
 
 use {
--- a/crates/proxy/src/gossip/mod.rs
+++ b/crates/proxy/src/gossip/mod.rs
@@ -3,6 +3,7 @@
 //! * [`registration`]: the instance's entry in the store;
 //! * [`connections`]: connections to peers;
 //! * [`report`]: sending reports, sums and answers;
+//! * [`customers`]: exchanging what customers ask for;
 //! * [`receive`]: handling messages of peers;
 //! * [`paces`]: what engines do;
 //! * [`records`]: relaying records of the store, with [`history`] for those that are retained.
@@ -10,6 +11,7 @@
 //! [`forward::aggregate`] decides who sends what to whom.
 
 pub mod connections;
+pub mod customers;
 pub mod history;
 pub mod paces;
 pub mod receive;
@@ -64,6 +66,7 @@
         connections::maintain(&shared, &datagrams, &pins, address),
         paces::run(&shared, &datagrams),
         report::run(&shared, &datagrams),
+        customers::run(&shared, &datagrams),
         receive::run(&shared, &datagrams, messages),
         tunnel::serve(&shared, requested),
     );
