--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod paths;
 pub mod prelude;
 pub mod probe;
+pub mod profile;
 pub mod rate_limit;
 pub mod reader;
 pub mod request;
