--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -62,6 +62,7 @@
         }
         Ok(Ticket {
             customer: customer.map(|customer| customer.name.clone()),
+            due: inbound.arrived.after(route.target),
             expires,
             priority: customer
                 .and_then(|customer| customer.priority)
--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -7,12 +7,13 @@
 mod cost;
 mod eligible;
 mod pace;
+mod side;
 
 pub use self::pace::{Judgement, Promise};
 
 use {
     self::pace::Knowledge,
-    crate::{prelude::*, request::Ticket, run::kv_demand, state::State},
+    crate::{overflow::Side, prelude::*, request::Ticket, run::kv_demand, state::State},
     rand::{RngExt as _, SeedableRng as _, rngs::SmallRng},
     slotmap::Key as _,
 };
@@ -118,16 +119,15 @@
             });
             return (Pick::Send(key, copy), true);
         }
-        (
-            self.pick_promised(now, &ticket.service, need, tried, promise),
-            false,
-        )
+        let side = self.side(now, ticket, need, tried);
+        let pick = self.pick_promised(now, &ticket.service, need, tried, promise, side);
+        (pick, false)
     }
 
     /// Chooses an endpoint for a request, and an engine for its copy.
     #[must_use]
     pub fn pick(&mut self, now: Time, service: &str, need: Need, tried: &[EndpointKey]) -> Pick {
-        self.pick_promised(now, service, need, tried, None)
+        self.pick_promised(now, service, need, tried, None, None)
     }
 
     fn pick_promised(
@@ -137,6 +137,7 @@
         need: Need,
         tried: &[EndpointKey],
         promise: Option<Promise>,
+        side: Option<Side>,
     ) -> Pick {
         self.pace_brittle(now, service);
         let mut jitter = self.jitter();
@@ -147,7 +148,8 @@
             jitter.max_ms = jitter.max_ms.max(MAX_TIE_JITTER_MS);
         }
         let loads = self.loads();
-        let known = self.knowledge(now, service, need, promise, &loads);
+        let mut known = self.knowledge(now, service, need, promise, &loads);
+        known.side = side;
         match self.cheapest(now, service, need.tokens(), tried, &known, jitter) {
             None => Pick::Wait,
             Some(key) => {
@@ -226,7 +228,7 @@
     ) -> Option<EndpointKey> {
         let gate = self.gate(now, &service.name);
         self.cheapest_by(skip, |key, endpoint| {
-            if !self.eligible(now, endpoint, service, &gate) {
+            if !self.is_on(known.side, endpoint) || !self.eligible(now, endpoint, service, &gate) {
                 return None;
             }
             let cost = self.cost(key, endpoint, service, need, known.loads)?;
--- a/crates/forward/src/choice/cost.rs
+++ b/crates/forward/src/choice/cost.rs
@@ -52,7 +52,7 @@
         )
     }
 
-    fn domain_cost(&self, endpoint: &Endpoint) -> f64 {
+    pub(super) fn domain_cost(&self, endpoint: &Endpoint) -> f64 {
         if endpoint.listing.domain == self.settings.domain {
             return 0.0;
         }
--- a/crates/forward/src/choice/pace.rs
+++ b/crates/forward/src/choice/pace.rs
@@ -7,6 +7,7 @@
         endpoint::Load,
         feature::Feature,
         load::digest,
+        overflow::Side,
         prelude::*,
         profile::{Profiles, Usual},
         state::State,
@@ -117,6 +118,8 @@
     pub(super) loads: &'a SecondaryMap<EndpointKey, Load>,
     /// What engines do, if it counts.
     pub(super) pacing: Option<Pacing<'a>>,
+    /// Side that the request is to be sent to, if it is restricted to one.
+    pub(super) side: Option<Side>,
 }
 
 /// Streams at an engine that have begun: runs whose prompts are read, by the memory that they hold.
@@ -166,7 +169,11 @@
         loads: &'a SecondaryMap<EndpointKey, Load>,
     ) -> Knowledge<'a> {
         let pacing = self.pacing(now, service, need, promise);
-        Knowledge { loads, pacing }
+        Knowledge {
+            loads,
+            pacing,
+            side: None,
+        }
     }
 
     /// What placement knows of the engines' pace for a request of a service; `None` if it is not asked for, or if
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -34,6 +34,8 @@
 pub struct Ticket {
     /// Name of the customer, if the route requires a key.
     pub customer: Option<String>,
+    /// When the target of the route is missed.
+    pub due: Time,
     /// Earlier of the caller's deadline and the route's timeout.
     pub expires: Time,
     /// Priority; 0 is served first.
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -21,4 +21,6 @@
     pub retry_ratio: f64,
     /// Age of the configuration from which on its API keys are no longer accepted.
     pub revocation: Duration,
+    /// Waiting of a caller that operators accept to save a megabyte between failure domains.
+    pub transfer_wait_per_megabyte: Duration,
 }
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -13,6 +13,7 @@
         freshness::Freshness,
         load::PeerLoads,
         losses::Losses,
+        overflow::Overflow,
         part_suspects,
         paths::Paths,
         prelude::*,
@@ -64,6 +65,7 @@
     pub(crate) losses: Losses,
     /// All instances.
     pub members: Members,
+    pub(crate) overflow: Overflow,
     /// Parts of prompts that may crash engines.
     pub part_suspects: part_suspects::Suspects,
     /// Whether endpoints can be reached directly.
@@ -125,6 +127,7 @@
             losses: Losses::default(),
             members: Members::default(),
             next_turn: 0,
+            overflow: Overflow::default(),
             part_suspects: part_suspects::Suspects::default(),
             paths: Paths::default(),
             profiles: Profiles::default(),
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -52,6 +52,7 @@
         retry_burst: 50.0,
         retry_ratio: 0.2,
         revocation: Duration::from_secs(5),
+        transfer_wait_per_megabyte: Duration::ZERO,
     }
 }
 
--- a/crates/forward/tests/rollouts/decisions.rs
+++ b/crates/forward/tests/rollouts/decisions.rs
@@ -83,6 +83,7 @@
 fn ticket() -> Ticket {
     Ticket {
         customer: None,
+        due: at(60_000),
         expires: at(60_000),
         priority: 0,
         route: common::route("/draft/", Kind::Stream, "model"),
--- a/crates/forward/tests/rollouts/simulation.rs
+++ b/crates/forward/tests/rollouts/simulation.rs
@@ -438,6 +438,7 @@
     config.name = route.to_string();
     Ticket {
         customer: None,
+        due: at(now_ms + 1000),
         expires: at(now_ms + 1000),
         priority: 0,
         route: config,
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -58,6 +58,9 @@
     /// Names of those that are on; see [`Feature::ALL`].
     #[serde(default)]
     pub enabled: Vec<String>,
+    /// Milliseconds of a caller's waiting that a megabyte between failure domains is worth.
+    #[serde(default)]
+    pub transfer_ms_per_mb: f64,
 }
 
 /// Limits that hold over all instances together.
@@ -143,6 +146,10 @@
         let fault = |text: String| Error::Settings(file.to_string(), text);
         let settings = toml::from_str::<Self>(text).map_err(|error| fault(error.to_string()))?;
         let checks = [
+            (
+                "decisions.transfer_ms_per_mb",
+                settings.decisions.transfer_ms_per_mb,
+            ),
             ("instance.grace_s", settings.instance.grace_s),
             ("instance.processor", settings.instance.processor),
             ("joint.canary_requests", settings.joint.canary_requests),
@@ -189,6 +196,9 @@
             retry_burst: self.joint.retry_burst,
             retry_ratio: self.joint.retry_ratio,
             revocation: Duration::from_secs_f64(self.joint.revocation_ms / 1000.0),
+            transfer_wait_per_megabyte: Duration::from_secs_f64(
+                self.decisions.transfer_ms_per_mb / 1000.0,
+            ),
         }
     }
 }
