Keep room for runs of engines that leave (move_room, off by default)

Cause: new work and runs that move compete for the same room, and new work asks more often. Change: forward::reserve learns departures from notices in the endpoint list, and new requests leave free what runs at leaving engines hold and what the next departure is expected to hold, by how long they would hold it themselves.

--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -8,6 +8,7 @@
         endpoint::Load,
         prelude::*,
         request::Ticket,
+        reserve::Demand,
         rollout::{
             Rollout,
             access::{Access, Gate},
@@ -190,7 +191,8 @@
         for domain in canaries.chunk_by(|(one, _, _), (other, _, _)| one == other) {
             for (_, _, key) in domain.iter().take(CANARIES_PER_DOMAIN) {
                 let endpoint = self.endpoints.get(*key)?;
-                let Some(cost) = self.cost(*key, endpoint, service, need.tokens(), &loads) else {
+                let Some(cost) = self.cost(*key, endpoint, service, need.tokens().into(), &loads)
+                else {
                     continue;
                 };
                 // A faulty endpoint would make its version look bad.
@@ -208,6 +210,10 @@
     #[must_use]
     pub fn pick(&mut self, now: Time, service: &str, need: Need, tried: &[EndpointKey]) -> Pick {
         self.pace_brittle(now, service);
+        let demand = Demand {
+            kept: self.kept_room(now, service, need),
+            tokens: need.tokens(),
+        };
         let mut jitter = self.jitter();
         let Some(service) = self.service(service) else {
             return Pick::Wait;
@@ -216,7 +222,7 @@
             jitter.max_ms = jitter.max_ms.max(MAX_TIE_JITTER_MS);
         }
         let loads = self.loads();
-        match self.cheapest(now, service, need.tokens(), tried, &loads, jitter) {
+        match self.cheapest(now, service, demand, tried, &loads, jitter) {
             None => Pick::Wait,
             Some(key) => {
                 let (tokens, output) = (need.tokens(), need.output);
@@ -263,7 +269,7 @@
                 return None;
             }
             let cross_domain = endpoint.listing.domain != source.listing.domain;
-            let cost = self.cost(key, endpoint, service, run.need(), &loads)?;
+            let cost = self.cost(key, endpoint, service, run.need().into(), &loads)?;
             let cross_domain = if cross_domain {
                 CROSS_DOMAIN_MOVE_COST_MS
             } else {
@@ -299,7 +305,7 @@
         &self,
         now: Time,
         service: &Service,
-        need: u32,
+        demand: Demand,
         skip: &[EndpointKey],
         loads: &SecondaryMap<EndpointKey, Load>,
         jitter: Jitter,
@@ -309,7 +315,7 @@
             if !self.eligible(now, endpoint, service, &gate) {
                 return None;
             }
-            let cost = self.cost(key, endpoint, service, need, loads)?;
+            let cost = self.cost(key, endpoint, service, demand, loads)?;
             Some(cost + jitter.cost(key))
         })
     }
@@ -471,13 +477,14 @@
         quota.max(1)
     }
 
-    /// Cost of sending there in milliseconds of waiting; `None` if it has no capacity.
+    /// Cost of sending there in milliseconds of waiting; `None` if it has no capacity
+    /// beside the room that is kept there.
     fn cost(
         &self,
         key: EndpointKey,
         endpoint: &Endpoint,
         service: &Service,
-        need: u32,
+        demand: Demand,
         loads: &SecondaryMap<EndpointKey, Load>,
     ) -> Option<f64> {
         let load = self.load(key, endpoint, loads);
@@ -489,8 +496,9 @@
                 .then_some(common + f64::from(load.requests) * PLAIN_REQUEST_COST_MS + busy);
         };
         let capacity = f64::from(engine.kv_tokens) * MAX_KV_FILL;
-        let tokens = f64::from(load.tokens.saturating_add(need));
-        if load.requests >= engine.slots || tokens > capacity {
+        let tokens = f64::from(load.tokens.saturating_add(demand.tokens));
+        let usable = demand.kept.capacity(capacity, endpoint.digest);
+        if load.requests >= engine.slots || tokens > usable {
             return None;
         }
         Some(
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod rate_limit;
 pub mod reader;
 pub mod request;
+pub mod reserve;
 pub mod rollout;
 pub mod run;
 pub mod sequence;
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -4,6 +4,7 @@
 
 mod list;
 mod rollouts;
+mod room;
 
 use {
     crate::{
@@ -17,6 +18,7 @@
         paths::Paths,
         prelude::*,
         request::Ticket,
+        reserve::Reserve,
         rollout::{
             Rollouts,
             access::{Access, Gate},
@@ -68,6 +70,8 @@
     /// Whether endpoints can be reached directly.
     pub paths: Paths,
     pub(crate) random: SmallRng,
+    /// Room for runs that have to move.
+    reserve: Reserve,
     /// Rollouts of new versions.
     pub rollouts: Rollouts,
     pub(crate) runs: SlotMap<RunKey, Run>,
@@ -125,6 +129,7 @@
             part_suspects: part_suspects::Suspects::default(),
             paths: Paths::default(),
             random,
+            reserve: Reserve::default(),
             rollouts,
             runs: SlotMap::with_key(),
             settings,
--- a/crates/forward/src/state/list.rs
+++ b/crates/forward/src/state/list.rs
@@ -31,6 +31,7 @@
         match change {
             Change::Removed(id) => self.remove_listing(now, &id),
             Change::Set(listing) => {
+                self.record_notice(now, &listing);
                 let unverified_since = self.unverified_since(now, &listing);
                 let (key, is_new_version) = match self.find(&listing.id) {
                     Some(key) => {
@@ -49,6 +50,17 @@
         }
     }
 
+    /// Records that an endpoint has given notice, if the entry is the first to say so.
+    fn record_notice(&mut self, now: Time, listing: &Listing) {
+        let known = self
+            .find(&listing.id)
+            .and_then(|key| self.endpoints.get(key));
+        let is_new = known.is_some_and(|known| !known.listing.leaving);
+        if listing.leaving && is_new {
+            self.reserve.record_notice(now, &listing.service);
+        }
+    }
+
     fn insert_endpoint(&mut self, now: Time, listing: Listing) -> EndpointKey {
         let mut endpoint = Endpoint::new(listing, now);
         let seed = self.backoff_seed ^ u64::from(endpoint.digest);
--- /dev/null
+++ b/crates/forward/src/state/room.rs
@@ -0,0 +1,50 @@
+//! Room for runs that have to move, in the view of one instance.
+
+use {
+    super::State,
+    crate::{
+        choice::{MAX_TOKEN_TIME, Need, PREFILL_TOKENS_PER_MS},
+        feature::Feature,
+        prelude::*,
+        reserve::{self, Kept, Occupancy},
+    },
+};
+
+impl State {
+    /// Room that a new request leaves free for runs that have to move.
+    pub(crate) fn kept_room(&mut self, now: Time, service: &str, need: Need) -> Kept {
+        if !self.settings.features.has(Feature::MoveRoom) || need == Need::default() {
+            return Kept::default();
+        }
+        if self.reserve.is_outdated(now, service) {
+            let occupancy = self.occupancy(now, service);
+            self.reserve.update(now, service, occupancy);
+        }
+        let busy = reserve::busy_time(need, PREFILL_TOKENS_PER_MS, MAX_TOKEN_TIME);
+        self.reserve.kept(now, service, busy)
+    }
+
+    /// What the engines of a service hold.
+    fn occupancy(&self, now: Time, service: &str) -> Occupancy {
+        let loads = self.loads();
+        let mut occupancy = Occupancy::default();
+        for (key, endpoint) in &self.endpoints {
+            if endpoint.listing.service != service {
+                continue;
+            }
+            let load = self.load(key, endpoint, &loads);
+            let runs = u64::from(load.tokens.saturating_sub(load.copies));
+            occupancy.runs = occupancy.runs.saturating_add(load.requests);
+            if endpoint.leaving_since.is_some() {
+                occupancy.leaving += runs;
+                continue;
+            }
+            if endpoint.usable(now) && !self.is_disabled(&endpoint.listing.domain) {
+                occupancy.copies += u64::from(load.copies);
+                occupancy.engines += 1;
+                occupancy.staying += runs;
+            }
+        }
+        occupancy
+    }
+}
