--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -13,7 +13,9 @@
 
 use {
     self::pace::Knowledge,
-    crate::{overflow::Side, prelude::*, request::Ticket, run::kv_demand, state::State},
+    crate::{
+        overflow::Side, prelude::*, request::Ticket, reserve::Demand, run::kv_demand, state::State,
+    },
     rand::{RngExt as _, SeedableRng as _, rngs::SmallRng},
     slotmap::Key as _,
 };
@@ -140,6 +142,10 @@
         side: Option<Side>,
     ) -> Pick {
         self.pace_brittle(now, service);
+        let demand = Demand {
+            kept: self.kept_room(now, service, need),
+            tokens: need.tokens(),
+        };
         let mut jitter = self.jitter();
         let Some(service) = self.service(service) else {
             return Pick::Wait;
@@ -150,7 +156,7 @@
         let loads = self.loads();
         let mut known = self.knowledge(now, service, need, promise, &loads);
         known.side = side;
-        match self.cheapest(now, service, need.tokens(), tried, &known, jitter) {
+        match self.cheapest(now, service, demand, tried, &known, jitter) {
             None => Pick::Wait,
             Some(key) => {
                 let (tokens, output) = (need.tokens(), need.output);
@@ -198,7 +204,7 @@
                 return None;
             }
             let cross_domain = endpoint.listing.domain != source.listing.domain;
-            let cost = self.cost(key, endpoint, service, run.need(), &loads)?;
+            let cost = self.cost(key, endpoint, service, run.need().into(), &loads)?;
             let cost = cost + self.pace_cost(key, endpoint, service, &known);
             let cross_domain = if cross_domain {
                 CROSS_DOMAIN_MOVE_COST_MS
@@ -221,7 +227,7 @@
         &self,
         now: Time,
         service: &Service,
-        need: u32,
+        demand: Demand,
         skip: &[EndpointKey],
         known: &Knowledge<'_>,
         jitter: Jitter,
@@ -231,7 +237,7 @@
             if !self.is_on(known.side, endpoint) || !self.eligible(now, endpoint, service, &gate) {
                 return None;
             }
-            let cost = self.cost(key, endpoint, service, need, known.loads)?;
+            let cost = self.cost(key, endpoint, service, demand, known.loads)?;
             let cost = cost + self.pace_cost(key, endpoint, service, known);
             Some(cost + jitter.cost(key))
         })
--- a/crates/forward/src/choice/canary.rs
+++ b/crates/forward/src/choice/canary.rs
@@ -54,7 +54,8 @@
         for domain in canaries.chunk_by(|(one, _, _), (other, _, _)| one == other) {
             for (_, _, key) in domain.iter().take(CANARIES_PER_DOMAIN) {
                 let endpoint = self.endpoints.get(*key)?;
-                let Some(cost) = self.cost(*key, endpoint, service, need.tokens(), &loads) else {
+                let Some(cost) = self.cost(*key, endpoint, service, need.tokens().into(), &loads)
+                else {
                     continue;
                 };
                 // A faulty endpoint would make its version look bad.
--- a/crates/forward/src/choice/cost.rs
+++ b/crates/forward/src/choice/cost.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{FAILURE_COST_MS, FULL_MEMORY_COST_MS, PREFILL_TOKENS_PER_MS},
-    crate::{endpoint::Load, prelude::*, state::State},
+    crate::{endpoint::Load, prelude::*, reserve::Demand, state::State},
     slotmap::SecondaryMap,
 };
 
@@ -22,13 +22,14 @@
 const PLAIN_REQUEST_COST_MS: f64 = 30.0;
 
 impl State {
-    /// Cost of sending there in milliseconds of waiting; `None` if it has no capacity.
+    /// Cost of sending there in milliseconds of waiting; `None` if it has no capacity beside the room
+    /// that is kept there.
     pub(super) fn cost(
         &self,
         key: EndpointKey,
         endpoint: &Endpoint,
         service: &Service,
-        need: u32,
+        demand: Demand,
         loads: &SecondaryMap<EndpointKey, Load>,
     ) -> Option<f64> {
         let load = self.load(key, endpoint, loads);
@@ -40,8 +41,9 @@
                 .then_some(common + f64::from(load.requests) * PLAIN_REQUEST_COST_MS + busy);
         };
         let capacity = f64::from(engine.kv_tokens) * MAX_KV_FILL;
-        let tokens = f64::from(load.tokens.saturating_add(need));
-        if load.requests >= engine.slots || tokens > capacity {
+        let tokens = f64::from(load.tokens.saturating_add(demand.tokens));
+        let usable = demand.kept.capacity(capacity, endpoint.digest);
+        if load.requests >= engine.slots || tokens > usable {
             return None;
         }
         Some(
--- a/crates/forward/src/choice/side.rs
+++ b/crates/forward/src/choice/side.rs
@@ -102,7 +102,7 @@
         left: Duration,
     ) -> Strain {
         let costs = endpoints.iter().filter_map(|(key, endpoint)| {
-            let cost = self.cost(*key, endpoint, service, need.tokens(), known.loads)?;
+            let cost = self.cost(*key, endpoint, service, need.tokens().into(), known.loads)?;
             let cost = cost + self.pace_cost(*key, endpoint, service, known);
             Some(cost - self.domain_cost(endpoint))
         });
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod rate_limit;
 pub mod reader;
 pub mod request;
+pub mod reserve;
 pub mod rollout;
 pub mod run;
 pub mod sequence;
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -4,6 +4,7 @@
 
 mod list;
 mod rollouts;
+mod room;
 mod shares;
 
 use {
@@ -21,6 +22,7 @@
         prelude::*,
         profile::Profiles,
         request::Ticket,
+        reserve::Reserve,
         rollout::{
             Rollouts,
             access::{Access, Gate},
@@ -75,6 +77,8 @@
     /// What engines do.
     pub profiles: Profiles,
     pub(crate) random: SmallRng,
+    /// Room for runs that have to move.
+    reserve: Reserve,
     /// Rollouts of new versions.
     pub rollouts: Rollouts,
     pub(crate) runs: SlotMap<RunKey, Run>,
@@ -136,6 +140,7 @@
             paths: Paths::default(),
             profiles: Profiles::default(),
             random,
+            reserve: Reserve::default(),
             rollouts,
             runs: SlotMap::with_key(),
             settings,
