serve: log what is read of parts that crash engines, and what speaks against a refused prompt

The lines that would tell whether its parts were not cleared yet, or no trial was left, were missing.

--- a/crates/carawayhead/src/daemon/instance.rs
+++ b/crates/carawayhead/src/daemon/instance.rs
@@ -557,7 +557,7 @@
 const MAX_PARTS: usize = 64;
 
 /// The parts of a prompt that others may share: all messages of a chat but the last.
-fn parts(kind: &RequestKind) -> Vec<Part> {
+pub(super) fn parts(kind: &RequestKind) -> Vec<Part> {
     let RequestKind::Generation { body, .. } = kind else {
         return Vec::new();
     };
--- a/crates/carawayhead/src/daemon/perform.rs
+++ b/crates/carawayhead/src/daemon/perform.rs
@@ -2,13 +2,15 @@
 
 use {
     super::{
-        instance::{Instance, lock},
+        exchange::Exchange,
+        instance::{Instance, lock, parts},
         tail,
         timeline::TimelineEntry,
     },
     crate::prelude::*,
     decision::{
         gossip::{PeerUpdate, Watermark},
+        outcome::Refusal,
         snapshot::Snapshot,
     },
     endpoint::{engine, send_event, service},
@@ -164,6 +166,7 @@
         let Some(exchange) = self.exchanges.remove(key) else {
             return;
         };
+        self.log_refusal(&exchange, &outcome);
         self.record(TimelineEntry {
             what: "finished".to_string(),
             request: exchange.id.to_string(),
@@ -187,6 +190,25 @@
         }
     }
 
+    /// Logs what speaks against the parts of a prompt that is refused since engines crashed.
+    fn log_refusal(&self, exchange: &Exchange, outcome: &Outcome) {
+        let Outcome::NotRun(not_run) = outcome else {
+            return;
+        };
+        if not_run.refusal != Refusal::CrashesEndpoints {
+            return;
+        }
+        let (now, suspects) = (self.clock.now(), &self.state.part_suspects);
+        for part in parts(&exchange.request_kind) {
+            let evidence = suspects.evidence(now, part);
+            log::info!(
+                request:% = exchange.id, part:%, crashes = evidence.crashes, moments = evidence.moments,
+                age_ms = evidence.age.as_millis(), trials = evidence.trials,
+                found = suspects.is_found(now, part); "part of a refused prompt"
+            );
+        }
+    }
+
     fn gossip(&self, address: &str) {
         let (Some(peer_socket), Ok(to)) = (self.peer_socket.clone(), address.parse()) else {
             return;
--- a/crates/carawayhead/src/daemon/tail.rs
+++ b/crates/carawayhead/src/daemon/tail.rs
@@ -146,6 +146,7 @@
             next = record.offset + 1;
             match codec::decode_crash_record(&record.data) {
                 Ok(CrashRecord::Part(change)) => {
+                    log::info!(offset = record.offset, change:?; "change of a part of prompts is read");
                     send_event(&events, Event::PartCrash(change)).await;
                 }
                 Ok(CrashRecord::Request(change)) => send_event(&events, Event::Crash(change)).await,
