serve, forward: refused requests wait for the trial that may clear them

Cause: a refused request claimed a trial of its parts, and was refused at once where none was left or where the claim came second. A trial of the same part that another request had begun was not taken into account, so until its result was read, sound requests were refused.

Change: a refused request waits, for a second at most, while all parts for which it is refused, or the request itself, are being tried. A trial is over once an engine is lost under the part or it is cleared. Runs that have begun are stopped as before. The same fault in forward: wins_trial, and refusals_changed was not notified when a whole request is cleared.

--- a/crates/decision/src/completion.rs
+++ b/crates/decision/src/completion.rs
@@ -99,7 +99,13 @@
         let keys = keys.filter(|(_, request)| !request.parts.is_empty());
         let keys = keys.map(|(key, _)| key).collect::<Vec<_>>();
         for key in keys {
-            if self.is_refused(now, key) && !self.awaits_trial(now, key) {
+            let is_waiting = matches!(self.requests[key].phase, Phase::Waiting { .. });
+            let awaits_trial = if is_waiting {
+                self.awaits_trial(now, key)
+            } else {
+                self.awaits_claim(now, key)
+            };
+            if self.is_refused(now, key) && !awaits_trial {
                 self.stop(now, key, out);
             }
         }
--- a/crates/decision/src/crashes.rs
+++ b/crates/decision/src/crashes.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     part::Part,
-    part_suspects,
+    part_suspects::{self, RESULT_TIMEOUT},
     prelude::*,
     suspects::{Change, Crash},
 };
@@ -67,12 +67,26 @@
     }
 
     /// Whether a refused request waits until the log tells whether its claim of a trial was the first one.
-    pub(crate) fn awaits_trial(&self, now: Time, key: request::Key) -> bool {
+    pub(crate) fn awaits_claim(&self, now: Time, key: request::Key) -> bool {
         let request = &self.requests[key];
         let is_pending = self.part_suspects.has_won(&request.trial).is_none();
         is_pending && now.since(request.arrived_at) < CLAIM_TIMEOUT
     }
 
+    /// Whether a refused request waits for its claim of a trial, or for the result of another one's trial, which may
+    /// clear the parts for which it is refused.
+    pub(crate) fn awaits_trial(&self, now: Time, key: request::Key) -> bool {
+        let request = &self.requests[key];
+        let (fingerprint, parts) = (request.fingerprint, &request.parts);
+        let awaits_result = || {
+            let due = self
+                .part_suspects
+                .result_due(now, fingerprint, parts, &self.suspects);
+            due.is_some() && now.since(request.arrived_at) < RESULT_TIMEOUT
+        };
+        self.awaits_claim(now, key) || awaits_result()
+    }
+
     /// Whether a run that has produced `next` tokens is to be stopped before it crashes its endpoint.
     pub(crate) fn stops(&self, now: Time, key: request::Key, next: u32) -> bool {
         if self.is_trial(key) {
--- a/crates/decision/src/part_suspects/mod.rs
+++ b/crates/decision/src/part_suspects/mod.rs
@@ -7,14 +7,17 @@
 //! the one at fault, and those of requests that only shared an engine with it, must not be refused.
 //!
 //! A refused part cannot clear itself. From time to time one request with it is let through, over all instances:
-//! the first one that claims to in the log.
+//! the first one that claims to in the log. Others with the part wait a short time for what comes of it.
 
 mod change;
 mod proofs;
 mod suspect;
 mod trial;
 
-pub use change::{Change, Claim, Crash};
+pub use {
+    change::{Change, Claim, Crash},
+    trial::RESULT_TIMEOUT,
+};
 
 use {
     crate::{outbox::Outbox, part::Part, prelude::*, suspects},
@@ -90,13 +93,8 @@
     /// refused account for the crashes under them.
     #[must_use]
     pub fn blamed(&self, now: Time, parts: &[Part], requests: &suspects::Suspects) -> Option<Part> {
-        let suspects = parts.iter().filter_map(|part| self.find(*part));
-        let mut refused = suspects.filter(|suspect| {
-            self.is_refused(now, suspect)
-                && (suspect.crashes.len() >= MAX_PROVEN_CRASHES
-                    || self.unaccounted(now, suspect, parts, requests) > 0)
-        });
-        refused.next().map(|suspect| suspect.part)
+        let mut blamed = self.blamed_suspects(now, parts, requests);
+        blamed.next().map(|suspect| suspect.part)
     }
 
     /// Whether a run of a prompt with these parts that has not begun is to be stopped. One with parts that were
@@ -191,6 +189,7 @@
             Change::ClaimsCleared(part) => {
                 if let Some(suspect) = self.find_mut(*part) {
                     suspect.claim = None;
+                    suspect.tried_since = None;
                 }
                 self.drop_empty();
             }
@@ -279,6 +278,21 @@
         suspect.crashes.len() >= limit && (suspect.moments() >= MIN_MOMENTS || is_settled)
     }
 
+    /// The suspects for which a prompt with these parts is refused.
+    fn blamed_suspects(
+        &self,
+        now: Time,
+        parts: &[Part],
+        requests: &suspects::Suspects,
+    ) -> impl Iterator<Item = &Suspect> {
+        let suspects = parts.iter().filter_map(|part| self.find(*part));
+        suspects.filter(move |suspect| {
+            self.is_refused(now, suspect)
+                && (suspect.crashes.len() >= MAX_PROVEN_CRASHES
+                    || self.unaccounted(now, suspect, parts, requests) > 0)
+        })
+    }
+
     /// Number of crashes under a part for which neither parts other than the given ones account, nor one refused
     /// request. Several requests do not account together: they may all have the part.
     fn unaccounted(
@@ -309,8 +323,11 @@
     /// Adds a crash; returns whether it was not known.
     fn add(&mut self, now: Time, crash: Crash) -> bool {
         let suspect = self.entry(now, crash.part);
-        let is_known = suspect.position(&crash.endpoint).is_some();
-        if is_known || suspect.crashes.len() == MAX_KEPT_CRASHES {
+        if suspect.position(&crash.endpoint).is_some() {
+            return false;
+        }
+        suspect.tried_since = None;
+        if suspect.crashes.len() == MAX_KEPT_CRASHES {
             return false;
         }
         suspect.changed_at = now;
@@ -331,6 +348,7 @@
                     crashes: Vec::new(),
                     moment_at: now,
                     part,
+                    tried_since: None,
                 };
                 self.entries.insert(index, suspect);
                 index
--- a/crates/decision/src/part_suspects/suspect.rs
+++ b/crates/decision/src/part_suspects/suspect.rs
@@ -16,6 +16,8 @@
     /// When the first crash of the last moment was learnt.
     pub(super) moment_at: Time,
     pub(super) part: Part,
+    /// When the last claim was learnt, until an engine is lost or the part is cleared.
+    pub(super) tried_since: Option<Time>,
 }
 
 impl Suspect {
--- a/crates/decision/src/part_suspects/trial.rs
+++ b/crates/decision/src/part_suspects/trial.rs
@@ -36,6 +36,9 @@
 /// Time after the last crash under a whole request at which it may be tried, once.
 const REQUEST_TRIAL_DELAY: Duration = Duration::from_secs(6);
 
+/// Time after the claim of a trial within which its result is waited for.
+pub const RESULT_TIMEOUT: Duration = Duration::from_secs(1);
+
 impl Suspects {
     /// Claims a trial of all parts for which a prompt with these parts is refused. The claims hold once
     /// [`Self::has_won`] says so. Empty if one of these parts may not be tried yet, or no more.
@@ -120,6 +123,44 @@
         Some(won)
     }
 
+    /// How long a refused request may wait for the trials of all parts for which it is refused, or of itself; `None`
+    /// if one of these is not being tried. A refusal in the meantime could be overtaken by the clearance, which this
+    /// instance reads last.
+    #[must_use]
+    pub fn result_due(
+        &self,
+        now: Time,
+        fingerprint: Fingerprint,
+        parts: &[Part],
+        requests: &suspects::Suspects,
+    ) -> Option<Duration> {
+        let mut left = RESULT_TIMEOUT;
+        for suspect in self.blamed_suspects(now, parts, requests) {
+            left = left.min(self.trial_left(now, suspect.part)?);
+        }
+        if requests.refuses(now, fingerprint) {
+            let trial_left = self.trial_left(now, Part::of_request(fingerprint))?;
+            let tried_for = RESULT_TIMEOUT.saturating_sub(trial_left);
+            let doubted_for = requests.doubted_for(now, fingerprint)?;
+            if doubted_for < tried_for {
+                // An engine was lost since the claim.
+                return None;
+            }
+            left = left.min(trial_left);
+        }
+        Some(left)
+    }
+
+    /// Time left for the result of the trial of a part; `None` if it is not being tried.
+    fn trial_left(&self, now: Time, part: Part) -> Option<Duration> {
+        let tried_since = self.find(part).and_then(|suspect| suspect.tried_since);
+        let Some(tried_since) = tried_since else {
+            return self.is_claimed(part).then_some(RESULT_TIMEOUT);
+        };
+        let left = RESULT_TIMEOUT.saturating_sub(now.since(tried_since));
+        (!left.is_zero()).then_some(left)
+    }
+
     pub(super) fn apply_claim(&mut self, now: Time, claim: Claim) {
         let suspect = self.entry(now, claim.part);
         if claim.number <= suspect.trials() {
@@ -127,6 +168,7 @@
         }
         suspect.claim = Some(claim);
         suspect.changed_at = now;
+        suspect.tried_since = Some(now);
     }
 
     /// Whether this instance has a claim of a part that has not come back from the log yet.
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -313,7 +313,8 @@
         if !route_known {
             return Some((Refusal::UnknownRoute, None));
         }
-        (self.is_refused(now, key) && !self.claim_trial(now, key))
+        let is_refused = self.is_refused(now, key);
+        (is_refused && !self.claim_trial(now, key) && !self.awaits_trial(now, key))
             .then_some((Refusal::CrashesEndpoints, None))
     }
 
--- a/crates/decision/tests/crashes.rs
+++ b/crates/decision/tests/crashes.rs
@@ -7,10 +7,13 @@
         action::Action,
         event::{Event, Failure},
         fingerprint::Fingerprint,
-        outcome::MayHaveRun,
+        outcome::{MayHaveRun, Outcome, Refusal},
+        part::Part,
+        part_suspects::{self, Claim, RESULT_TIMEOUT},
         suspects::{Change, Crash},
     },
     desk::Harness,
+    std::time::Duration,
 };
 
 fn fingerprint(body: &str) -> Fingerprint {
@@ -96,3 +99,86 @@
     }
     assert_eq!(harness.finished(), [(attempt.request, MayHaveRun::Stopped)]);
 }
+
+fn part_crash(part: &str, number: u32) -> part_suspects::Crash {
+    part_suspects::Crash {
+        endpoint: format!("desk/{number}"),
+        moment: number,
+        part: Part::new(part),
+    }
+}
+
+/// An instance that has read of five crashes under two parts that came together, of the trials with the fatal one
+/// that are allowed, and of the claim of the last trial, with the sound one, by another instance.
+fn harness_during_last_trial() -> Harness {
+    let mut harness = Harness::new();
+    for number in 1..=5 {
+        for part in ["aa", "bad"] {
+            let change = part_suspects::Change::Crashed(part_crash(part, number));
+            harness.step(Event::PartCrash(change));
+        }
+    }
+    for number in 1..=3 {
+        let claim = Claim {
+            instance: 7,
+            number,
+            part: Part::new("aa"),
+        };
+        harness.step(Event::PartCrash(part_suspects::Change::Claimed(claim)));
+    }
+    harness
+}
+
+/// Whether a request has been refused since the last call.
+fn is_refused(harness: &mut Harness) -> bool {
+    harness.out.drain(..).any(|action| {
+        matches!(action, Action::Finish(_, Outcome::NotRun(not_run))
+            if not_run.refusal == Refusal::CrashesEndpoints)
+    })
+}
+
+/// A prompt with the sound part of two comes while another instance tries that part, and no trial is left. Refused at
+/// once, its caller would be sent away for crashes that the next record clears.
+#[test]
+fn prompt_waits_for_the_trial_of_its_part_at_another_instance() {
+    let mut harness = harness_during_last_trial();
+    harness.prompt("aa cc");
+    assert!(!is_refused(&mut harness));
+    for number in 1..=5 {
+        let change = part_suspects::Change::Cleared(part_crash("aa", number));
+        harness.step(Event::PartCrash(change));
+    }
+    let change = part_suspects::Change::ClaimsCleared(Part::new("aa"));
+    harness.step(Event::PartCrash(change));
+    harness.step(Event::Tick);
+    assert!(harness.sent().is_some());
+}
+
+/// Once the trial has crashed its engine, or one of the parts is not being tried, there is nothing to wait for, and
+/// prompts must not pile up.
+#[test]
+fn prompt_does_not_wait_for_a_trial_that_cannot_clear_it() {
+    let mut harness = harness_during_last_trial();
+    harness.prompt("aa bad");
+    assert!(is_refused(&mut harness), "the other part is not tried");
+    harness.prompt("aa cc");
+    assert!(!is_refused(&mut harness));
+    let change = part_suspects::Change::Crashed(part_crash("aa", 6));
+    harness.step(Event::PartCrash(change));
+    assert!(is_refused(&mut harness), "the trial has crashed its engine");
+}
+
+/// The instance that tries the part may be lost. Its prompts must get an answer all the same.
+#[test]
+fn prompt_is_refused_if_a_trial_has_no_result() {
+    let mut harness = harness_during_last_trial();
+    harness.prompt("aa cc");
+    harness.now = harness
+        .now
+        .after(RESULT_TIMEOUT.saturating_sub(Duration::from_millis(1)));
+    harness.step(Event::Tick);
+    assert!(!is_refused(&mut harness));
+    harness.now = harness.now.after(Duration::from_millis(1));
+    harness.step(Event::Tick);
+    assert!(is_refused(&mut harness));
+}
--- a/crates/decision/tests/desk/mod.rs
+++ b/crates/decision/tests/desk/mod.rs
@@ -20,6 +20,7 @@
         limits::Limits,
         order::Order,
         outcome::{MayHaveRun, Outcome},
+        part::Part,
         record::{Body, Change, Customer, Facts, Item, Kind, Record, Service},
         request, slow_start,
         state::{State, digest},
@@ -102,6 +103,23 @@
         self.sent()
     }
 
+    /// Submits a request whose prompt has these parts.
+    pub fn prompt(&mut self, parts: &str) {
+        let arrival = Arrival {
+            credential: [1; 32],
+            deadline: self.now.after(Duration::from_secs(9)),
+            fingerprint: Fingerprint::new(None, "", "", parts.as_bytes()),
+            parts: parts.split(' ').map(Part::new).collect(),
+            work: Work::Call {
+                idempotent: true,
+                order: None,
+                service: "desk".to_string(),
+            },
+        };
+        self.state
+            .arrive(self.now, Wall(WALL_MS), arrival, &mut self.out);
+    }
+
     /// Submits an order, commits its claim to the log and returns its first attempt.
     pub fn order(&mut self) -> Attempt {
         let arrival = Arrival {
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -109,6 +109,19 @@
         claim.into_iter().collect()
     }
 
+    /// How long a refused request may wait for the result of a trial that may clear it; see
+    /// [`crate::part_suspects::Suspects::result_due`].
+    #[must_use]
+    pub fn trial_due(
+        &self,
+        now: Time,
+        fingerprint: Fingerprint,
+        parts: &[Part],
+    ) -> Option<Duration> {
+        self.part_suspects
+            .result_due(now, fingerprint, parts, &self.suspects)
+    }
+
     /// The run of its process that an endpoint has lost; `None` if it was leaving.
     fn lost_incarnation(&self, endpoint: EndpointKey) -> Option<String> {
         let endpoint = self.endpoints.get(endpoint)?;
--- a/crates/forward/tests/part_suspects.rs
+++ b/crates/forward/tests/part_suspects.rs
@@ -7,8 +7,8 @@
     forward::{
         part::Part,
         part_suspects::{
-            Change, Claim, Crash, MAX_CRASHES, MAX_PROVEN_CRASHES, MAX_SUSPECTS, RETENTION,
-            Suspects,
+            Change, Claim, Crash, MAX_CRASHES, MAX_PROVEN_CRASHES, MAX_SUSPECTS, RESULT_TIMEOUT,
+            RETENTION, Suspects,
         },
         suspects,
     },
@@ -558,3 +558,46 @@
         (0, MAX_CRASHES, 1)
     );
 }
+
+/// Other requests are refused for a part, or are equal to a refused one, while one of them is tried elsewhere. They
+/// must wait for the result, and not longer than it can come.
+#[test]
+fn requests_wait_for_the_result_of_a_trial() {
+    let left_after = |ms| RESULT_TIMEOUT.saturating_sub(millis(ms));
+    let [mut a, mut b] = [(); 2].map(|()| Suspects::default());
+    let mut requests = suspects::Suspects::default();
+    let [stream, other] = [b"stream", b"others"]
+        .map(|body| forward::fingerprint::Fingerprint::new(None, "h.example", "/draft/7", body));
+    let now = lose_engines(&mut a, "aa", MAX_PROVEN_CRASHES).after(millis(TRIAL_MS));
+    synchronize(now, &mut a, &mut b);
+    assert_eq!(b.result_due(now, other, &parts("aa cc"), &requests), None);
+    claim(&mut a, now, &parts("aa"), 1).expect("a claim");
+    synchronize(now, &mut a, &mut b);
+    let due = |suspects: &Suspects, requests: &_, now| {
+        suspects.result_due(now, other, &parts("aa cc"), requests)
+    };
+    assert_eq!(due(&b, &requests, now), Some(RESULT_TIMEOUT));
+    let soon = now.after(millis(400));
+    assert_eq!(due(&b, &requests, soon), Some(left_after(400)));
+    assert_eq!(due(&b, &requests, now.after(RESULT_TIMEOUT)), None);
+    lose(&mut a, soon, "m9", &["aa"]);
+    synchronize(soon, &mut a, &mut b);
+    assert_eq!(due(&b, &requests, soon), None);
+    let crash = |number: u32| suspects::Crash {
+        endpoint: format!("m{number}"),
+        events: 4,
+        fingerprint: stream,
+    };
+    for number in 0..3 {
+        requests.record_crash(at(1000), crash(number));
+    }
+    let due = |suspects: &Suspects, requests: &_| {
+        suspects.result_due(at(7100), stream, &parts("cc"), requests)
+    };
+    assert_eq!(due(&b, &requests), None);
+    a.claim_request_trial(at(7000), stream, &requests, 1);
+    synchronize(at(7000), &mut a, &mut b);
+    assert_eq!(due(&b, &requests), Some(left_after(100)));
+    requests.record_crash(at(7050), crash(3));
+    assert_eq!(due(&b, &requests), None);
+}
--- a/crates/proxy/src/crashes.rs
+++ b/crates/proxy/src/crashes.rs
@@ -160,7 +160,10 @@
 fn apply_request(shared: &Shared, change: suspects::Change) {
     let mut state = shared.state.borrow_mut();
     match change {
-        suspects::Change::Cleared(crash) => state.suspects.apply_removal(crash),
+        suspects::Change::Cleared(crash) => {
+            state.suspects.apply_removal(crash);
+            shared.refusals_changed.notify_waiters();
+        }
         suspects::Change::Crashed(crash) => {
             let (fingerprint, endpoint) = (crash.fingerprint, crash.endpoint.clone());
             let before = state.suspects.crashes(fingerprint);
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -251,7 +251,10 @@
         is_trial: Cell::new(false),
         parts,
     };
-    if shared.refuses(&original) && !shared.wins_trial(&original).await {
+    if shared.refuses(&original)
+        && !shared.wins_trial(&original).await
+        && !shared.is_cleared_by_trial(&original).await
+    {
         shared.log_refusal(&original);
         return Err(Refusal::CrashesEndpoints);
     }
--- a/crates/proxy/src/suspicion.rs
+++ b/crates/proxy/src/suspicion.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{clock, crashes, exchange::Original, prelude::*},
-    forward::part,
+    forward::{part, part_suspects::RESULT_TIMEOUT},
 };
 
 /// How long a request waits for the result of a claim of a trial. An answer of the store takes a few
@@ -86,6 +86,7 @@
             log::info!(id = original.inbound.id, fingerprint:%, cleared; "request is cleared");
             self.metrics.record_suspicion("cleared");
             self.suspects_changed.notify_one();
+            self.refusals_changed.notify_waiters();
         }
     }
 
@@ -149,6 +150,28 @@
         won
     }
 
+    /// Whether the trial of another request clears a refused one, at whatever instance it takes place.
+    pub async fn is_cleared_by_trial(&self, original: &Original) -> bool {
+        let deadline = clock::now().after(RESULT_TIMEOUT);
+        loop {
+            let changed = self.refusals_changed.notified();
+            if !self.refuses(original) {
+                log::info!(id = original.inbound.id; "request is cleared by the trial of another one");
+                return true;
+            }
+            let now = clock::now();
+            let due =
+                self.state
+                    .borrow()
+                    .trial_due(now, original.fingerprint, &original.inbound.parts);
+            let left = due.map_or(Duration::ZERO, |due| due.min(deadline.since(now)));
+            if left.is_zero() {
+                return false;
+            }
+            let _changed = timeout(left, changed).await;
+        }
+    }
+
     /// Logs what speaks against a request that is refused, or is stopped.
     pub fn log_refusal(&self, original: &Original) {
         let now = clock::now();
