Responses without end are cut off, and blame no request

What callers saw: a response without end held its request until the time limit; every response that is none (too long a head, an endless chunk size, extension or trailer) counted as a crash of the engine, and so against the request and the parts of its prompt. Cause: every error of hyper after the request was written was taken for a broken connection. hyper bounds heads, chunk extensions and trailers, but neither interim responses nor leading zeros or white space of chunk sizes: 64 MiB of interim responses were read, and 22 MiB of chunk sizes in 3 s, until the server stopped. Change: bytes that complete neither a head nor a part of a body are limited to 256 KiB on each connection to a server, and its buffer to 64 KiB. What is no response has an error and a failure of its own. Blocks of events are searched once, not anew with each chunk. The rest of a body after the end of its stream (serve) is awaited for 100 ms, no longer until it ends.

--- a/crates/decision/src/event.rs
+++ b/crates/decision/src/event.rs
@@ -80,6 +80,8 @@
     Broken,
     /// The endpoint no longer knows the generation to resume.
     Forgotten,
+    /// What was received is no response. The request may have run, and the endpoint lives on.
+    Invalid,
     /// The attempt provably did not run.
     NotRun(Evidence),
     /// The peer through which the endpoint was reached is lost. The request may have run.
--- a/crates/decision/src/stream.rs
+++ b/crates/decision/src/stream.rs
@@ -105,7 +105,7 @@
                 self.retry(now, attempt, Some(evidence), out);
             }
             Failure::Forgotten if next == 0 => self.retry(now, attempt, None, out),
-            Failure::Broken | Failure::PeerLost if next == 0 => {
+            Failure::Broken | Failure::Invalid | Failure::PeerLost if next == 0 => {
                 self.cancel(attempt, false, out);
                 self.retry(now, attempt, None, out);
             }
@@ -118,7 +118,11 @@
                 self.dispatch(now, out);
             }
             // A refusal after the first token belongs to an abandoned connection.
-            Failure::Broken | Failure::NotRun(_) | Failure::PeerLost | Failure::Unreachable => {
+            Failure::Broken
+            | Failure::Invalid
+            | Failure::NotRun(_)
+            | Failure::PeerLost
+            | Failure::Unreachable => {
                 // The first failure is followed by an immediate resume, later ones only after
                 // `Limits::silence`, so that a failed endpoint is not polled in a tight loop.
                 if resumes == 0 {
--- a/crates/decision/tests/reachability.rs
+++ b/crates/decision/tests/reachability.rs
@@ -184,3 +184,16 @@
     }
     assert!(!harness.state.suspects.refuses(harness.now, fingerprint));
 }
+
+/// Bytes that are no response are no crash of the endpoint, or requests that it answers so would be refused.
+#[test]
+fn invalid_responses_are_no_crashes() {
+    let mut harness = harness();
+    let fingerprint = Fingerprint::new(None, "", "", b"lookup");
+    for _ in 0..4 {
+        harness.now = harness.now.after(Duration::from_secs(1));
+        let attempt = harness.look_up(fingerprint).expect("a send");
+        harness.step(Event::Failed(attempt, Failure::Invalid));
+    }
+    assert!(!harness.state.suspects.refuses(harness.now, fingerprint));
+}
--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -1,7 +1,10 @@
 //! HTTP/1.1 client with a connection pool.
 
 use {
-    crate::prelude::*,
+    crate::{
+        bounded::{Bounded, MAX_BUFFER_BYTES, Progress},
+        prelude::*,
+    },
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
     std::{io, net::SocketAddr, pin::Pin, time::Instant},
@@ -28,10 +31,17 @@
 /// Idle connections, sorted by address.
 type IdleConnections = Vec<(String, Vec<IdleConnection>)>;
 
+/// An open connection.
+#[derive(Debug)]
+struct Connection {
+    progress: Progress,
+    sender: RequestSender,
+}
+
 /// An idle connection with the time until which it may be reused.
 #[derive(Debug)]
 struct IdleConnection {
-    sender: RequestSender,
+    connection: Connection,
     reusable_until: Instant,
 }
 
@@ -114,12 +124,16 @@
             return Ok(Sent::Unsent(request));
         }
         let mut request = request;
-        while let Some(mut sender) = self.take_idle(address) {
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok(Sent::Answered(self.reply(address, sender, response))),
+        while let Some(mut connection) = self.take_idle(address) {
+            connection.progress.record();
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => {
+                    let address = Some(address.to_string());
+                    return Ok(Sent::Answered(self.reply(address, connection, response)));
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
-                    None => return Err(Error::Broken(error.into_error())),
+                    None => return Err(Error::after_write(error.into_error())),
                 },
             }
         }
@@ -178,21 +192,16 @@
     where
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
-        let mut sender = handshake(stream).await?;
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok(Reply {
-                address: None,
-                idle: Arc::clone(&self.idle),
-                response,
-                sender,
-            }),
+        let mut connection = handshake(stream).await?;
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => Ok(self.reply(None, connection, response)),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let error = error.into_error();
                 Err(if unsent {
                     Error::NotWritten(error)
                 } else {
-                    Error::Broken(error)
+                    Error::after_write(error)
                 })
             }
         }
@@ -224,25 +233,30 @@
         }
     }
 
-    fn reply(&self, address: &str, sender: RequestSender, response: Response<Incoming>) -> Reply {
+    fn reply(
+        &self,
+        address: Option<String>,
+        connection: Connection,
+        response: Response<Incoming>,
+    ) -> Reply {
+        connection.progress.record();
         Reply {
-            address: Some(address.to_string()),
+            address,
+            connection,
             idle: Arc::clone(&self.idle),
             response,
-            sender,
         }
     }
 
-    fn take_idle(&self, address: &str) -> Option<RequestSender> {
+    fn take_idle(&self, address: &str) -> Option<Connection> {
         let mut idle = self.idle.lock().expect("the pool is never poisoned");
         let index = idle
             .binary_search_by(|(other, _)| other.as_str().cmp(address))
             .ok()?;
         let connections = &mut idle[index].1;
         let now = Instant::now();
-        connections
-            .retain(|connection| connection.reusable_until > now && connection.sender.is_ready());
-        connections.pop().map(|connection| connection.sender)
+        connections.retain(|idle| idle.reusable_until > now && idle.connection.sender.is_ready());
+        connections.pop().map(|idle| idle.connection)
     }
 }
 
@@ -260,9 +274,9 @@
 pub struct Reply {
     /// Address under which the connection is pooled; `None` if it is not used again.
     address: Option<String>,
+    connection: Connection,
     idle: Arc<Mutex<IdleConnections>>,
     response: Response<Incoming>,
-    sender: RequestSender,
 }
 
 impl Reply {
@@ -300,10 +314,12 @@
     ///
     /// # Errors
     ///
-    /// The connection broke.
+    /// The connection broke, or what was received is no response.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, Error> {
         while let Some(frame) = self.response.body_mut().frame().await {
-            if let Ok(data) = frame.map_err(Error::Broken)?.into_data() {
+            let frame = frame.map_err(Error::after_write)?;
+            self.connection.progress.record();
+            if let Ok(data) = frame.into_data() {
                 return Ok(Some(data));
             }
         }
@@ -318,7 +334,7 @@
         };
         let limit = self.header("keep-alive").and_then(keep_alive_timeout);
         let max_idle = limit.map_or(DEFAULT_IDLE_TIMEOUT, |limit| limit.mul_f64(REUSE_FRACTION));
-        put_back(&self.idle, address, self.sender, max_idle);
+        put_back(&self.idle, address, self.connection, max_idle);
     }
 
     /// The response headers.
@@ -331,7 +347,7 @@
     ///
     /// # Errors
     ///
-    /// The connection broke, or the body is larger.
+    /// The connection broke, what was received is no response, or the body is larger.
     pub async fn read_body(mut self, max_bytes: usize) -> Result<Bytes, Error> {
         let mut body = BytesMut::new();
         while let Some(chunk) = self.chunk().await? {
@@ -349,7 +365,7 @@
 fn put_back(
     idle: &Mutex<IdleConnections>,
     address: &str,
-    sender: RequestSender,
+    connection: Connection,
     max_idle: Duration,
 ) {
     let mut idle = idle.lock().expect("the pool is never poisoned");
@@ -364,25 +380,28 @@
     if connections.len() < MAX_IDLE_PER_ADDRESS {
         let reusable_until = Instant::now() + max_idle;
         connections.push(IdleConnection {
-            sender,
+            connection,
             reusable_until,
         });
     }
 }
 
-async fn handshake<S>(stream: S) -> Result<RequestSender, Error>
+async fn handshake<S>(stream: S) -> Result<Connection, Error>
 where
     S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
 {
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(Error::NotWritten)?;
+    let stream = Bounded::new(stream);
+    let progress = stream.progress();
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_BUFFER_BYTES);
+    let handshake = builder.handshake(TokioIo::new(stream));
+    let (sender, connection) = handshake.await.map_err(Error::NotWritten)?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!(error:% = error; "connection to an endpoint failed");
         }
     });
-    Ok(sender)
+    Ok(Connection { progress, sender })
 }
 
 /// The `timeout` parameter of a `Keep-Alive` header.
--- a/crates/endpoint/src/engine.rs
+++ b/crates/endpoint/src/engine.rs
@@ -16,6 +16,9 @@
 /// Maximum size of an error response or a load report.
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
 
+/// How long the end of a body is awaited after the end of its stream.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Data of the last event of a stream.
 const END_OF_STREAM: &[u8] = b"[DONE]";
 
@@ -152,6 +155,7 @@
 pub(crate) fn break_of(error: &Error) -> Failure {
     match error {
         Error::Broken(_) if !error.is_break_of_endpoint() => Failure::PeerLost,
+        Error::Invalid(_) | Error::TooLarge => Failure::Invalid,
         _ => Failure::Broken,
     }
 }
@@ -177,8 +181,7 @@
         };
         for event in parsed {
             if event.data == END_OF_STREAM {
-                while let Ok(Some(_)) = reply.chunk().await {}
-                reply.release();
+                tokio::spawn(timeout(DRAIN_TIMEOUT, drain(reply)));
                 return Event::StreamEnded(attempt, next);
             }
             let index = event.index.unwrap_or(next);
@@ -188,6 +191,12 @@
     }
 }
 
+/// Reads the rest of a body whose stream has ended, so that its connection can be used again.
+async fn drain(mut reply: crate::client::Reply) {
+    while let Ok(Some(_)) = reply.chunk().await {}
+    reply.release();
+}
+
 /// Maps an error response to an event: 429 and 503 may be retried at another engine, any
 /// other status is passed on to the caller.
 async fn rejection(reply: crate::client::Reply, attempt: Attempt) -> Event {
--- a/crates/endpoint/src/error.rs
+++ b/crates/endpoint/src/error.rs
@@ -1,6 +1,6 @@
 //! Errors of requests to endpoints.
 
-use crate::prelude::*;
+use {crate::prelude::*, std::io::ErrorKind};
 
 /// Why a request failed; the variants differ in whether the endpoint may have received it.
 #[derive(Debug)]
@@ -9,6 +9,8 @@
     Broken(hyper::Error),
     /// No connection could be opened.
     Connect(std::io::Error),
+    /// What was received is no response; the request may have run.
+    Invalid(hyper::Error),
     /// Nothing was written to the connection.
     NotWritten(hyper::Error),
     /// The request could not be built.
@@ -24,6 +26,7 @@
         match self {
             Self::Broken(error) => write!(f, "connection broke: {error}"),
             Self::Connect(error) => write!(f, "cannot connect: {error}"),
+            Self::Invalid(error) => write!(f, "invalid response: {error}"),
             Self::NotWritten(error) => write!(f, "connection closed before the request: {error}"),
             Self::Request(error) => write!(f, "cannot build the request: {error}"),
             Self::Timeout => write!(f, "no answer in time"),
@@ -41,12 +44,20 @@
 }
 
 impl Error {
+    /// The error of a connection after part of a request may have been written.
+    pub(crate) fn after_write(error: hyper::Error) -> Self {
+        if error.is_parse() || has_io_cause(&error, is_invalid) {
+            return Self::Invalid(error);
+        }
+        Self::Broken(error)
+    }
+
     /// Whether it is certain that no byte of the request was written.
     #[must_use]
     pub const fn unwritten(&self) -> bool {
         match self {
             Self::Connect(_) | Self::NotWritten(_) | Self::Request(_) => true,
-            Self::Broken(_) | Self::Timeout | Self::TooLarge => false,
+            Self::Broken(_) | Self::Invalid(_) | Self::Timeout | Self::TooLarge => false,
         }
     }
 
@@ -56,14 +67,23 @@
         let Self::Broken(error) = self else {
             return false;
         };
-        let mut source = std::error::Error::source(error);
-        while let Some(cause) = source {
-            let io = cause.downcast_ref::<std::io::Error>();
-            if io.is_some_and(|io| io.kind() == std::io::ErrorKind::NotConnected) {
-                return false;
-            }
-            source = cause.source();
+        !has_io_cause(error, |kind| kind == ErrorKind::NotConnected)
+    }
+}
+
+const fn is_invalid(kind: ErrorKind) -> bool {
+    matches!(kind, ErrorKind::InvalidData | ErrorKind::InvalidInput)
+}
+
+/// Whether one of the causes of an error is an I/O error of such a kind.
+fn has_io_cause(error: &hyper::Error, is_sought: impl Fn(ErrorKind) -> bool) -> bool {
+    let mut source = std::error::Error::source(error);
+    while let Some(cause) = source {
+        let io = cause.downcast_ref::<std::io::Error>();
+        if io.is_some_and(|io| is_sought(io.kind())) {
+            return true;
         }
-        true
+        source = cause.source();
     }
+    false
 }
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -1,5 +1,6 @@
 //! HTTP client for model engines and plain services.
 
+pub mod bounded;
 pub mod client;
 pub mod engine;
 pub mod error;
--- a/crates/endpoint/src/sse.rs
+++ b/crates/endpoint/src/sse.rs
@@ -5,6 +5,9 @@
 /// Largest event accepted, in bytes.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Length of the longest end of a block, the end of its last line and an empty line.
+const MAX_END_BYTES: usize = b"\n\r\n".len();
+
 /// One event.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Event {
@@ -18,6 +21,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
+    /// Number of bytes of `partial` after which no block ends.
+    searched: usize,
 }
 
 impl EventSplitter {
@@ -31,19 +36,31 @@
             chunk
         } else {
             self.partial.extend_from_slice(&chunk);
+            if block_end(&self.partial, self.searched).is_none() {
+                return self.keep_partial();
+            }
             self.partial.split().freeze()
         };
         let mut blocks = Vec::new();
-        while let Some(end) = block_end(&unparsed) {
+        let mut searched = self.searched;
+        while let Some(end) = block_end(&unparsed, searched) {
             blocks.push(unparsed.split_to(end));
-        }
-        if unparsed.len() > MAX_EVENT_BYTES {
-            return Err(Error::TooLarge);
+            searched = 0;
         }
         self.partial.extend_from_slice(&unparsed);
+        self.keep_partial()?;
         Ok(blocks)
     }
 
+    /// Keeps an incomplete block until more of it is added.
+    fn keep_partial(&mut self) -> Result<Vec<Bytes>, Error> {
+        if self.partial.len() > MAX_EVENT_BYTES {
+            return Err(Error::TooLarge);
+        }
+        self.searched = self.partial.len().saturating_sub(MAX_END_BYTES);
+        Ok(Vec::new())
+    }
+
     /// Whether the start of an incomplete block is buffered.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
@@ -78,9 +95,9 @@
     }
 }
 
-/// Length of the first block, including its empty line, if it is complete.
-fn block_end(bytes: &[u8]) -> Option<usize> {
-    let mut from = 0;
+/// Length of the first block, including its empty line, if it is complete and its end does not begin before `from`.
+fn block_end(bytes: &[u8], from: usize) -> Option<usize> {
+    let mut from = from;
     while let Some(newline) = bytes[from..].iter().position(|byte| *byte == b'\n') {
         let line = from + newline + 1;
         match &bytes[line..] {
--- a/crates/endpoint/tests/decoders.rs
+++ b/crates/endpoint/tests/decoders.rs
@@ -78,3 +78,12 @@
     let results = [(); 3].map(|()| parser.feed(chunk.clone()).is_ok());
     assert_eq!(results, [true, true, false]);
 }
+
+/// Guards against an event whose end is missed where a chunk ends inside it.
+#[test]
+fn ends_of_events_are_found_in_single_bytes() {
+    let stream = b"id: g:0\r\ndata: a\r\n\r\nid: g:1\ndata: b\n\nid: g:2\ndata: c\n\r\n";
+    let chunks = stream.chunks(1).collect::<Vec<_>>();
+    let data = parse(&chunks).into_iter().map(|event| event.data);
+    assert_eq!(data.collect::<Vec<_>>(), ["a", "b", "c"]);
+}
