--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -348,10 +348,23 @@
     /// # Errors
     ///
     /// The connection broke, what was received is no response, or the body is larger.
-    pub async fn read_body(mut self, max_bytes: usize) -> Result<Bytes, Error> {
+    pub async fn read_body(self, max_bytes: usize) -> Result<Bytes, Error> {
+        self.read_body_while(max_bytes, |_| true).await
+    }
+
+    /// Reads the whole body like [`Self::read_body`], for as long as `takes` agrees to the length of each chunk.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke, what was received is no response, or the body is larger.
+    pub async fn read_body_while(
+        mut self,
+        max_bytes: usize,
+        takes: impl Fn(usize) -> bool,
+    ) -> Result<Bytes, Error> {
         let mut body = BytesMut::new();
         while let Some(chunk) = self.chunk().await? {
-            if body.len() + chunk.len() > max_bytes {
+            if body.len() + chunk.len() > max_bytes || !takes(chunk.len()) {
                 return Err(Error::TooLarge);
             }
             body.extend_from_slice(&chunk);
--- a/crates/endpoint/src/sse.rs
+++ b/crates/endpoint/src/sse.rs
@@ -66,6 +66,12 @@
     pub fn has_partial_event(&self) -> bool {
         !self.partial.is_empty()
     }
+
+    /// Number of bytes of the incomplete block that is buffered.
+    #[must_use]
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
 }
 
 /// The `id` of a block, if it has one.
--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -22,6 +22,21 @@
 const ANSWER_OVERHEAD: Duration = Duration::from_millis(400);
 
 impl State {
+    /// Time from its arrival within which the body of a request has to be complete.
+    #[must_use]
+    pub fn body_timeout(&self, inbound: &Inbound) -> Duration {
+        let config = self.config.as_ref();
+        let route = config.and_then(|config| config.route(&inbound.host, &inbound.path));
+        let idle = config
+            .map(|config| config.limits)
+            .unwrap_or_default()
+            .idle_timeout;
+        let limit = route.map_or(idle, |route| route.timeout);
+        inbound
+            .deadline
+            .map_or(limit, |deadline| deadline.min(limit))
+    }
+
     /// Admits a request, or rejects it.
     ///
     /// # Errors
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod intake;
 pub mod load;
 pub mod losses;
+pub mod memory;
 pub mod outcome;
 pub mod paths;
 pub mod prelude;
--- a/crates/forward/src/outcome.rs
+++ b/crates/forward/src/outcome.rs
@@ -18,6 +18,8 @@
     CrashesEndpoints,
     /// No endpoint had capacity in time.
     Full,
+    /// This instance holds too much in memory to take another body in.
+    OutOfMemory,
     /// The configuration of this instance is too old.
     Stale,
     /// This instance is stopping, and the answer might not be complete by then.
@@ -47,6 +49,7 @@
             Self::CrashesEndpoints => "crashes_endpoints",
             Self::Expired => "expired",
             Self::Full => "full",
+            Self::OutOfMemory => "out_of_memory",
             Self::Stale => "stale",
             Self::Stopping => "stopping",
             Self::TimedOut => "timed_out",
@@ -69,7 +72,9 @@
         match self {
             Self::Full => Some(FULL_RETRY_AFTER),
             Self::Unreachable => Some(UNREACHABLE_RETRY_AFTER),
-            Self::Stale | Self::Stopping | Self::Unconfigured => Some(OTHER_INSTANCE_RETRY_AFTER),
+            Self::OutOfMemory | Self::Stale | Self::Stopping | Self::Unconfigured => {
+                Some(OTHER_INSTANCE_RETRY_AFTER)
+            }
             Self::Bad
             | Self::BodyTooLarge
             | Self::Broken
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -5,6 +5,7 @@
         clock,
         exchange::{self, Destination, Original, SendOutcome},
         gossip,
+        memory::Held,
         prelude::*,
         progress::Progress,
         reply, rollouts,
@@ -12,6 +13,7 @@
     },
     forward::{
         choice::{Need, Pick},
+        memory::Use,
         request::Ticket,
         rollout::tally::{Outcome, Timing},
     },
@@ -37,6 +39,7 @@
 /// A response that has been read in full.
 struct BufferedAnswer {
     body: Bytes,
+    held: Held,
     headers: http::HeaderMap,
     status: StatusCode,
     flags: ResponseFlags,
@@ -185,7 +188,8 @@
             SendOutcome::Answer(reply, flags) => {
                 let status = reply.status();
                 let headers = head::response_headers(reply.headers());
-                let body = reply.read_body(MAX_ANSWER_BYTES).await;
+                let held = shared.buffers.hold(Use::Response, &original.inbound.id);
+                let body = read_body(reply, &held).await;
                 let body = body.map_err(|error| {
                     if error.is_break_of_endpoint() {
                         shared.record_break(original, key, sent_at, 0);
@@ -194,6 +198,7 @@
                 })?;
                 Ok(BufferedAnswer {
                     body,
+                    held,
                     headers,
                     status,
                     flags,
@@ -214,6 +219,22 @@
     result.unwrap_or_else(|_| Err(unknown("response incomplete at the time limit".to_string())))
 }
 
+/// Reads a whole body, as far as there is memory for it.
+///
+/// # Errors
+///
+/// The connection broke, what was received is no response, or the body is too large.
+pub async fn read_body(
+    reply: endpoint::client::Reply,
+    held: &Held,
+) -> Result<Bytes, endpoint::Error> {
+    tokio::select! {
+        biased;
+        _ = held.let_go() => Err(endpoint::Error::TooLarge),
+        body = reply.read_body_while(MAX_ANSWER_BYTES, |bytes| held.take(bytes)) => body,
+    }
+}
+
 /// Decides whether a response goes to the caller, is retried or fails the request.
 fn classify(
     shared: &Shared,
@@ -242,14 +263,24 @@
         && progress.may_send(shared, ticket);
     if retry {
         progress.note_run(key, format!("failed with {status}"));
-        progress.failure = Some(reply::full(status, answer.headers, answer.body));
+        progress.failure = Some(reply::counted(
+            status,
+            answer.headers,
+            answer.body,
+            answer.held,
+        ));
         progress.failed_at = Some(key);
         return Attempt::Retry;
     }
     if status.is_server_error() && progress.failed_at.is_none() {
         shared.observe(key, &ticket.route.name, Outcome::Failed);
     }
-    Attempt::Answered(reply::full(status, answer.headers, answer.body))
+    Attempt::Answered(reply::counted(
+        status,
+        answer.headers,
+        answer.body,
+        answer.held,
+    ))
 }
 
 /// Decides whether a failed send may be retried.
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         clock,
+        memory::Held,
         path::{self, Reuse},
         prelude::*,
     },
@@ -25,7 +26,7 @@
 }
 
 /// A caller's buffered request, so that it can be retried.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Original {
     /// Body.
     pub body: Bytes,
@@ -35,6 +36,8 @@
     pub is_proven: Cell<bool>,
     /// Whether it is let through although a part of its prompt is refused.
     pub is_trial: Cell<bool>,
+    /// Counts the body.
+    pub held: Held,
     /// Fields of the request that routing and admission use.
     pub inbound: Inbound,
     /// Head.
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -401,6 +401,7 @@
         shared.state.borrow_mut().tick(now);
         let late = now.since(started_at).saturating_sub(TICK_INTERVAL);
         shared.record_lateness(now, late);
+        shared.buffers.let_go_unread(shared.limits().idle_timeout);
         if late > STALL_THRESHOLD {
             log::warn!(
                 late_ms = late.as_millis(), in_progress = shared.in_progress.get();
--- a/crates/proxy/src/idle.rs
+++ b/crates/proxy/src/idle.rs
@@ -7,6 +7,7 @@
         pin::Pin,
         task::{Context, Poll},
     },
+    tokio::sync::Notify,
 };
 
 /// Requests in progress on a connection, and since when there has been none.
@@ -14,6 +15,8 @@
 pub struct Activity {
     idle_since: Cell<Time>,
     in_progress: Cell<usize>,
+    /// Notified when the connection is to be closed although a response is on it.
+    let_go: Notify,
 }
 
 impl Activity {
@@ -23,6 +26,7 @@
         Rc::new(Self {
             idle_since: Cell::new(clock::now()),
             in_progress: Cell::new(0),
+            let_go: Notify::new(),
         })
     }
 
@@ -39,6 +43,16 @@
         self.in_progress.get() > 0
     }
 
+    /// Closes the connection, whatever is on it.
+    pub fn let_go(&self) {
+        self.let_go.notify_one();
+    }
+
+    /// Waits until the connection is to be closed whatever is on it.
+    pub async fn closes(&self) {
+        self.let_go.notified().await;
+    }
+
     /// Waits until no request has been in progress for as long as the newest configuration allows.
     pub async fn expired(&self, shared: &Shared) {
         loop {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod idle;
 pub mod listen;
 pub mod logging;
+pub mod memory;
 pub mod message;
 pub mod metrics;
 pub mod path;
@@ -33,5 +34,6 @@
 pub mod takeover;
 pub mod topic;
 pub mod tunnel;
+pub mod upload;
 
 pub use {error::Error, serve::run, settings::Settings};
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -6,11 +6,13 @@
         exchange::Original,
         follow,
         idle::{Activity, Tracked},
+        memory::Held,
         prelude::*,
         reply, stream,
+        upload::Upload,
     },
-    forward::request::Ticket,
-    http_body_util::{BodyExt as _, LengthLimitError, Limited},
+    endpoint::bounded::Bounded,
+    forward::{memory::Use, request::Ticket},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
     platform::head,
@@ -21,6 +23,9 @@
 /// Delay after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Number of times the buffer of a connection may be filled without a part of a request being complete.
+const BUFFERS_BETWEEN_PARTS: usize = 4;
+
 /// How long an idle connection may take to close, on which part of a request may have been read.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -92,36 +97,49 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:%; "cannot set TCP_NODELAY");
     }
+    let max_buffer = shared.limits().header.max(16 << 10);
+    let stream = Bounded::with_limit(stream, max_buffer.saturating_mul(BUFFERS_BETWEEN_PARTS));
     let activity = Activity::new();
     let service = {
         let (shared, activity) = (Rc::clone(&shared), Rc::clone(&activity));
-        service_fn(move |request| {
-            let busy = activity.begin();
+        let progress = stream.progress();
+        service_fn(move |request: Request<Incoming>| {
+            progress.record();
+            let (busy, connection) = (activity.begin(), Rc::clone(&activity));
+            let request = request.map(|body| Upload::new(body, progress.clone()));
             let handling = handle(Rc::clone(&shared), request, role);
             async move {
                 let reply = handling.await?;
+                if let Some(held) = reply.body().held() {
+                    held.attach(&connection);
+                }
                 Ok::<_, Infallible>(reply.map(|body| Tracked { body, busy }))
             }
         })
     };
     let mut builder = http1::Builder::new();
     // The idle timeout may change while the connection is open, so hyper must not apply it.
-    builder
-        .header_read_timeout(None)
-        .max_buf_size(shared.limits().header.max(16 << 10));
+    builder.header_read_timeout(None).max_buf_size(max_buffer);
     let serving = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(serving);
     let ended = tokio::select! {
         ended = serving.as_mut() => Some(ended),
+        () = activity.closes() => None,
         () = shared.stop.notified() => {
             serving.as_mut().graceful_shutdown();
-            Some(serving.await)
+            tokio::select! {
+                ended = serving.as_mut() => Some(ended),
+                () = activity.closes() => None,
+            }
         }
         () = activity.expired(&shared) => {
             serving.as_mut().graceful_shutdown();
             match timeout(CLOSE_TIMEOUT, serving.as_mut()).await {
                 Ok(ended) => Some(ended),
-                Err(_) if activity.is_busy() => Some(serving.await),
+                Err(_) if activity.is_busy() => tokio::select! {
+                    ended = serving.as_mut() => Some(ended),
+                    () = activity.closes() => None,
+                },
                 Err(_) => None,
             }
         }
@@ -133,7 +151,7 @@
 
 async fn handle(
     shared: Rc<Shared>,
-    request: Request<Incoming>,
+    request: Request<Upload>,
     role: Role,
 ) -> Result<Reply, Infallible> {
     Ok(match role {
@@ -155,7 +173,7 @@
     !shared.draining.get() && state.ready(now)
 }
 
-async fn handle_caller(shared: &Rc<Shared>, request: Request<Incoming>) -> Reply {
+async fn handle_caller(shared: &Rc<Shared>, request: Request<Upload>) -> Reply {
     let arrived = clock::now();
     let guard = RequestGuard::new(shared);
     let (parts, body) = request.into_parts();
@@ -191,7 +209,7 @@
     shared: &Rc<Shared>,
     parts: Parts,
     inbound: Inbound,
-    body: Incoming,
+    body: Upload,
     guard: RequestGuard,
 ) -> Reply {
     let id = inbound.id.clone();
@@ -201,7 +219,7 @@
     let result = forward(shared, parts, inbound, body, guard, &mut route).await;
     let (outcome, reply, streaming) = match result {
         Ok(reply) => {
-            let streaming = matches!(reply.body(), Body::Stream(_));
+            let streaming = matches!(reply.body(), Body::Stream(..));
             ("answered", reply, streaming)
         }
         Err(refusal) => (refusal.label(), reply::refusal(refusal, &id), false),
@@ -224,11 +242,12 @@
     shared: &Rc<Shared>,
     parts: Parts,
     inbound: Inbound,
-    body: Incoming,
+    body: Upload,
     guard: RequestGuard,
     route: &mut RouteInfo,
 ) -> Result<Reply, Refusal> {
-    let body = read_body(shared, body).await?;
+    let held = shared.buffers.hold(Use::Request, &inbound.id);
+    let body = read_body(shared, &inbound, body, &held).await?;
     let now = clock::now();
     let ticket = admit(shared, &inbound).await?;
     route.name.clone_from(&ticket.route.name);
@@ -246,6 +265,7 @@
     let original = Original {
         fingerprint: Fingerprint::new(customer, &inbound.host, target, &body),
         body,
+        held,
         inbound,
         is_proven: Cell::new(false),
         is_trial: Cell::new(false),
@@ -273,15 +293,16 @@
     shared.state.borrow_mut().admit(clock::now(), inbound)
 }
 
-/// Reads the whole body.
-async fn read_body(shared: &Shared, body: Incoming) -> Result<Bytes, Refusal> {
-    let max_bytes = shared.limits().body;
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Err(error) => {
-            log::info!(error:%; "cannot read request body");
-            Err(Refusal::Bad)
-        }
-    }
+/// Reads the whole body, within the time that the request may take.
+async fn read_body(
+    shared: &Shared,
+    inbound: &Inbound,
+    body: Upload,
+    held: &Held,
+) -> Result<Bytes, Refusal> {
+    let limits = shared.limits();
+    let deadline = shared.state.borrow().body_timeout(inbound);
+    let left = deadline.saturating_sub(clock::now().since(inbound.arrived));
+    let read = timeout(left, body.read(limits.body, held)).await;
+    read.unwrap_or(Err(Refusal::Expired))
 }
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -4,7 +4,7 @@
     crate::{logging, prelude::*},
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Histogram, MeterProvider as _},
+        metrics::{Counter, Gauge, Histogram, MeterProvider as _},
     },
     opentelemetry_sdk::metrics::SdkMeterProvider,
     prometheus::{Encoder as _, Registry, TextEncoder},
@@ -15,9 +15,31 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8,
 ];
 
+/// Metrics of what is held in memory for callers and endpoints.
+#[derive(Clone, Debug)]
+pub struct BufferMetrics {
+    held: Gauge<u64>,
+    let_go: Counter<u64>,
+}
+
+impl BufferMetrics {
+    /// Records the number of bytes held for a use.
+    pub fn record_held(&self, held_for: &'static str, bytes: usize) {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.held.record(bytes, &[KeyValue::new("use", held_for)]);
+    }
+
+    /// Records that a response was let go.
+    pub fn record_let_go(&self, reason: &'static str) {
+        self.let_go.add(1, &[KeyValue::new("reason", reason)]);
+    }
+}
+
 /// All exported metrics.
 #[derive(Debug)]
 pub struct Metrics {
+    /// What is held in memory.
+    pub buffers: BufferMetrics,
     breaks: Counter<u64>,
     closed: Counter<u64>,
     endings: Counter<u64>,
@@ -65,7 +87,18 @@
             .with_description("log lines dropped because standard output was not read")
             .with_callback(|observer| observer.observe(logging::dropped(), &[]))
             .build();
+        let held = meter
+            .u64_gauge("buffered_bytes")
+            .with_description("bytes held for callers and endpoints, by use")
+            .build();
         Ok(Self {
+            buffers: BufferMetrics {
+                held,
+                let_go: counter(
+                    "responses_let_go",
+                    "responses that ended since their callers did not read them, or memory was short",
+                ),
+            },
             breaks: counter(
                 "connections_broken",
                 "connections to endpoints that broke during a request, by service",
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -9,11 +9,11 @@
     crate::{
         clock,
         exchange::Original,
-        listen::RequestGuard,
+        memory::{Held, Reason},
         prelude::*,
         progress::Progress,
         relocate::RunCopy,
-        reply::BodyPart,
+        reply::{self, BodyPart},
         shared::RunGuard,
         takeover::{EventSource, TakeoverContext},
     },
@@ -31,8 +31,11 @@
 /// Longest allowed gap between events where the route sets none.
 const DEFAULT_MAX_GAP: Duration = Duration::from_millis(180);
 
-/// Time after which a caller that does not read counts as disconnected.
-const CALLER_READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// Number of unread bytes from which on a stream is read from its engine only now and then.
+const MAX_UNREAD_BYTES: usize = 256 << 10;
+
+/// How long an engine's stream may stay unread. Engines cut off a response that stays unread for some seconds.
+const ENGINE_READ_PAUSE: Duration = Duration::from_secs(1);
 
 /// Number of events after which an answer counts in the judgement of its engine's version.
 const OBSERVED_EVENTS: u32 = 12;
@@ -48,7 +51,8 @@
     continuing: Option<RunCopy>,
     /// Number of events before the current engine's.
     earlier_events: u32,
-    guard: Option<RequestGuard>,
+    /// Counts what the caller has not read.
+    held: Rc<Held>,
     first_event_delay: Duration,
     /// Whether the connection to the current engine is open, for attempts in progress.
     is_connected: Rc<Cell<bool>>,
@@ -63,9 +67,13 @@
     next_look: Time,
     next_move: Time,
     original: Rc<Original>,
+    /// Counts an event that is incomplete.
+    partial: Held,
+    /// When the engine is read again although the caller is behind.
+    read_on_at: Time,
     /// Since when the engine has been silent; reset after each attempt to stop the run.
     quiet_since: Time,
-    out: mpsc::Sender<BodyPart>,
+    out: mpsc::UnboundedSender<BodyPart>,
     progress: Progress,
     /// How often engines with copies were asked again.
     repeats: u32,
@@ -90,12 +98,14 @@
 /// Initial state of a [`Relay`].
 #[derive(Debug)]
 pub struct RelayStart {
-    /// Counts the request as in progress until dropped.
-    pub guard: Option<RequestGuard>,
+    /// Counts what the caller has not read.
+    pub held: Rc<Held>,
     /// The caller's request.
     pub original: Rc<Original>,
     /// Channel to the caller's response body.
-    pub out: mpsc::Sender<BodyPart>,
+    pub out: mpsc::UnboundedSender<BodyPart>,
+    /// Counts an event that is incomplete.
+    pub partial: Held,
     /// Attempts made so far.
     pub progress: Progress,
     /// The run at its engine.
@@ -112,7 +122,11 @@
     Events(Vec<Bytes>),
     Ended,
     Expired,
+    /// The response is let go.
+    LetGo(Reason),
     Lost(Break),
+    /// The caller has caught up, or the engine's stream has been unread for as long as it may be.
+    ReadOn,
     /// An attempt to continue elsewhere has not ended in time after the connection broke.
     Overdue,
     Settled(Settled),
@@ -152,6 +166,7 @@
     CallerLeft,
     Complete,
     Expired,
+    LetGo(Reason),
     Lost(String),
 }
 
@@ -161,6 +176,7 @@
             Self::CallerLeft => "caller_left",
             Self::Complete => "complete",
             Self::Expired => "timed_out",
+            Self::LetGo(_) => "let_go",
             Self::Lost(_) => "lost",
         }
     }
@@ -178,7 +194,7 @@
             copies: Vec::new(),
             continuing: None,
             earlier_events: 0,
-            guard: start.guard,
+            held: start.held,
             first_event_delay: now.since(inbound.arrived),
             began_at: None,
             is_connected: Rc::new(Cell::new(true)),
@@ -188,6 +204,8 @@
             stop: Stop::NotAsked,
             next_move: Time::default(),
             out: start.out,
+            partial: start.partial,
+            read_on_at: now,
             progress: start.progress,
             quiet_since: now,
             repeats: 0,
@@ -214,11 +232,12 @@
         if matches!(ending, Ending::Complete) && self.sequence.count() > 0 {
             self.shared.record_completion(&self.original);
         }
-        if matches!(ending, Ending::Complete) && self.out.send(BodyPart::End).await.is_err() {
+        if matches!(ending, Ending::Complete) && self.out.send(BodyPart::End).is_err() {
             log::debug!(id = self.original.inbound.id; "caller disconnected at the end");
         }
         let took = clock::now().since(self.original.inbound.arrived);
         let why = match &ending {
+            Ending::LetGo(reason) => reason.label(),
             Ending::Lost(why) => why.as_str(),
             _ => "",
         };
@@ -239,11 +258,10 @@
         self.shared
             .metrics
             .record_end(&self.ticket.route.name, ending.label(), took);
-        drop(self.guard.take());
     }
 
     async fn relay(&mut self, blocks: Vec<Bytes>, ended: bool) -> Ending {
-        if let Err(ending) = self.pass_on(blocks).await {
+        if let Err(ending) = self.pass_on(blocks) {
             return ending;
         }
         if ended {
@@ -256,13 +274,18 @@
                 Step::CallerLeft => return Ending::CallerLeft,
                 Step::Ended => return Ending::Complete,
                 Step::Expired => return Ending::Expired,
+                Step::LetGo(reason) => return Ending::LetGo(reason),
+                Step::ReadOn => {
+                    self.end_silence(clock::now());
+                    Ok(())
+                }
                 Step::Stopped => {
                     let why = Refusal::CrashesEndpoints.label().to_string();
                     return Ending::Lost(why);
                 }
                 Step::Events(blocks) => {
                     self.cancel_takeover(&mut attempt);
-                    self.pass_on(blocks).await
+                    self.pass_on(blocks)
                 }
                 Step::Lost(broken) => self.lost(&mut attempt, broken).await,
                 Step::Overdue => self.overdue(&mut attempt).await,
@@ -324,8 +347,10 @@
         if remaining.is_zero() {
             return Step::Expired;
         }
+        let lags = self.held.bytes() >= MAX_UNREAD_BYTES && now < self.read_on_at;
         let (until, due) = match &self.broken {
             Some(broken) => (broken.until, Step::Overdue),
+            None if lags => (self.read_on_at, Step::ReadOn),
             None => (self.next_look, Step::Silent),
         };
         let wait = remaining.min(until.since(now));
@@ -334,7 +359,10 @@
         tokio::select! {
             biased;
             () = self.out.closed() => Step::CallerLeft,
-            chunk = self.source.answer.chunk(), if is_open => self.events(chunk),
+            reason = self.held.let_go() => Step::LetGo(reason),
+            reason = self.partial.let_go() => Step::LetGo(reason),
+            chunk = self.source.answer.chunk(), if is_open && !lags => self.events(chunk),
+            () = self.held.falls_below(MAX_UNREAD_BYTES), if is_open && lags => Step::ReadOn,
             settled = attempt::settled(attempt) => Step::Settled(settled),
             settled = attempt::settled(&mut self.stopping) => Step::SettledStop(settled),
             () = self.shared.stopped(&self.original, events) => Step::Stopped,
@@ -374,6 +402,7 @@
             }
             Ok(Some(chunk)) => {
                 self.shared.record_heard(self.source.key);
+                self.read_on_at = clock::now().after(ENGINE_READ_PAUSE);
                 match self.source.splitter.feed(chunk) {
                     Ok(blocks) => Step::Events(blocks),
                     Err(error) => lost(false, error.to_string()),
@@ -427,7 +456,7 @@
         self.waits_for_engine = false;
     }
 
-    async fn pass_on(&mut self, blocks: Vec<Bytes>) -> Result<(), Ending> {
+    fn pass_on(&mut self, blocks: Vec<Bytes>) -> Result<(), Ending> {
         for block in blocks {
             if !self.sequence.accept(sse::event_id(&block)) {
                 continue;
@@ -435,11 +464,17 @@
             if self.sequence.has_gap() {
                 return Err(Ending::Lost("an event is missing".to_string()));
             }
-            let sent = timeout(CALLER_READ_TIMEOUT, self.out.send(BodyPart::Data(block))).await;
-            if !matches!(sent, Ok(Ok(()))) {
+            if !self.held.take(reply::part_size(&block)) {
+                let reason = self.held.reason().unwrap_or(Reason::OutOfMemory);
+                return Err(Ending::LetGo(reason));
+            }
+            if self.out.send(BodyPart::Data(block)).is_err() {
                 return Err(Ending::CallerLeft);
             }
         }
+        if !self.partial.resize(self.source.splitter.partial_bytes()) {
+            return Err(Ending::LetGo(Reason::OutOfMemory));
+        }
         self.last_event
             .replace(self.sequence.last().map(str::to_string));
         let now = clock::now();
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -206,7 +206,7 @@
             let Ok(blocks) = self.source.splitter.feed(chunk) else {
                 break;
             };
-            self.pass_on(blocks).await?;
+            self.pass_on(blocks)?;
         }
         Ok(())
     }
--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -1,8 +1,7 @@
 //! Responses to callers.
 
 use {
-    crate::prelude::*,
-    http_body_util::Full,
+    crate::{memory::Held, prelude::*},
     hyper::body::{Frame, SizeHint},
     platform::head,
     std::{
@@ -12,17 +11,31 @@
     tokio::sync::mpsc,
 };
 
+/// Largest frame of a body. A frame is held by its connection once it has been taken.
+const MAX_FRAME_BYTES: usize = 16 << 10;
+
 /// A response to a caller.
 pub type Reply = Response<Body>;
 
 /// The body of a response.
 #[derive(Debug)]
 pub enum Body {
-    /// A complete body.
-    Full(Full<Bytes>),
+    /// A complete body, with what counts it if that is not small.
+    Full(Bytes, Option<Held>),
     /// A streamed body. It is complete only after [`BodyPart::End`]; if the sender is dropped
     /// before, the connection is aborted, so that a truncated body does not look complete.
-    Stream(mpsc::Receiver<BodyPart>),
+    Stream(mpsc::UnboundedReceiver<BodyPart>, Rc<Held>),
+}
+
+impl Body {
+    /// What counts the bytes that the caller has not read.
+    #[must_use]
+    pub fn held(&self) -> Option<&Held> {
+        match self {
+            Self::Full(_, held) => held.as_ref(),
+            Self::Stream(_, held) => Some(held),
+        }
+    }
 }
 
 /// A part of a streamed body.
@@ -55,11 +68,19 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Incomplete>>> {
         match self.get_mut() {
-            Self::Full(full) => Pin::new(full)
-                .poll_frame(cx)
-                .map_err(|never| match never {}),
-            Self::Stream(parts) => parts.poll_recv(cx).map(|part| match part {
-                Some(BodyPart::Data(data)) => Some(Ok(Frame::data(data))),
+            Self::Full(bytes, _) if bytes.is_empty() => Poll::Ready(None),
+            Self::Full(bytes, held) => {
+                let data = bytes.split_to(bytes.len().min(MAX_FRAME_BYTES));
+                if let Some(held) = held {
+                    held.release(data.len());
+                }
+                Poll::Ready(Some(Ok(Frame::data(data))))
+            }
+            Self::Stream(parts, held) => parts.poll_recv(cx).map(|part| match part {
+                Some(BodyPart::Data(data)) => {
+                    held.release(part_size(&data));
+                    Some(Ok(Frame::data(data)))
+                }
                 Some(BodyPart::End) => None,
                 None => Some(Err(Incomplete)),
             }),
@@ -68,16 +89,39 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Full(full) => full.size_hint(),
-            Self::Stream(_) => SizeHint::default(),
+            Self::Full(bytes, _) => {
+                SizeHint::with_exact(u64::try_from(bytes.len()).unwrap_or(u64::MAX))
+            }
+            Self::Stream(..) => SizeHint::default(),
         }
     }
 }
 
-/// A response with a complete body.
+/// Number of bytes that a part of a streamed body holds.
+#[must_use]
+pub const fn part_size(data: &Bytes) -> usize {
+    data.len() + size_of::<BodyPart>()
+}
+
+/// A response with a complete body that is small.
 #[must_use]
 pub fn full(status: StatusCode, headers: http::HeaderMap, body: Bytes) -> Reply {
-    let mut reply = Response::new(Body::Full(Full::new(body)));
+    complete(status, headers, body, None)
+}
+
+/// A response with a complete body that is counted.
+#[must_use]
+pub fn counted(status: StatusCode, headers: http::HeaderMap, body: Bytes, held: Held) -> Reply {
+    complete(status, headers, body, Some(held))
+}
+
+fn complete(
+    status: StatusCode,
+    headers: http::HeaderMap,
+    body: Bytes,
+    held: Option<Held>,
+) -> Reply {
+    let mut reply = Response::new(Body::Full(body, held));
     *reply.status_mut() = status;
     *reply.headers_mut() = headers;
     reply
@@ -105,6 +149,7 @@
         Refusal::CrashesEndpoints
         | Refusal::Expired
         | Refusal::Full
+        | Refusal::OutOfMemory
         | Refusal::Stale
         | Refusal::Stopping
         | Refusal::Unconfigured
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -5,6 +5,7 @@
     forward::{
         feature::{Feature, Features},
         intake::Resources,
+        memory,
         rollout::exposure::Limit,
     },
     serde::Deserialize,
@@ -27,6 +28,9 @@
 /// The instance itself.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct Instance {
+    /// Memory in mebibytes that may be held for callers and endpoints; a quarter of `memory_mb` by default.
+    #[serde(default)]
+    pub buffer_mb: Option<u32>,
     /// Failure domain.
     pub domain: String,
     /// Address and port for messages from peers.
@@ -100,6 +104,12 @@
 }
 
 impl Instance {
+    /// Bytes that may be held for callers and endpoints.
+    #[must_use]
+    pub fn buffer_bytes(&self) -> usize {
+        memory::budget(self.memory_mb, self.buffer_mb).unwrap_or(usize::MAX)
+    }
+
     /// What limits the number of connections.
     #[must_use]
     pub const fn resources(&self) -> Resources {
@@ -159,6 +169,17 @@
                 )));
             }
         }
+        let Instance {
+            buffer_mb,
+            memory_mb,
+            ..
+        } = settings.instance;
+        if let Err(most) = memory::budget(memory_mb, buffer_mb) {
+            let found = buffer_mb.unwrap_or_default();
+            return Err(fault(format!(
+                "instance.buffer_mb: found {found}, allowed: 1 to {most}"
+            )));
+        }
         if settings.joint.most_instances == 0 {
             let key = "joint.most_instances";
             return Err(fault(format!("{key}: found 0, allowed: one or more")));
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -5,6 +5,7 @@
         clock,
         exchange::Original,
         gossip::history::History,
+        memory::Buffers,
         metrics::Metrics,
         peers::Peers,
         prelude::*,
@@ -40,6 +41,8 @@
 /// State shared by all tasks of an instance.
 #[derive(Debug)]
 pub struct Shared {
+    /// Bytes held for callers and endpoints.
+    pub buffers: Rc<Buffers>,
     /// Connections to endpoints and the store.
     pub client: Client,
     /// Open connections of callers.
@@ -109,7 +112,10 @@
         let mut state = State::new(settings.decisions(), random);
         let name = &settings.instance.name;
         state.rollouts.set_holder(format!("{name}@{incarnation:x}"));
+        let metrics = Metrics::new()?;
+        let buffers = Buffers::new(settings.instance.buffer_bytes(), metrics.buffers.clone());
         Ok(Rc::new(Self {
+            buffers,
             connections: Cell::new(0),
             draining: Cell::new(false),
             peers: Peers::default(),
@@ -119,7 +125,7 @@
             incarnation,
             intake: RefCell::new(Intake::new(settings.instance.resources())),
             load: Notify::new(),
-            metrics: Metrics::new()?,
+            metrics,
             readers: RefCell::default(),
             refusals_changed: Notify::new(),
             republish: Notify::new(),
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -2,9 +2,10 @@
 
 use {
     crate::{
-        buffered::acquire_endpoint,
+        buffered::{acquire_endpoint, read_body},
         clock,
         exchange::{self, Destination, Original, SendOutcome},
+        memory::Held,
         prelude::*,
         progress::Progress,
         relay::{Relay, RelayStart},
@@ -13,7 +14,7 @@
         takeover,
     },
     endpoint::sse::EventSplitter,
-    forward::{choice::Need, prelude::Run, request::Ticket, rollout::tally::Outcome},
+    forward::{choice::Need, memory::Use, prelude::Run, request::Ticket, rollout::tally::Outcome},
     platform::head,
     tokio::sync::mpsc,
 };
@@ -22,9 +23,6 @@
 /// needed for prefill.
 const QUEUE_TIMEOUT_SHARE: f64 = 0.7;
 
-/// Maximum number of body parts buffered for a caller that reads slowly.
-const MAX_BUFFERED_PARTS: usize = 256;
-
 /// Expected output tokens where the caller gives no limit.
 const DEFAULT_OUTPUT_TOKENS: u32 = 256;
 
@@ -100,14 +98,20 @@
                 return Err(progress.give_up(id, Refusal::CrashesEndpoints));
             }
             OpenOutcome::Stream(opened_stream) => {
-                let (out, parts) = mpsc::channel(MAX_BUFFERED_PARTS);
-                let mut reply = Response::new(Body::Stream(parts));
+                let (out, parts) = mpsc::unbounded_channel();
+                let held = shared.buffers.hold(Use::Stream, id);
+                let held = Rc::new(held);
+                if let Some(guard) = guard.take() {
+                    held.keep(guard);
+                }
+                let mut reply = Response::new(Body::Stream(parts, Rc::clone(&held)));
                 *reply.headers_mut() = opened_stream.headers;
                 shared
                     .metrics
                     .record_first_event(clock::now().since(original.inbound.arrived));
                 let start = RelayStart {
-                    guard: guard.take(),
+                    held,
+                    partial: opened_stream.partial,
                     original: Rc::clone(original),
                     out,
                     progress,
@@ -178,6 +182,8 @@
 struct OpenedStream {
     blocks: Vec<Bytes>,
     ended: bool,
+    /// Counts an event that is incomplete.
+    partial: Held,
     headers: http::HeaderMap,
     source: takeover::EventSource,
 }
@@ -234,7 +240,9 @@
                 }
                 first_event(shared, original, key, sent_at, answer).await
             }
-            SendOutcome::Answer(answer, _) => non_stream_answer(shared, key, answer).await,
+            SendOutcome::Answer(answer, _) => {
+                non_stream_answer(shared, original, key, answer).await
+            }
         }
     };
     timeout(limit, opened).await.unwrap_or_else(|_| {
@@ -259,6 +267,7 @@
     let headers = head::response_headers(answer.headers());
     let mut answer = answer;
     let mut splitter = EventSplitter::default();
+    let partial = shared.buffers.hold(Use::Stream, &original.inbound.id);
     loop {
         let chunk = match answer.chunk().await {
             Ok(chunk) => chunk,
@@ -274,6 +283,9 @@
             Ok(blocks) => blocks,
             Err(error) => return fail(shared, key, error.to_string()),
         };
+        if !partial.resize(splitter.partial_bytes()) {
+            return fail(shared, key, endpoint::Error::TooLarge.to_string());
+        }
         if blocks.is_empty() && !ended {
             continue;
         }
@@ -287,6 +299,7 @@
         return OpenOutcome::Stream(Box::new(OpenedStream {
             blocks,
             ended,
+            partial,
             headers,
             source: takeover::EventSource {
                 answer,
@@ -301,6 +314,7 @@
 /// Returns a response that is not a stream.
 async fn non_stream_answer(
     shared: &Shared,
+    original: &Original,
     key: EndpointKey,
     answer: endpoint::client::Reply,
 ) -> OpenOutcome {
@@ -310,8 +324,9 @@
         return fail(shared, key, format!("invalid response with {status}"));
     }
     let headers = head::response_headers(answer.headers());
-    match answer.read_body(endpoint::sse::MAX_EVENT_BYTES).await {
-        Ok(body) => OpenOutcome::Answer(reply::full(status, headers, body)),
+    let held = shared.buffers.hold(Use::Response, &original.inbound.id);
+    match read_body(answer, &held).await {
+        Ok(body) => OpenOutcome::Answer(reply::counted(status, headers, body, held)),
         Err(error) => fail(shared, key, error.to_string()),
     }
 }
