--- a/crates/carawayhead/tests/forwarding/instance.rs
+++ b/crates/carawayhead/tests/forwarding/instance.rs
@@ -57,6 +57,17 @@
         domain: &str,
         store: SocketAddr,
         max_files: u32,
+    ) -> Self {
+        let limits = format!("max_files = {max_files}");
+        Self::start_with_limits(name, domain, store, &limits).await
+    }
+
+    /// Starts an instance with these lines of settings that limit it, and waits until it listens.
+    pub async fn start_with_limits(
+        name: &str,
+        domain: &str,
+        store: SocketAddr,
+        limits: &str,
     ) -> Self {
         let folder = std::env::temp_dir();
         let file = folder.join(format!(
@@ -67,7 +78,7 @@
         let any = "127.0.0.1:0";
         let settings = format!(
             "[instance]\ndomain = \"{domain}\"\nfellows = \"{any}\"\ngrace_s = 8\n\
-             listen = \"{any}\"\nmax_files = {max_files}\nmetrics = \"{any}\"\nname = \"{name}\"\nready = \"{any}\"\n\
+             listen = \"{any}\"\n{limits}\nmetrics = \"{any}\"\nname = \"{name}\"\nready = \"{any}\"\n\
              [joint]\ncanary_requests = 50\ncanary_share = 0.1\nretry_burst = 50\nretry_ratio = 0.2\nretry_window_s = 10\n\
              revocation_ms = 5000\n[store]\naddress = \"{store}\"\n"
         );
--- a/crates/carawayhead/tests/forwarding/main.rs
+++ b/crates/carawayhead/tests/forwarding/main.rs
@@ -1,10 +1,12 @@
 //! Forwarding by instance processes between callers, a store, engines and plain services.
 
 mod answers;
+mod bounds;
 mod crashes;
 mod instance;
 mod knowledge;
 mod load;
+mod memory;
 mod rollouts;
 mod silences;
 mod streams;
