--- a/crates/carawayhead/tests/forwarding/memory.rs
+++ b/crates/carawayhead/tests/forwarding/memory.rs
@@ -113,6 +113,7 @@
             r#""kvCapacityTokens":34000"#,
             r#""kvCapacityTokens":99000000"#,
         )
+        .replace(r#""coldPerS":100.0"#, r#""coldPerS":100000.0"#)
         .replace(r#""slots":48"#, r#""slots":5000"#);
     store.write_operator_record("config", &config);
     let entry = serde_json::json!({
--- a/crates/endpoint/src/bounded.rs
+++ b/crates/endpoint/src/bounded.rs
@@ -17,7 +17,7 @@
 };
 
 /// Maximum size of the buffer that a connection is read into, and of the head of a response, in bytes.
-pub const MAX_BUFFER_BYTES: usize = 64 << 10;
+pub const MAX_BUFFER_BYTES: usize = 16 << 10;
 
 /// Number of bytes that may be read between two parts of messages. The parser reads ahead by its buffer.
 const MAX_BYTES_BETWEEN_PARTS: usize = 4 * MAX_BUFFER_BYTES;
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -17,9 +17,16 @@
     hyper_util::rt::TokioIo,
     platform::head,
     std::convert::Infallible,
-    tokio::net::{TcpListener, TcpStream},
+    std::io,
+    tokio::net::{TcpListener, TcpSocket, TcpStream},
 };
 
+/// Send buffer of a connection. What the system buffers beyond it counts for no caller, and is not seen to be unread.
+const SEND_BUFFER_BYTES: u32 = 64 << 10;
+
+/// Number of connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
 /// Delay after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -73,6 +80,24 @@
     }
 }
 
+/// Listens on an address.
+///
+/// # Errors
+///
+/// The address cannot be bound.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    // Accepted connections inherit it.
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Accepts connections; never returns.
 pub async fn accept(shared: Rc<Shared>, listener: TcpListener, role: Role) {
     loop {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -464,6 +464,12 @@
             if self.sequence.has_gap() {
                 return Err(Ending::Lost("an event is missing".to_string()));
             }
+            // A slice keeps the whole buffer alive that it was read into, which is not counted.
+            let block = if self.held.bytes() > 0 {
+                Bytes::copy_from_slice(&block)
+            } else {
+                block
+            };
             if !self.held.take(reply::part_size(&block)) {
                 let reason = self.held.reason().unwrap_or(Reason::OutOfMemory);
                 return Err(Ending::LetGo(reason));
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -11,7 +11,6 @@
         topic,
     },
     tokio::{
-        net::TcpListener,
         signal::unix::{Signal, SignalKind, signal},
         task::{LocalSet, spawn_local},
     },
@@ -53,9 +52,7 @@
         (instance.ready, Role::Ready),
         (instance.metrics, Role::Metrics),
     ] {
-        let listener = TcpListener::bind(address)
-            .await
-            .map_err(|error| Error::Listen(address, error))?;
+        let listener = listen::bind(address).map_err(|error| Error::Listen(address, error))?;
         let bound = listener
             .local_addr()
             .map_err(|error| Error::Listen(address, error))?;
