--- a/crates/proxy/tests/settings.rs
+++ b/crates/proxy/tests/settings.rs
@@ -40,6 +40,14 @@
             "joint.retry_ratio",
         ),
         (VALID.replace("retry_burst = 54", ""), "retry_burst"),
+        (
+            VALID.replace("grace_s = 8", "grace_s = 8\nmemory_mb = 88\nbuffer_mb = 36"),
+            "instance.buffer_mb: found 36, allowed: 1 to 35",
+        ),
+        (
+            VALID.replace("grace_s = 8", "grace_s = 8\nbuffer_mb = 0"),
+            "instance.buffer_mb: found 0, allowed: 1 to",
+        ),
         (VALID.replace("127.0.0.1:8080", "here"), "listen"),
         (VALID.replace("address =", "adress ="), "address"),
         (VALID[..VALID.len() - 30].to_string(), "[stor"),
