--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod intake;
 pub mod load;
 pub mod losses;
+pub mod memory;
 pub mod outcome;
 pub mod overflow;
 pub mod paths;
--- a/crates/forward/src/outcome.rs
+++ b/crates/forward/src/outcome.rs
@@ -21,6 +21,8 @@
     /// The customer asks for more than its share of a service that is short of room; it may return
     /// after this time.
     OverShare(Duration),
+    /// This instance holds too much in memory to take another body in.
+    OutOfMemory,
     /// The configuration of this instance is too old.
     Stale,
     /// This instance is stopping, and the answer might not be complete by then.
@@ -51,6 +53,7 @@
             Self::Expired => "expired",
             Self::Full => "full",
             Self::OverShare(_) => "over_share",
+            Self::OutOfMemory => "out_of_memory",
             Self::Stale => "stale",
             Self::Stopping => "stopping",
             Self::TimedOut => "timed_out",
@@ -74,7 +77,9 @@
             Self::Full => Some(FULL_RETRY_AFTER),
             Self::OverShare(after) => Some(after),
             Self::Unreachable => Some(UNREACHABLE_RETRY_AFTER),
-            Self::Stale | Self::Stopping | Self::Unconfigured => Some(OTHER_INSTANCE_RETRY_AFTER),
+            Self::OutOfMemory | Self::Stale | Self::Stopping | Self::Unconfigured => {
+                Some(OTHER_INSTANCE_RETRY_AFTER)
+            }
             Self::Bad
             | Self::BodyTooLarge
             | Self::Broken
--- a/crates/proxy/src/gossip/customers.rs
+++ b/crates/proxy/src/gossip/customers.rs
@@ -4,7 +4,10 @@
     super::role,
     crate::{
         clock,
-        message::{CustomerRow, Customers, Message, Scope, Trailer},
+        message::{
+            Message, Trailer,
+            customers::{CustomerRow, Customers, Scope},
+        },
         prelude::*,
     },
     forward::{
