--- a/crates/proxy/src/gossip/paces.rs
+++ b/crates/proxy/src/gossip/paces.rs
@@ -22,6 +22,9 @@
 /// Time between two messages of an instance.
 const INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for which members are told the same. Those that ask within it hear of the rest in turn.
+const KNOWN_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Maximum number of engines in a message, so that it fits into a datagram.
 const MAX_ROWS: usize = 56;
 
@@ -61,13 +64,6 @@
         let name = shared.state.borrow().members.name(link.key).to_string();
         send(shared, datagrams, &name, scope, news);
     }
-    if role == Role::Aggregator {
-        let now = clock::now();
-        let mut state = shared.state.borrow_mut();
-        let known = state.profiles.take_known(now, MAX_ROWS);
-        drop(state);
-        shared.known_paces.replace(known);
-    }
 }
 
 fn send(shared: &Shared, datagrams: &DatagramSocket, to: &str, scope: Scope, news: &News) {
@@ -106,6 +102,17 @@
     services
 }
 
+/// What members are told; the same for all that ask within [`KNOWN_INTERVAL`].
+fn known(shared: &Shared, now: Time) -> News {
+    let (told_at, known) = shared.known_paces.borrow().clone();
+    if now.since(told_at) < KNOWN_INTERVAL && told_at != Time::default() {
+        return known;
+    }
+    let known = shared.state.borrow_mut().profiles.take_known(now, MAX_ROWS);
+    shared.known_paces.replace((now, known.clone()));
+    known
+}
+
 /// Handles a message of a peer.
 pub fn receive(shared: &Shared, datagrams: &DatagramSocket, paces: &Paces) {
     let now = clock::now();
@@ -122,7 +129,7 @@
             state.profiles.add_all(now, &news);
             state.profiles.note_domain(&news);
             drop(state);
-            let known = shared.known_paces.borrow();
+            let known = known(shared, now);
             send(shared, datagrams, &paces.name, Scope::Known, &known);
         }
         (Scope::Instance, Role::Equal) => state.profiles.add_all(now, &news),
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -23,6 +23,7 @@
     endings: Counter<u64>,
     first_event: Histogram<f64>,
     loop_late: Histogram<f64>,
+    late_pauses: Counter<u64>,
     moves: Counter<u64>,
     parts: Counter<u64>,
     registry: Registry,
@@ -77,6 +78,10 @@
             endings: counter("requests_ended", "requests by route and outcome"),
             first_event: histogram("first_event_seconds", "time to a stream's first event"),
             loop_late: histogram("loop_late_seconds", "how late the loop's timer was"),
+            late_pauses: counter(
+                "streams_paused",
+                "streams with a pause over what their route allows, by route",
+            ),
             moves: counter(
                 "runs_moved",
                 "generations that went on elsewhere, by outcome",
@@ -113,6 +118,12 @@
         })
     }
 
+    /// Records that a stream had a pause over what its route allows.
+    pub fn record_late_pause(&self, route: &str) {
+        self.late_pauses
+            .add(1, &[KeyValue::new("route", route.to_string())]);
+    }
+
     /// Records that a connection to an endpoint broke during a request.
     pub fn record_break(&self, service: &str) {
         self.breaks
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -246,12 +246,17 @@
             target_ms = self.ticket.route.target.as_millis(),
             gap_ms = self.ticket.route.gap.unwrap_or(DEFAULT_MAX_GAP).as_millis(),
             pace_us = judgement.pace.as_micros(), usual_us = judgement.usual.as_micros(),
-            risk = judgement.usual_risk,
+            usual_risk = judgement.usual_risk,
             pause_ms = self.longest_pause.as_millis(), ms = took.as_millis(); "stream ended"
         );
         self.shared
             .metrics
             .record_end(&self.ticket.route.name, ending.label(), took);
+        if self.longest_pause > self.ticket.route.gap.unwrap_or(DEFAULT_MAX_GAP) {
+            self.shared
+                .metrics
+                .record_late_pause(&self.ticket.route.name);
+        }
         drop(self.guard.take());
     }
 
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -60,8 +60,8 @@
     pub history: [RefCell<History>; TOPICS],
     /// Random number that identifies this run of the process; never zero.
     pub incarnation: u64,
-    /// What is answered to members that tell what engines do.
-    pub known_paces: RefCell<News>,
+    /// What was last answered to members that tell what engines do, and when.
+    pub known_paces: RefCell<(Time, News)>,
     /// Notified when the load of this instance has changed.
     pub load: Notify,
     /// Counters and histograms.
--- a/crates/proxy/tests/messages.rs
+++ b/crates/proxy/tests/messages.rs
@@ -1,6 +1,9 @@
 //! Messages between instances of different versions.
 
-use proxy::message::{Message, Trailer, all_watermarks};
+use {
+    forward::profile::{News, Pace, Shape},
+    proxy::message::{Message, Paces, Scope, ServicePaces, Trailer, all_watermarks},
+};
 
 /// A report, a sum and an answer as instances of the version before the trailer send them.
 const EARLIER: [&str; 3] = [
@@ -58,3 +61,45 @@
     let (_, trailer) = Message::decode(&data).expect("a message");
     assert_eq!(trailer, Trailer::default());
 }
+
+/// Guards against a message of paces that does not fit into a datagram, or says something else once it is decoded.
+#[test]
+fn largest_message_of_paces_fits_into_a_datagram() {
+    let mut shape = Shape {
+        expected_events: 50_000_000.0,
+        ..Shape::default()
+    };
+    for part in [&mut shape.calm, &mut shape.reading] {
+        part.events = 400_000.0;
+        part.classes.fill(4000.0);
+    }
+    let mut services = (0..4).map(|number| ServicePaces::new(u32::MAX - number, &shape));
+    let mut services = services.by_ref().collect::<Vec<_>>();
+    let mut sent = News::default();
+    for number in 0..56 {
+        let pace = Pace {
+            digest: u32::MAX - number,
+            pace_ms: 1999.0,
+            service: u32::MAX,
+            windows: 64.0,
+        };
+        services[0].add(pace);
+        sent.add(pace);
+    }
+    let paces = Paces {
+        name: "front-eu-west-a-100".to_string(),
+        scope: Scope::Known,
+        services,
+    };
+    let data = Message::Paces(paces)
+        .encode(&Trailer::default())
+        .expect("a message");
+    assert!(data.len() <= 1100, "{} bytes", data.len());
+    let (message, _) = Message::decode(&data).expect("a message");
+    let Message::Paces(received) = message else {
+        panic!("another message: {message:?}");
+    };
+    let received = received.news();
+    assert_eq!(received.rows(), sent.rows());
+    assert_eq!(received.shapes().last(), Some(&(u32::MAX, shape)));
+}
