--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -51,6 +51,7 @@
     /// Customers with a label of their own, sorted.
     held_customers: RefCell<Vec<String>>,
     loop_late: Histogram<f64>,
+    late_pauses: Counter<u64>,
     moves: Counter<u64>,
     parts: Counter<u64>,
     registry: Registry,
@@ -121,6 +122,10 @@
             ),
             held_customers: RefCell::default(),
             loop_late: histogram("loop_late_seconds", "how late the loop's timer was"),
+            late_pauses: counter(
+                "streams_paused",
+                "streams with a pause over what their route allows, by route",
+            ),
             moves: counter(
                 "runs_moved",
                 "generations that went on elsewhere, by outcome",
@@ -157,6 +162,12 @@
         })
     }
 
+    /// Records that a stream had a pause over what its route allows.
+    pub fn record_late_pause(&self, route: &str) {
+        self.late_pauses
+            .add(1, &[KeyValue::new("route", route.to_string())]);
+    }
+
     /// Records that a connection to an endpoint broke during a request.
     pub fn record_break(&self, service: &str) {
         self.breaks
