--- a/crates/forward/src/rollout/exposure.rs
+++ b/crates/forward/src/rollout/exposure.rs
@@ -5,10 +5,7 @@
 //! claim of a slot in the store's order owns it, and nobody sends without one. Part of the limit is
 //! a share of all requests, of which those count that have been published as evidence.
 
-use {
-    super::{ramp, record::Claim},
-    crate::prelude::*,
-};
+use {super::record::Claim, crate::prelude::*};
 
 /// Requests that the owner of a slot may send. At hundreds of instances, owners of larger slots get too
 /// few requests to use them up.
@@ -18,14 +15,6 @@
 /// version is rolled back.
 const SLOT_SHARE: f64 = 0.9;
 
-/// Time from the shift until a version that is bad under the load of all requests is rolled back at all
-/// instances.
-const ROLL_BACK_TIME: Duration = Duration::from_secs(1);
-
-/// Share of the requests beyond the share of all that slots use at least. With fewer requests a good version does
-/// not prove good.
-const MIN_SLOT_SHARE: f64 = 0.8;
-
 /// Limit of the requests to a version before it is judged, over all instances.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Limit {
@@ -49,23 +38,6 @@
     requests.saturating_sub(other) / SLOT_REQUESTS
 }
 
-/// Number of slots that leave as much of the limit of an order as arrives from the shift until a roll-back, and
-/// in the ramp, `rate` requests a second.
-#[must_use]
-pub fn slots_before_shift(limit: Limit, rate: f64, order: Duration) -> u32 {
-    let allowed = limit.requests + limit.share * rate * order.as_secs_f64();
-    let ramp = ramp::SHARE * ramp::MIN_TIME.as_secs_f64();
-    let later = rate * (ROLL_BACK_TIME.as_secs_f64() + ramp);
-    let requests = (allowed - later).max(limit.requests * MIN_SLOT_SHARE);
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a small number of requests; a cast saturates"
-    )]
-    let requests = requests as u32;
-    requests / SLOT_REQUESTS
-}
-
 /// Requests that this instance has sent to a version before its judgement.
 #[derive(Clone, Debug, Default)]
 pub struct Exposure {
--- a/crates/forward/src/rollout/mod.rs
+++ b/crates/forward/src/rollout/mod.rs
@@ -47,9 +47,6 @@
     /// Evidence of other instances, sorted by holder.
     evidence: Vec<Evidence>,
     exposure: Exposure,
-    /// Whether this instance judges that the target is bad. It sends nothing there then, without waiting for the
-    /// record of the roll-back.
-    is_condemned: bool,
     /// When this instance may next claim a slot; an earlier claim may not have been read back yet.
     next_claim: Time,
     /// `None` if there are answers that it does not take into account.
@@ -213,7 +210,6 @@
         self.ordered_at = now;
         self.stage_since = now;
         self.pending = None;
-        self.is_condemned = false;
         self.withdrawn = false;
         self.replaced.clear();
         self.drop_earlier_claims();
@@ -310,7 +306,6 @@
         };
         let access = match stage {
             _ if self.withdrawn => Access::Evacuate,
-            Stage::Shift if self.is_condemned => Access::Closed,
             Stage::Shift if !is_fresh => Access::Closed,
             Stage::Canary | Stage::Ramp => Access::Closed,
             Stage::Shift | Stage::Completed => Access::Open,
@@ -424,7 +419,6 @@
         let routes = rollout.own.iter().map(|tally| tally.route.as_str());
         matches!(rollout.stage(), Some(Stage::Canary | Stage::Ramp))
             && !rollout.withdrawn
-            && !rollout.is_condemned
             && self.is_fresh(now)
             && rollout.exposure.left(&rollout.claims, &self.holder) > 0
             && rollout
@@ -439,8 +433,7 @@
             return 0.0;
         };
         let is_over = now.since(rollout.stage_since) >= ramp::MAX_TIME;
-        let is_ramping =
-            rollout.stage() == Some(Stage::Ramp) && !rollout.withdrawn && !rollout.is_condemned;
+        let is_ramping = rollout.stage() == Some(Stage::Ramp) && !rollout.withdrawn;
         if is_over || !is_ramping || !self.is_fresh(now) {
             return 0.0;
         }
--- a/crates/forward/src/rollout/ramp.rs
+++ b/crates/forward/src/rollout/ramp.rs
@@ -15,7 +15,7 @@
 
 /// Share of all requests of the service. With more, a bad version passes its limit before evidence of the
 /// ramp is read everywhere.
-pub const SHARE: f64 = 0.2;
+const SHARE: f64 = 0.2;
 
 /// Slots whose owners send to the version. With fewer, they do not hold the share at hundreds of instances.
 const MAX_SENDERS: u32 = 64;
--- a/crates/forward/src/rollout/step.rs
+++ b/crates/forward/src/rollout/step.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Rollout, Rollouts,
-        exposure::{Limit, SLOT_REQUESTS, slots, slots_before_shift},
+        exposure::{SLOT_REQUESTS, slots},
         order::Order,
         ramp,
         record::{Claim, Content, Evidence, Published, Record, Stage, VersionStage},
@@ -29,9 +29,6 @@
 /// Number of instances that on average may claim a free slot in a period.
 const CONTENDERS: u32 = 2;
 
-/// Share of the time until the shift for which slots leave a reserve for it, unless the version is promising.
-const RESERVE_SHARE: f64 = 0.6;
-
 /// Time between two publications of evidence. The same for good and bad answers: if bad ones were
 /// published sooner, the sum over instances would look worse than the version is.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(300);
@@ -126,13 +123,11 @@
             let judgement = verdict::judge(&rollout.tallies(), surroundings.targets);
             rollout.judgement = Some(judgement);
         }
-        rollout.is_condemned =
-            rollout.judgement().verdict == Verdict::Bad && surroundings.alternatives > 0;
         rollout
             .next_decision(now, surroundings)
             .or_else(|| rollout.due_evidence(now, &holder, surroundings))
             .or_else(|| {
-                let slots = rollout.slots(now, limit);
+                let slots = slots(limit, rollout.published_answers(), rollout.ramp_answers());
                 let instances = u32::try_from(surroundings.instances.max(1)).unwrap_or(u32::MAX);
                 rollout.quota = (slots * SLOT_REQUESTS).div_ceil(instances);
                 rollout.due_claim(now, &holder, slots, surroundings)
@@ -356,24 +351,6 @@
         Some(Action::Append(self.record(Content::Claim(claim))))
     }
 
-    /// Number of slots that may be claimed. Those that the reserve for the shift takes up are free once the
-    /// version would be rolled back without them.
-    fn slots(&self, now: Time, limit: Limit) -> u32 {
-        let answers = self.published_answers();
-        let all = slots(limit, answers, self.ramp_answers());
-        let Some(order) = &self.order else {
-            return all;
-        };
-        let elapsed = now.since(self.ordered_at);
-        let is_open = self.judgement().verdict == Verdict::Open;
-        let is_late = elapsed >= order.canary_time().mul_f64(RESERVE_SHARE);
-        if (is_open && is_late) || elapsed >= order.canary_time() {
-            return all;
-        }
-        let rate = f64::from(answers) / elapsed.as_secs_f64().max(1.0);
-        all.min(slots_before_shift(limit, rate, order.duration))
-    }
-
     /// Requests to the service since the order that other instances know of.
     fn published_answers(&self) -> u32 {
         let evidence = self.evidence.iter().filter(|other| self.counts(other));
--- a/crates/forward/tests/rollouts/decisions.rs
+++ b/crates/forward/tests/rollouts/decisions.rs
@@ -6,7 +6,7 @@
         request::Ticket,
         rollout::{
             MAX_AGE,
-            exposure::{SLOT_REQUESTS, slots, slots_before_shift},
+            exposure::{SLOT_REQUESTS, slots},
             order::Order,
             record::{Claim, Content, Published, Record, Stage, VersionStage},
             step::Action,
@@ -425,76 +425,6 @@
     }
 }
 
-/// A version that is bad only under the load of all requests gets all of them until it is rolled back. If its canaries
-/// had used up the limit by then, it would pass it.
-#[test]
-fn canaries_leave_what_arrives_until_a_roll_back() {
-    let limit = Limit {
-        requests: 50.0,
-        share: 0.1,
-    };
-    for (rate, seconds) in [(20.0, 10), (60.0, 15), (100.0, 20), (140.0, 20)] {
-        let slots = slots_before_shift(limit, rate, Duration::from_secs(seconds));
-        let sent = f64::from(slots * SLOT_REQUESTS);
-        let allowed = 50.0 + 0.1 * rate * f64::from(u32::try_from(seconds).expect("small"));
-        // A fifth of the requests for a second, then all of them for a second.
-        assert!(sent + 1.2 * rate <= allowed, "{sent} of {allowed}");
-        assert!(sent >= 0.5 * limit.requests, "too few for a judgement");
-    }
-}
-
-/// The same for an instance that may claim slots. Once a version is still open late, the reserve is of no use: without
-/// further answers it is rolled back whatever it is.
-#[test]
-fn reserve_for_the_shift_is_given_up_for_a_version_that_is_still_open() {
-    let mut state = published_canary();
-    let key = listed(&state, "m1");
-    for number in 0..900_u64 {
-        state.observe(at(1000 + number * 4), key, "/draft/", Outcome::Answered(12));
-    }
-    // The first step publishes these answers.
-    confirm(&mut state, 4600);
-    assert!(state.next_rollout_action(at(4600), "e1").is_some());
-    for slot in 0..30 {
-        claim(&mut state, slot, "e2@1", u64::from(slot));
-    }
-    let mut claims = |from: u64| {
-        confirm(&mut state, from);
-        let actions = [0, 10].map(|later| state.next_rollout_action(at(from + later), "e1"));
-        actions.iter().flatten().any(|action| {
-            matches!(action, Action::Append(record) if matches!(record.content, Content::Claim(_)))
-        })
-    };
-    assert!(!claims(5000));
-    assert!(claims(7000));
-}
-
-/// The record of a roll-back is read up to a second after its evidence. Requests that an instance sends meanwhile to a
-/// version that it knows to be bad count against the limit.
-#[test]
-fn nothing_is_sent_to_a_version_that_this_instance_judges_bad() {
-    for stage in [Stage::Canary, Stage::Ramp, Stage::Shift] {
-        let mut state = published_canary();
-        for slot in 0..4 {
-            claim(&mut state, slot, HOLDER, u64::from(slot));
-        }
-        answer(&mut state, "m1", 2000, 100, Outcome::Answered(12));
-        reach(&mut state, 4000, "v2", ORDER, stage);
-        let sends = |state: &mut State, from: u64| {
-            confirm(state, from);
-            (from..from + 50).any(|millis| version(state, millis) == "n")
-        };
-        assert!(sends(&mut state, 4000), "{stage:?}");
-        for id in ["n1", "n2"] {
-            answer(&mut state, id, 4100, 30, Outcome::Failed);
-        }
-        confirm(&mut state, 4500);
-        let _not_recorded = state.next_rollout_action(at(4500), "e1");
-        assert!(!sends(&mut state, 4500), "{stage:?}");
-        assert_eq!(version(&mut state, 4600), "m", "{stage:?}");
-    }
-}
-
 /// Instances without a slot know of most requests. If they kept that to themselves, the limit would
 /// stay far below what it allows, and a good version would be rolled back for want of answers.
 #[test]
