rollout: split what is known of a rollout by what changes it and what it allows

What orders and records change moves to changes.rs, what may be sent to which version to access.rs; the mutations follow.

--- a/crates/forward/src/rollout/access.rs
+++ b/crates/forward/src/rollout/access.rs
@@ -1,6 +1,12 @@
 //! Which versions of a service take requests.
 
-use crate::prelude::*;
+use {
+    super::{Rollout, record::Stage},
+    crate::prelude::*,
+};
+
+/// Time that runs at other versions get to end by themselves after the shift.
+const RUN_GRACE: Duration = Duration::from_millis(600);
 
 /// What may be sent to endpoints of a version.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -53,3 +59,40 @@
         }
     }
 }
+
+impl Rollout {
+    /// What may be sent to which version; `is_fresh` if the knowledge of rollouts is.
+    pub(super) fn gate(&self, now: Time, is_fresh: bool) -> Gate<'_> {
+        let stage = self.stage();
+        let target = self.order.as_ref().map(|order| order.target.as_str());
+        let closed = self.versions.iter().filter(|known| {
+            known.stage != Stage::Completed && Some(known.version.as_str()) != target
+        });
+        let closed = closed.map(|known| known.version.as_str());
+        let replaced = self.replaced.iter().map(String::as_str);
+        let mut gate = Gate {
+            closed: closed.chain(replaced).collect(),
+            others: Access::Open,
+            target: None,
+        };
+        let (Some(target), Some(stage)) = (target, stage) else {
+            return gate;
+        };
+        let access = match stage {
+            _ if self.withdrawn => Access::Evacuate,
+            Stage::Shift if !is_fresh => Access::Closed,
+            Stage::Canary | Stage::Ramp => Access::Closed,
+            Stage::Shift | Stage::Completed => Access::Open,
+            Stage::RolledBack => Access::Evacuate,
+        };
+        if stage == Stage::Shift && access == Access::Open {
+            gate.others = if now.since(self.stage_since) >= RUN_GRACE {
+                Access::Evacuate
+            } else {
+                Access::Closed
+            };
+        }
+        gate.target = Some((target, access));
+        gate
+    }
+}
