--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -263,6 +263,7 @@
         skip.push(run.endpoint);
         let source = self.endpoints.get(run.endpoint)?;
         let loads = self.loads();
+        let queued = self.queued_moves(run.endpoint, source, &loads);
         let gate = self.gate(now, &service.name);
         self.cheapest_by(&skip, |key, endpoint| {
             if !self.eligible(now, endpoint, service, &gate) {
@@ -271,7 +272,7 @@
             let cross_domain = endpoint.listing.domain != source.listing.domain;
             let cost = self.cost(key, endpoint, service, run.need().into(), &loads)?;
             let cross_domain = if cross_domain {
-                CROSS_DOMAIN_MOVE_COST_MS
+                CROSS_DOMAIN_MOVE_COST_MS * queued
             } else {
                 0.0
             };
--- a/crates/forward/src/reserve.rs
+++ b/crates/forward/src/reserve.rs
@@ -20,10 +20,6 @@
 /// Minimum time in which runs of a leaving engine are copied to others.
 const MIN_NOTICE: Duration = Duration::from_millis(1500);
 
-/// How long a run of a leaving engine can wait for room, so that the rest of its notice suffices for the
-/// move. Runs like a new request that end within it free room that need not be kept.
-const MAX_WAIT: Duration = Duration::from_millis(750);
-
 /// Share of an engine's memory that new work uses at any rate.
 const MIN_NEW_SHARE: f64 = 0.5;
 
@@ -112,9 +108,7 @@
     fn room(&self, now: Time, busy: Duration) -> f64 {
         let held = self.occupancy;
         let soon = self.expected(now, busy).min(f64::from(held.engines));
-        let runs_end = (MAX_WAIT.as_secs_f64() / busy.as_secs_f64().max(0.001)).min(1.0);
-        let next = soon / f64::from(held.engines.max(1)) - runs_end;
-        let next = as_f64(held.staying) * next.max(0.0);
+        let next = as_f64(held.staying) / f64::from(held.engines.max(1)) * soon;
         let share = (busy.as_secs_f64() / MIN_NOTICE.as_secs_f64()).min(1.0);
         (next + as_f64(held.leaving) * share) * held.uncopied_share()
     }
--- a/crates/forward/src/state/room.rs
+++ b/crates/forward/src/state/room.rs
@@ -4,16 +4,24 @@
     super::State,
     crate::{
         choice::{MAX_TOKEN_TIME, Need, PREFILL_TOKENS_PER_MS},
+        endpoint::Load,
         feature::Feature,
         prelude::*,
         reserve::{self, Kept, Occupancy},
     },
+    slotmap::SecondaryMap,
 };
 
 impl State {
+    /// Whether new work leaves room free for runs that have to move.
+    #[must_use]
+    pub fn keeps_move_room(&self) -> bool {
+        self.settings.features.has(Feature::MoveRoom)
+    }
+
     /// Room that a new request leaves free for runs that have to move.
     pub(crate) fn kept_room(&mut self, now: Time, service: &str, need: Need) -> Kept {
-        if !self.settings.features.has(Feature::MoveRoom) || need == Need::default() {
+        if !self.keeps_move_room() || need == Need::default() {
             return Kept::default();
         }
         if self.reserve.is_outdated(now, service) {
@@ -24,6 +32,19 @@
         self.reserve.kept(now, service, busy)
     }
 
+    /// Number of moves from an engine that a longer one delays: they are queued on its link.
+    pub(crate) fn queued_moves(
+        &self,
+        key: EndpointKey,
+        endpoint: &Endpoint,
+        loads: &SecondaryMap<EndpointKey, Load>,
+    ) -> f64 {
+        if !self.keeps_move_room() {
+            return 1.0;
+        }
+        f64::from(self.load(key, endpoint, loads).requests.max(1))
+    }
+
     /// What the engines of a service hold.
     fn occupancy(&self, now: Time, service: &str) -> Occupancy {
         let loads = self.loads();
--- a/crates/forward/tests/reserve.rs
+++ b/crates/forward/tests/reserve.rs
@@ -25,9 +25,6 @@
 const LONG_BUSY: Duration = Duration::from_secs(8);
 const SHORT_BUSY: Duration = Duration::from_millis(300);
 
-/// How long a run of a leaving engine can wait for room: half of the shortest notice.
-const WAIT: Duration = Duration::from_millis(750);
-
 /// Five runs at each engine, without copies.
 const fn full() -> Occupancy {
     Occupancy {
@@ -66,13 +63,8 @@
     let now = at(4 * INTERVAL_MS - 100);
     reserve.update(now, SERVICE, full());
     let needed = f64::from(LEAVING) * 5.0 * RUN;
-    // Runs that end in the part of the notice in which a move can wait free room as well.
-    let freed = f64::from(ENGINES) * 5.0 * RUN * WAIT.div_duration_f64(LONG_BUSY);
     let room = kept(&reserve, now, LONG_BUSY);
-    assert!(
-        (room + freed - needed).abs() <= RUN,
-        "{room} and {freed} of {needed}"
-    );
+    assert!((room - needed).abs() <= RUN, "{room} of {needed}");
 }
 
 /// A short request has ended before the room is needed, so it need not wait for a departure that is
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -37,6 +37,9 @@
 /// Delay before a move is retried.
 const MOVE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// The same where no engine has room, of which new work leaves some free: whoever asks first gets it.
+const ROOM_RETRY_DELAY: Duration = Duration::from_millis(30);
+
 impl Relay {
     /// Handles the end of the engine's connection: it was stopped for a move, or failed.
     pub(super) async fn lost(
@@ -187,17 +190,36 @@
                 }
                 Ok(())
             }
-            TakeoverOutcome::Deferred(why) if self.broken.is_some() => {
-                self.fail_over(attempt, &why).await
-            }
             TakeoverOutcome::Deferred(why) => {
-                log::info!(id = self.original.inbound.id, why; "move put off");
-                self.next_move = clock::now().after(MOVE_RETRY_DELAY);
-                Ok(())
+                self.put_off_move(attempt, &why, MOVE_RETRY_DELAY).await
+            }
+            TakeoverOutcome::NoRoom => {
+                let delay = if self.shared.keeps_move_room() {
+                    ROOM_RETRY_DELAY
+                } else {
+                    MOVE_RETRY_DELAY
+                };
+                self.put_off_move(attempt, "no engine with room", delay)
+                    .await
             }
         }
     }
 
+    /// Leaves a run where it is until a move is tried again, or continues it from a copy if its engine is lost.
+    async fn put_off_move(
+        &mut self,
+        attempt: &mut Option<Attempt>,
+        why: &str,
+        delay: Duration,
+    ) -> Result<(), Ending> {
+        if self.broken.is_some() {
+            return self.fail_over(attempt, why).await;
+        }
+        log::info!(id = self.original.inbound.id, why; "move put off");
+        self.next_move = clock::now().after(delay);
+        Ok(())
+    }
+
     /// Relays the events that a stopped run had already sent.
     async fn last_events(&mut self) -> Result<(), Ending> {
         while let Ok(Ok(Some(chunk))) =
--- a/crates/proxy/src/relocate.rs
+++ b/crates/proxy/src/relocate.rs
@@ -22,6 +22,10 @@
 /// How long an abandoned run is waited for, which must not hold the state of its engine forever.
 const ABANDONED_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time from which on a refused move shows that the engine which has the run could not reach the other one: whether
+/// there is room is known at once. Runs that are moved later would lose the same time of their notice.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Size limit of an engine's response to a move.
 const MAX_ANSWER_BYTES: usize = 1 << 16;
 
@@ -41,6 +45,8 @@
 pub enum MoveOutcome {
     /// The run stays where it is, for this reason; the move may be retried.
     Deferred(String),
+    /// No other engine has room; the move may be retried as soon as one has.
+    NoRoom,
     /// The copy is complete; the run continues where it is until it is taken over.
     Ready(RunCopy),
 }
@@ -71,7 +77,7 @@
     loop {
         gossip::report::refresh(shared).await;
         let Some(ends) = pick_ends(shared, run, &tried) else {
-            return MoveOutcome::Deferred("no engine with room".to_string());
+            return MoveOutcome::NoRoom;
         };
         if let Some(run) = shared.state.borrow_mut().run_mut(run) {
             run.target = Some(ends.target_key);
@@ -79,7 +85,8 @@
         let started_at = clock::now();
         let result = call(shared, &ends, id, false).await;
         let result = result.map_err(|failure| failure.why);
-        log::info!(id, ms = clock::now().since(started_at).as_millis(), result:?; "copied");
+        let took = clock::now().since(started_at);
+        log::info!(id, ms = took.as_millis(), result:?; "copied");
         return match result {
             Ok(MoveResult::Copied { handle, .. }) => MoveOutcome::Ready(RunCopy {
                 address: ends.source,
@@ -87,6 +94,9 @@
                 key: ends.target_key,
             }),
             Ok(MoveResult::Refused(_)) => {
+                if took >= REFUSAL_TIMEOUT && shared.keeps_move_room() {
+                    shared.mark_unreachable(ends.target_key);
+                }
                 tried.push(ends.target_key);
                 continue;
             }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -362,6 +362,11 @@
 }
 
 impl Shared {
+    /// Whether new work leaves room free for runs that have to move.
+    pub fn keeps_move_room(&self) -> bool {
+        self.state.borrow().keeps_move_room()
+    }
+
     /// Whether to accept a new connection of a caller.
     pub fn accepts_connection(&self) -> bool {
         let (now, open) = (clock::now(), self.connections.get());
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -45,6 +45,8 @@
     Opened(Box<Opened>),
     /// The run stays where it is, for this reason; a move may be retried.
     Deferred(String),
+    /// No other engine has room; the run stays where it is.
+    NoRoom,
     /// The copy is complete, but its engine does not answer; the run stays where it is.
     Silent(RunCopy),
     /// The other engine has not confirmed or refused the takeover.
@@ -118,6 +120,7 @@
         let id = &self.original.inbound.id;
         match relocate::move_run(&self.shared, self.run, id).await {
             MoveOutcome::Deferred(why) => TakeoverOutcome::Deferred(why),
+            MoveOutcome::NoRoom => TakeoverOutcome::NoRoom,
             MoveOutcome::Ready(copy) => self.open_within_overlap(&copy, "copied").await,
         }
     }
