Read the engine that leaves until the one that takes over speaks (move_room)

Cause: the old engine's events were dropped with the head of the new engine's answer, before its first event. Change: within the 250 ms for which both may run, the old engine is read on until the new one has sent something; only where events carry numbers, by which those that both make are told apart. Not measured yet.

--- a/crates/forward/tests/reserve.rs
+++ b/crates/forward/tests/reserve.rs
@@ -207,3 +207,42 @@
         Pick::Send(..)
     ));
 }
+
+/// Several runs wait for the link of an engine that leaves, and each copy to another domain takes
+/// twice as long: the last of them would not be through within the notice.
+#[test]
+fn moves_stay_in_the_domain_while_several_wait_for_the_link() {
+    let chosen = |features: Features| {
+        let listed = [
+            listing("m1", "model", "a"),
+            listing("m2", "model", "a"),
+            listing("m3", "model", "b"),
+        ];
+        let mut state = instance(&listed);
+        state.update_settings(Settings {
+            features,
+            ..settings("b")
+        });
+        let key = |name: &str, state: &State| {
+            let found = state
+                .endpoints()
+                .find(|(_, known)| known.listing.id == name);
+            found.map(|(key, _)| key).expect("the engine is listed")
+        };
+        let (source, near) = (key("m1", &state), key("m2", &state));
+        let mut runs = Vec::new();
+        for endpoint in [[source; 6], [near; 6]].concat() {
+            let run = begin_run(&mut state, endpoint, None);
+            // Its prompt has been read.
+            state.run_mut(run).expect("the run goes on").events = 1;
+            runs.push(run);
+        }
+        let mut leaving = listing("m1", "model", "a");
+        leaving.leaving = true;
+        state.change(at(100), Change::Set(leaving));
+        let target = state.pick_target(at(110), runs[0], &[]);
+        id(&state, target.expect("two engines have room"))
+    };
+    assert_eq!(chosen(Features::new(vec![Feature::MoveRoom])), "m2");
+    assert_eq!(chosen(Features::default()), "m3");
+}
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -334,7 +334,7 @@
         tokio::select! {
             biased;
             () = self.out.closed() => Step::CallerLeft,
-            chunk = self.source.answer.chunk(), if is_open => self.events(chunk),
+            chunk = self.source.chunk(), if is_open => self.events(chunk),
             settled = attempt::settled(attempt) => Step::Settled(settled),
             settled = attempt::settled(&mut self.stopping) => Step::SettledStop(settled),
             () = self.shared.stopped(&self.original, events) => Step::Stopped,
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -222,9 +222,7 @@
 
     /// Relays the events that a stopped run had already sent.
     async fn last_events(&mut self) -> Result<(), Ending> {
-        while let Ok(Ok(Some(chunk))) =
-            timeout(LAST_EVENTS_TIMEOUT, self.source.answer.chunk()).await
-        {
+        while let Ok(Ok(Some(chunk))) = timeout(LAST_EVENTS_TIMEOUT, self.source.chunk()).await {
             let Ok(blocks) = self.source.splitter.feed(chunk) else {
                 break;
             };
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -290,6 +290,7 @@
             headers,
             source: takeover::EventSource {
                 answer,
+                early: None,
                 splitter,
                 key,
                 sent_at,
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -30,6 +30,8 @@
 pub struct EventSource {
     /// The engine's response, whose body is still being read.
     pub answer: endpoint::client::Reply,
+    /// What was read of the body while the previous engine was still running.
+    pub early: Option<Result<Option<Bytes>, endpoint::Error>>,
     /// Splits the body into events.
     pub splitter: EventSplitter,
     /// The engine.
@@ -38,6 +40,20 @@
     pub sent_at: Time,
 }
 
+impl EventSource {
+    /// Reads the next part of the body; `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// The connection failed.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, endpoint::Error> {
+        match self.early.take() {
+            Some(early) => early,
+            None => self.answer.chunk().await,
+        }
+    }
+}
+
 /// Result of a move or takeover.
 #[derive(Debug)]
 pub enum TakeoverOutcome {
@@ -149,12 +165,27 @@
             Ok(opened) => opened,
         };
         match opened {
-            Ok(opened) => TakeoverOutcome::Opened(Box::new(opened)),
+            Ok(mut opened) => {
+                self.await_first_event(&mut opened.source).await;
+                TakeoverOutcome::Opened(Box::new(opened))
+            }
             Err(Failure::NotRun(why)) => TakeoverOutcome::Deferred(why),
             Err(Failure::Unknown(_)) => TakeoverOutcome::Unknown(copy.key),
         }
     }
 
+    /// Waits for the first part of the other engine's body while the events of the previous one are still read, for
+    /// which the caller would otherwise wait without any.
+    async fn await_first_event(&self, source: &mut EventSource) {
+        // Events that both engines make are told apart by their numbers.
+        let is_numbered = self.last_event.borrow().as_deref().is_some_and(is_number);
+        if !self.shared.keeps_move_room() || !is_numbered || !self.is_connected.get() {
+            return;
+        }
+        let left = MAX_OVERLAP.saturating_sub(clock::now().since(source.sent_at));
+        source.early = timeout(left, source.answer.chunk()).await.ok();
+    }
+
     /// Asks an engine to continue from a copy.
     ///
     /// # Errors
@@ -218,6 +249,7 @@
                     backup,
                     source: EventSource {
                         answer,
+                        early: None,
                         splitter: EventSplitter::default(),
                         key,
                         sent_at: started_at,
@@ -258,3 +290,7 @@
         result
     }
 }
+
+fn is_number(id: &str) -> bool {
+    id.parse::<u64>().is_ok()
+}
