--- a/crates/forward/src/config.rs
+++ b/crates/forward/src/config.rs
@@ -199,6 +199,12 @@
         None
     }
 
+    /// All services, sorted by name.
+    #[must_use]
+    pub fn services(&self) -> &[Service] {
+        &self.services
+    }
+
     /// Name of the customer whose name has this digest.
     #[must_use]
     pub fn customer_by_digest(&self, digest: u32) -> Option<&str> {
--- a/crates/forward/src/fairness.rs
+++ b/crates/forward/src/fairness.rs
@@ -71,6 +71,8 @@
 /// Room of a service, in the unit of [`cost`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Capacity {
+    /// Share of the service's room that is in use, from 0 to 1.
+    pub fill: f64,
     /// Room that requests may take at the same time without others having to wait.
     pub room: f64,
     /// Digest of the service's name.
@@ -161,7 +163,7 @@
         for capacity in capacities {
             if self.usual.observed(capacity.service) >= MIN_OBSERVATION {
                 let demands = self.demands(&whole, capacity.service);
-                holds.extend(level::holds(&demands, capacity.room));
+                holds.extend(level::holds(&demands, capacity.room, capacity.fill));
             }
         }
         holds.sort_unstable_by_key(|hold| hold.key);
--- a/crates/forward/src/fairness/level.rs
+++ b/crates/forward/src/fairness/level.rs
@@ -2,6 +2,12 @@
 
 use super::Key;
 
+/// Share of a service's room in use from which on customers that press get less than the estimate of what
+/// is left, and share at which they get no more than usual. The estimate knows neither copies of runs nor
+/// engines that are slower than others.
+const CROWDED_FILL: f64 = 0.7;
+const FULL_FILL: f64 = 0.9;
+
 /// Growth of a customer's demand, relative to that of all others together, from which on it presses.
 const PRESSING_GROWTH: f64 = 2.0;
 
@@ -38,10 +44,14 @@
 /// demand has grown far more than that of the others are held to it: if all ask for more, no one's share is
 /// in the way of another's.
 #[must_use]
-pub fn holds(demands: &[Demand], room: f64) -> Vec<Hold> {
-    let Some(level) = water_level(demands, room) else {
+pub fn holds(demands: &[Demand], room: f64, fill: f64) -> Vec<Hold> {
+    let left = ((FULL_FILL - fill) / (FULL_FILL - CROWDED_FILL)).clamp(0.0, 1.0);
+    let Some(level) = water_level(demands, room * left) else {
         return Vec::new();
     };
+    // What is usual fits, unless all ask for more than the room.
+    let entitled = water_level(demands, room).map_or(1.0, |level| level.min(1.0));
+    let level = level.max(entitled);
     let offered = demands.iter().map(|demand| demand.offered).sum::<f64>();
     let usual = demands.iter().map(|demand| demand.usual).sum::<f64>();
     let mut holds = Vec::new();
--- a/crates/forward/src/state/shares.rs
+++ b/crates/forward/src/state/shares.rs
@@ -4,6 +4,7 @@
     super::State,
     crate::{
         choice::Need,
+        endpoint::Load,
         fairness::{Capacity, Change, Key, cost},
         feature::Feature,
         load::digest,
@@ -73,33 +74,44 @@
         self.shares.update(now, &capacities, instances)
     }
 
-    /// Room of all services: their usable engines, or slots of plain endpoints. Sorted by service.
+    /// Room of all services, and how much of it is in use: their usable engines, or slots of plain
+    /// endpoints.
     fn share_capacities(&self, now: Time) -> Vec<Capacity> {
-        let mut rooms = Vec::<(&str, f64)>::new();
-        for endpoint in self.endpoints.values() {
-            let listing = &endpoint.listing;
-            if !endpoint.usable(now) || self.is_disabled(&listing.domain) {
-                continue;
-            }
-            let service = listing.service.as_str();
-            let is_engine = self
-                .service(service)
-                .is_some_and(|service| service.engine.is_some());
-            let room = if is_engine {
-                ENGINE_ROOM
-            } else {
-                f64::from(listing.slots) * SLOT_ROOM
-            };
-            match rooms.binary_search_by(|(other, _)| (*other).cmp(service)) {
-                Ok(index) => rooms[index].1 += room,
-                Err(index) => rooms.insert(index, (service, room)),
+        let loads = self.loads();
+        let services = self.config.as_ref().map_or(&[][..], Config::services);
+        let mut capacities = Vec::new();
+        for service in services {
+            let (mut used, mut room) = (0.0, 0.0);
+            for (key, endpoint) in &self.endpoints {
+                let listing = &endpoint.listing;
+                let is_listed = listing.service == service.name && endpoint.usable(now);
+                if !is_listed || self.is_disabled(&listing.domain) {
+                    continue;
+                }
+                match service.engine {
+                    Some(engine) => {
+                        used += engine_fill(engine, self.load(key, endpoint, &loads));
+                        room += ENGINE_ROOM;
+                    }
+                    None => room += f64::from(listing.slots) * SLOT_ROOM,
+                }
             }
+            capacities.push(Capacity {
+                fill: if room > 0.0 {
+                    used * ENGINE_ROOM / room
+                } else {
+                    0.0
+                },
+                room,
+                service: digest(&service.name),
+            });
         }
-        let rooms = rooms.into_iter();
-        let rooms = rooms.map(|(service, room)| Capacity {
-            room,
-            service: digest(service),
-        });
-        rooms.collect()
+        capacities
     }
 }
+
+/// Share of an engine that is in use: of its KV cache or of its slots, whichever is larger.
+fn engine_fill(engine: Engine, load: Load) -> f64 {
+    let memory = f64::from(load.tokens) / f64::from(engine.kv_tokens.max(1));
+    memory.max(f64::from(load.requests) / f64::from(engine.slots.max(1)))
+}
