--- a/crates/forward/tests/customers.rs
+++ b/crates/forward/tests/customers.rs
@@ -7,7 +7,8 @@
     forward::fairness::{
         Capacity, Key, Shares,
         rates::{Row, add_rows, heaviest},
-        sums::{Report, Scope},
+        sums::{Report, Scope, Sums},
+        usual::Usual,
     },
     rand::{RngExt as _, SeedableRng as _, rngs::SmallRng},
     std::{collections::VecDeque, time::Duration},
@@ -592,3 +593,59 @@
     assert_eq!(mild_from, hard_from);
     assert!(mild_to < hard_to);
 }
+
+fn row(customer: u32, offered: f64) -> Row {
+    Row {
+        key: key(customer),
+        offered,
+        requests: 20,
+    }
+}
+
+/// A member's requests are in the total of its aggregator, which is older than what the member knows itself.
+#[test]
+fn member_counts_its_own_requests_once() {
+    let mut sums = Sums::default();
+    let now = at(5000);
+    sums.record_report(7, vec![row(1, 10.0)]);
+    let total = report(3, 1, 60, &[row(1, 30.0)], Scope::All(7));
+    sums.update(now, "a", "aggregator", total);
+    let (whole, members) = sums.whole(now, &[row(1, 12.0)]);
+    assert_eq!((whole[0].offered, members), (32.0, 60));
+    let late = report(3, 2, 60, &[row(1, 90.0)], Scope::All(6));
+    sums.update(now, "a", "aggregator", late);
+    assert_eq!(sums.whole(now, &[row(1, 12.0)]), (whole, 60));
+}
+
+/// Both aggregators of a domain report it, and some of its instances did so directly a moment before; each
+/// request counts once.
+#[test]
+fn domain_counts_once() {
+    let mut sums = Sums::default();
+    let now = at(5000);
+    for sender in ["first", "second"] {
+        let sum = report(1, 1, 40, &[row(1, 20.0)], Scope::Domain);
+        sums.update(now, "b", sender, sum);
+        let own = report(1, 1, 1, &[row(1, 5.0)], Scope::Instance);
+        sums.update(now, "b", sender, own);
+    }
+    let own = report(1, 1, 1, &[row(1, 2.0)], Scope::Instance);
+    sums.update(now, "a", "neighbour", own);
+    let (whole, members) = sums.whole(now, &[row(1, 1.0)]);
+    assert_eq!((whole[0].offered, members), (23.0, 42));
+    let (domain, members) = sums.domain(now, "a", &[row(1, 1.0)]);
+    assert_eq!((domain[0].offered, members), (3.0, 2));
+}
+
+/// A customer that presses for long must not become entitled to it.
+#[test]
+fn pressing_does_not_become_usual() {
+    let mut usual = Usual::default();
+    for tick in 1..=300 {
+        let is_pressing = tick > 200;
+        let mut rows = vec![row(1, if is_pressing { 25.0 } else { 1.0 }), row(2, 1.0)];
+        rows.sort_by_key(|row| row.key);
+        usual.observe(at(tick * 100), &rows);
+    }
+    assert!(usual.of(key(1)) < 2.0, "{}", usual.of(key(1)));
+}
--- a/crates/proxy/src/gossip/customers.rs
+++ b/crates/proxy/src/gossip/customers.rs
@@ -29,7 +29,7 @@
 const CALM_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Maximum number of rows in a message, so that it fits into a datagram of 1,100 bytes.
-const MAX_ROWS: usize = 64;
+pub const MAX_ROWS: usize = 60;
 
 /// Unit of the encoding of what customers ask for.
 const UNITS: f64 = 10_000.0;
--- a/crates/proxy/tests/messages.rs
+++ b/crates/proxy/tests/messages.rs
@@ -1,6 +1,9 @@
 //! Messages between instances of different versions.
 
-use proxy::message::{Message, Trailer, all_watermarks};
+use proxy::{
+    gossip::customers::MAX_ROWS,
+    message::{Customers, Message, Scope, Trailer, all_watermarks},
+};
 
 /// A report, a sum and an answer as instances of the version before the trailer send them.
 const EARLIER: [&str; 3] = [
@@ -58,3 +61,25 @@
     let (_, trailer) = Message::decode(&data).expect("a message");
     assert_eq!(trailer, Trailer::default());
 }
+
+/// A message that does not fit into a datagram is lost, with all that it says of customers.
+#[test]
+fn customers_of_four_services_fit_into_a_datagram() {
+    let rows = MAX_ROWS / 4;
+    let row = (u32::MAX, 20_000_000, 100_000, 20_000_000);
+    let services = (0..4).map(|index| (u32::MAX - index, 30_000, vec![row; rows]));
+    let customers = Customers {
+        incarnation: u64::MAX,
+        members: 320,
+        name: "entry-instance-of-a-long-name-0001".to_string(),
+        number: 1 << 52,
+        scope: Scope::All(u64::MAX, 1 << 52),
+        services: services.collect(),
+    };
+    let message = Message::Customers(customers);
+    let encoded = message.encode(&Trailer::default()).expect("a message");
+    assert!(encoded.len() <= 1100, "{}", encoded.len());
+    let (decoded, _) = Message::decode(&encoded).expect("a message");
+    let again = decoded.encode(&Trailer::default()).expect("a message");
+    assert_eq!(again, encoded);
+}
