--- a/crates/forward/src/config.rs
+++ b/crates/forward/src/config.rs
@@ -208,6 +208,12 @@
         })
     }
 
+    /// All services, sorted by name.
+    #[must_use]
+    pub fn services(&self) -> &[Service] {
+        &self.services
+    }
+
     /// Name of the customer whose name has this digest.
     #[must_use]
     pub fn customer_by_digest(&self, digest: u32) -> Option<&str> {
--- a/crates/proxy/tests/messages.rs
+++ b/crates/proxy/tests/messages.rs
@@ -2,7 +2,10 @@
 
 use {
     forward::profile::{News, Pace, Shape},
-    proxy::message::{Message, Paces, Scope, ServicePaces, Trailer, all_watermarks},
+    proxy::{
+        gossip::customers::MAX_ROWS,
+        message::{Message, Paces, Scope, ServicePaces, Trailer, all_watermarks, customers},
+    },
 };
 
 /// A report, a sum and an answer as instances of the version before the trailer send them.
@@ -103,3 +106,25 @@
     assert_eq!(received.rows(), sent.rows());
     assert_eq!(received.shapes().last(), Some(&(u32::MAX, shape)));
 }
+
+/// A message that does not fit into a datagram is lost, with all that it says of customers.
+#[test]
+fn customers_of_four_services_fit_into_a_datagram() {
+    let rows = MAX_ROWS / 4;
+    let row = (u32::MAX, 20_000_000, 100_000, 20_000_000);
+    let services = (0..4).map(|index| (u32::MAX - index, 30_000, vec![row; rows]));
+    let message = customers::Customers {
+        incarnation: u64::MAX,
+        members: 320,
+        name: "entry-instance-of-a-long-name-0001".to_string(),
+        number: 1 << 52,
+        scope: customers::Scope::All(u64::MAX, 1 << 52),
+        services: services.collect(),
+    };
+    let message = Message::Customers(message);
+    let encoded = message.encode(&Trailer::default()).expect("a message");
+    assert!(encoded.len() <= 1100, "{}", encoded.len());
+    let (decoded, _) = Message::decode(&encoded).expect("a message");
+    let again = decoded.encode(&Trailer::default()).expect("a message");
+    assert_eq!(again, encoded);
+}
