--- a/crates/explain/src/request.rs
+++ b/crates/explain/src/request.rs
@@ -127,6 +127,7 @@
             "complete" if late(line.gap_ms, line.pause_ms) => Cause::LatePause,
             "complete" => Cause::Answered,
             "lost" => self.loss_cause(line),
+            "let_go" => Cause::Ended(format!("let_go, {}", line.why)),
             other => Cause::Ended(other.to_string()),
         }
     }
--- a/crates/explain/tests/causes.rs
+++ b/crates/explain/tests/causes.rs
@@ -88,3 +88,18 @@
         "{text}"
     );
 }
+
+/// On-call engineers need to tell callers that vanished from an instance that is short of memory.
+#[test]
+fn streams_that_are_let_go_say_why() {
+    let lines = [
+        r#"{"t":1000,"event":"stream ended","id":"r1","outcome":"let_go","why":"not_read"}"#,
+        r#"{"t":1000,"event":"stream ended","id":"r2","outcome":"let_go","why":"out_of_memory"}"#,
+    ];
+    let causes = causes(&lines).into_iter().map(|(cause, _)| cause);
+    let causes = causes.collect::<Vec<_>>();
+    for reason in ["not_read", "out_of_memory"] {
+        let found = causes.iter().filter(|cause| cause.contains(reason));
+        assert_eq!(found.count(), 1, "{causes:?}");
+    }
+}
