Engine profiles: a spell that many streams see counts four windows

Callers would have seen some of equal engines hardly used and others crowded: in the history of 300 instances over 88 engines that are alike, the busiest got 1.95 times the mean (1.55 without the feature), and a few got one or two of 18. Cause: all streams at an engine see the same slow spell, and each of its windows counted as evidence of its own. Change: a second counts four windows an engine; evidence is at most 24 windows and halves in 5 s.

--- a/crates/forward/src/profile.rs
+++ b/crates/forward/src/profile.rs
@@ -18,13 +18,20 @@
 
 /// Time after which evidence counts half. Long enough for several slow spells, so that none of them decides,
 /// and short enough to learn of a lasting change while streams run.
-const HALF_LIFE: Duration = Duration::from_secs(10);
+const HALF_LIFE: Duration = Duration::from_secs(5);
 
 /// Number of windows at which the evidence on an engine counts as much as what is usual.
 const PRIOR_WINDOWS: f64 = 4.0;
 
 /// Maximum evidence on an engine, in windows. What it did earlier is outweighed by twice as many new ones.
-const MAX_WINDOWS: f64 = 64.0;
+const MAX_WINDOWS: f64 = 24.0;
+
+/// Maximum evidence on an engine from one [`SPELL`], in windows. However many streams an engine has, they all see the same
+/// spell, which must not make it count as slow.
+const MAX_SPELL_WINDOWS: f64 = 4.0;
+
+/// Time in which a slow spell begins and ends.
+const SPELL: Duration = Duration::from_secs(1);
 
 /// Evidence below which an engine is forgotten, in windows.
 const MIN_WINDOWS: f64 = 0.05;
@@ -68,9 +75,22 @@
     /// Whether it has changed since it was last sent to members.
     is_changed: bool,
     row: Pace,
+    /// Since when [`Self::spell_windows`] are counted.
+    spell_from: Time,
+    spell_windows: f64,
 }
 
 impl Entry {
+    const fn new(now: Time, row: Pace) -> Self {
+        Self {
+            aged_at: now,
+            is_changed: true,
+            row,
+            spell_from: now,
+            spell_windows: 0.0,
+        }
+    }
+
     fn at(&self, now: Time) -> Pace {
         let windows = self.row.windows * remaining_share(now.since(self.aged_at));
         Pace {
@@ -79,6 +99,20 @@
         }
     }
 
+    /// Adds observations, as far as they are not of the same spell as others.
+    fn add(&mut self, now: Time, mut row: Pace) {
+        if now.since(self.spell_from) >= SPELL {
+            self.spell_from = now;
+            self.spell_windows = 0.0;
+        }
+        row.windows = row.windows.min(MAX_SPELL_WINDOWS - self.spell_windows);
+        self.spell_windows += row.windows;
+        self.age(now);
+        self.row.add(row);
+        self.row.windows = self.row.windows.min(MAX_WINDOWS);
+        self.is_changed = true;
+    }
+
     fn age(&mut self, now: Time) {
         self.row = self.at(now);
         self.aged_at = now;
@@ -138,36 +172,27 @@
 impl Profiles {
     /// Adds observations of an engine.
     pub fn add(&mut self, now: Time, row: Pace) {
-        match self.find(row.digest) {
-            Ok(index) => {
-                let entry = &mut self.entries[index];
-                entry.age(now);
-                entry.row.add(row);
-                entry.row.windows = entry.row.windows.min(MAX_WINDOWS);
-                entry.is_changed = true;
-            }
-            Err(index) => {
-                let entry = Entry {
-                    aged_at: now,
-                    is_changed: true,
-                    row,
-                };
-                self.entries.insert(index, entry);
-            }
-        }
+        let index = self.find(row.digest).unwrap_or_else(|index| {
+            let unknown = Pace {
+                windows: 0.0,
+                ..row
+            };
+            self.entries.insert(index, Entry::new(now, unknown));
+            index
+        });
+        self.entries[index].add(now, row);
     }
 
     /// Replaces what is known of an engine by what an aggregator knows, if that is more.
-    pub fn learn(&mut self, now: Time, row: Pace) {
-        let found = self.find(row.digest);
-        if let Ok(index) = found
-            && self.entries[index].at(now).windows <= row.windows
-        {
-            self.entries.remove(index);
-        } else if found.is_ok() {
-            return;
+    pub fn learn(&mut self, now: Time, mut row: Pace) {
+        row.windows = row.windows.min(MAX_WINDOWS);
+        match self.find(row.digest) {
+            Err(index) => self.entries.insert(index, Entry::new(now, row)),
+            Ok(index) if self.entries[index].at(now).windows <= row.windows => {
+                self.entries[index] = Entry::new(now, row);
+            }
+            Ok(_) => {}
         }
-        self.add(now, row);
     }
 
     /// Adds intervals of streams of a service.
--- a/crates/forward/tests/profile_histories.rs
+++ b/crates/forward/tests/profile_histories.rs
@@ -19,7 +19,7 @@
 const GAP: Duration = Duration::from_millis(180);
 
 /// Target time to the first event.
-const TARGET_MS: u64 = 1800;
+const TARGET: Duration = Duration::from_millis(1800);
 
 /// Time after which instances are expected to know the engines: a long stream's length, so that one stream that suffers is
 /// enough.
@@ -28,8 +28,23 @@
 /// Age of the load that instances know of each other.
 const LOAD_AGE_MS: u64 = 100;
 
+/// Time between two messages on what engines do.
+const NEWS_MS: u64 = 1000;
+
 const STEP_MS: u64 = 5;
 
+/// How much longer an event takes beside a prompt.
+const PREFILL_FACTOR: f64 = 2.0;
+
+/// How much longer everything takes in a slow spell.
+const SPELL_FACTOR: f64 = 2.5;
+
+/// Length of a slow spell.
+const SPELL_MS: u64 = 600;
+
+/// Share of the time that engines are in a slow spell.
+const SPELL_SHARE: f64 = 0.15;
+
 /// Time of an event at a fast engine without load, in milliseconds.
 const FAST_MS: f64 = 18.0;
 
@@ -52,12 +67,14 @@
     began_ms: u64,
     engine: usize,
     events: u32,
-    first_late: bool,
     instance: usize,
+    is_long: bool,
     is_paused: bool,
-    last_ms: f64,
+    key: EndpointKey,
+    last_at: Option<Time>,
     length: u32,
-    next_ms: f64,
+    /// When the next event is due; `None` while the prompt is read.
+    next_at: Option<Time>,
     run: RunKey,
     window: Window,
 }
@@ -91,8 +108,6 @@
     first_late: usize,
     /// No engine had room.
     refused: usize,
-    /// Longest time that prompts of an engine took together, in milliseconds.
-    longest_queue_ms: f64,
     /// Choices by engine.
     choices: Vec<usize>,
 }
@@ -103,7 +118,7 @@
         (0..scene.engines).map(|number| listing(&format!("m{number}"), "model", domain(number)));
     let engines = engines.collect::<Vec<_>>();
     let states = (0..scene.instances).map(|number| {
-        let seed = scene.seed * 1000 + number as u64;
+        let seed = scene.seed * 1000 + u64::try_from(number).expect("a small number");
         let mut state = instance_in(domain(number), seed, &engines);
         let mut settings = settings(domain(number));
         if scene.is_on {
@@ -176,191 +191,230 @@
     }
 }
 
+/// A scene while it is played.
+struct World {
+    engines: Vec<SimEngine>,
+    /// Load of all instances as of some time ago.
+    old_loads: Vec<(u32, Load)>,
+    outcome: Outcome,
+    random: SmallRng,
+    scene: Scene,
+    states: Vec<State>,
+    streams: Vec<Option<Stream>>,
+}
+
 fn play(scene: &Scene) -> Outcome {
-    let mut random = SmallRng::seed_from_u64(scene.seed);
-    let mut states = states(scene);
-    let mut outcome = Outcome {
-        choices: vec![0; scene.engines],
-        ..Outcome::default()
-    };
-    let fast = |number: usize| scene.fast_each == 0 || number % scene.fast_each == 0;
-    let mut engines = (0..scene.engines)
-        .map(|number| SimEngine {
-            pace_ms: if fast(number) { FAST_MS } else { SLOW_MS },
+    let mut world = World::new(scene);
+    let mut now = 0;
+    while now < scene.length_ms {
+        world.change(now);
+        for is_long in [true, false] {
+            for _ in 0..world.arrivals() {
+                world.arrive(now, is_long);
+            }
+        }
+        world.read_prompts(now);
+        for index in 0..world.streams.len() {
+            world.produce(now, index);
+        }
+        now += STEP_MS;
+    }
+    world.outcome
+}
+
+impl World {
+    fn new(scene: &Scene) -> Self {
+        let engines = (0..scene.engines).map(|number| SimEngine {
+            pace_ms: if scene.is_fast(number) {
+                FAST_MS
+            } else {
+                SLOW_MS
+            },
             prompts: Vec::new(),
             in_spell: false,
-        })
-        .collect::<Vec<_>>();
-    let mut streams = Vec::<Option<Stream>>::new();
-    let mut old_loads = Vec::new();
-    // Half of what the fast engines can hold of long streams, and as many short ones.
-    let fast_engines = (0..scene.engines).filter(|number| fast(*number)).count();
-    let long_each_s = if scene.fast_each == 0 {
-        0.3 * scene.engines as f64
-    } else {
-        1.2 * fast_engines as f64
-    };
-    for now in (0..scene.length_ms).step_by(usize::try_from(STEP_MS).expect("small")) {
-        if scene.turn_ms == Some(now) {
-            for engine in &mut engines {
+        });
+        Self {
+            engines: engines.collect(),
+            old_loads: Vec::new(),
+            outcome: Outcome {
+                choices: vec![0; scene.engines],
+                ..Outcome::default()
+            },
+            random: SmallRng::seed_from_u64(scene.seed),
+            scene: scene.clone(),
+            states: states(scene),
+            streams: Vec::new(),
+        }
+    }
+
+    /// Spells, lasting changes, and what instances tell each other.
+    fn change(&mut self, now: u64) {
+        if self.scene.turn_ms == Some(now) {
+            for engine in &mut self.engines {
                 engine.pace_ms = FAST_MS + SLOW_MS - engine.pace_ms;
             }
         }
-        if now % 600 == 0 {
-            for engine in &mut engines {
-                engine.in_spell = random.random_bool(0.15);
+        if now.is_multiple_of(SPELL_MS) {
+            for engine in &mut self.engines {
+                engine.in_spell = self.random.random_bool(SPELL_SHARE);
             }
         }
-        if now % 1000 == 0 && scene.is_on {
-            exchange_news(&mut states, now);
-        }
-        if now % 1000 == 0 {
-            for state in &mut states {
+        if now.is_multiple_of(NEWS_MS) {
+            for state in &mut self.states {
                 state.config_freshness.confirm(at(now));
                 state.confirm_list(at(now), at(now));
             }
+            exchange_news(&mut self.states, now);
         }
-        if now % LOAD_AGE_MS == 0 {
-            old_loads = total_load(&states);
+        if now.is_multiple_of(LOAD_AGE_MS) {
+            self.old_loads = total_load(&self.states);
         }
-        for is_long in [true, false] {
-            let chance = long_each_s * STEP_MS as f64 / 1000.0;
-            let mut arrivals = chance.floor() as usize;
-            arrivals += usize::from(random.random_bool(chance.fract()));
-            for _ in 0..arrivals {
-                let instance = random.random_range(0..scene.instances);
-                let need = if is_long {
-                    Need {
-                        output: 750,
-                        prompt: 3000,
-                    }
-                } else {
-                    Need {
-                        output: 10,
-                        prompt: 2200,
-                    }
-                };
-                let state = &mut states[instance];
-                tell_load(state, &old_loads, now);
-                let ticket = state
-                    .admit(at(now), &inbound("/draft/x", at(now)))
-                    .expect("a ticket");
-                let (pick, _) = state.pick_attempt(at(now), &ticket, need, &[]);
-                outcome.all += 1;
-                let Pick::Send(key, _) = pick else {
-                    outcome.refused += 1;
-                    continue;
-                };
-                let run = state.begin(Run {
-                    backup: None,
-                    endpoint: key,
-                    events: 0,
-                    expected: need.output,
-                    max_output_tokens: 2000,
-                    prompt: need.prompt,
-                    service: "model".to_string(),
-                    target: None,
-                    tokens_per_event: 4,
-                });
-                let engine = id(state, key)[1..].parse::<usize>().expect("a number");
-                outcome.choices[engine] += 1;
-                let mean = f64::from(need.output / 4);
-                let length =
-                    (-random.random_range(0.001_f64..1.0).ln() * mean).clamp(1.0, mean * 2.4);
-                engines[engine]
-                    .prompts
-                    .push((streams.len(), f64::from(need.prompt)));
-                streams.push(Some(Stream {
-                    began_ms: now,
-                    engine,
-                    events: 0,
-                    first_late: false,
-                    instance,
-                    is_paused: false,
-                    last_ms: 0.0,
-                    length: length as u32 + u32::from(!is_long),
-                    next_ms: f64::INFINITY,
-                    run,
-                    window: Window::default(),
-                }));
-                if is_long && now > scene.counted_from_ms {
-                    outcome.long += 1;
-                }
-            }
-        }
-        for engine in &mut engines {
-            let rate =
-                FAST_PREFILL * FAST_MS / engine.pace_ms / if engine.in_spell { 2.5 } else { 1.0 };
-            let queued = engine.prompts.iter().map(|(_, left)| left).sum::<f64>() / rate;
-            outcome.longest_queue_ms = outcome.longest_queue_ms.max(queued);
-            if let Some((stream, left)) = engine.prompts.first_mut() {
-                *left -= rate * STEP_MS as f64;
-                if *left <= 0.0 {
-                    if let Some(stream) = &mut streams[*stream] {
-                        stream.next_ms = now as f64;
-                    }
-                    engine.prompts.remove(0);
-                }
-            }
+    }
+
+    /// Number of streams of a kind that arrive in a step.
+    fn arrivals(&mut self) -> usize {
+        let mut arrivals = 0;
+        for number in 0..self.scene.engines {
+            // Half of what the fast engines can hold of long streams, and as many short ones.
+            let each_s = match self.scene.fast_each {
+                0 => 0.3,
+                _ if self.scene.is_fast(number) => 1.2,
+                _ => 0.0,
+            };
+            arrivals += usize::from(
+                self.random
+                    .random_bool(each_s * millis(STEP_MS).as_secs_f64()),
+            );
         }
-        for slot in &mut streams {
-            let Some(stream) = slot else { continue };
-            if stream.next_ms > now as f64 {
+        arrivals
+    }
+
+    fn arrive(&mut self, now: u64, is_long: bool) {
+        let (output, prompt) = if is_long { (750, 3000) } else { (10, 2200) };
+        let need = Need { output, prompt };
+        let instance = self.random.random_range(0..self.scene.instances);
+        let state = &mut self.states[instance];
+        tell_load(state, &self.old_loads, now);
+        let ticket = state.admit(at(now), &inbound("/draft/x", at(now)));
+        let ticket = ticket.expect("a ticket");
+        self.outcome.all += 1;
+        let (Pick::Send(key, _), _) = state.pick_attempt(at(now), &ticket, need, &[]) else {
+            self.outcome.refused += 1;
+            return;
+        };
+        let run = state.begin(Run {
+            backup: None,
+            endpoint: key,
+            events: 0,
+            expected: output,
+            max_output_tokens: 2000,
+            prompt,
+            service: "model".to_string(),
+            target: None,
+            tokens_per_event: 4,
+        });
+        let engine = id(state, key)[1..].parse::<usize>().expect("a number");
+        self.outcome.choices[engine] += 1;
+        self.outcome.long += usize::from(is_long && now > self.scene.counted_from_ms);
+        let prompts = &mut self.engines[engine].prompts;
+        prompts.push((self.streams.len(), f64::from(prompt)));
+        // Lengths vary widely: from an eighth to twice the expected one.
+        let events = output / 4;
+        let length = self.random.random_range(events.div_ceil(8)..=events * 2);
+        self.streams.push(Some(Stream {
+            began_ms: now,
+            engine,
+            events: 0,
+            instance,
+            is_long,
+            is_paused: false,
+            key,
+            last_at: None,
+            length,
+            next_at: None,
+            run,
+            window: Window::default(),
+        }));
+    }
+
+    fn read_prompts(&mut self, now: u64) {
+        for engine in &mut self.engines {
+            let spell = if engine.in_spell { SPELL_FACTOR } else { 1.0 };
+            let tokens_per_ms = FAST_PREFILL * FAST_MS / engine.pace_ms / spell;
+            let Some((stream, left)) = engine.prompts.first_mut() else {
                 continue;
-            }
-            let engine = &engines[stream.engine];
-            let key = states[stream.instance]
-                .run(stream.run)
-                .expect("a run")
-                .endpoint;
-            tell_load(&mut states[stream.instance], &old_loads, now);
-            let read_at = Time::from_micros((stream.next_ms * 1000.0) as u64);
-            let state = &mut states[stream.instance];
-            if stream.events == 0 {
-                stream.first_late = now > stream.began_ms + TARGET_MS;
-                outcome.first_late += usize::from(stream.first_late);
-            } else {
-                let pause = stream.next_ms - stream.last_ms;
-                stream.is_paused |= pause > GAP.as_secs_f64() * 1000.0;
-            }
-            stream.last_ms = stream.next_ms;
-            stream.events += 1;
-            if let Some(interval) = stream
-                .window
-                .record(read_at, read_at, 1, state.is_reading(key))
-                && scene.is_on
-            {
-                let incarnation = state.endpoint(key).expect("an engine").incarnation;
-                let seen = Observation {
-                    digest: incarnation,
-                    expected_events: stream.length,
-                    interval,
-                    service: digest("model"),
-                };
-                state.profiles.observe(read_at, &seen);
-            }
-            if let Some(run) = state.run_mut(stream.run) {
-                run.events = stream.events;
-            }
-            let mut step = engine.pace_ms * random.random_range(0.9..1.1);
-            if !engine.prompts.is_empty() {
-                step *= 2.0;
-            }
-            if engine.in_spell {
-                step *= 2.5;
-            }
-            stream.next_ms += step;
-            if stream.events >= stream.length {
-                state.end(stream.run);
-                if stream.began_ms > scene.counted_from_ms && stream.length > 3 && stream.is_paused
-                {
-                    outcome.paused += 1;
+            };
+            *left -= tokens_per_ms * millis(STEP_MS).as_secs_f64() * 1000.0;
+            if *left <= 0.0 {
+                if let Some(stream) = &mut self.streams[*stream] {
+                    stream.next_at = Some(at(now));
                 }
-                *slot = None;
+                engine.prompts.remove(0);
             }
         }
     }
-    outcome
+
+    /// Produces the next event of a stream if it is due.
+    fn produce(&mut self, now: u64, index: usize) {
+        let slot = &mut self.streams[index];
+        let due = slot.as_ref().and_then(|stream| stream.next_at);
+        let Some((stream, due)) = slot.as_mut().zip(due.filter(|due| *due <= at(now))) else {
+            return;
+        };
+        let state = &mut self.states[stream.instance];
+        if let Some(last_at) = stream.last_at {
+            stream.is_paused |= due.since(last_at) > GAP;
+        } else {
+            let is_late = due.since(at(stream.began_ms)) > TARGET;
+            self.outcome.first_late += usize::from(is_late);
+        }
+        stream.last_at = Some(due);
+        stream.events += 1;
+        tell_load(state, &self.old_loads, now);
+        if self.scene.is_on {
+            stream.observe(state, due);
+        }
+        if let Some(run) = state.run_mut(stream.run) {
+            run.events = stream.events;
+        }
+        let engine = &self.engines[stream.engine];
+        let mut step_ms = engine.pace_ms * self.random.random_range(0.9..1.1);
+        if !engine.prompts.is_empty() {
+            step_ms *= PREFILL_FACTOR;
+        }
+        if engine.in_spell {
+            step_ms *= SPELL_FACTOR;
+        }
+        stream.next_at = Some(due.after(Duration::from_secs_f64(step_ms / 1000.0)));
+        if stream.events >= stream.length {
+            let counts = stream.is_long && stream.began_ms > self.scene.counted_from_ms;
+            self.outcome.paused += usize::from(counts && stream.is_paused);
+            state.end(stream.run);
+            *slot = None;
+        }
+    }
+}
+
+impl Scene {
+    fn is_fast(&self, number: usize) -> bool {
+        self.fast_each == 0 || number.is_multiple_of(self.fast_each)
+    }
+}
+
+impl Stream {
+    fn observe(&mut self, state: &mut State, read_at: Time) {
+        let is_reading = state.is_reading(self.key);
+        let Some(interval) = self.window.record(read_at, read_at, 1, is_reading) else {
+            return;
+        };
+        let seen = Observation {
+            digest: state.endpoint(self.key).expect("an engine").incarnation,
+            expected_events: self.length,
+            interval,
+            service: digest("model"),
+        };
+        state.profiles.observe(read_at, &seen);
+    }
 }
 
 fn uneven(instances: usize, engines: usize, seed: u64) -> Scene {
@@ -380,11 +434,11 @@
 /// by `each`.
 fn busiest(outcome: &Outcome, each: usize) -> f64 {
     let chosen = outcome.choices.iter().step_by(each.max(1));
-    let (sum, count) = chosen
-        .clone()
-        .fold((0, 0), |(sum, count), choices| (sum + choices, count + 1));
-    let most = chosen.max().copied().unwrap_or_default();
-    most as f64 * f64::from(count) / sum as f64
+    let chosen = chosen.map(|choices| u32::try_from(*choices).expect("a small number"));
+    let chosen = chosen.collect::<Vec<_>>();
+    let most = chosen.iter().max().copied().unwrap_or_default();
+    let count = u32::try_from(chosen.len()).expect("a small number");
+    f64::from(most) * f64::from(count) / f64::from(chosen.iter().sum::<u32>())
 }
 
 /// What callers need where the engines that hold pauses have room: nothing is refused, a first event in a hundred is late
--- a/crates/forward/tests/profiles.rs
+++ b/crates/forward/tests/profiles.rs
@@ -84,14 +84,14 @@
 fn evidence_ages_until_an_engine_counts_as_usual() {
     let mut profiles = Profiles::default();
     for digest in 1..=8 {
-        profiles.add(at(0), pace(digest, 64.0, 20.0));
+        profiles.learn(at(0), pace(digest, 64.0, 20.0));
     }
-    profiles.add(at(0), pace(9, 64.0, 60.0));
+    profiles.learn(at(0), pace(9, 64.0, 60.0));
     let usual = profiles.usual(at(0), SERVICE).expect("known engines");
-    assert!(profiles.pace_ms(at(0), &usual, 9) > 55.0);
+    assert!(profiles.pace_ms(at(0), &usual, 9) > 2.0 * usual.pace_ms);
     let later = at(60_000);
     for digest in 1..=8 {
-        profiles.add(later, pace(digest, 64.0, 20.0));
+        profiles.learn(later, pace(digest, 64.0, 20.0));
     }
     let usual = profiles.usual(later, SERVICE).expect("known engines");
     let relative = profiles.pace_ms(later, &usual, 9) / usual.pace_ms;
@@ -115,6 +115,24 @@
     assert!(known[0].pace_ms > 40.0, "{known:?}");
 }
 
+/// Guards against an engine that many streams see in the same slow spell, and that counts as slow for it.
+#[test]
+fn spell_seen_by_many_streams_does_not_outweigh_what_is_usual() {
+    let mut profiles = Profiles::default();
+    for digest in 1..=20 {
+        profiles.learn(at(0), pace(digest, 24.0, 20.0));
+    }
+    for time in 0..60 {
+        profiles.add(at(time * 10), pace(21, 5.0, 50.0));
+    }
+    let usual = profiles.usual(at(600), SERVICE).expect("known engines");
+    let known = profiles.pace_ms(at(600), &usual, 21);
+    assert!(
+        known < 36.0,
+        "{known} ms, nearer to the spell than to the usual 20 ms"
+    );
+}
+
 /// Guards against what an engine did before it was restarted.
 #[test]
 fn restarted_engine_is_not_judged_by_what_it_did_before() {
@@ -131,7 +149,7 @@
 #[test]
 fn less_evidence_does_not_replace_more() {
     let mut profiles = Profiles::default();
-    profiles.add(at(0), pace(1, 20.0, 20.0));
+    profiles.learn(at(0), pace(1, 20.0, 20.0));
     profiles.learn(at(0), pace(1, 2.0, 60.0));
     profiles.learn(at(0), pace(2, 2.0, 60.0));
     let paces = profiles.rows(at(0)).into_iter().map(|row| row.pace_ms);
@@ -177,8 +195,8 @@
 #[test]
 fn pauses_at_slow_engines_are_learnt_at_fast_ones() {
     let mut profiles = Profiles::default();
-    profiles.add(at(0), pace(1, 64.0, 20.0));
-    profiles.add(at(0), pace(2, 64.0, 40.0));
+    profiles.learn(at(0), pace(1, 64.0, 20.0));
+    profiles.learn(at(0), pace(2, 64.0, 40.0));
     for number in 0..8000 {
         // One interval in 50 is five times as long as usual, beside a prompt.
         let is_reading = number % 50 == 0;
