--- a/crates/forward/src/profile.rs
+++ b/crates/forward/src/profile.rs
@@ -18,7 +18,7 @@
 
 /// Time after which evidence counts half. Long enough for several slow spells, so that none of them decides,
 /// and short enough to learn of a lasting change while streams run.
-const HALF_LIFE: Duration = Duration::from_secs(5);
+const HALF_LIFE: Duration = Duration::from_secs(10);
 
 /// Number of windows at which the evidence on an engine counts as much as what is usual.
 const PRIOR_WINDOWS: f64 = 4.0;
