--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -23,7 +23,7 @@
 
 /// Share of the KV cache that placement fills by expected length; the rest is for runs that
 /// exceed it.
-const MAX_KV_FILL: f64 = 0.92;
+pub(crate) const MAX_KV_FILL: f64 = 0.92;
 
 /// Share of the KV cache of an engine up to which copies are placed; the rest is for runs.
 const MAX_COPY_KV_FILL: f64 = 0.75;
--- a/crates/forward/src/reserve.rs
+++ b/crates/forward/src/reserve.rs
@@ -20,6 +20,10 @@
 /// Minimum time in which runs of a leaving engine are copied to others.
 const MIN_NOTICE: Duration = Duration::from_millis(1500);
 
+/// Share of the room for runs that is to be free in addition before new work may go anywhere: instances
+/// that choose at the same moment take the same room.
+const SPARE_SHARE: f64 = 0.25;
+
 /// Share of an engine's memory that new work uses at any rate.
 const MIN_NEW_SHARE: f64 = 0.5;
 
@@ -30,6 +34,8 @@
     pub copies: u64,
     /// Engines that take new work.
     pub engines: u32,
+    /// Room at engines that take new work, in tokens, counted in whole runs.
+    pub free: u64,
     /// KV-cache demand of runs at engines that are leaving, in tokens.
     pub leaving: u64,
     /// Number of runs.
@@ -49,7 +55,8 @@
     }
 
     /// Mean demand of a run, in tokens.
-    fn tokens_per_run(self) -> f64 {
+    #[must_use]
+    pub fn tokens_per_run(self) -> f64 {
         as_f64(self.staying.saturating_add(self.leaving)) / f64::from(self.runs.max(1))
     }
 }
@@ -149,6 +156,9 @@
         };
         let occupancy = departures.occupancy;
         let room = departures.room(now, busy);
+        if as_f64(occupancy.free) >= room * (1.0 + SPARE_SHARE) {
+            return Kept::default();
+        }
         Kept {
             tokens: room / f64::from(occupancy.engines.max(1)),
             unit: occupancy.tokens_per_run(),
--- a/crates/forward/src/state/room.rs
+++ b/crates/forward/src/state/room.rs
@@ -3,7 +3,7 @@
 use {
     super::State,
     crate::{
-        choice::{MAX_TOKEN_TIME, Need, PREFILL_TOKENS_PER_MS},
+        choice::{MAX_KV_FILL, MAX_TOKEN_TIME, Need, PREFILL_TOKENS_PER_MS},
         endpoint::Load,
         feature::Feature,
         prelude::*,
@@ -49,6 +49,9 @@
     fn occupancy(&self, now: Time, service: &str) -> Occupancy {
         let loads = self.loads();
         let mut occupancy = Occupancy::default();
+        let mut free = Vec::new();
+        let engine = self.service(service).and_then(|service| service.engine);
+        let capacity = engine.map_or(0.0, |engine| f64::from(engine.kv_tokens) * MAX_KV_FILL);
         for (key, endpoint) in &self.endpoints {
             if endpoint.listing.service != service {
                 continue;
@@ -64,8 +67,18 @@
                 occupancy.copies += u64::from(load.copies);
                 occupancy.engines += 1;
                 occupancy.staying += runs;
+                free.push((capacity - f64::from(load.tokens)).max(0.0));
             }
         }
+        let unit = occupancy.tokens_per_run().max(1.0);
+        let places = free.iter().map(|free| (free / unit).floor());
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a count of tokens"
+        )]
+        let free = (places.sum::<f64>() * unit) as u64;
+        occupancy.free = free;
         occupancy
     }
 }
--- a/crates/forward/tests/reserve.rs
+++ b/crates/forward/tests/reserve.rs
@@ -30,6 +30,7 @@
     Occupancy {
         copies: 0,
         engines: ENGINES,
+        free: 0,
         leaving: 0,
         runs: ENGINES * 5,
         staying: 5 * 4000 * 50,
@@ -121,6 +122,19 @@
     assert!(kept(&reserve, now, LONG_BUSY) <= 0.0);
 }
 
+/// Engines leave, but the others have room for all their runs: new work need not avoid any engine.
+#[test]
+fn nothing_is_kept_while_there_is_room_for_all() {
+    let mut reserve = after_departures(4, INTERVAL_MS);
+    let now = at(4 * INTERVAL_MS - 100);
+    let occupancy = Occupancy {
+        free: 300_000,
+        ..full()
+    };
+    reserve.update(now, SERVICE, occupancy);
+    assert!(kept(&reserve, now, LONG_BUSY) <= 0.0);
+}
+
 /// An instance that has just started knows no departures, but yields to runs that have to move now.
 #[test]
 fn instance_without_history_yields_at_a_notice() {
