--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -9,6 +9,7 @@
 mod pace;
 mod side;
 
+pub(crate) use self::cost::MAX_KV_FILL;
 pub use self::pace::{Judgement, Promise};
 
 use {
--- a/crates/forward/src/choice/cost.rs
+++ b/crates/forward/src/choice/cost.rs
@@ -8,7 +8,7 @@
 
 /// Share of the KV cache that placement fills by expected length; the rest is for runs that
 /// exceed it.
-const MAX_KV_FILL: f64 = 0.92;
+pub(crate) const MAX_KV_FILL: f64 = 0.92;
 
 /// Cost of one more run, which slows every step of the others.
 const RUN_COST_MS: f64 = 6.0;
