Overflow: a stream that finds no room on its side takes the other; late and repeated requests go anywhere

Profiles: a part of an event does not end an interval, an engine left unread for a slow caller says nothing of its pace, and a pace is never zero.

--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -124,6 +124,12 @@
         }
         let side = self.side(now, ticket, need, tried);
         let pick = self.pick_promised(now, &ticket.service, need, tried, promise, side);
+        if side.is_some() && pick == Pick::Wait && need != Need::default() {
+            // Engines hold a run for seconds, so that room elsewhere is known in time. For plain
+            // requests it is not: all instances would leave at once.
+            let pick = self.pick_promised(now, &ticket.service, need, tried, promise, None);
+            return (pick, false);
+        }
         (pick, false)
     }
 
@@ -133,6 +139,14 @@
         self.pick_promised(now, service, need, tried, None, None)
     }
 
+    /// What a new request needs of an engine, and leaves free there.
+    fn demand(&mut self, now: Time, service: &str, need: Need) -> Demand {
+        Demand {
+            kept: self.kept_room(now, service, need),
+            tokens: need.tokens(),
+        }
+    }
+
     fn pick_promised(
         &mut self,
         now: Time,
@@ -143,10 +157,7 @@
         side: Option<Side>,
     ) -> Pick {
         self.pace_brittle(now, service);
-        let demand = Demand {
-            kept: self.kept_room(now, service, need),
-            tokens: need.tokens(),
-        };
+        let demand = self.demand(now, service, need);
         let mut jitter = self.jitter();
         let Some(service) = self.service(service) else {
             return Pick::Wait;
--- a/crates/forward/src/choice/side.rs
+++ b/crates/forward/src/choice/side.rs
@@ -7,6 +7,7 @@
         overflow::{Side, Sides, Strain},
         prelude::*,
         request::Ticket,
+        reserve::Demand,
         state::State,
     },
 };
@@ -21,7 +22,8 @@
 const PLAIN_BYTES: f64 = 2000.0;
 
 impl State {
-    /// The side to send a request to; `None` if all endpoints are open to it.
+    /// The side to send a request to; `None` if all endpoints are open to it, as to one that is late or
+    /// repeated: it is to be answered wherever there is room.
     pub(super) fn side(
         &mut self,
         now: Time,
@@ -29,11 +31,14 @@
         need: Need,
         tried: &[EndpointKey],
     ) -> Option<Side> {
-        if !self.settings.features.has(Feature::DomainOverflow) {
+        let is_on = self.settings.features.has(Feature::DomainOverflow);
+        if !is_on || now >= ticket.due || !tried.is_empty() {
             return None;
         }
-        let sides = self.strain(now, ticket, need, tried)?;
-        let sides = self.overflow.average(now, &ticket.route.name, sides);
+        let demand = self.demand(now, &ticket.service, need);
+        let sides = self.strain(now, ticket, need, demand)?;
+        let (service, route) = (&ticket.service, &ticket.route.name);
+        let sides = self.overflow.average(now, service, route, sides);
         sides.choose(&mut self.random)
     }
 
@@ -44,13 +49,7 @@
     }
 
     /// Strain on both sides for a request.
-    fn strain(
-        &self,
-        now: Time,
-        ticket: &Ticket,
-        need: Need,
-        tried: &[EndpointKey],
-    ) -> Option<Sides> {
+    fn strain(&self, now: Time, ticket: &Ticket, need: Need, demand: Demand) -> Option<Sides> {
         let service = self.service(&ticket.service)?;
         let loads = self.loads();
         let promise = Promise::of(&ticket.route);
@@ -58,10 +57,8 @@
         let left = ticket.due.since(now);
         let strain = |side| {
             let gate = self.gate(now, &service.name);
-            let endpoints = self.endpoints.iter().filter(|(key, endpoint)| {
-                self.is_on(Some(side), endpoint)
-                    && !tried.contains(key)
-                    && self.eligible(now, endpoint, service, &gate)
+            let endpoints = self.endpoints.iter().filter(|(_, endpoint)| {
+                self.is_on(Some(side), endpoint) && self.eligible(now, endpoint, service, &gate)
             });
             let endpoints = endpoints.collect::<Vec<_>>();
             if endpoints.is_empty() {
@@ -70,7 +67,7 @@
             if service.engine.is_none() {
                 return Some(self.slot_strain(&endpoints, &known));
             }
-            Some(self.wait_strain(&endpoints, service, need, &known, left))
+            Some(self.wait_strain(&endpoints, service, demand, &known, left))
         };
         let wait_per_megabyte = self.settings.transfer_wait_per_megabyte;
         let away = strain(Side::Away);
@@ -92,17 +89,17 @@
         Strain::of_slots(taken, slots)
     }
 
-    /// Strain on engines: the waiting at the cheapest one.
+    /// Strain on engines: the waiting at the cheapest one, with what its pauses are worth.
     fn wait_strain(
         &self,
         endpoints: &[(EndpointKey, &Endpoint)],
         service: &Service,
-        need: Need,
+        demand: Demand,
         known: &Knowledge<'_>,
         left: Duration,
     ) -> Strain {
         let costs = endpoints.iter().filter_map(|(key, endpoint)| {
-            let cost = self.cost(*key, endpoint, service, need.tokens().into(), known.loads)?;
+            let cost = self.cost(*key, endpoint, service, demand, known.loads)?;
             let cost = cost + self.pace_cost(*key, endpoint, service, known);
             Some(cost - self.domain_cost(endpoint))
         });
--- a/crates/forward/src/overflow.rs
+++ b/crates/forward/src/overflow.rs
@@ -18,8 +18,7 @@
 
 /// Advantage of the other side with which the first requests leave, up to that with which all do.
 ///
-/// Domains in equal need would otherwise exchange their requests. It begins above the error of sums
-/// that are some requests behind.
+/// Domains in equal need would otherwise exchange their requests.
 const LEAVING_ADVANTAGE: RangeInclusive<f64> = 0.05..=0.2;
 
 /// Time over which strain is averaged.
@@ -40,12 +39,18 @@
 pub struct Strain(f64);
 
 impl Strain {
+    /// No strain.
+    const NONE: Self = Self(0.0);
+
     /// Strain on endpoints that have no room.
     pub const FULL: Self = Self(1.0);
 
     /// Strain where a request would wait for `wait`, with `left` until its target.
     #[must_use]
     pub fn of_wait(wait: Duration, left: Duration) -> Self {
+        if wait.is_zero() {
+            return Self::NONE;
+        }
         if wait >= left {
             return Self::FULL;
         }
@@ -108,34 +113,37 @@
     }
 }
 
-/// Average strain for the requests of one route.
+/// Average strain for the requests of one route to one service.
 #[derive(Debug)]
 struct Average {
     at: Time,
     route: String,
+    service: String,
     sides: Sides,
 }
 
-/// Average strain, by route.
+/// Average strain, by service and route.
 #[derive(Debug, Default)]
 pub struct Overflow {
-    /// Sorted by route.
+    /// Sorted by service, then by route.
     averages: Vec<Average>,
 }
 
 impl Overflow {
     /// Takes the strain as it is now; returns the average. A side that gains or loses its last
     /// endpoint counts at once.
-    pub fn average(&mut self, now: Time, route: &str, sides: Sides) -> Sides {
+    pub fn average(&mut self, now: Time, service: &str, route: &str, sides: Sides) -> Sides {
         self.averages
             .retain(|average| now.since(average.at) <= MAX_AVERAGE_AGE);
-        let found = self
-            .averages
-            .binary_search_by(|average| average.route.as_str().cmp(route));
+        let key = (service, route);
+        let found = self.averages.binary_search_by(|average| {
+            (average.service.as_str(), average.route.as_str()).cmp(&key)
+        });
         let index = found.unwrap_or_else(|index| {
             let average = Average {
                 at: now,
                 route: route.to_string(),
+                service: service.to_string(),
                 sides,
             };
             self.averages.insert(index, average);
--- a/crates/forward/src/profile/window.rs
+++ b/crates/forward/src/profile/window.rs
@@ -2,6 +2,9 @@
 
 use crate::{prelude::*, silence::CHECK_AFTER};
 
+/// Shortest time of an event: what arrives together was made before.
+const MIN_INTERVAL: Duration = Duration::from_micros(1);
+
 /// Number of intervals from which the undisturbed time of an event is taken.
 const WINDOW: usize = 4;
 
@@ -52,12 +55,16 @@
         events: u32,
         is_reading: bool,
     ) -> Option<Interval> {
+        // A part of an event: the interval ends with the whole one.
+        if events == 0 {
+            return None;
+        }
         let last_at = self.last_at.replace(passed_at);
         if passed_at.since(now) > MAX_PASS_TIME {
             self.restart();
         }
         let interval = now.since(last_at?);
-        if events == 0 || interval >= CHECK_AFTER {
+        if interval >= CHECK_AFTER {
             return None;
         }
         self.is_reading |= is_reading;
@@ -90,7 +97,7 @@
             self.start_window();
             return None;
         }
-        self.intervals[self.len] = interval / events;
+        self.intervals[self.len] = (interval / events).max(MIN_INTERVAL);
         self.len += 1;
         if self.len < WINDOW {
             return None;
--- a/crates/forward/tests/overflow/domains.rs
+++ b/crates/forward/tests/overflow/domains.rs
@@ -153,7 +153,7 @@
             home: self.strain(&[home]),
         };
         let now = Time::from_micros(self.now_ms * 1000);
-        let sides = self.instances[instance].average(now, "plain", sides);
+        let sides = self.instances[instance].average(now, "plain", "/", sides);
         let side = sides.choose(&mut self.random).expect("home is reachable");
         let chosen = if side == Side::Away {
             &away
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -295,6 +295,8 @@
                 Step::Expired => return Ending::Expired,
                 Step::LetGo(reason) => return Ending::LetGo(reason),
                 Step::ReadOn => {
+                    // The engine was left unread for the caller's sake.
+                    self.window.restart();
                     self.end_silence(clock::now());
                     Ok(())
                 }
