--- a/crates/forward/src/feature.rs
+++ b/crates/forward/src/feature.rs
@@ -11,18 +11,15 @@
     EngineProfiles,
     /// Room is kept for runs that have to move.
     MoveRoom,
-    /// Waiting requests are ordered over all instances.
-    ServiceOrder,
 }
 
 impl Feature {
     /// All features, with their names in settings.
-    pub const ALL: [(Self, &str); 5] = [
+    pub const ALL: [(Self, &str); 4] = [
         (Self::CustomerShares, "customer_shares"),
         (Self::DomainOverflow, "domain_overflow"),
         (Self::EngineProfiles, "engine_profiles"),
         (Self::MoveRoom, "move_room"),
-        (Self::ServiceOrder, "service_order"),
     ];
 
     /// The feature with this name in settings.
