Take request bodies while responses hold most of the memory

Callers saw 503 out_of_memory for every request with a body while slow, steady readers held half of the budget or more; nothing relieved it, since responses are let go only beyond the whole budget. Cause: the share of request bodies was compared with what is held for all uses.

Evidence: the new test of forward/tests/memory.rs failed before (refused at 60 % held by streams), and passes.

--- a/crates/forward/src/memory.rs
+++ b/crates/forward/src/memory.rs
@@ -1,8 +1,9 @@
 //! What an instance may hold in memory for callers and endpoints, and what goes first when that is short.
 //!
 //! A caller that does not read leaves its response here, as does an endpoint whose response has no end. Bytes that come
-//! in are counted for a holder: one request body, or one response. When all of them together exceed the budget, new
-//! request bodies are refused, and the largest response is let go, which is that of the reader furthest behind.
+//! in are counted for a holder: one request body, or one response. Request bodies beyond their share of the budget are
+//! refused. When all together exceed the budget, the largest response is let go, which is that of the reader furthest
+//! behind.
 
 use crate::prelude::*;
 
@@ -115,7 +116,8 @@
             return Grant::Refused;
         };
         let held_for = self.holders[index].held_for;
-        if held_for == Use::Request && self.total() + bytes > share(self.budget, REQUEST_SHARE) {
+        let requests = self.held(Use::Request) + bytes;
+        if held_for == Use::Request && requests > share(self.budget, REQUEST_SHARE) {
             return Grant::Refused;
         }
         let holder = &mut self.holders[index];
--- a/crates/forward/tests/memory.rs
+++ b/crates/forward/tests/memory.rs
@@ -111,6 +111,25 @@
     assert_eq!(grant, Grant::Held(Vec::new()));
 }
 
+/// Guards against slow readers that hold more than the share of request bodies, and cost every new caller its request.
+#[test]
+fn requests_are_taken_while_slow_readers_hold_most_of_the_memory() {
+    let mut memory = Memory::new(BUDGET_BYTES);
+    let streams = [0; 6].map(|_| holder(&mut memory, Use::Stream, BUDGET_BYTES / 10));
+    let body = memory.add(Use::Request);
+    let grant = memory.take(after_s(1), body, 64 << 10);
+    assert_eq!(grant, Grant::Held(Vec::new()));
+    let large = memory.add(Use::Request);
+    let Grant::Held(let_go) = memory.take(after_s(1), large, BUDGET_BYTES * 9 / 20) else {
+        panic!("refused within the share of request bodies");
+    };
+    assert_eq!(let_go, [(streams[5], BUDGET_BYTES / 10)]);
+    assert!(total(&memory) <= BUDGET_BYTES);
+    let other = memory.add(Use::Request);
+    let grant = memory.take(after_s(1), other, BUDGET_BYTES / 10);
+    assert_eq!(grant, Grant::Refused);
+}
+
 /// Guards against request bodies that are let go although they may have run.
 #[test]
 fn request_bodies_in_use_are_kept() {
