Hold the frame that a connection took last until it asks for the next

A caller that read nothing of the end of its stream kept its request in progress for as long as it lived: the connection takes the last events into its buffer and does not ask for the end while that is full. The bytes were released when the frame was handed out, so nothing was held, and what holds nothing is not seen to be unread. The body now keeps the size of the frame that it handed out last, and releases it when the next is asked for; dropping it releases the rest.

--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -246,7 +246,7 @@
     let result = forward(shared, parts, inbound, body, guard, &mut route).await;
     let (outcome, reply, streaming) = match result {
         Ok(reply) => {
-            let streaming = matches!(reply.body(), Body::Stream(..));
+            let streaming = reply.body().is_stream();
             ("answered", reply, streaming)
         }
         Err(refusal) => (refusal.label(), reply::refusal(refusal, &id), false),
--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -19,7 +19,16 @@
 
 /// The body of a response.
 #[derive(Debug)]
-pub enum Body {
+pub struct Body {
+    /// Bytes of the frame that was handed out last. They count as held until the next frame is asked for: a connection
+    /// asks for none while its buffer is full, and a body of which nothing is held would not be seen to be unread.
+    handed_out: usize,
+    source: Source,
+}
+
+/// Where the frames of a body come from.
+#[derive(Debug)]
+enum Source {
     /// A complete body, with what counts it if that is not small.
     Full(Bytes, Option<Held>),
     /// A streamed body. It is complete only after [`BodyPart::End`]; if the sender is dropped
@@ -28,12 +37,44 @@
 }
 
 impl Body {
+    /// A complete body, with what counts it if that is not small.
+    #[must_use]
+    pub const fn full(bytes: Bytes, held: Option<Held>) -> Self {
+        Self {
+            handed_out: 0,
+            source: Source::Full(bytes, held),
+        }
+    }
+
+    /// A streamed body, with what counts its parts.
+    #[must_use]
+    pub const fn stream(parts: mpsc::UnboundedReceiver<BodyPart>, held: Rc<Held>) -> Self {
+        Self {
+            handed_out: 0,
+            source: Source::Stream(parts, held),
+        }
+    }
+
+    /// Whether it is streamed.
+    #[must_use]
+    pub const fn is_stream(&self) -> bool {
+        matches!(self.source, Source::Stream(..))
+    }
+
     /// What counts the bytes that the caller has not read.
     #[must_use]
     pub fn held(&self) -> Option<&Held> {
-        match self {
-            Self::Full(_, held) => held.as_ref(),
-            Self::Stream(_, held) => Some(held),
+        match &self.source {
+            Source::Full(_, held) => held.as_ref(),
+            Source::Stream(_, held) => Some(held),
+        }
+    }
+
+    /// Counts the frame that was handed out last as no longer held.
+    fn release(&mut self) {
+        let handed_out = std::mem::take(&mut self.handed_out);
+        if let Some(held) = self.held().filter(|_| handed_out > 0) {
+            held.release(handed_out);
         }
     }
 }
@@ -67,18 +108,18 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Incomplete>>> {
-        match self.get_mut() {
-            Self::Full(bytes, _) if bytes.is_empty() => Poll::Ready(None),
-            Self::Full(bytes, held) => {
+        let body = self.get_mut();
+        body.release();
+        match &mut body.source {
+            Source::Full(bytes, _) if bytes.is_empty() => Poll::Ready(None),
+            Source::Full(bytes, _) => {
                 let data = bytes.split_to(bytes.len().min(MAX_FRAME_BYTES));
-                if let Some(held) = held {
-                    held.release(data.len());
-                }
+                body.handed_out = data.len();
                 Poll::Ready(Some(Ok(Frame::data(data))))
             }
-            Self::Stream(parts, held) => parts.poll_recv(cx).map(|part| match part {
+            Source::Stream(parts, _) => parts.poll_recv(cx).map(|part| match part {
                 Some(BodyPart::Data(data)) => {
-                    held.release(part_size(&data));
+                    body.handed_out = part_size(&data);
                     Some(Ok(Frame::data(data)))
                 }
                 Some(BodyPart::End) => None,
@@ -88,11 +129,11 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Full(bytes, _) => {
+        match &self.source {
+            Source::Full(bytes, _) => {
                 SizeHint::with_exact(u64::try_from(bytes.len()).unwrap_or(u64::MAX))
             }
-            Self::Stream(..) => SizeHint::default(),
+            Source::Stream(..) => SizeHint::default(),
         }
     }
 }
@@ -121,7 +162,7 @@
     body: Bytes,
     held: Option<Held>,
 ) -> Reply {
-    let mut reply = Response::new(Body::Full(body, held));
+    let mut reply = Response::new(Body::full(body, held));
     *reply.status_mut() = status;
     *reply.headers_mut() = headers;
     reply
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -104,7 +104,7 @@
                 if let Some(guard) = guard.take() {
                     held.keep(guard);
                 }
-                let mut reply = Response::new(Body::Stream(parts, Rc::clone(&held)));
+                let mut reply = Response::new(Body::stream(parts, Rc::clone(&held)));
                 *reply.headers_mut() = opened_stream.headers;
                 shared
                     .metrics
