End a request for whose response memory is short, without blame of its endpoint

A shortage of the instance's own memory while it read a plain response, or the first event of a stream, was handled as a failure of the endpoint: it was marked unreachable, the failure counted against its version, and a request that may run again was sent to another endpoint, whose response found no memory either. Such a request now ends with 502, as it may have run; the endpoint is not marked, observed or replaced.

Evidence: the new test of forwarding/memory.rs saw two sends of one request before, one now; with the old stream.rs alone it failed as well. Not tested: that the endpoint is not marked, which no log line tells, and an incomplete first event, which takes the same path. The other tests of the file keep one endpoint.

--- a/crates/carawayhead/tests/forwarding/memory.rs
+++ b/crates/carawayhead/tests/forwarding/memory.rs
@@ -69,6 +69,8 @@
         "/draft/large" => write_events(stream, &head, LARGE_EVENTS, LARGE_EVENT_BYTES).await,
         "/draft/sound" => write_events(stream, &head, SOUND_EVENTS, 100).await,
         "/order/slow" => read_slowly(stream).await,
+        "/look/large" => write_large(stream, &head).await,
+        "/draft/invalid" => write_large(stream, &head.replace("200 OK", "400 Bad Request")).await,
         _ => {
             let answer = format!("{head}content-length: 2\r\nconnection: close\r\n\r\nok");
             stream.write_all(answer.as_bytes()).await
@@ -94,6 +96,12 @@
     Ok(())
 }
 
+async fn write_large(mut stream: TcpStream, head: &str) -> std::io::Result<()> {
+    let head = format!("{head}content-length: {LARGE_BODY_BYTES}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(&vec![b'x'; LARGE_BODY_BYTES]).await
+}
+
 /// Reads a byte a second until the connection is closed.
 async fn read_slowly(mut stream: TcpStream) -> std::io::Result<()> {
     while stream.read_u8().await.is_ok() {
@@ -103,7 +111,15 @@
 }
 
 async fn start_instance(timeout_ms: u32) -> (Store, Instance) {
-    let endpoint = start_endpoint().await;
+    start_instance_with(timeout_ms, &["m1"], &format!("memory_mb = {MEMORY_MB}")).await
+}
+
+/// An instance with these limits, and these endpoints.
+async fn start_instance_with(
+    timeout_ms: u32,
+    endpoints: &[&str],
+    limits: &str,
+) -> (Store, Instance) {
     let store = Store::start().await;
     let config = config(1, &["key-1"], timeout_ms)
         .replace(r#""service":"desk""#, r#""service":"model""#)
@@ -116,13 +132,14 @@
         .replace(r#""coldPerS":100.0"#, r#""coldPerS":100000.0"#)
         .replace(r#""slots":48"#, r#""slots":5000"#);
     store.write_operator_record("config", &config);
-    let entry = serde_json::json!({
-        "address": endpoint.to_string(), "coldRemainingMs": 0, "sequence": 1,
-        "service": "model", "slots": 5000, "state": "ready", "version": "v1", "zone": "a",
-    });
-    store.write_endpoint_entry("m1", &entry.to_string());
-    let limits = format!("memory_mb = {MEMORY_MB}");
-    let instance = Instance::start_with_limits("e1", "a", store.address, &limits).await;
+    for id in endpoints {
+        let entry = serde_json::json!({
+            "address": start_endpoint().await.to_string(), "coldRemainingMs": 0, "sequence": 1,
+            "service": "model", "slots": 5000, "state": "ready", "version": "v1", "zone": "a",
+        });
+        store.write_endpoint_entry(id, &entry.to_string());
+    }
+    let instance = Instance::start_with_limits("e1", "a", store.address, limits).await;
     wait_until("the instance is ready", || async {
         is_ready(instance.readiness_address).await
     })
@@ -280,3 +297,26 @@
     let peak = peak_memory_kb(&instance);
     assert!(peak < MEMORY_MB << 10, "{peak}");
 }
+
+/// Guards against a shortage of memory at the instance that is taken for a failure of the endpoint, and runs the request
+/// again elsewhere.
+#[tokio::test]
+async fn responses_for_which_memory_is_short_end_their_requests() {
+    let limits = format!("memory_mb = {MEMORY_MB}\nbuffer_mb = 4");
+    let (_store, mut instance) = start_instance_with(10_000, &["m1", "m2"], &limits).await;
+    for (id, path) in [("plain", "/look/large"), ("stream", "/draft/invalid")] {
+        let request = CallerRequest::new(id, path);
+        let response = send_request(instance.caller_address, &request).await;
+        let response = response.expect("the instance responds");
+        assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{path}");
+        let lines = instance.log_lines_containing("\"sent\"");
+        let sent = lines
+            .iter()
+            .filter(|line| line.contains(&format!("\"{id}\"")));
+        assert_eq!(sent.count(), 1, "{path}: {lines:?}");
+    }
+    let lines = instance.log_lines_containing("given up");
+    let short = lines.iter().filter(|line| line.contains("out_of_memory"));
+    assert_eq!((short.count(), lines.len()), (2, 2), "{lines:?}");
+    assert_eq!(instance.exit_status(), None);
+}
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -52,10 +52,13 @@
 }
 
 /// Why there is no response.
-struct SendFailure {
-    why: String,
-    /// Whether anything was written to the endpoint.
-    written: bool,
+enum SendFailure {
+    /// Nothing was written to the endpoint.
+    NotWritten(String),
+    /// This instance is short of memory for the response, which says nothing about the endpoint.
+    OutOfMemory,
+    /// The endpoint may have run the request.
+    Unknown(String),
 }
 
 /// Serves a request.
@@ -145,21 +148,26 @@
             }
             classify(shared, ticket, progress, key, answer)
         }
-        Err(failure) => {
+        Err(SendFailure::NotWritten(why)) => {
             shared.mark_unreachable(key);
-            if failure.written {
-                shared.observe(key, &ticket.route.name, Outcome::Failed);
-                progress.note_run(key, failure.why);
-            } else {
-                log::info!(id, why = failure.why; "cannot reach endpoint");
-                progress.why = failure.why;
-                // The request never arrived, so it counts neither as an attempt nor against
-                // the retry budget. The endpoint is marked unreachable, so that the next
-                // attempt picks another one.
-                progress.sends -= 1;
-                shared.refund_send(&ticket.service, progress.sends > 0);
-            }
-            after_failure(ticket, progress, failure.written)
+            log::info!(id, why; "cannot reach endpoint");
+            progress.why = why;
+            // The request never arrived, so it counts neither as an attempt nor against
+            // the retry budget. The endpoint is marked unreachable, so that the next
+            // attempt picks another one.
+            progress.sends -= 1;
+            shared.refund_send(&ticket.service, progress.sends > 0);
+            after_failure(ticket, progress, false)
+        }
+        Err(SendFailure::OutOfMemory) => {
+            progress.note_run(key, Refusal::OutOfMemory.label().to_string());
+            Attempt::Failed(Refusal::Broken)
+        }
+        Err(SendFailure::Unknown(why)) => {
+            shared.mark_unreachable(key);
+            shared.observe(key, &ticket.route.name, Outcome::Failed);
+            progress.note_run(key, why);
+            after_failure(ticket, progress, true)
         }
     }
 }
@@ -182,7 +190,6 @@
         last_event: None,
         source: None,
     };
-    let unknown = |why: String| SendFailure { why, written: true };
     let read = async {
         match exchange::send(shared, original, &destination, limit).await {
             SendOutcome::Answer(reply, flags) => {
@@ -191,10 +198,13 @@
                 let held = shared.buffers.hold(Use::Response, &original.inbound.id);
                 let body = read_body(reply, &held).await;
                 let body = body.map_err(|error| {
+                    if held.reason().is_some() {
+                        return SendFailure::OutOfMemory;
+                    }
                     if error.is_break_of_endpoint() {
                         shared.record_break(original, key, sent_at, 0);
                     }
-                    unknown(error.to_string())
+                    SendFailure::Unknown(error.to_string())
                 })?;
                 Ok(BufferedAnswer {
                     body,
@@ -204,26 +214,26 @@
                     flags,
                 })
             }
-            SendOutcome::NotWritten(why) => Err(SendFailure {
-                why,
-                written: false,
-            }),
+            SendOutcome::NotWritten(why) => Err(SendFailure::NotWritten(why)),
             SendOutcome::Broken(why) => {
                 shared.record_break(original, key, sent_at, 0);
-                Err(unknown(why))
+                Err(SendFailure::Unknown(why))
             }
-            SendOutcome::Unknown(why) => Err(unknown(why)),
+            SendOutcome::Unknown(why) => Err(SendFailure::Unknown(why)),
         }
     };
     let result = timeout(limit, read).await;
-    result.unwrap_or_else(|_| Err(unknown("response incomplete at the time limit".to_string())))
+    result.unwrap_or_else(|_| {
+        let why = "response incomplete at the time limit";
+        Err(SendFailure::Unknown(why.to_string()))
+    })
 }
 
 /// Reads a whole body, as far as there is memory for it.
 ///
 /// # Errors
 ///
-/// The connection broke, what was received is no response, or the body is too large.
+/// The connection broke, what was received is no response, the body is too large, or `held` was let go.
 pub async fn read_body(
     reply: endpoint::client::Reply,
     held: &Held,
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -77,7 +77,7 @@
         let opened = tokio::select! {
             biased;
             opened = open(shared, original, &ticket, &progress, key, backup) => opened,
-            () = shared.stopped(original, 0) => OpenOutcome::Stopped,
+            () = shared.stopped(original, 0) => OpenOutcome::GivenUp(Refusal::CrashesEndpoints),
         };
         match opened {
             OpenOutcome::Answer(reply) => {
@@ -93,9 +93,9 @@
                     return Err(progress.give_up(id, refusal));
                 }
             }
-            OpenOutcome::Stopped => {
-                progress.note_run(key, Refusal::CrashesEndpoints.label().to_string());
-                return Err(progress.give_up(id, Refusal::CrashesEndpoints));
+            OpenOutcome::GivenUp(why) => {
+                progress.note_run(key, why.label().to_string());
+                return Err(progress.give_up(id, why));
             }
             OpenOutcome::Stream(opened_stream) => {
                 let (out, parts) = mpsc::unbounded_channel();
@@ -191,10 +191,11 @@
 
 enum OpenOutcome {
     Answer(Reply),
+    /// The request ends for a reason that says nothing about the engine, which may have begun it: equal requests have
+    /// crashed too many engines, or this instance is short of memory.
+    GivenUp(Refusal),
     NotReached,
     NotRun(String),
-    /// Stopped since equal requests have crashed too many engines; the engine may have begun it.
-    Stopped,
     Stream(Box<OpenedStream>),
     /// The engine may have run the request: what to return to the caller, and why.
     Unknown(Refusal, String),
@@ -285,7 +286,7 @@
             Err(error) => return fail(shared, key, error.to_string()),
         };
         if !partial.resize(splitter.partial_bytes()) {
-            return fail(shared, key, endpoint::Error::TooLarge.to_string());
+            return OpenOutcome::GivenUp(Refusal::OutOfMemory);
         }
         if blocks.is_empty() && !ended {
             continue;
@@ -329,6 +330,7 @@
     let held = shared.buffers.hold(Use::Response, &original.inbound.id);
     match read_body(answer, &held).await {
         Ok(body) => OpenOutcome::Answer(reply::counted(status, headers, body, held)),
+        Err(_) if held.reason().is_some() => OpenOutcome::GivenUp(Refusal::OutOfMemory),
         Err(error) => fail(shared, key, error.to_string()),
     }
 }
