Room: count runs only where their tokens are counted

What callers saw: nothing yet; found in review. Runs at unreachable engines and in disabled domains counted as runs, while their tokens counted neither as staying nor as leaving. A run looked too small, so gaps in which no run fits passed for free room while engines were in trouble.

Change: the number of runs is added where the tokens are.

Evidence: reserve::runs_of_an_unreachable_engine_do_not_make_gaps_look_like_room fails without the change (Send in place of Wait) and passes with it.

--- a/crates/forward/src/state/room.rs
+++ b/crates/forward/src/state/room.rs
@@ -58,15 +58,16 @@
             }
             let load = self.load(key, endpoint, &loads);
             let runs = u64::from(load.tokens.saturating_sub(load.copies));
-            occupancy.runs = occupancy.runs.saturating_add(load.requests);
             if endpoint.leaving_since.is_some() {
                 occupancy.leaving += runs;
+                occupancy.runs = occupancy.runs.saturating_add(load.requests);
                 continue;
             }
             if endpoint.usable(now) && !self.is_disabled(&endpoint.listing.domain) {
                 occupancy.copies += u64::from(load.copies);
                 occupancy.engines += 1;
                 occupancy.staying += runs;
+                occupancy.runs = occupancy.runs.saturating_add(load.requests);
                 free.push((capacity - f64::from(load.tokens)).max(0.0));
             }
         }
--- a/crates/forward/tests/reserve.rs
+++ b/crates/forward/tests/reserve.rs
@@ -260,3 +260,33 @@
     assert_eq!(chosen(Features::new(vec![Feature::MoveRoom])), "m2");
     assert_eq!(chosen(Features::default()), "m3");
 }
+
+/// Runs at an engine that cannot be reached are no part of the demand: counted without their tokens
+/// they make a run look small, so that gaps in which no run fits pass for room.
+#[test]
+fn runs_of_an_unreachable_engine_do_not_make_gaps_look_like_room() {
+    // The room is kept at engines drawn by their ids, of which "m6" is one.
+    let ids = ["m1", "m6", "m3"];
+    let mut state = instance(&ids.map(|id| listing(id, "model", "a")));
+    state.update_settings(Settings {
+        features: Features::new(vec![Feature::MoveRoom]),
+        ..settings("a")
+    });
+    let [leaves, stays, unreachable] = ids.map(|name| {
+        let found = state
+            .endpoints()
+            .find(|(_, known)| known.listing.id == name);
+        found.map(|(key, _)| key).expect("the engine is listed")
+    });
+    begin_run(&mut state, leaves, None);
+    for endpoint in [[stays; 3].as_slice(), &[unreachable; 40]].concat() {
+        let run = begin_run(&mut state, endpoint, None);
+        state.run_mut(run).expect("the run goes on").prompt = 8400;
+    }
+    let mut leaving = listing("m1", "model", "a");
+    leaving.leaving = true;
+    state.change(at(100), Change::Set(leaving));
+    let endpoint = state.endpoint_mut(unreachable).expect("listed");
+    endpoint.mark_unreachable(at(105));
+    assert_eq!(state.pick(at(110), "model", LONG, &[]), Pick::Wait);
+}
