Takeover: a next engine lost before its first event is not switched to

What callers saw: with move_room, a stream without a backup copy was lost where the engine that took it over ended its connection after the head of its answer, although the engine before was sound.

Cause: the wait for the first event kept an error, or the end of an undelimited body, as the first part of the body and still reported the takeover as opened, so the sound connection was closed.

Change: such an end counts as a break of the next engine and as an unanswered takeover: the run is stopped at its engine, whose events are still read, and goes on from there.

Evidence: forwarding overlaps::stream_outlives_the_loss_of_its_next_engine_before_the_first_event (close and reset) failed before the change and passes with it. The test harness of `forwarding` can start an instance with features; no existing test is changed.

--- a/crates/carawayhead/tests/forwarding/instance.rs
+++ b/crates/carawayhead/tests/forwarding/instance.rs
@@ -68,6 +68,32 @@
         domain: &str,
         store: SocketAddr,
         limits: &str,
+    ) -> Self {
+        Self::start_with_settings(name, domain, store, limits, "").await
+    }
+
+    /// Starts an instance with these features of its decisions and waits until it is ready.
+    pub async fn start_with_features(
+        name: &str,
+        domain: &str,
+        store: &Store,
+        features: &[&str],
+    ) -> Self {
+        let decisions = format!("[decisions]\nenabled = {features:?}\n");
+        let instance = Self::start_with_settings(name, domain, store.address, "", &decisions).await;
+        wait_until("the instance is ready", || async {
+            caller::is_ready(instance.readiness_address).await
+        })
+        .await;
+        instance
+    }
+
+    async fn start_with_settings(
+        name: &str,
+        domain: &str,
+        store: SocketAddr,
+        limits: &str,
+        decisions: &str,
     ) -> Self {
         let folder = std::env::temp_dir();
         let file = folder.join(format!(
@@ -80,7 +106,7 @@
             "[instance]\ndomain = \"{domain}\"\nfellows = \"{any}\"\ngrace_s = 8\n\
              listen = \"{any}\"\n{limits}\nmetrics = \"{any}\"\nname = \"{name}\"\nready = \"{any}\"\n\
              [joint]\ncanary_requests = 50\ncanary_share = 0.1\nretry_burst = 50\nretry_ratio = 0.2\nretry_window_s = 10\n\
-             revocation_ms = 5000\n[store]\naddress = \"{store}\"\n"
+             revocation_ms = 5000\n[store]\naddress = \"{store}\"\n{decisions}"
         );
         std::fs::write(&file, settings).expect("the settings file can be written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_carawayhead"))
--- a/crates/carawayhead/tests/forwarding/main.rs
+++ b/crates/carawayhead/tests/forwarding/main.rs
@@ -7,6 +7,7 @@
 mod knowledge;
 mod load;
 mod memory;
+mod overlaps;
 mod rollouts;
 mod silences;
 mod streams;
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -167,6 +167,9 @@
         match opened {
             Ok(mut opened) => {
                 self.await_first_event(&mut opened.source).await;
+                if self.is_lost(&opened.source) {
+                    return TakeoverOutcome::Unknown(copy.key);
+                }
                 TakeoverOutcome::Opened(Box::new(opened))
             }
             Err(Failure::NotRun(why)) => TakeoverOutcome::Deferred(why),
@@ -186,6 +189,26 @@
         source.early = timeout(left, source.answer.chunk()).await.ok();
     }
 
+    /// Whether the other engine's connection ended before its first event.
+    fn is_lost(&self, source: &EventSource) -> bool {
+        let (is_lost, is_crash) = match &source.early {
+            Some(Err(error)) => (true, error.is_break_of_endpoint()),
+            Some(Ok(None)) => {
+                let is_cut_off = !source.answer.is_delimited();
+                (is_cut_off, is_cut_off)
+            }
+            Some(Ok(Some(_))) | None => (false, false),
+        };
+        if is_crash {
+            self.shared
+                .record_break(&self.original, source.key, source.sent_at, 0);
+        }
+        if is_lost {
+            log::info!(id = self.original.inbound.id; "engine lost before its first event");
+        }
+        is_lost
+    }
+
     /// Asks an engine to continue from a copy.
     ///
     /// # Errors
