Moves: a target whose refusal comes late is asked whether it lives on

What callers saw: found in review. A move refused after 150 ms or more marked its target unreachable, with doubling backoff, one target after another. The time includes the way to the run's engine and stalls of the instance, so sound engines that were just full were not used while room was needed.

Change: the target is asked whether it lives on. A silent one is passed over while there is another, one that answers stays in use.

No test of its own.

--- a/crates/proxy/src/relocate.rs
+++ b/crates/proxy/src/relocate.rs
@@ -22,8 +22,9 @@
 /// How long an abandoned run is waited for, which must not hold the state of its engine forever.
 const ABANDONED_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Time from which on a refused move shows that the engine which has the run could not reach the other one: whether
-/// there is room is known at once. Runs that are moved later would lose the same time of their notice.
+/// Time from which on a refused move may show that the engine which has the run could not reach the other one: whether
+/// there is room is known at once. The other one is asked whether it lives on, since the way to the first may have been
+/// slow as well, and runs that are moved later to a silent engine would lose the same time of their notice.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Size limit of an engine's response to a move.
@@ -95,7 +96,7 @@
             }),
             Ok(MoveResult::Refused(_)) => {
                 if took >= REFUSAL_TIMEOUT && shared.keeps_move_room() {
-                    shared.mark_unreachable(ends.target_key);
+                    shared.check_liveness(ends.target_key);
                 }
                 tried.push(ends.target_key);
                 continue;
