Moves: one check at a time of a target that refused late

Cause: many runs move at once, and each late refusal opened a connection of its own to the target. Change: no check begins while one is on the way or has just ended, as elsewhere.

--- a/crates/proxy/src/relocate.rs
+++ b/crates/proxy/src/relocate.rs
@@ -96,7 +96,7 @@
             }),
             Ok(MoveResult::Refused(_)) => {
                 if took >= REFUSAL_TIMEOUT && shared.keeps_move_room() {
-                    shared.check_liveness(ends.target_key);
+                    check_target(shared, ends.target_key);
                 }
                 tried.push(ends.target_key);
                 continue;
@@ -250,6 +250,14 @@
     target_key: EndpointKey,
 }
 
+/// Asks a target whether it lives on, once for all runs that it has refused late.
+fn check_target(shared: &Rc<Shared>, key: EndpointKey) {
+    let may_check = shared.state.borrow().may_check(clock::now(), key);
+    if may_check {
+        shared.check_liveness(key);
+    }
+}
+
 /// The engine that has the run, and another one with room.
 fn pick_ends(shared: &Shared, run: RunKey, tried: &[EndpointKey]) -> Option<MoveEnds> {
     let target = {
