--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -16,7 +16,7 @@
 pub const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Timeout of a takeover while the run's current engine may still be running it. Two engines
-/// may run it concurrently for up to 400 ms.
+/// may run it concurrently for up to this long.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
 
 /// How long an engine with a backup copy may take to answer a check before the run is copied to another one.
