--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -37,7 +37,8 @@
 /// Delay before a move is retried.
 const MOVE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// The same where no engine has room, of which new work leaves some free: whoever asks first gets it.
+/// The same where no engine has room. New work leaves room that becomes free to runs that move, and waiting for it uses
+/// up the notice of their engine.
 const ROOM_RETRY_DELAY: Duration = Duration::from_millis(30);
 
 impl Relay {
