Takeover: no wait for the next engine's first event where blocks have no id

What callers saw: with move_room, data blocks without an event id of both engines could reach the caller while a run moved: the previous engine is read until the next one's first event, up to 250 ms.

Cause: only the last id was looked at. Blocks without one are passed on by any engine.

Change: Sequence remembers a data block without an id; the takeover then switches over at the head of the answer. Comments do not count.

Evidence: forwarding overlaps::blocks_without_id_come_from_one_engine_while_a_stream_moves failed before (the block came twice) and passes; sequence::blocks_without_id_are_not_told_apart and decoders::blocks_with_data_differ_from_comments are new. No existing test is changed.

Left: a stream whose first such block comes during the overlap still has it from both engines.

--- a/crates/carawayhead/tests/forwarding/overlaps.rs
+++ b/crates/carawayhead/tests/forwarding/overlaps.rs
@@ -245,3 +245,18 @@
         assert_eq!(response.body, all_events(), "{next:?}: {continued:?}");
     }
 }
+
+/// Blocks without an id cannot be told apart, so that those of two engines at once would reach the caller twice.
+#[tokio::test]
+async fn blocks_without_id_come_from_one_engine_while_a_stream_moves() {
+    let (response, continued) = move_stream(Next::GoesOn).await;
+    assert!(
+        continued.iter().any(|handle| handle == "copied"),
+        "{continued:?}"
+    );
+    assert!(response.complete, "{continued:?}");
+    let late = response.body.matches(LATE).count();
+    assert_eq!(late, 1, "{}", response.body);
+    let numbered = response.body.replace(FIRST, "").replace(LATE, "");
+    assert_eq!(numbered, all_events());
+}
--- a/crates/endpoint/src/sse.rs
+++ b/crates/endpoint/src/sse.rs
@@ -83,6 +83,13 @@
     std::str::from_utf8(value).ok()
 }
 
+/// Whether a block has data; others are comments or settings of the connection.
+#[must_use]
+pub fn has_data(block: &[u8]) -> bool {
+    let mut lines = block.split(|byte| *byte == b'\n');
+    lines.any(|line| line.starts_with(b"data:") || line.trim_ascii_end() == b"data")
+}
+
 /// Parses a byte stream into events.
 #[derive(Debug, Default)]
 pub struct Parser {
--- a/crates/endpoint/tests/decoders.rs
+++ b/crates/endpoint/tests/decoders.rs
@@ -87,3 +87,25 @@
     let data = parse(&chunks).into_iter().map(|event| event.data);
     assert_eq!(data.collect::<Vec<_>>(), ["a", "b", "c"]);
 }
+
+/// Comments carry nothing that a caller could get twice; data without an id does.
+#[test]
+fn blocks_with_data_differ_from_comments() {
+    let has_data = |block: &str| endpoint::sse::has_data(block.as_bytes());
+    for block in [
+        "data: a\n\n",
+        "event: x\ndata:a\r\n\r\n",
+        "data\n\n",
+        "data\r\n\r\n",
+    ] {
+        assert!(has_data(block), "{block:?}");
+    }
+    for block in [
+        ": data: a\n\n",
+        "retry: 5\n\n",
+        "database: a\n\n",
+        "id: 1\n\n",
+    ] {
+        assert!(!has_data(block), "{block:?}");
+    }
+}
--- a/crates/forward/src/sequence.rs
+++ b/crates/forward/src/sequence.rs
@@ -12,6 +12,8 @@
     last: Option<String>,
     last_number: Option<u64>,
     step: Option<u64>,
+    /// Whether there was a data block without an id.
+    unnumbered: bool,
 }
 
 impl Sequence {
@@ -44,6 +46,17 @@
         true
     }
 
+    /// Records a data block without an id, of which a repetition would not be noticed.
+    pub const fn record_unnumbered(&mut self) {
+        self.unnumbered = true;
+    }
+
+    /// Whether the events so far show that those which two engines send are told apart by their numbers.
+    #[must_use]
+    pub const fn is_numbered(&self) -> bool {
+        self.last_number.is_some() && !self.unnumbered
+    }
+
     /// Whether an event is missing.
     #[must_use]
     pub const fn has_gap(&self) -> bool {
--- a/crates/forward/tests/sequence.rs
+++ b/crates/forward/tests/sequence.rs
@@ -36,3 +36,19 @@
     sequence.accept(Some("20"));
     assert!(sequence.has_gap());
 }
+
+/// A run moves, and its engine and the next one both send for a moment: a block without an id would
+/// reach the caller twice, unnoticed.
+#[test]
+fn blocks_without_id_are_not_told_apart() {
+    let mut sequence = Sequence::after(Some("3"));
+    assert!(sequence.is_numbered());
+    sequence.accept(Some("4"));
+    sequence.record_unnumbered();
+    sequence.accept(Some("5"));
+    assert!(!sequence.is_numbered());
+    let mut named = Sequence::default();
+    assert!(!named.is_numbered());
+    named.accept(Some("a"));
+    assert!(!named.is_numbered());
+}
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -58,6 +58,8 @@
     first_event_delay: Duration,
     /// Whether the connection to the current engine is open, for attempts in progress.
     is_connected: Rc<Cell<bool>>,
+    /// Whether the events are told apart by their numbers, for attempts in progress.
+    is_numbered: Rc<Cell<bool>>,
     /// When the current engine's first event was received.
     began_at: Option<Time>,
     last_event_at: Time,
@@ -193,6 +195,7 @@
         let now = clock::now();
         let inbound = &start.original.inbound;
         let resume_after = start.ticket.resume_after(inbound);
+        let sequence = Sequence::after(resume_after);
         Self {
             broken: None,
             copies: Vec::new(),
@@ -202,6 +205,7 @@
             first_event_delay: now.since(inbound.arrived),
             began_at: None,
             is_connected: Rc::new(Cell::new(true)),
+            is_numbered: Rc::new(Cell::new(sequence.is_numbered())),
             last_event_at: now,
             last_event: Rc::new(RefCell::new(resume_after.map(str::to_string))),
             longest_pause: Duration::ZERO,
@@ -215,7 +219,7 @@
             repeats: 0,
             next_look: now.after(CHECK_AFTER),
             running: start.running,
-            sequence: Sequence::after(resume_after),
+            sequence,
             shared: Rc::clone(shared),
             silence_logged_at: None,
             source: start.source,
@@ -343,6 +347,7 @@
     fn takeover_context(&self) -> TakeoverContext {
         TakeoverContext {
             is_connected: Rc::clone(&self.is_connected),
+            is_numbered: Rc::clone(&self.is_numbered),
             last_event: Rc::clone(&self.last_event),
             original: Rc::clone(&self.original),
             run: self.running.key,
@@ -479,9 +484,13 @@
         let read_at = clock::now();
         let events_before = self.sequence.count();
         for block in blocks {
-            if !self.sequence.accept(sse::event_id(&block)) {
+            let id = sse::event_id(&block);
+            if !self.sequence.accept(id) {
                 continue;
             }
+            if id.is_none() && sse::has_data(&block) {
+                self.sequence.record_unnumbered();
+            }
             if self.sequence.has_gap() {
                 return Err(Ending::Lost("an event is missing".to_string()));
             }
@@ -504,6 +513,7 @@
         }
         self.last_event
             .replace(self.sequence.last().map(str::to_string));
+        self.is_numbered.set(self.sequence.is_numbered());
         let now = clock::now();
         let events = self.sequence.count().saturating_sub(events_before);
         self.observe_pace(read_at, now, events);
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -99,6 +99,8 @@
 pub struct TakeoverContext {
     /// Whether the connection to the run's engine is open, kept up to date.
     pub is_connected: Rc<Cell<bool>>,
+    /// Whether events that two engines send are told apart by their numbers, kept up to date.
+    pub is_numbered: Rc<Cell<bool>>,
     /// Id of the last event sent to the caller, kept up to date.
     pub last_event: Rc<RefCell<Option<String>>>,
     /// The caller's request.
@@ -180,8 +182,7 @@
     /// Waits for the first part of the other engine's body while the events of the previous one are still read, for
     /// which the caller would otherwise wait without any.
     async fn await_first_event(&self, source: &mut EventSource) {
-        // Events that both engines make are told apart by their numbers.
-        let is_numbered = self.last_event.borrow().as_deref().is_some_and(is_number);
+        let is_numbered = self.is_numbered.get();
         if !self.shared.keeps_move_room() || !is_numbered || !self.is_connected.get() {
             return;
         }
@@ -313,7 +314,3 @@
         result
     }
 }
-
-fn is_number(id: &str) -> bool {
-    id.parse::<u64>().is_ok()
-}
