--- a/crates/forward/src/fairness/level.rs
+++ b/crates/forward/src/fairness/level.rs
@@ -3,9 +3,10 @@
 use super::Key;
 
 /// Share of a service's room in use from which on customers that press get less than the estimate of what
-/// is left, and share at which they get no more than usual. The estimate knows neither copies of runs nor
-/// engines that are slower than others.
+/// is left. The estimate knows neither copies of runs nor engines that are slower than others.
 const CROWDED_FILL: f64 = 0.7;
+
+/// Share of the room in use at which they get no more than usual.
 const FULL_FILL: f64 = 0.9;
 
 /// Growth of a customer's demand, relative to that of all others together, from which on it presses.
@@ -46,11 +47,11 @@
 #[must_use]
 pub fn holds(demands: &[Demand], room: f64, fill: f64) -> Vec<Hold> {
     let left = ((FULL_FILL - fill) / (FULL_FILL - CROWDED_FILL)).clamp(0.0, 1.0);
-    let Some(level) = water_level(demands, room * left) else {
+    let Some(level) = fair_level(demands, room * left) else {
         return Vec::new();
     };
     // What is usual fits, unless all ask for more than the room.
-    let entitled = water_level(demands, room).map_or(1.0, |level| level.min(1.0));
+    let entitled = fair_level(demands, room).map_or(1.0, |level| level.min(1.0));
     let level = level.max(entitled);
     let offered = demands.iter().map(|demand| demand.offered).sum::<f64>();
     let usual = demands.iter().map(|demand| demand.usual).sum::<f64>();
@@ -70,7 +71,7 @@
 
 /// Demand per weight up to which all demands together fit into `room`; `None` if all of them fit.
 #[must_use]
-pub fn water_level(demands: &[Demand], room: f64) -> Option<f64> {
+pub fn fair_level(demands: &[Demand], room: f64) -> Option<f64> {
     let mut growths = demands
         .iter()
         .filter(|demand| demand.weight > 0.0)
--- a/crates/forward/src/fairness/rates.rs
+++ b/crates/forward/src/fairness/rates.rs
@@ -5,8 +5,7 @@
 /// Number of slots of the window.
 const SLOTS: u8 = 5;
 
-/// Length of a slot. The window is as short as a caller's patience: a customer that no longer presses is
-/// free again once it has passed.
+/// Length of a slot. A customer that no longer presses is free again once the window has passed.
 const SLOT_MICROS: u64 = 250_000;
 
 /// Length of the window, in seconds.
--- a/crates/forward/src/fairness/sums.rs
+++ b/crates/forward/src/fairness/sums.rs
@@ -61,9 +61,9 @@
     own: VecDeque<(u64, Vec<Row>)>,
     /// Of other failure domains, sorted by domain, then by rank.
     domains: Vec<Known>,
-    /// Of single instances, sorted by sender.
+    /// Of single instances, sorted like those of domains.
     instances: Vec<Known>,
-    /// Answers of aggregators, sorted by rank.
+    /// Answers of aggregators, sorted like those of domains.
     totals: Vec<Known>,
 }
 
--- a/crates/forward/src/profile.rs
+++ b/crates/forward/src/profile.rs
@@ -16,8 +16,7 @@
 
 use crate::prelude::*;
 
-/// Time after which evidence counts half. Long enough for several slow spells, so that none of them decides,
-/// and short enough to learn of a lasting change while streams run.
+/// Time after which evidence counts half: several slow spells pass in it, so that none of them decides.
 const HALF_LIFE: Duration = Duration::from_secs(10);
 
 /// Number of windows at which the evidence on an engine counts as much as what is usual.
@@ -230,7 +229,7 @@
         let known = known.map(|index| self.entries[index].at(now));
         if let Some(known) = known.filter(|known| known.windows >= PRIOR_WINDOWS) {
             let mut shape = Shape::default();
-            let ratio = seen.interval.longest.as_secs_f64() * 1000.0 / known.pace_ms;
+            let ratio = seen.interval.length.as_secs_f64() * 1000.0 / known.pace_ms;
             let Interval {
                 events, is_reading, ..
             } = seen.interval;
--- a/crates/forward/src/profile/window.rs
+++ b/crates/forward/src/profile/window.rs
@@ -28,7 +28,7 @@
     /// Whether the engine read a prompt meanwhile, as far as is known.
     pub is_reading: bool,
     /// The interval.
-    pub longest: Duration,
+    pub length: Duration,
     /// Time of an event without disturbance, once enough intervals have been seen.
     pub undisturbed: Option<Duration>,
 }
@@ -74,7 +74,7 @@
             certainty: if was_reading { READING_WEIGHT } else { 1.0 },
             events,
             is_reading,
-            longest: interval,
+            length: interval,
             undisturbed,
         })
     }
--- a/crates/forward/tests/profiles.rs
+++ b/crates/forward/tests/profiles.rs
@@ -200,12 +200,12 @@
     for number in 0..8000 {
         // One interval in 50 is five times as long as usual, beside a prompt.
         let is_reading = number % 50 == 0;
-        let longest = if is_reading { millis(110) } else { millis(20) };
+        let length = if is_reading { millis(110) } else { millis(20) };
         let interval = Interval {
             certainty: 1.0,
             events: 1,
             is_reading,
-            longest,
+            length,
             undisturbed: None,
         };
         let seen = Observation {
--- a/crates/proxy/src/gossip/paces.rs
+++ b/crates/proxy/src/gossip/paces.rs
@@ -1,8 +1,8 @@
 //! Exchange of what engines do, as observed in streams.
 //!
 //! Each instance tells what it has observed since its last message; an aggregator adds up its failure domain, tells it to
-//! the other domains, and answers its members with what it knows. Sums of evidence bear a message that is lost or counted
-//! twice, so nothing is confirmed.
+//! the other domains, and answers its members with what it knows. Only ratios of the sums count, which a message that is
+//! lost or counted twice hardly changes, so nothing is confirmed.
 
 use {
     super::role,
--- a/crates/proxy/src/gossip/receive.rs
+++ b/crates/proxy/src/gossip/receive.rs
@@ -138,7 +138,9 @@
 fn note_sender(shared: &Shared, name: &str, incarnation: u64, number: u64) {
     if shared.peers.record_report(name, incarnation, number) {
         log::info!(fellow = name; "peer instance restarted");
-        shared.state.borrow_mut().peer_loads.forget(name);
+        let mut state = shared.state.borrow_mut();
+        state.peer_loads.forget(name);
+        state.shares.sums.forget(name);
     }
 }
 
--- a/crates/proxy/src/memory.rs
+++ b/crates/proxy/src/memory.rs
@@ -200,8 +200,8 @@
         self.guard.replace(Some(guard));
     }
 
-    /// Records that the caller may read the response, on this connection, which ends if the response is let go. Its body alone cannot, since it is not polled while the
-    /// caller reads nothing.
+    /// Records that the caller may read the response, on this connection, which ends if the response is let
+    /// go. The body cannot end it: it is not polled while the caller reads nothing.
     pub fn attach(&self, connection: &Rc<Activity>) {
         self.buffers
             .memory
