Test of late requests: one free slot elsewhere, which a request on time does not leave for

The mutation 'a late request is held to its failure domain' was missed: an idle endpoint elsewhere is taken either way. With one of forty slots free the test fails under it and passes without.

--- a/crates/forward/tests/sides.rs
+++ b/crates/forward/tests/sides.rs
@@ -70,6 +70,13 @@
 fn late_request_is_sent_wherever_there_is_room() {
     let mut state = sided();
     occupy(&mut state, "a-desk");
+    // One slot is free elsewhere, too few for a request on time to leave.
+    let mut large = listing("b-desk", "desk", "b");
+    large.slots = 40;
+    state.change(at(0), Change::Set(large));
+    occupy(&mut state, "b-desk");
+    let free = key(&state, "b-desk");
+    state.endpoint_mut(free).expect("listed").in_flight -= 1;
     let ticket = ticket(&mut state, "/desk/x", 0);
     let late = 1900;
     let need = Need::default();
