Log what endpoints ask for when they reject a request

What callers saw: requests refused as full although two endpoints took requests. What on-call engineers missed: no line shows a Retry-After of an endpoint, nor that a request was not tried again for want of budget. Cause: the header is read nowhere, and given up names only the endpoint's answer. Change: conditions that endpoints state are decoded in one place, a line and a metric for each rejection, and the reason why there was no retry. No decision depends on them yet.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod brittleness;
 pub mod budget;
 pub mod choice;
+pub mod condition;
 pub mod config;
 pub mod crashes;
 pub mod endpoint;
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -90,6 +90,7 @@
             Attempt::Retry => {}
         }
         if !progress.may_send(shared, &ticket) {
+            progress.note_no_retry();
             return progress.finish(id, Refusal::Full);
         }
     }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -109,7 +109,9 @@
     .await;
     match &outcome {
         SendOutcome::NotWritten(_) => shared.record_unreachable(destination.key),
-        SendOutcome::Answer(_, flags) => shared.record_flags(destination.key, *flags, sent),
+        SendOutcome::Answer(reply, flags) => {
+            shared.record_flags(destination.key, reply.status(), *flags, sent);
+        }
         SendOutcome::Broken(_) | SendOutcome::Limited | SendOutcome::Unknown(_) => {}
     }
     outcome
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -57,6 +57,7 @@
     moves: Counter<u64>,
     parts: Counter<u64>,
     registry: Registry,
+    rejections: Counter<u64>,
     rollouts: Counter<u64>,
     sends: Counter<u64>,
     stops: Counter<u64>,
@@ -144,6 +145,10 @@
                 "suspect_parts",
                 "crashes of endpoints that count against parts of prompts, clearances, trials and refusals",
             ),
+            rejections: counter(
+                "requests_rejected",
+                "requests that endpoints rejected without running them, by service and whether a cooldown was asked for",
+            ),
             rollouts: counter(
                 "rollout_steps",
                 "requests to versions that are not judged yet, and stages recorded",
@@ -247,6 +252,15 @@
         self.parts.add(1, &[KeyValue::new("change", change)]);
     }
 
+    /// Records that an endpoint rejected a request, and whether it asked for a cooldown.
+    pub fn record_rejection(&self, service: &str, with_cooldown: bool) {
+        let labels = [
+            KeyValue::new("service", service.to_string()),
+            KeyValue::new("cooldown", with_cooldown),
+        ];
+        self.rejections.add(1, &labels);
+    }
+
     /// Records a request to a version that is not judged yet (`exposed`), or a stage of a rollout.
     pub fn record_rollout(&self, service: &str, step: &'static str) {
         let labels = [
--- a/crates/proxy/src/progress.rs
+++ b/crates/proxy/src/progress.rs
@@ -66,6 +66,16 @@
         self.sends == 0 || (self.sends < MAX_SENDS && allowed(&mut shared.state.borrow_mut()))
     }
 
+    /// Adds to the reason of the last failure that no further send is allowed.
+    pub fn note_no_retry(&mut self) {
+        let limit = if self.sends >= MAX_SENDS {
+            "too many sends"
+        } else {
+            "retry budget used up"
+        };
+        self.why = format!("{}; {limit}", self.why);
+    }
+
     /// Ends the request without success: with an endpoint's error response if there is one.
     ///
     /// # Errors
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -38,11 +38,7 @@
         state::QueuePosition,
     },
     peer::datagram::DatagramSocket,
-    platform::{
-        Store,
-        head::{self, ResponseFlags},
-        store::Topic,
-    },
+    platform::{Store, condition, head::ResponseFlags, store::Topic},
     rand::{RngExt as _, SeedableRng as _, rngs::SmallRng},
     tokio::sync::Notify,
 };
@@ -482,10 +478,16 @@
 
     /// Records what an answer says of its endpoint: whether it is brittle or names a limit, and whether it rejected
     /// the request for want of room. `sent` is when its request was sent, and to which incarnation.
-    pub fn record_flags(&self, key: EndpointKey, flags: ResponseFlags, sent: (Time, u32)) {
+    pub fn record_flags(
+        &self,
+        key: EndpointKey,
+        status: StatusCode,
+        flags: ResponseFlags,
+        sent: (Time, u32),
+    ) {
         let now = clock::now();
         if !flags.misdirected {
-            self.record_limit(now, flags.limit, sent);
+            self.record_limit(now, flags.conditions.limit, sent);
         }
         let mut state = self.state.borrow_mut();
         let Some(endpoint) = state.endpoint_mut(key) else {
@@ -495,7 +497,16 @@
             endpoint.exposure.record_rejection(now);
         }
         let service = endpoint.listing.service.clone();
-        let limit = flags.max_rejections;
+        if flags.not_run || flags.conditions.cooldown.is_some() {
+            let cooldown_ms = flags.conditions.cooldown.map(|time| time.as_millis());
+            log::info!(
+                endpoint = endpoint.listing.id, service, status = status.as_u16(), cooldown_ms:?;
+                "request rejected by endpoint"
+            );
+            self.metrics
+                .record_rejection(&service, cooldown_ms.is_some());
+        }
+        let limit = flags.conditions.max_rejections;
         if state.brittleness.record(now, &service, limit) {
             log::info!(service, limit:?; "limit of rejections changed");
         }
@@ -515,7 +526,7 @@
 
     /// Logs the conditions in a response that this version does not know, each once for a service.
     pub fn note_conditions(&self, key: EndpointKey, headers: &http::HeaderMap) {
-        for (name, value) in head::unknown_conditions(headers) {
+        for (name, value) in condition::unknown(headers) {
             let Some((_, service)) = self.endpoint_service(key) else {
                 return;
             };
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -133,6 +133,7 @@
                 shared.observe(key, &ticket.route.name, Outcome::Rejected);
                 progress.note_rejected(key, why);
                 if !progress.may_send(shared, &ticket) {
+                    progress.note_no_retry();
                     return Err(progress.give_up(id, Refusal::Full));
                 }
             }
