--- /dev/null
+++ b/crates/carawayhead/tests/forwarding/cooldowns.rs
@@ -0,0 +1,382 @@
+//! Endpoints that ask to be left alone when they reject a request, and endpoints that state that they leave.
+
+use {
+    crate::instance::{Instance, wait_until},
+    http::StatusCode,
+    platform::standin::{
+        Engine, PlainService, Store,
+        caller::{CallerRequest, CallerResponse, config, send_request},
+        engine::SharedRuns,
+        http::Call,
+    },
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        task::JoinSet,
+        time::{MissedTickBehavior, interval, sleep},
+    },
+};
+
+/// Time after a rejection in which requests that were on their way may still arrive.
+const TRANSIT_TIME: Duration = Duration::from_millis(500);
+
+/// Most requests of one instance that may arrive in the rest of a cooldown.
+const MAX_IN_COOLDOWN: usize = 2;
+
+/// Time after an answer that states that its endpoint leaves, from which on callers' requests go elsewhere.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
+/// Time for which an endpoint rejects all requests.
+const REJECTING_TIME: Duration = Duration::from_secs(8);
+
+/// Time for which a request is held at most that no endpoint can take; the queue's limit is half of the timeout.
+const TIMEOUT_MS: u32 = 5000;
+const QUEUE_TIMEOUT_MS: u64 = 2500;
+
+/// Events of a stream, and the time between two.
+const EVENTS: u32 = 10;
+const EVENT_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Callers of a service.
+struct Load {
+    instances: usize,
+    path: &'static str,
+    /// Requests per second of all callers.
+    rate: f64,
+}
+
+/// A request of a caller, and what became of it.
+struct Sent {
+    answer: Option<CallerResponse>,
+    at: Instant,
+    id: String,
+}
+
+impl Sent {
+    fn is_served(&self) -> bool {
+        let answer = self.answer.as_ref();
+        answer.is_some_and(|answer| answer.status == StatusCode::OK && answer.complete)
+    }
+
+    /// Whether it was refused with a time to come back.
+    fn is_refused(&self) -> bool {
+        let answer = self.answer.as_ref();
+        answer.is_some_and(|answer| {
+            answer.status == StatusCode::SERVICE_UNAVAILABLE && answer.retry_after.is_some()
+        })
+    }
+}
+
+/// Sends requests to all instances at the load's rate for a while, whatever becomes of earlier ones.
+async fn call(instances: &[Instance], load: &Load, name: &str, time: Duration) -> Vec<Sent> {
+    let end = Instant::now() + time;
+    let mut ticks = interval(Duration::from_secs_f64(1.0 / load.rate));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut requests = JoinSet::new();
+    let mut number = 0;
+    while Instant::now() < end {
+        ticks.tick().await;
+        let index = number % instances.len();
+        let id = format!("e{index}-{name}{number}");
+        let (address, path) = (instances[index].caller_address, load.path);
+        requests.spawn(async move {
+            let at = Instant::now();
+            let answer = send_request(address, &CallerRequest::new(&id, path)).await;
+            Sent { answer, at, id }
+        });
+        number += 1;
+    }
+    requests.join_all().await
+}
+
+/// The instance to which the request with this id was sent.
+fn instance_of(id: &str) -> &str {
+    id.split_once('-').expect("an id of this test").0
+}
+
+/// Checks that no instance sends more than two requests from half a second after each rejection to the end of the time
+/// that it asks for.
+fn check_cooldowns(rejected: &[Call], executed: &[Call], cooldown: Duration) {
+    let broken = rejected.iter().filter_map(|rejection| {
+        let instance = instance_of(rejection.id());
+        let calls = rejected.iter().chain(executed);
+        let within = calls.filter(|call| {
+            let since = call.at.saturating_duration_since(rejection.at);
+            instance_of(call.id()) == instance && since > TRANSIT_TIME && since < cooldown
+        });
+        let count = within.count();
+        (count > MAX_IN_COOLDOWN).then_some((instance, count))
+    });
+    let broken = broken.collect::<Vec<_>>();
+    assert!(
+        broken.is_empty(),
+        "{} of {} cooldowns were not kept: {broken:?}",
+        broken.len(),
+        rejected.len()
+    );
+}
+
+async fn start_instances(count: usize, store: &Store) -> Vec<Instance> {
+    let mut instances = Vec::new();
+    for number in 0..count {
+        instances.push(Instance::start(&format!("e{number}"), "a", store).await);
+    }
+    instances
+}
+
+/// Sends requests until an endpoint executes some again.
+async fn check_is_used_again(instances: &[Instance], load: &Load, executed: impl Fn() -> usize) {
+    let before = executed();
+    let mut number = 0;
+    while executed() < before + 5 {
+        let instance = &instances[number % instances.len()];
+        let id = format!("e0-again{number}");
+        send_request(instance.caller_address, &CallerRequest::new(&id, load.path)).await;
+        number += 1;
+        assert!(number < 400, "the endpoint is not used again");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Plays callers of two endpoints of a plain service of which one rejects everything for a while, and checks that its
+/// cooldowns are kept, that nothing is refused, and that it is used afterwards.
+async fn check_beside_free_endpoint(cooldown: &str, load: &Load) {
+    let store = Store::start().await;
+    store.write_operator_record("config", &config(1, &["key-1"], TIMEOUT_MS));
+    let (cooling, free) = (
+        PlainService::start("d1").await,
+        PlainService::start("d2").await,
+    );
+    store.write_endpoint_entry("d1", &cooling.entry("desk", "a", "ready"));
+    store.write_endpoint_entry("d2", &free.entry("desk", "a", "ready"));
+    let instances = start_instances(load.instances, &store).await;
+    call(&instances, load, "before", Duration::from_millis(500)).await;
+    cooling.conditions().set_cooldown(Some(cooldown));
+    let renewed = async {
+        for version in ["v2", "v3", "v4"] {
+            sleep(Duration::from_secs(2)).await;
+            let entry = cooling.entry_of_version("desk", "a", "ready", version);
+            store.write_endpoint_entry("d1", &entry);
+        }
+    };
+    let (sent, ()) = tokio::join!(call(&instances, load, "during", REJECTING_TIME), renewed);
+    cooling.conditions().set_cooldown(None);
+    let seconds = cooldown.parse::<f64>().expect("a number");
+    check_cooldowns(
+        &cooling.conditions().rejected_calls(),
+        &cooling.executed_calls(),
+        Duration::from_secs_f64(seconds),
+    );
+    let refused = sent.iter().filter(|sent| !sent.is_served()).count();
+    assert_eq!(
+        refused,
+        0,
+        "of {} beside an endpoint that takes requests",
+        sent.len()
+    );
+    check_is_used_again(&instances, load, || cooling.executed_calls().len()).await;
+}
+
+/// Guards against an instance that does not read the time that an endpoint asks for, and sends on.
+#[tokio::test]
+async fn cooldown_is_kept_by_one_instance() {
+    let load = Load {
+        instances: 1,
+        path: "/look/x",
+        rate: 30.0,
+    };
+    check_beside_free_endpoint("3", &load).await;
+}
+
+/// Guards against instances that use up their retry budgets on an endpoint that asks to be left alone, so that callers
+/// are refused beside one that takes requests.
+#[tokio::test]
+async fn cooldown_is_kept_by_seven_instances() {
+    let load = Load {
+        instances: 7,
+        path: "/order/x",
+        rate: 60.0,
+    };
+    check_beside_free_endpoint("3", &load).await;
+}
+
+/// Guards against cooldowns in fractions of a second that are read as whole ones or not at all.
+#[tokio::test]
+async fn cooldown_of_a_second_and_a_half_is_kept() {
+    let load = Load {
+        instances: 7,
+        path: "/look/x",
+        rate: 60.0,
+    };
+    check_beside_free_endpoint("1.5", &load).await;
+}
+
+/// Guards against requests that are held to the end of their time although no endpoint takes any.
+#[tokio::test]
+async fn cooldown_of_the_only_endpoint_refuses_requests_at_once() {
+    let load = Load {
+        instances: 3,
+        path: "/look/x",
+        rate: 30.0,
+    };
+    let store = Store::start().await;
+    store.write_operator_record("config", &config(1, &["key-1"], TIMEOUT_MS));
+    let cooling = PlainService::start("d1").await;
+    store.write_endpoint_entry("d1", &cooling.entry("desk", "a", "ready"));
+    let instances = start_instances(load.instances, &store).await;
+    call(&instances, &load, "before", Duration::from_millis(500)).await;
+    cooling.conditions().set_cooldown(Some("3"));
+    let sent = call(&instances, &load, "during", REJECTING_TIME).await;
+    cooling.conditions().set_cooldown(None);
+    check_cooldowns(
+        &cooling.conditions().rejected_calls(),
+        &cooling.executed_calls(),
+        Duration::from_secs(3),
+    );
+    let others = sent.iter().filter(|sent| !sent.is_refused()).count();
+    assert_eq!(
+        others,
+        0,
+        "of {} not refused with a time to come back",
+        sent.len()
+    );
+    for instance in &instances {
+        for line in instance.log_lines_containing("\"request ended\"") {
+            let line = serde_json::from_str::<serde_json::Value>(&line).expect("a log line");
+            let held = line["ms"].as_u64().expect("a time");
+            assert!(held < QUEUE_TIMEOUT_MS, "{line}");
+        }
+    }
+    check_is_used_again(&instances, &load, || cooling.executed_calls().len()).await;
+}
+
+/// Guards against streams that are sent to an engine in its cooldown.
+#[tokio::test]
+async fn cooldown_of_an_engine_is_kept() {
+    let load = Load {
+        instances: 3,
+        path: "/draft/x",
+        rate: 30.0,
+    };
+    let store = Store::start().await;
+    store.write_operator_record("config", &config(1, &["key-1"], TIMEOUT_MS));
+    let shared_runs = Arc::<SharedRuns>::default();
+    let cooling = Engine::start(&shared_runs, "m1", EVENTS, EVENT_INTERVAL).await;
+    let free = Engine::start(&shared_runs, "m2", EVENTS, EVENT_INTERVAL).await;
+    store.write_endpoint_entry("m1", &cooling.entry("model", "a", "ready"));
+    store.write_endpoint_entry("m2", &free.entry("model", "a", "ready"));
+    let instances = start_instances(load.instances, &store).await;
+    call(&instances, &load, "before", Duration::from_millis(500)).await;
+    cooling.conditions().set_cooldown(Some("3"));
+    let sent = call(&instances, &load, "during", REJECTING_TIME).await;
+    cooling.conditions().set_cooldown(None);
+    check_cooldowns(
+        &cooling.conditions().rejected_calls(),
+        &cooling.executed_calls(),
+        Duration::from_secs(3),
+    );
+    let refused = sent.iter().filter(|sent| !sent.is_served()).count();
+    assert_eq!(refused, 0, "of {} beside a free engine", sent.len());
+    check_is_used_again(&instances, &load, || cooling.executed_calls().len()).await;
+}
+
+/// Plays callers of two endpoints of which one states in all its answers that it leaves, while the list calls it ready,
+/// and checks that no request goes there later than the drain time after an instance has passed such an answer on.
+async fn check_leaving(load: &Load) {
+    let store = Store::start().await;
+    store.write_operator_record("config", &config(1, &["key-1"], TIMEOUT_MS));
+    let (leaving, free) = (
+        PlainService::start("d1").await,
+        PlainService::start("d2").await,
+    );
+    store.write_endpoint_entry("d1", &leaving.entry("desk", "a", "ready"));
+    store.write_endpoint_entry("d2", &free.entry("desk", "a", "ready"));
+    let instances = start_instances(load.instances, &store).await;
+    call(&instances, load, "before", Duration::from_millis(500)).await;
+    leaving.conditions().set_leaving(true);
+    let stated_from = Instant::now();
+    let renewed = async {
+        for version in ["v2", "v3", "v4"] {
+            sleep(Duration::from_secs(2)).await;
+            let entry = leaving.entry_of_version("desk", "a", "ready", version);
+            store.write_endpoint_entry("d1", &entry);
+        }
+    };
+    let (sent, ()) = tokio::join!(call(&instances, load, "during", REJECTING_TIME), renewed);
+    let calls = leaving.executed_calls();
+    let stated = calls.iter().filter(|call| call.at >= stated_from);
+    let late = stated.clone().filter(|call| {
+        let request = sent.iter().find(|sent| sent.id == call.id());
+        request.is_some_and(|request| {
+            stated.clone().any(|earlier| {
+                instance_of(earlier.id()) == instance_of(&request.id)
+                    && request.at.saturating_duration_since(earlier.at) > DRAIN_TIME
+            })
+        })
+    });
+    let late = late.count();
+    assert_eq!(
+        late,
+        0,
+        "of {} requests after it stated that it leaves",
+        stated.count()
+    );
+    let refused = sent.iter().filter(|sent| !sent.is_served()).count();
+    assert_eq!(refused, 0, "of {}", sent.len());
+}
+
+/// Guards against an instance that waits for the list to say what the endpoint itself has said.
+#[tokio::test]
+async fn endpoint_that_states_that_it_leaves_is_left_by_three_instances() {
+    let load = Load {
+        instances: 3,
+        path: "/look/x",
+        rate: 30.0,
+    };
+    check_leaving(&load).await;
+}
+
+/// Guards against entries of the list, each of which calls the endpoint ready again.
+#[tokio::test]
+async fn endpoint_that_states_that_it_leaves_is_left_by_seven_instances() {
+    let load = Load {
+        instances: 7,
+        path: "/order/x",
+        rate: 60.0,
+    };
+    check_leaving(&load).await;
+}
+
+/// Guards against requests that wait for an endpoint of a service whose endpoints all leave.
+#[tokio::test]
+async fn requests_for_endpoints_that_all_leave_are_refused_at_once() {
+    let load = Load {
+        instances: 1,
+        path: "/look/x",
+        rate: 10.0,
+    };
+    let store = Store::start().await;
+    store.write_operator_record("config", &config(1, &["key-1"], TIMEOUT_MS));
+    let leaving = PlainService::start("d1").await;
+    store.write_endpoint_entry("d1", &leaving.entry("desk", "a", "ready"));
+    let instances = start_instances(load.instances, &store).await;
+    leaving.conditions().set_leaving(true);
+    call(&instances, &load, "first", Duration::from_millis(300)).await;
+    let sent = call(&instances, &load, "later", Duration::from_secs(2)).await;
+    assert!(sent.iter().all(Sent::is_refused));
+    for line in instances[0].log_lines_containing("\"request ended\"") {
+        let line = serde_json::from_str::<serde_json::Value>(&line).expect("a log line");
+        let held = line["ms"].as_u64().expect("a time");
+        assert!(held < QUEUE_TIMEOUT_MS, "{line}");
+    }
+    let restarted = PlainService::start("d3").await;
+    store.write_endpoint_entry("d3", &restarted.entry("desk", "a", "ready"));
+    wait_until("the next endpoint is used", || async {
+        let request = CallerRequest::new("e0-last", "/look/x");
+        let answer = send_request(instances[0].caller_address, &request).await;
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
+    })
+    .await;
+}
--- a/crates/carawayhead/tests/forwarding/main.rs
+++ b/crates/carawayhead/tests/forwarding/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod bounds;
+mod cooldowns;
 mod crashes;
 mod instance;
 mod knowledge;
