Endpoints get no requests in the time for which they ask to be left alone

What callers saw: after an endpoint of a plain service had answered 503 with Retry-After, the two instances next to it sent on, up to 10 requests in 3 s; once their retry budgets were used up by the rejections, 17 callers were refused beside two endpoints that took requests.

Cause: Retry-After of an endpoint was read nowhere. A rejection was a backoff of 150 ms, which an entry of the list, a connection or a healed partition could end besides.

Ruled out: a time that is read and lost, as there are no long gaps; requests chosen before, as the sends go on to the end.

Change: a cooldown is kept for the start of the endpoint that asked for it, outlasts its entry, and is asked for before each send and again once there is a connection. Afterwards instances come back spread, one request at a time until one is accepted. A request that only endpoints in their cooldowns could serve is refused at once with the shortest time left, also where it was turned away there itself: a check in named_limits expected it to wait then for nothing, which it could not get; it now expects the refusal, and for a limit too.

--- a/crates/endpoint/src/error.rs
+++ b/crates/endpoint/src/error.rs
@@ -19,6 +19,8 @@
     Timeout,
     /// A response body or event exceeds its size limit.
     TooLarge,
+    /// The endpoint takes no requests any more, as was found once there was a connection to it.
+    Withheld,
 }
 
 impl Display for Error {
@@ -31,6 +33,7 @@
             Self::Request(error) => write!(f, "cannot build the request: {error}"),
             Self::Timeout => write!(f, "no answer in time"),
             Self::TooLarge => write!(f, "response exceeds its size limit"),
+            Self::Withheld => write!(f, "endpoint takes no requests now"),
         }
     }
 }
@@ -56,7 +59,7 @@
     #[must_use]
     pub const fn unwritten(&self) -> bool {
         match self {
-            Self::Connect(_) | Self::NotWritten(_) | Self::Request(_) => true,
+            Self::Connect(_) | Self::NotWritten(_) | Self::Request(_) | Self::Withheld => true,
             Self::Broken(_) | Self::Invalid(_) | Self::Timeout | Self::TooLarge => false,
         }
     }
--- a/crates/forward/src/endpoint.rs
+++ b/crates/forward/src/endpoint.rs
@@ -1,7 +1,8 @@
 //! State of one endpoint, as seen by this instance.
 
 use crate::{
-    brittleness::Exposure, load::digest, prelude::*, rate_limit::RateLimiter, silence::Liveness,
+    brittleness::Exposure, departed::Statement, load::digest, prelude::*, rate_limit::RateLimiter,
+    silence::Liveness,
 };
 
 /// Backoff after the first failed connection; it doubles with each failure.
@@ -123,6 +124,8 @@
     pub(crate) lost_at: Option<Time>,
     /// When this instance learned that it is leaving.
     pub leaving_since: Option<Time>,
+    /// What this start of it has stated of itself.
+    pub(crate) statement: Statement,
     /// Since when its version has been known, if an order for that version may be unknown yet.
     pub unverified_since: Option<Time>,
 }
@@ -148,6 +151,7 @@
             liveness: Liveness::default(),
             lost_at: None,
             rate_limiter: RateLimiter::default(),
+            statement: Statement::default(),
             unverified_since: None,
         }
     }
@@ -162,6 +166,7 @@
             self.failures = 0;
             self.failure_rate = 0.0;
             self.liveness = Liveness::default();
+            self.statement = Statement::default();
             self.incarnation = digest(&listing.incarnation());
         }
         self.cold_until = now.after(listing.cold);
@@ -185,7 +190,9 @@
     /// Whether it may get new work.
     #[must_use]
     pub fn usable(&self, now: Time) -> bool {
-        self.leaving_since.is_none() && now >= self.avoid_until
+        self.leaving_since.is_none()
+            && now >= self.avoid_until
+            && self.statement.cooldown.admits(now)
     }
 
     /// Whether it is not used because it could not be reached.
--- a/crates/forward/src/outcome.rs
+++ b/crates/forward/src/outcome.rs
@@ -16,6 +16,8 @@
     Broken,
     /// Too many endpoints were lost while they ran an equal request.
     CrashesEndpoints,
+    /// The endpoints that could serve it want no requests for now; it may return after this time.
+    CoolingDown(Duration),
     /// No endpoint had capacity in time.
     Full,
     /// The customer asks for more than its share of a service that is short of room; it may return
@@ -52,6 +54,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::Broken => "broken",
             Self::CrashesEndpoints => "crashes_endpoints",
+            Self::CoolingDown(_) => "cooling_down",
             Self::Expired => "expired",
             Self::Full => "full",
             Self::Limited(_) => "limited",
@@ -78,7 +81,7 @@
     pub const fn retry_after(self) -> Option<Duration> {
         match self {
             Self::Full => Some(FULL_RETRY_AFTER),
-            Self::Limited(after) | Self::OverShare(after) => Some(after),
+            Self::CoolingDown(after) | Self::Limited(after) | Self::OverShare(after) => Some(after),
             Self::Unreachable => Some(UNREACHABLE_RETRY_AFTER),
             Self::OutOfMemory | Self::Stale | Self::Stopping | Self::Unconfigured => {
                 Some(OTHER_INSTANCE_RETRY_AFTER)
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -2,6 +2,7 @@
 //!
 //! Decisions on it are in [`crate::admission`] and [`crate::choice`].
 
+mod conditions;
 mod limits;
 mod list;
 mod queue;
@@ -10,6 +11,7 @@
 mod shares;
 
 pub use self::{
+    conditions::{Answer, Outlook},
     limits::{Admission, Ask, Response},
     queue::QueuePosition,
 };
@@ -19,6 +21,7 @@
         aggregate::{Sums, members::Members},
         brittleness::Brittleness,
         budget::RetryBudget,
+        departed::Departed,
         fairness::Shares,
         freshness::Freshness,
         limit::Limits,
@@ -62,6 +65,8 @@
     pub(crate) config: Option<Config>,
     /// Age of the configuration.
     pub config_freshness: Freshness,
+    /// What endpoints stated that are not listed any more.
+    departed: Departed,
     disabled_domains: Vec<String>,
     /// Versions that endpoints have had since the start, sorted by service, then by version.
     known_versions: Vec<KnownVersion>,
@@ -127,6 +132,7 @@
             budget: RetryBudget::new(&settings),
             config: None,
             config_freshness: Freshness::default(),
+            departed: Departed::default(),
             disabled_domains: Vec::new(),
             known_versions: Vec::new(),
             endpoints: SlotMap::with_key(),
@@ -253,12 +259,18 @@
             })
         };
         let runs = &self.runs;
+        let departed = &mut self.departed;
         self.endpoints.retain(|key, endpoint| {
             let left = endpoint
                 .leaving_since
                 .is_some_and(|since| now.since(since) > LEFT_ENDPOINT_RETENTION);
-            !left || endpoint.in_flight > 0 || used(key, runs)
+            let is_kept = !left || endpoint.in_flight > 0 || used(key, runs);
+            if !is_kept {
+                departed.insert(now, endpoint.incarnation, endpoint.statement);
+            }
+            is_kept
         });
+        departed.expire(now);
     }
 
     /// Whether the failure domain is disabled.
--- a/crates/forward/src/state/limits.rs
+++ b/crates/forward/src/state/limits.rs
@@ -2,7 +2,7 @@
 
 use {
     super::State,
-    crate::{aggregate::members::Role, prelude::*, rollout::access::Access},
+    crate::{aggregate::members::Role, prelude::*},
 };
 
 /// Maximum number of instances that pass an ask on: an aggregator, and a peer whose view of the coordinator differs.
@@ -147,33 +147,4 @@
             .saturating_add(self.sums.domains.members());
         (f64::from(visible) / f64::from(listed)).min(1.0)
     }
-
-    /// Time after which a request may be tried again where the limits of endpoints are all that keeps it from being
-    /// sent. `None` if there is an endpoint that has none, and may have room soon.
-    #[must_use]
-    pub fn limited_until(
-        &self,
-        now: Time,
-        service: &str,
-        tried: &[EndpointKey],
-    ) -> Option<Duration> {
-        if self.limits.is_empty() {
-            return None;
-        }
-        let gate = self.gate(now, service);
-        let candidates = self.endpoints.iter().filter(|(key, endpoint)| {
-            endpoint.listing.service == service
-                && endpoint.leaving_since.is_none()
-                && !endpoint.is_unreachable(now)
-                && !self.is_disabled(&endpoint.listing.domain)
-                && gate.access(endpoint) == Access::Open
-                && !tried.contains(key)
-        });
-        let mut soonest = None::<Duration>;
-        for (_, endpoint) in candidates {
-            let held = self.limits.held_for(now, endpoint.incarnation)?;
-            soonest = Some(soonest.map_or(held, |soonest| soonest.min(held)));
-        }
-        soonest
-    }
 }
--- a/crates/forward/src/state/list.rs
+++ b/crates/forward/src/state/list.rs
@@ -66,7 +66,9 @@
         let seed = self.backoff_seed ^ u64::from(endpoint.digest);
         let mut random = SmallRng::seed_from_u64(seed);
         endpoint.backoff_share = random.random_range(MIN_BACKOFF_SHARE..=1.0);
-        self.endpoints.insert(endpoint)
+        let key = self.endpoints.insert(endpoint);
+        self.restore_statement(key);
+        key
     }
 
     /// Since when the version of an endpoint has been known, if an order for it may be unknown yet:
--- a/crates/forward/tests/named_limits.rs
+++ b/crates/forward/tests/named_limits.rs
@@ -6,7 +6,7 @@
     common::*,
     forward::{
         limit::{Change, Limits, bucket::Bucket, notice::Answer},
-        state::{self, Admission, Ask, Response},
+        state::{self, Admission, Ask, Outlook, Response},
     },
     rand::{SeedableRng as _, rngs::SmallRng},
     std::time::Duration,
@@ -191,15 +191,17 @@
 fn request_is_refused_at_once_only_where_all_endpoints_are_limited() {
     let (mut state, key) = instance(1);
     record(&mut state, 100, key, named(0.5, 90));
-    assert_eq!(state.limited_until(at(110), "desk", &[]), None);
+    assert_eq!(state.outlook(at(110), "desk", &[]), Outlook::Room);
     assert_eq!(
         state.admit_limited(at(110), "e0", key, false),
         Admission::Refused
     );
-    assert!(state.limited_until(at(120), "desk", &[]).is_some());
-    assert_eq!(state.limited_until(at(120), "desk", &[key]), None);
+    for tried in [&[][..], &[key]] {
+        let outlook = state.outlook(at(120), "desk", tried);
+        assert!(matches!(outlook, Outlook::Limited(_)), "{outlook:?}");
+    }
     state.change(at(130), state::Change::Set(listing("d2", "desk", "a")));
-    assert_eq!(state.limited_until(at(140), "desk", &[]), None);
+    assert_eq!(state.outlook(at(140), "desk", &[]), Outlook::Room);
     assert!(matches!(
         state.pick(at(140), "desk", Need::default(), &[]),
         Pick::Send(other, _) if other != key
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -16,6 +16,7 @@
         memory::Use,
         request::Ticket,
         rollout::tally::{Outcome, Timing},
+        state::Outlook,
     },
     platform::head::{self, ResponseFlags},
 };
@@ -53,14 +54,14 @@
 
 /// Why there is no response.
 enum SendFailure {
-    /// The endpoint names a limit and takes no more now.
-    Limited,
     /// Nothing was written to the endpoint.
     NotWritten(String),
     /// This instance is short of memory for the response, which says nothing about the endpoint.
     OutOfMemory,
     /// The endpoint may have run the request.
     Unknown(String),
+    /// The endpoint takes no more now.
+    Withheld,
 }
 
 /// Serves a request.
@@ -117,7 +118,7 @@
         () = shared.stopped(original, 0) => return Attempt::Failed(Refusal::CrashesEndpoints),
     };
     let Some((key, _)) = acquired else {
-        progress.why = shared.why_not_acquired(&ticket.service);
+        progress.note_no_endpoint(shared.why_not_acquired(&ticket.service, &progress.tried));
         return Attempt::Failed(shared.refusal_without_endpoint(&ticket.service, &progress.tried));
     };
     match shared.readmit(original, ticket) {
@@ -151,7 +152,7 @@
             }
             classify(shared, ticket, progress, key, answer)
         }
-        Err(SendFailure::Limited) => {
+        Err(SendFailure::Withheld) => {
             progress.sends -= 1;
             shared.refund_send(&ticket.service, progress.sends > 0);
             after_failure(ticket, progress, false)
@@ -222,7 +223,7 @@
                     flags,
                 })
             }
-            SendOutcome::Limited => Err(SendFailure::Limited),
+            SendOutcome::Withheld => Err(SendFailure::Withheld),
             SendOutcome::NotWritten(why) => Err(SendFailure::NotWritten(why)),
             SendOutcome::Broken(why) => {
                 shared.record_break(original, key, sent_at, 0);
@@ -345,7 +346,8 @@
                 return Some((key, backup));
             }
         }
-        if now >= deadline || shared.limited_until(&ticket.service, tried).is_some() {
+        let outlook = shared.state.borrow().outlook(now, &ticket.service, tried);
+        if now >= deadline || outlook != Outlook::Room {
             return None;
         }
         waiting.get_or_insert_with(|| QueueSlot::new(shared, ticket));
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -8,7 +8,7 @@
         path::{self, Reuse},
         prelude::*,
     },
-    forward::part,
+    forward::{cooldown::Permit, part},
     http_body_util::Full,
     platform::head::{self, ForwardingHeaders, KvSource, ResponseFlags},
 };
@@ -20,12 +20,13 @@
     Answer(Box<endpoint::client::Reply>, ResponseFlags),
     /// The connection broke, for this reason; the endpoint may have run the request.
     Broken(String),
-    /// Nothing was sent, since the endpoint names a limit and takes no more now.
-    Limited,
     /// Nothing was written to the connection, for this reason.
     NotWritten(String),
     /// The endpoint may have run the request; why the result is unknown.
     Unknown(String),
+    /// Nothing was sent, since the endpoint takes no more now: it names a limit, is in its cooldown or states that it
+    /// leaves.
+    Withheld,
 }
 
 /// A caller's buffered request, so that it can be retried.
@@ -72,13 +73,16 @@
     destination: &Destination<'_>,
     limit: Duration,
 ) -> SendOutcome {
-    if !limits::admit(shared, destination.key, destination.source.is_some()).await {
-        return SendOutcome::Limited;
+    let urgent = destination.source.is_some();
+    if !limits::admit(shared, destination.key, urgent).await {
+        return SendOutcome::Withheld;
     }
     let Some((_, endpoint)) = shared.endpoint_address(destination.key) else {
         return SendOutcome::NotWritten("endpoint is no longer listed".to_string());
     };
-    let sent = (clock::now(), shared.incarnation_of(destination.key));
+    let Some(permit) = SendPermit::new(shared, destination.key, urgent) else {
+        return SendOutcome::Withheld;
+    };
     let left = destination.expires.since(clock::now());
     let backup = destination
         .backup
@@ -101,7 +105,7 @@
     let _unanswered = Unanswered::new(shared, destination.key);
     let outcome = exchange(
         shared,
-        destination.key,
+        &permit,
         request,
         &original.inbound.id,
         limit.min(left),
@@ -110,13 +114,59 @@
     match &outcome {
         SendOutcome::NotWritten(_) => shared.record_unreachable(destination.key),
         SendOutcome::Answer(reply, flags) => {
-            shared.record_flags(destination.key, reply.status(), *flags, sent);
+            shared.record_flags(destination.key, reply.status(), *flags, permit.sent());
         }
-        SendOutcome::Broken(_) | SendOutcome::Limited | SendOutcome::Unknown(_) => {}
+        SendOutcome::Broken(_) | SendOutcome::Unknown(_) | SendOutcome::Withheld => {}
     }
     outcome
 }
 
+/// Leave to send a request to an endpoint, given back when dropped.
+struct SendPermit<'a> {
+    incarnation: u32,
+    key: EndpointKey,
+    permit: Permit,
+    sent_at: Time,
+    shared: &'a Shared,
+    urgent: bool,
+}
+
+impl<'a> SendPermit<'a> {
+    /// `None` if the endpoint takes no requests now.
+    fn new(shared: &'a Shared, key: EndpointKey, urgent: bool) -> Option<Self> {
+        let sent_at = clock::now();
+        let mut state = shared.state.borrow_mut();
+        let permit = state.permit_send(sent_at, key, urgent)?;
+        drop(state);
+        Some(Self {
+            incarnation: shared.incarnation_of(key),
+            key,
+            permit,
+            sent_at,
+            shared,
+            urgent,
+        })
+    }
+
+    /// Whether the request may still be written.
+    fn holds(&self) -> bool {
+        let state = self.shared.state.borrow();
+        state.may_write(clock::now(), self.key, self.incarnation, self.urgent)
+    }
+
+    /// When the request was sent, and to which incarnation.
+    const fn sent(&self) -> (Time, u32) {
+        (self.sent_at, self.incarnation)
+    }
+}
+
+impl Drop for SendPermit<'_> {
+    fn drop(&mut self) {
+        let mut state = self.shared.state.borrow_mut();
+        state.end_send(self.key, self.permit);
+    }
+}
+
 /// Counts a send that an endpoint has not answered yet, until dropped.
 struct Unanswered<'a> {
     key: EndpointKey,
@@ -161,14 +211,16 @@
 
 async fn exchange(
     shared: &Shared,
-    key: EndpointKey,
+    permit: &SendPermit<'_>,
     request: Request<Full<Bytes>>,
     id: &str,
     limit: Duration,
 ) -> SendOutcome {
-    let sending = path::send(shared, key, request, Reuse::Allowed);
+    let key = permit.key;
+    let sending = path::send_if(shared, key, request, Reuse::Allowed, || permit.holds());
     match timeout(limit, sending).await {
         Err(_) => SendOutcome::Unknown("no response within the time limit".to_string()),
+        Ok(Err(endpoint::Error::Withheld)) => SendOutcome::Withheld,
         Ok(Err(error)) if error.unwritten() => SendOutcome::NotWritten(error.to_string()),
         Ok(Err(error)) if error.is_break_of_endpoint() => SendOutcome::Broken(error.to_string()),
         Ok(Err(error)) => SendOutcome::Unknown(error.to_string()),
--- a/crates/proxy/src/path.rs
+++ b/crates/proxy/src/path.rs
@@ -42,6 +42,21 @@
     key: EndpointKey,
     request: Request<Full<Bytes>>,
     reuse: Reuse,
+) -> Result<Reply, endpoint::Error> {
+    send_if(shared, key, request, reuse, || true).await
+}
+
+/// Sends a request to an endpoint if `may_write` still allows it once there is a connection.
+///
+/// # Errors
+///
+/// As for [`send`]; [`endpoint::Error::Withheld`] if `may_write` did not allow it.
+pub async fn send_if(
+    shared: &Shared,
+    key: EndpointKey,
+    request: Request<Full<Bytes>>,
+    reuse: Reuse,
+    may_write: impl Fn() -> bool,
 ) -> Result<Reply, endpoint::Error> {
     let mut request = request;
     let Some((address, service)) = shared.endpoint_service(key) else {
@@ -60,15 +75,16 @@
         }
     }
     if !shared.is_partitioned(&service) {
-        return send_directly(shared, key, &text, request).await;
+        return send_directly(shared, key, &text, request, may_write).await;
     }
     match open_tunnel(shared, address).await {
+        Some(Ok(_)) if !may_write() => Err(endpoint::Error::Withheld),
         Some(Ok(stream)) => {
             shared.metrics.record_tunnel("opened");
             shared.client.send_over(stream, request).await
         }
         Some(Err(error)) => Err(error),
-        None => send_directly(shared, key, &text, request).await,
+        None => send_directly(shared, key, &text, request, may_write).await,
     }
 }
 
@@ -110,9 +126,13 @@
     key: EndpointKey,
     address: &str,
     request: Request<Full<Bytes>>,
+    may_write: impl Fn() -> bool,
 ) -> Result<Reply, endpoint::Error> {
     let stream = shared.client.connect(address).await;
     let stream = stream.inspect_err(|error| record_unreached(shared, key, is_timeout(error)))?;
+    if !may_write() {
+        return Err(endpoint::Error::Withheld);
+    }
     let sending = shared.client.send_on(address, stream, request);
     let sent = watch(shared, key, address, sending).await;
     match &sent {
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -7,8 +7,10 @@
         path::{self, Reuse},
         prelude::*,
     },
+    endpoint::client::Reply,
+    forward::{condition::Conditions, state::Answer},
     http_body_util::Full,
-    platform::engine,
+    platform::{condition, engine},
     tokio::task::spawn_local,
 };
 
@@ -101,9 +103,13 @@
     let Some((address, request)) = check_request(&shared, key) else {
         return;
     };
+    let sent = (clock::now(), shared.incarnation_of(key));
     let asked = shared.client.send_new(&address, request);
     match timeout(ANSWER_TIMEOUT, asked).await {
-        Ok(Ok(_)) => path::record_reached(&shared, key),
+        Ok(Ok(reply)) => {
+            record_rejection(&shared, key, &reply, sent);
+            path::record_reached(&shared, key);
+        }
         Ok(Err(error)) => path::record_unreached(&shared, key, path::is_timeout(&error)),
         Err(_) => path::record_unreached(&shared, key, true),
     }
@@ -115,8 +121,10 @@
         let Some((_, request)) = check_request(&shared, key) else {
             return;
         };
+        let sent = (clock::now(), shared.incarnation_of(key));
         let asked = async {
             let reply = path::send_by(&shared, key, request, route).await.ok()?;
+            record_rejection(&shared, key, &reply, sent);
             reply.read_body(MAX_ANSWER_BYTES).await.ok()
         };
         if let Ok(Some(body)) = timeout(ANSWER_TIMEOUT, asked).await {
@@ -127,12 +135,37 @@
     }
 }
 
-/// Address of an endpoint, and a request that it answers without working on it for long.
+/// Records the cooldown that an endpoint asks for as it rejects a check. `sent` is when that was sent, and to which
+/// incarnation. Nothing else in the answer shows which start of the endpoint it is of.
+fn record_rejection(shared: &Shared, key: EndpointKey, reply: &Reply, sent: (Time, u32)) {
+    let cooldown = condition::read(reply.status(), reply.headers()).cooldown;
+    if cooldown.is_none() {
+        return;
+    }
+    let (sent_at, incarnation) = sent;
+    let answer = Answer {
+        conditions: Conditions {
+            cooldown,
+            ..Conditions::default()
+        },
+        incarnation,
+        rejected: true,
+        sent_at,
+    };
+    let mut state = shared.state.borrow_mut();
+    state.record_statement(clock::now(), key, &answer);
+}
+
+/// Address of an endpoint, and a request that it answers without working on it for long. A plain service takes the
+/// request for one like any other, and gets none in its cooldown.
 fn check_request(shared: &Shared, key: EndpointKey) -> Option<(String, Request<Full<Bytes>>)> {
     let state = shared.state.borrow();
     let listing = &state.endpoint(key)?.listing;
     let request = match state.service(&listing.service) {
         Some(service) if service.engine.is_none() => {
+            if state.is_cooling_down(clock::now(), key) {
+                return None;
+            }
             engine::health_request(listing.address, &service.health_path)
         }
         Some(_) | None => engine::report_request(listing.address),
--- a/crates/proxy/src/progress.rs
+++ b/crates/proxy/src/progress.rs
@@ -66,6 +66,14 @@
         self.sends == 0 || (self.sends < MAX_SENDS && allowed(&mut shared.state.borrow_mut()))
     }
 
+    /// Adds why no endpoint was found for another send.
+    pub fn note_no_endpoint(&mut self, why: String) {
+        self.why = match self.why.as_str() {
+            "" => why,
+            before => format!("{before}; {why}"),
+        };
+    }
+
     /// Adds to the reason of the last failure that no further send is allowed.
     pub fn note_no_retry(&mut self) {
         let limit = if self.sends >= MAX_SENDS {
--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -187,7 +187,8 @@
         Refusal::Bad => StatusCode::BAD_REQUEST,
         Refusal::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         Refusal::Broken => StatusCode::BAD_GATEWAY,
-        Refusal::CrashesEndpoints
+        Refusal::CoolingDown(_)
+        | Refusal::CrashesEndpoints
         | Refusal::Expired
         | Refusal::Full
         | Refusal::Limited(_)
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -35,7 +35,7 @@
         request::Ticket,
         rollout::tally::Outcome,
         silence::POLL_INTERVAL,
-        state::QueuePosition,
+        state::{self, Outlook, QueuePosition},
     },
     peer::datagram::DatagramSocket,
     platform::{Store, condition, head::ResponseFlags, store::Topic},
@@ -228,28 +228,29 @@
         if self.is_cut_off(service) {
             return Refusal::Unreachable;
         }
-        self.limited_until(service, tried)
-            .map_or(Refusal::Full, Refusal::Limited)
-    }
-
-    /// Time after which a request may return where the limits of endpoints are all that keeps it from being sent.
-    #[must_use]
-    pub fn limited_until(&self, service: &str, tried: &[EndpointKey]) -> Option<Duration> {
-        let now = clock::now();
-        let held = self.state.borrow().limited_until(now, service, tried);
-        held.map(|held| held.max(MIN_LIMITED_RETRY_AFTER))
+        match self.state.borrow().outlook(clock::now(), service, tried) {
+            Outlook::CoolingDown(left) => Refusal::CoolingDown(left),
+            Outlook::Limited(left) => Refusal::Limited(left.max(MIN_LIMITED_RETRY_AFTER)),
+            Outlook::Room => Refusal::Full,
+        }
     }
 
     /// Why a request found no endpoint of a service, for its log line.
     #[must_use]
-    pub fn why_not_acquired(&self, service: &str) -> String {
+    pub fn why_not_acquired(&self, service: &str, tried: &[EndpointKey]) -> String {
         let state = self.state.borrow();
+        let outlook = state.outlook(clock::now(), service, tried);
         let (listed, unreachable) = state.count_unreachable(clock::now(), service);
         if unreachable > 0 && unreachable == listed {
             return "no endpoint can be reached".to_string();
         }
-        if state.limited_until(clock::now(), service, &[]).is_some() {
-            return "the limits of all endpoints are used up".to_string();
+        let why = match outlook {
+            Outlook::CoolingDown(_) => "all endpoints are in their cooldowns",
+            Outlook::Limited(_) => "the limits of all endpoints are used up",
+            Outlook::Room => "",
+        };
+        if !why.is_empty() {
+            return why.to_string();
         }
         format!("no endpoint with room; {unreachable} of {listed} cannot be reached")
     }
@@ -476,8 +477,7 @@
         }
     }
 
-    /// Records what an answer says of its endpoint: whether it is brittle or names a limit, and whether it rejected
-    /// the request for want of room. `sent` is when its request was sent, and to which incarnation.
+    /// Records what an answer states of its endpoint, and whether it rejected the request for want of room. `sent` is when its request was sent, and to which incarnation.
     pub fn record_flags(
         &self,
         key: EndpointKey,
@@ -489,7 +489,17 @@
         if !flags.misdirected {
             self.record_limit(now, flags.conditions.limit, sent);
         }
+        let (sent_at, incarnation) = sent;
+        let answer = state::Answer {
+            conditions: flags.conditions,
+            incarnation,
+            rejected: flags.not_run,
+            sent_at,
+        };
         let mut state = self.state.borrow_mut();
+        if !flags.misdirected {
+            state.record_statement(now, key, &answer);
+        }
         let Some(endpoint) = state.endpoint_mut(key) else {
             return;
         };
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -61,7 +61,7 @@
             }
         };
         let Some((key, backup)) = acquired else {
-            progress.why = shared.why_not_acquired(&ticket.service);
+            progress.note_no_endpoint(shared.why_not_acquired(&ticket.service, &progress.tried));
             let refusal = shared.refusal_without_endpoint(&ticket.service, &progress.tried);
             return Err(progress.give_up(id, refusal));
         };
@@ -223,7 +223,7 @@
     };
     let opened = async {
         match exchange::send(shared, original, &destination, limit).await {
-            SendOutcome::Limited => OpenOutcome::NotReached,
+            SendOutcome::Withheld => OpenOutcome::NotReached,
             SendOutcome::NotWritten(why) => {
                 shared.mark_unreachable(key);
                 log::info!(id = original.inbound.id, why; "cannot reach engine");
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -283,7 +283,7 @@
             SendOutcome::Answer(answer, flags) if flags.not_run => {
                 // Engines admit takeovers ahead of all other requests, so a rejection means that
                 // the copy is gone. Asking again could start the run a second time.
-                if source.is_some() {
+                if source.is_some() && flags.conditions.cooldown.is_none() {
                     let mut state = self.shared.state.borrow_mut();
                     state.record_missing_copy(self.run, key);
                 }
@@ -297,9 +297,9 @@
                 self.shared.mark_unreachable(key);
                 Err(Failure::Unknown(error))
             }
-            SendOutcome::Limited => {
-                let why = "the limit of the engine is used up";
-                Err(Failure::NotRun(why.to_string()))
+            SendOutcome::Withheld => {
+                self.shared.refund_send(&self.ticket.service, true);
+                Err(Failure::NotRun("engine takes no requests now".to_string()))
             }
             SendOutcome::NotWritten(error) => {
                 self.shared.mark_unreachable(key);
