Endpoints that state in an answer that they leave get no new requests

Cause: Server-Leaving was read nowhere, and the list, which may not say it for many seconds or at all, was the only notice that counted.

Ruled out: marking the endpoint as for a probe, which the next entry, or an entry after the endpoint was forgotten, undoes.

Change: the statement is kept with the cooldown, by start of the endpoint, and outlasts entries; runs and copies move as on a notice of the list. Where all endpoints of a service have given notice, requests are refused at once; they waited for half of their time before.

--- a/crates/forward/src/endpoint.rs
+++ b/crates/forward/src/endpoint.rs
@@ -174,7 +174,7 @@
         self.lost_at = None;
         match (listing.leaving, self.leaving_since) {
             (true, None) => self.leaving_since = Some(now),
-            (false, _) => self.leaving_since = None,
+            (false, _) => self.leaving_since = self.statement.leaving_at,
             (true, Some(_)) => {}
         }
         self.listing = listing;
@@ -209,6 +209,18 @@
         self.failures = 0;
     }
 
+    /// Whether it has said itself that it is leaving, in its entry or in an answer.
+    #[must_use]
+    pub const fn has_given_notice(&self) -> bool {
+        self.listing.leaving || self.statement.leaving_at.is_some()
+    }
+
+    /// Records that it states in an answer that it is leaving, which its entry may not say.
+    pub(crate) fn state_leaving(&mut self, now: Time) {
+        self.leaving_since.get_or_insert(now);
+        self.statement.leaving_at.get_or_insert(now);
+    }
+
     /// Records that it is leaving.
     pub fn mark_leaving(&mut self, now: Time) {
         self.leaving_since.get_or_insert(now);
--- a/crates/forward/src/state/conditions.rs
+++ b/crates/forward/src/state/conditions.rs
@@ -2,7 +2,10 @@
 
 use {
     super::State,
-    crate::{condition::Conditions, cooldown::Permit, prelude::*, rollout::access::Access},
+    crate::{
+        condition::Conditions, cooldown::Permit, departed::Statement, prelude::*,
+        rollout::access::Access,
+    },
     rand::RngExt as _,
 };
 
@@ -34,19 +37,21 @@
     /// The endpoints that could serve it name limits or are in their cooldowns; the first one takes requests after this
     /// time.
     Limited(Duration),
+    /// No endpoint is left that could serve it.
+    Nothing,
     /// An endpoint may have room soon.
     Room,
 }
 
 impl State {
-    /// Records what an answer states of its endpoint.
-    pub fn record_statement(&mut self, now: Time, key: EndpointKey, answer: &Answer) {
+    /// Records what an answer states of its endpoint. Returns whether it is the first to state that the endpoint leaves.
+    pub fn record_statement(&mut self, now: Time, key: EndpointKey, answer: &Answer) -> bool {
         let delay = self.resume_delay();
         let Some(endpoint) = self.endpoints.get_mut(key) else {
-            return;
+            return false;
         };
         if endpoint.incarnation != answer.incarnation {
-            return;
+            return false;
         }
         let statement = &mut endpoint.statement;
         match answer.conditions.cooldown {
@@ -54,6 +59,8 @@
             None if !answer.rejected => statement.cooldown.record_acceptance(answer.sent_at),
             None => {}
         }
+        let is_leaving = answer.conditions.leaving && statement.leaving_at.is_none();
+        is_leaving && self.record_leaving(now, answer.incarnation)
     }
 
     /// Random time from the end of a cooldown to this instance's first request.
@@ -63,15 +70,46 @@
         longest.mul_f64(self.random.random_range(0.0..=1.0))
     }
 
+    /// Records that an endpoint states that it leaves; returns whether that is new. It holds for this start of it,
+    /// whatever the list says.
+    pub fn record_leaving(&mut self, now: Time, incarnation: u32) -> bool {
+        let mut listed = self.endpoints.values_mut();
+        let Some(endpoint) = listed.find(|endpoint| endpoint.incarnation == incarnation) else {
+            let mut statement = self.departed.take(incarnation).unwrap_or_default();
+            statement.leaving_at.get_or_insert(now);
+            self.departed.insert(now, incarnation, statement);
+            return false;
+        };
+        if endpoint.statement.leaving_at.is_some() {
+            return false;
+        }
+        let is_notice = endpoint.leaving_since.is_none();
+        endpoint.state_leaving(now);
+        if is_notice {
+            let service = endpoint.listing.service.clone();
+            self.reserve.record_notice(now, &service);
+        }
+        true
+    }
+
     /// Applies what an endpoint stated before its entry was last removed.
     pub(super) fn restore_statement(&mut self, key: EndpointKey) {
         let endpoint = &mut self.endpoints[key];
-        endpoint.statement = self.departed.take(endpoint.incarnation).unwrap_or_default();
+        let Some(statement) = self.departed.take(endpoint.incarnation) else {
+            return;
+        };
+        endpoint.statement = statement;
+        if let Some(leaving_at) = statement.leaving_at {
+            endpoint.leaving_since.get_or_insert(leaving_at);
+        }
     }
 
     /// Permits a request to an endpoint, if its cooldown allows it; [`Self::end_send`] takes the permit back.
     pub fn permit_send(&mut self, now: Time, key: EndpointKey, urgent: bool) -> Option<Permit> {
         let endpoint = self.endpoints.get_mut(key)?;
+        if endpoint.statement.leaving_at.is_some() && !urgent {
+            return None;
+        }
         endpoint.statement.cooldown.permit(now, urgent)
     }
 
@@ -79,7 +117,11 @@
     #[must_use]
     pub fn may_write(&self, now: Time, key: EndpointKey, incarnation: u32, urgent: bool) -> bool {
         self.endpoints.get(key).is_some_and(|endpoint| {
-            let takes_new = endpoint.statement.cooldown.is_over(now);
+            let Statement {
+                cooldown,
+                leaving_at,
+            } = endpoint.statement;
+            let takes_new = cooldown.is_over(now) && leaving_at.is_none();
             endpoint.incarnation == incarnation && (urgent || takes_new)
         })
     }
@@ -103,6 +145,7 @@
     pub fn outlook(&self, now: Time, service: &str, tried: &[EndpointKey]) -> Outlook {
         let gate = self.gate(now, service);
         let (mut soonest, mut is_limited) = (None::<Duration>, false);
+        let (mut is_known, mut may_return) = (false, false);
         for (key, endpoint) in &self.endpoints {
             if endpoint.listing.service != service
                 || self.is_disabled(&endpoint.listing.domain)
@@ -110,7 +153,12 @@
             {
                 continue;
             }
+            is_known = true;
+            if endpoint.has_given_notice() {
+                continue;
+            }
             if endpoint.leaving_since.is_some() {
+                may_return = true;
                 continue;
             }
             let limited = self.limits.held_for(now, endpoint.incarnation);
@@ -120,13 +168,14 @@
                     is_limited |= limited.is_some();
                     soonest = Some(soonest.map_or(held, |soonest| soonest.min(held)));
                 }
-                None if tried.contains(&key) || endpoint.is_unreachable(now) => {}
+                None if tried.contains(&key) || endpoint.is_unreachable(now) => may_return = true,
                 None => return Outlook::Room,
             }
         }
         match soonest {
             Some(held) if is_limited => Outlook::Limited(held),
             Some(held) => Outlook::CoolingDown(held),
+            None if is_known && !may_return => Outlook::Nothing,
             None => Outlook::Room,
         }
     }
--- a/crates/forward/src/state/list.rs
+++ b/crates/forward/src/state/list.rs
@@ -55,7 +55,7 @@
         let known = self
             .find(&listing.id)
             .and_then(|key| self.endpoints.get(key));
-        let is_new = known.is_some_and(|known| !known.listing.leaving);
+        let is_new = known.is_some_and(|known| !known.has_given_notice());
         if listing.leaving && is_new {
             self.reserve.record_notice(now, &listing.service);
         }
--- a/crates/forward/tests/leaving.rs
+++ b/crates/forward/tests/leaving.rs
@@ -2,7 +2,13 @@
 
 mod common;
 
-use common::*;
+use {
+    common::*,
+    forward::{
+        condition::Conditions,
+        state::{Answer, Outlook},
+    },
+};
 
 fn pair() -> Vec<Listing> {
     vec![
@@ -175,3 +181,107 @@
     state.record_missing_copy(run, backup);
     assert_eq!(state.healthy_backup(at(11), run), None);
 }
+
+/// Has an endpoint state in an answer that it leaves; returns whether that is new.
+fn state_leaving(state: &mut State, now: u64, id: &str) -> bool {
+    let mut endpoints = state.endpoints();
+    let found = endpoints.find(|(_, endpoint)| endpoint.listing.id == id);
+    let (key, endpoint) = found.expect("a listed endpoint");
+    let answer = Answer {
+        conditions: Conditions {
+            leaving: true,
+            ..Conditions::default()
+        },
+        incarnation: endpoint.incarnation,
+        rejected: false,
+        sent_at: at(now),
+    };
+    drop(endpoints);
+    state.record_statement(at(now), key, &answer)
+}
+
+fn is_usable(state: &State, now: u64, id: &str) -> bool {
+    let mut endpoints = state.endpoints();
+    endpoints.any(|(_, endpoint)| endpoint.listing.id == id && endpoint.usable(at(now)))
+}
+
+/// Guards against entries that call an endpoint ready which has stated that it leaves: a change of it, a whole list after
+/// the store was away, and one that is read after the endpoint was forgotten.
+#[test]
+fn entries_do_not_undo_what_an_endpoint_states() {
+    let mut state = instance(&pair());
+    assert!(state_leaving(&mut state, 1000, "m1"));
+    assert!(!state_leaving(&mut state, 1100, "m1"));
+    let mut entry = listing("m1", "model", "a");
+    entry.cold = millis(800);
+    state.change(at(1500), Change::Set(entry));
+    assert!(!is_usable(&state, 1500, "m1"));
+    state.confirm_list(at(9000), at(8990));
+    state.change(at(9000), Change::Removed("m1".to_string()));
+    state.change(at(9500), Change::Set(listing("m1", "model", "a")));
+    state.tick(at(11_000));
+    assert!(!is_usable(&state, 11_000, "m1"));
+    for round in 1..4 {
+        let now = round * 60_000;
+        state.tick(at(now));
+        let names = state.endpoint_ids();
+        assert!(!names.contains(&"m1".to_string()), "forgotten");
+        state.change(at(now + 10), Change::Set(listing("m1", "model", "a")));
+        assert!(!is_usable(&state, now + 20, "m1"));
+    }
+    let mut restarted = listing("m1", "model", "a");
+    restarted.started_at = Some(2);
+    state.change(at(200_000), Change::Set(restarted));
+    assert!(is_usable(&state, 200_000, "m1"));
+}
+
+/// Guards against runs and copies that stay with an engine until the list says that it leaves.
+#[test]
+fn runs_leave_an_engine_that_states_that_it_leaves() {
+    let mut state = instance(&pair());
+    let (first, _) = picked(state.pick(at(10), "model", LONG, &[]));
+    let name = id(&state, first);
+    let run = begin_run(&mut state, first, None);
+    assert!(!state.must_move(at(1000), run));
+    state_leaving(&mut state, 1000, &name);
+    assert!(state.must_move(at(1000), run));
+    assert!(state.may_continue_at(at(1500), first));
+    assert!(!state.may_continue_at(at(2000), first));
+    assert_eq!(state.permit_send(at(1500), first, false), None);
+    assert!(state.permit_send(at(1500), first, true).is_some());
+}
+
+/// Guards against a peer's news of an endpoint whose entry is read later.
+#[test]
+fn endpoint_that_a_peer_calls_leaving_is_not_used_once_listed() {
+    let mut state = instance(&pair());
+    let mut listed = listing("m4", "model", "a");
+    listed.started_at = Some(7);
+    let incarnation = forward::load::digest(&listed.incarnation());
+    state.record_leaving(at(1000), incarnation);
+    state.change(at(1500), Change::Set(listed));
+    assert!(!is_usable(&state, 1500, "m4"));
+    let known = state
+        .endpoints()
+        .find(|(_, endpoint)| endpoint.listing.id == "m2");
+    let known = known.expect("a listed endpoint").1.incarnation;
+    assert!(state.record_leaving(at(1600), known));
+    assert!(!is_usable(&state, 1600, "m2"));
+}
+
+/// Guards against requests that wait for endpoints which all leave, and against refusals where one may register again.
+#[test]
+fn request_is_refused_at_once_where_all_endpoints_leave() {
+    let mut state = instance(&[listing("d1", "desk", "a"), listing("d2", "desk", "a")]);
+    state_leaving(&mut state, 1000, "d1");
+    assert_eq!(state.outlook(at(1000), "desk", &[]), Outlook::Room);
+    let mut leaving = listing("d2", "desk", "a");
+    leaving.leaving = true;
+    state.change(at(1100), Change::Set(leaving));
+    assert_eq!(state.outlook(at(1100), "desk", &[]), Outlook::Nothing);
+    state.change(at(1200), Change::Set(listing("d3", "desk", "a")));
+    assert_eq!(state.outlook(at(1200), "desk", &[]), Outlook::Room);
+    state.confirm_list(at(1300), at(1300));
+    state.change(at(1300), Change::Removed("d3".to_string()));
+    assert_eq!(state.outlook(at(1300), "desk", &[]), Outlook::Room);
+}
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -231,7 +231,7 @@
         match self.state.borrow().outlook(clock::now(), service, tried) {
             Outlook::CoolingDown(left) => Refusal::CoolingDown(left),
             Outlook::Limited(left) => Refusal::Limited(left.max(MIN_LIMITED_RETRY_AFTER)),
-            Outlook::Room => Refusal::Full,
+            Outlook::Nothing | Outlook::Room => Refusal::Full,
         }
     }
 
@@ -247,6 +247,7 @@
         let why = match outlook {
             Outlook::CoolingDown(_) => "all endpoints are in their cooldowns",
             Outlook::Limited(_) => "the limits of all endpoints are used up",
+            Outlook::Nothing => "all endpoints were tried or leave",
             Outlook::Room => "",
         };
         if !why.is_empty() {
@@ -497,12 +498,16 @@
             sent_at,
         };
         let mut state = self.state.borrow_mut();
-        if !flags.misdirected {
-            state.record_statement(now, key, &answer);
-        }
+        let is_leaving = !flags.misdirected && state.record_statement(now, key, &answer);
         let Some(endpoint) = state.endpoint_mut(key) else {
             return;
         };
+        if is_leaving {
+            log::info!(
+                endpoint = endpoint.listing.id, service = endpoint.listing.service;
+                "endpoint states that it leaves"
+            );
+        }
         if flags.not_run {
             endpoint.exposure.record_rejection(now);
         }
