A request that each endpoint has rejected is refused at once

Cause: an endpoint that was tried is not asked again for the same request, yet a request that had tried them all waited for room until half of its time was over.

Change: where all endpoints were tried, have given notice or are not usable for a known time, the answer is 503 at once. One that cannot be reached or may register again is still waited for.

--- a/crates/forward/src/state/conditions.rs
+++ b/crates/forward/src/state/conditions.rs
@@ -168,7 +168,8 @@
                     is_limited |= limited.is_some();
                     soonest = Some(soonest.map_or(held, |soonest| soonest.min(held)));
                 }
-                None if tried.contains(&key) || endpoint.is_unreachable(now) => may_return = true,
+                None if tried.contains(&key) => {}
+                None if endpoint.is_unreachable(now) => may_return = true,
                 None => return Outlook::Room,
             }
         }
--- a/crates/forward/tests/cooldowns.rs
+++ b/crates/forward/tests/cooldowns.rs
@@ -278,3 +278,18 @@
         );
     }
 }
+
+/// Guards against a request that waits although each endpoint has rejected it, and none is asked a second time.
+#[test]
+fn request_that_all_endpoints_have_rejected_is_refused_at_once() {
+    let mut state = desk(&["d1", "d2"]);
+    let (first, second) = (key_of(&state, "d1"), key_of(&state, "d2"));
+    for key in [first, second] {
+        let endpoint = state.endpoint_mut(key).expect("a known endpoint");
+        endpoint.mark_full(at(1000));
+    }
+    assert_eq!(state.outlook(at(1000), "desk", &[first]), Outlook::Room);
+    let outlook = state.outlook(at(1000), "desk", &[first, second]);
+    assert_eq!(outlook, Outlook::Nothing);
+    assert_eq!(state.outlook(at(1000), "model", &[]), Outlook::Room);
+}
