Tell peers what endpoints state of themselves

Cause: an instance kept what it was told to itself.

Change: a message for each: that an endpoint leaves goes to all, for two seconds; a cooldown heard through a tunnel goes to the peer that the endpoint sees, which then opens no tunnels to it.

The way through a tunnel is by reading only.

--- a/crates/carawayhead/tests/forwarding/cooldowns.rs
+++ b/crates/carawayhead/tests/forwarding/cooldowns.rs
@@ -380,3 +380,32 @@
     })
     .await;
 }
+
+/// Guards against requests of an instance that is lost with an endpoint of which a peer has heard that it leaves.
+#[tokio::test]
+async fn peers_hear_that_an_endpoint_leaves() {
+    let store = Store::start().await;
+    store.write_operator_record("config", &config(1, &["key-1"], TIMEOUT_MS));
+    let (leaving, free) = (
+        PlainService::start("d1").await,
+        PlainService::start("d2").await,
+    );
+    store.write_endpoint_entry("d1", &leaving.entry("desk", "a", "ready"));
+    store.write_endpoint_entry("d2", &free.entry("desk", "a", "ready"));
+    let instances = start_instances(2, &store).await;
+    leaving.conditions().set_leaving(true);
+    let load = Load {
+        instances: 1,
+        path: "/look/x",
+        rate: 20.0,
+    };
+    call(&instances[..1], &load, "first", Duration::from_secs(1)).await;
+    wait_until("the peer hears of it", || async {
+        let lines = instances[1].log_lines_containing("endpoint states that it leaves");
+        lines.iter().any(|line| line.contains("\"source\":\"e0\""))
+    })
+    .await;
+    let before = leaving.executed_calls().len();
+    call(&instances[1..], &load, "second", Duration::from_secs(2)).await;
+    assert_eq!(leaving.executed_calls().len(), before);
+}
--- a/crates/forward/src/state/conditions.rs
+++ b/crates/forward/src/state/conditions.rs
@@ -73,13 +73,13 @@
     /// Records that an endpoint states that it leaves; returns whether that is new. It holds for this start of it,
     /// whatever the list says.
     pub fn record_leaving(&mut self, now: Time, incarnation: u32) -> bool {
-        let mut listed = self.endpoints.values_mut();
-        let Some(endpoint) = listed.find(|endpoint| endpoint.incarnation == incarnation) else {
+        let Some(key) = self.find_incarnation(incarnation) else {
             let mut statement = self.departed.take(incarnation).unwrap_or_default();
             statement.leaving_at.get_or_insert(now);
             self.departed.insert(now, incarnation, statement);
             return false;
         };
+        let endpoint = &mut self.endpoints[key];
         if endpoint.statement.leaving_at.is_some() {
             return false;
         }
@@ -92,6 +92,14 @@
         true
     }
 
+    /// The endpoint with an incarnation, by its digest.
+    #[must_use]
+    pub fn find_incarnation(&self, incarnation: u32) -> Option<EndpointKey> {
+        let mut endpoints = self.endpoints.iter();
+        let found = endpoints.find(|(_, endpoint)| endpoint.incarnation == incarnation);
+        found.map(|(key, _)| key)
+    }
+
     /// Applies what an endpoint stated before its entry was last removed.
     pub(super) fn restore_statement(&mut self, key: EndpointKey) {
         let endpoint = &mut self.endpoints[key];
--- a/crates/proxy/src/gossip/limits.rs
+++ b/crates/proxy/src/gossip/limits.rs
@@ -4,7 +4,7 @@
 //! that it got the ask from, which passes the answer back.
 
 use {
-    super::role,
+    super::listeners,
     crate::{
         clock,
         message::{
@@ -14,7 +14,6 @@
         prelude::*,
     },
     forward::{
-        aggregate::members::Role,
         limit::Change,
         state::{self, Admission, Response},
     },
@@ -159,23 +158,6 @@
     }
 }
 
-/// Names of the peers that hear of limits from this instance.
-fn listeners(shared: &Shared, now: Time) -> Vec<String> {
-    let links = shared.links();
-    let state = shared.state.borrow();
-    let names = links
-        .iter()
-        .map(|link| state.members.name(link.key).to_string());
-    let mut names = names.collect::<Vec<_>>();
-    drop(state);
-    if role(shared) == Role::Aggregator {
-        names.extend(shared.peers.subscribers(now));
-    }
-    names.sort_unstable();
-    names.dedup();
-    names
-}
-
 /// Takes a message of a peer.
 pub fn receive(shared: &Shared, message: Limits) {
     let now = clock::now();
--- a/crates/proxy/src/gossip/mod.rs
+++ b/crates/proxy/src/gossip/mod.rs
@@ -5,6 +5,7 @@
 //! * [`report`]: sending reports, sums and answers;
 //! * [`customers`]: exchanging what customers ask for;
 //! * [`limits`]: limits that endpoints name, and asks for requests to them;
+//! * [`statements`]: what endpoints have stated of themselves;
 //! * [`receive`]: handling messages of peers;
 //! * [`paces`]: what engines do;
 //! * [`records`]: relaying records of the store, with [`history`] for those that are retained.
@@ -20,6 +21,7 @@
 pub mod records;
 pub mod registration;
 pub mod report;
+pub mod statements;
 
 use {
     crate::{prelude::*, tunnel},
@@ -70,6 +72,7 @@
         report::run(&shared, &datagrams),
         customers::run(&shared, &datagrams),
         limits::run(&shared),
+        statements::run(&shared),
         receive::run(&shared, &datagrams, messages),
         tunnel::serve(&shared, requested),
     );
@@ -81,3 +84,20 @@
     let state = shared.state.borrow();
     state.members.role(&shared.settings.instance.name)
 }
+
+/// Names of the peers that hear what endpoints state from this instance.
+fn listeners(shared: &Shared, now: Time) -> Vec<String> {
+    let links = shared.links();
+    let state = shared.state.borrow();
+    let names = links
+        .iter()
+        .map(|link| state.members.name(link.key).to_string());
+    let mut names = names.collect::<Vec<_>>();
+    drop(state);
+    if role(shared) == Role::Aggregator {
+        names.extend(shared.peers.subscribers(now));
+    }
+    names.sort_unstable();
+    names.dedup();
+    names
+}
--- a/crates/proxy/src/gossip/receive.rs
+++ b/crates/proxy/src/gossip/receive.rs
@@ -1,7 +1,7 @@
 //! Handling of messages from peers.
 
 use {
-    super::{customers, limits, paces, records, report, role},
+    super::{customers, limits, paces, records, report, role, statements},
     crate::{
         clock, follow,
         message::{
@@ -40,6 +40,7 @@
             },
             Message::Report(report) => handle_report(shared, datagrams, report, &trailer),
             Message::Sum(sum) => handle_sum(shared, sum, &trailer),
+            Message::Statements(told) => statements::receive(shared, &told),
             Message::Paces(told) => paces::receive(shared, datagrams, &told),
         }
     }
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -2,6 +2,7 @@
 
 pub mod customers;
 pub mod limits;
+pub mod statements;
 
 use {
     crate::prelude::*,
@@ -42,6 +43,8 @@
     Customers(customers::Customers),
     /// Limits that endpoints name, and requests to them.
     Limits(limits::Limits),
+    /// What endpoints have stated of themselves.
+    Statements(statements::Statements),
 }
 
 /// What follows a message.
--- a/crates/proxy/src/path.rs
+++ b/crates/proxy/src/path.rs
@@ -5,11 +5,12 @@
 //! again: its key may have been revoked, and its endpoint may be leaving.
 
 use {
-    crate::{clock, prelude::*},
+    crate::{clock, gossip::statements, prelude::*},
     endpoint::client::{Reply, Sent},
     forward::{paths::Change, tunnel::Failure},
     http_body_util::Full,
     peer::tunnel,
+    platform::condition,
     std::io,
 };
 
@@ -79,9 +80,15 @@
     }
     match open_tunnel(shared, address).await {
         Some(Ok(_)) if !may_write() => Err(endpoint::Error::Withheld),
-        Some(Ok(stream)) => {
+        Some(Ok((peer, stream))) => {
             shared.metrics.record_tunnel("opened");
-            shared.client.send_over(stream, request).await
+            let incarnation = shared.incarnation_of(key);
+            let reply = shared.client.send_over(stream, request).await?;
+            let stated = condition::read(reply.status(), reply.headers());
+            if let Some(cooldown) = stated.cooldown {
+                statements::pass_on_cooldown(shared, &peer, incarnation, cooldown);
+            }
+            Ok(reply)
         }
         Some(Err(error)) => Err(error),
         None => send_directly(shared, key, &text, request, may_write).await,
@@ -115,7 +122,7 @@
         return shared.client.send_new(&address.to_string(), request).await;
     }
     match open_tunnel(shared, address).await {
-        Some(stream) => shared.client.send_over(stream?, request).await,
+        Some(opened) => shared.client.send_over(opened?.1, request).await,
         None => Err(unreachable_error("there is no peer to go through")),
     }
 }
@@ -159,11 +166,12 @@
     sending.await
 }
 
-/// Opens a tunnel to an endpoint through one of the peers; `None` if there is none to ask.
+/// Opens a tunnel to an endpoint through one of the peers, and returns the peer's name with it; `None` if there is none
+/// to ask.
 async fn open_tunnel(
     shared: &Shared,
     endpoint: SocketAddr,
-) -> Option<Result<tunnel::Stream, endpoint::Error>> {
+) -> Option<Result<(String, tunnel::Stream), endpoint::Error>> {
     let own = &shared.settings.instance.name;
     let datagrams = shared.peers.datagrams.borrow().clone()?;
     let deadline = clock::now().after(TUNNEL_TIMEOUT);
@@ -185,7 +193,7 @@
         let failure = match opened {
             Ok(Ok(mut stream)) => {
                 stream.hold(shared.state.borrow_mut().tunnels.record_opened(&name));
-                return Some(Ok(stream));
+                return Some(Ok((name, stream)));
             }
             Ok(Err(tunnel::Failure::Unreached)) => {
                 record_failure(shared, &name, Failure::Unreached);
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -8,6 +8,7 @@
         gossip::{
             history::History,
             limits::{self, Asks},
+            statements::{self, Departures},
         },
         memory::Buffers,
         metrics::Metrics,
@@ -84,6 +85,8 @@
     pub limits_changed: Notify,
     /// Notified when the load of this instance has changed.
     pub load: Notify,
+    /// Endpoints that leave, to be told to peers.
+    pub departures: RefCell<Departures>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Watermarks of peers.
@@ -107,6 +110,8 @@
     pub state: RefCell<State>,
     /// Notified when idle connections are to be closed.
     pub stop: Notify,
+    /// Notified when peers are to be told that an endpoint leaves.
+    pub statements_changed: Notify,
     /// Client of the store.
     pub store: Store,
     /// Notified when there are crashes or clearances to publish.
@@ -150,6 +155,7 @@
             limits_changed: Notify::new(),
             load: Notify::new(),
             metrics,
+            departures: RefCell::default(),
             readers: RefCell::default(),
             refusals_changed: Notify::new(),
             republish: Notify::new(),
@@ -158,6 +164,7 @@
             report_now: Notify::new(),
             role: Cell::default(),
             state: RefCell::new(state),
+            statements_changed: Notify::new(),
             stop: Notify::new(),
             store: Store::new(settings.store.address.to_string(), client.clone()),
             suspects_changed: Notify::new(),
@@ -497,17 +504,18 @@
             rejected: flags.not_run,
             sent_at,
         };
+        let is_leaving = !flags.misdirected && {
+            let mut state = self.state.borrow_mut();
+            state.record_statement(now, key, &answer)
+        };
+        if is_leaving {
+            statements::log_leaving(self, incarnation, &self.settings.instance.name);
+            statements::announce_leaving(self, incarnation);
+        }
         let mut state = self.state.borrow_mut();
-        let is_leaving = !flags.misdirected && state.record_statement(now, key, &answer);
         let Some(endpoint) = state.endpoint_mut(key) else {
             return;
         };
-        if is_leaving {
-            log::info!(
-                endpoint = endpoint.listing.id, service = endpoint.listing.service;
-                "endpoint states that it leaves"
-            );
-        }
         if flags.not_run {
             endpoint.exposure.record_rejection(now);
         }
--- a/crates/proxy/src/tunnel.rs
+++ b/crates/proxy/src/tunnel.rs
@@ -1,7 +1,7 @@
 //! Tunnels that peers open to endpoints through this instance.
 
 use {
-    crate::{path, prelude::*},
+    crate::{clock, path, prelude::*},
     peer::tunnel::Incoming,
     tokio::{sync::mpsc, task::spawn_local},
 };
@@ -41,6 +41,11 @@
         incoming.refuse().await;
         return;
     };
+    if shared.state.borrow().is_cooling_down(clock::now(), key) {
+        // The endpoint would take the request for one of this instance.
+        incoming.report_unreached().await;
+        return;
+    }
     let _guard = Guard::new(&shared);
     let address = incoming.endpoint.to_string();
     let stream = match shared.client.connect(&address).await {
