serve: endpoints get no requests in the time for which they ask to be left alone

Cause: 429 and 503 became EndpointRefused, and the header was dropped.

Change: the header is read in one place for both, and the endpoint is not usable until the time is over, up to 200 ms later by instance. Calls that only it could serve are refused at once with the time left.

--- a/crates/decision/src/dispatch.rs
+++ b/crates/decision/src/dispatch.rs
@@ -85,7 +85,10 @@
                     required_tokens,
                 } => self.send(now, key, endpoint, model, required_tokens, out),
                 Choice::Wait => saturated.push((name, required_tokens)),
-                Choice::Reject => self.give_up(key, Refusal::NoEndpoint, Some(RETRY_AFTER), out),
+                Choice::Reject => {
+                    let retry_after = self.cooldown_left(now, key).unwrap_or(RETRY_AFTER);
+                    self.give_up(key, Refusal::NoEndpoint, Some(retry_after), out);
+                }
             }
         }
         while self.backlog.len() > self.limits.queue {
--- a/crates/decision/src/endpoint.rs
+++ b/crates/decision/src/endpoint.rs
@@ -53,6 +53,8 @@
 /// An endpoint.
 #[derive(Debug)]
 pub struct Endpoint {
+    /// Until when it wants no requests from this instance.
+    pub cooldown_until: Time,
     /// Digest of the name.
     pub digest: u64,
     /// Whether it is in this instance's subset.
@@ -84,6 +86,7 @@
     #[must_use]
     pub fn new(member: Member, now: Time) -> Self {
         Self {
+            cooldown_until: Time::default(),
             digest: digest(&member.name),
             in_subset: true,
             member,
@@ -147,6 +150,10 @@
             self.incarnation_seen_at = now;
             self.quota_transferred = false;
         }
+        let known = self.last_incarnation;
+        if known.is_some_and(|known| known != report.incarnation) {
+            self.cooldown_until = Time::default();
+        }
         self.reserved_tokens = 0;
         self.last_incarnation = Some(report.incarnation);
         self.report = Some(report);
--- a/crates/decision/src/event.rs
+++ b/crates/decision/src/event.rs
@@ -34,6 +34,8 @@
     StreamEnded(Attempt, u32),
     /// An attempt failed.
     Failed(Attempt, Failure),
+    /// The endpoint of an attempt rejected it and wants no requests from this instance for this time.
+    CoolingDown(Attempt, Duration),
     /// The caller of a request disconnected.
     CallerDisconnected(request::Key),
     /// A peer answered [`Action::Gossip`].
--- a/crates/decision/src/routing.rs
+++ b/crates/decision/src/routing.rs
@@ -5,6 +5,10 @@
 /// Percentage of an engine's KV-cache capacity that may be used or reserved.
 const MAX_RESERVED_MEMORY_PERCENT: i64 = 92;
 
+/// Longest time from the end of a cooldown to the first request of this instance. All instances are turned away at about
+/// the same moment, for the same time, and would come back together.
+const MAX_RESUME_DELAY: Duration = Duration::from_millis(200);
+
 /// Result of selecting an endpoint for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Choice {
@@ -50,6 +54,7 @@
     pub(crate) fn usable(&self, now: Time, endpoint: &Endpoint) -> bool {
         if !endpoint.in_subset
             || endpoint.leaving()
+            || now < endpoint.cooldown_until
             || self.config.domain_disabled(&endpoint.member.domain)
         {
             return false;
@@ -57,6 +62,38 @@
         self.config_fresh(now) || endpoint.member.domain == self.domain
     }
 
+    /// Records that the endpoint of an attempt wants no requests for a time. A shorter time than an earlier one changes
+    /// nothing.
+    pub(crate) fn cool_down(&mut self, now: Time, attempt: Attempt, cooldown: Duration) {
+        let spread = MAX_RESUME_DELAY.mul_f64(self.rng.random_range(0.0..=1.0));
+        let Some(key) = self.run(attempt).map(|run| run.endpoint) else {
+            return;
+        };
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            let until = now.after(cooldown);
+            if until > endpoint.cooldown_until {
+                endpoint.cooldown_until = until.after(spread);
+            }
+        }
+    }
+
+    /// Time until the first endpoint that could serve a request wants requests again, if all are in their cooldowns.
+    pub(crate) fn cooldown_left(&self, now: Time, request: request::Key) -> Option<Duration> {
+        let service = match &self.requests[request].work {
+            Work::Call { service, .. } => Some(service),
+            Work::Generation { .. } | Work::Resume { .. } => None,
+        };
+        let serving = self.endpoints.values().filter(|endpoint| {
+            let serves = match &endpoint.member.kind {
+                Kind::Engine => service.is_none(),
+                Kind::Service(name) => service == Some(name),
+            };
+            serves && endpoint.in_subset && !endpoint.leaving()
+        });
+        let left = serving.map(|endpoint| endpoint.cooldown_until.since(now));
+        left.filter(|left| !left.is_zero()).min()
+    }
+
     /// Whether slow start allows another request of this instance at an endpoint.
     ///
     /// A warm endpoint has no limit; a cold one is limited to the quota of this instance.
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -202,6 +202,7 @@
             Event::PartCrash(change) => self.apply_part_change(now, &change, out),
             Event::StreamEnded(attempt, total) => self.handle_stream_end(now, attempt, total, out),
             Event::Failed(attempt, failure) => self.handle_failure(now, attempt, failure, out),
+            Event::CoolingDown(attempt, cooldown) => self.cool_down(now, attempt, cooldown),
             Event::CallerDisconnected(request) => self.handle_disconnect(now, request, out),
             Event::PeerUpdate(update) => self.apply_peer_update(now, update, out),
             Event::Listed(members, peers) => self.apply_instance_list(now, members, peers, out),
--- a/crates/endpoint/src/engine.rs
+++ b/crates/endpoint/src/engine.rs
@@ -1,7 +1,7 @@
 //! Client of model engines: OpenAI-style generations that can be resumed and cancelled.
 
 use {
-    crate::{prelude::*, sse::Parser},
+    crate::{prelude::*, retry_after, sse::Parser},
     decision::{endpoint::Report, generation},
     serde::Deserialize,
     tokio::time::timeout,
@@ -46,7 +46,12 @@
         .body(Full::new(start.body));
     let last = match send(&client, &address, request).await {
         Ok(reply) if reply.status() == StatusCode::OK => read(reply, attempt, 0, &events).await,
-        Ok(reply) => rejection(reply, attempt).await,
+        Ok(reply) => {
+            if let Some(cooldown) = retry_after::read(reply.status(), reply.headers()) {
+                send_event(&events, Event::CoolingDown(attempt, cooldown)).await;
+            }
+            rejection(reply, attempt).await
+        }
         Err(error) => failure_event(attempt, &error),
     };
     send_event(&events, last).await;
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod engine;
 pub mod error;
 pub mod prelude;
+pub mod retry_after;
 pub mod service;
 pub mod sse;
 
--- a/crates/endpoint/src/service.rs
+++ b/crates/endpoint/src/service.rs
@@ -4,6 +4,7 @@
     crate::{
         engine::{TIMEOUT_HEADER, break_of, format_seconds, send_event},
         prelude::*,
+        retry_after,
     },
     tokio::time::timeout,
 };
@@ -35,7 +36,11 @@
 /// Makes a call and sends its result as an event.
 pub async fn call(client: Client, address: String, call: Call, events: Sender<Event>) {
     let (attempt, idempotent) = (call.attempt, call.idempotent);
-    let event = match exchange(&client, &address, call).await {
+    let answered = exchange(&client, &address, call).await;
+    if let Ok((_, Some(cooldown))) = &answered {
+        send_event(&events, Event::CoolingDown(attempt, *cooldown)).await;
+    }
+    let event = match answered.map(|(answer, _)| answer) {
         Ok(answer) if idempotent && is_overloaded(&answer) => {
             Event::Failed(attempt, Failure::NotRun(Evidence::EndpointRefused))
         }
@@ -72,7 +77,12 @@
     answered.unwrap_or(Err(Error::Timeout)).map(drop)
 }
 
-async fn exchange(client: &Client, address: &str, call: Call) -> Result<Answer, Error> {
+/// Makes a call. Returns its answer, and the time for which the service wants no more requests if it rejects the call.
+async fn exchange(
+    client: &Client,
+    address: &str,
+    call: Call,
+) -> Result<(Answer, Option<Duration>), Error> {
     let mut request = Request::builder()
         .method(call.method)
         .uri(call.path)
@@ -90,11 +100,13 @@
     } else {
         client.send_new(address, request).await?
     };
+    let cooldown = retry_after::read(reply.status(), reply.headers());
     let (status, media) = (reply.status().as_u16(), reply.content_type());
     let body = reply.read_body(MAX_RESPONSE_BYTES).await?;
-    Ok(Answer {
+    let answer = Answer {
         body,
         media,
         status,
-    })
+    };
+    Ok((answer, cooldown))
 }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -13,6 +13,8 @@
     pub lose: Option<u32>,
     /// Whether calls are rejected before they run.
     pub refuse: Option<bool>,
+    /// `Retry-After` of rejections.
+    pub retry_after: Option<String>,
 }
 
 /// A call that was run.
@@ -33,6 +35,8 @@
 #[derive(Debug, Default)]
 struct Inner {
     control: Control,
+    /// Number of calls that were rejected.
+    refused: u32,
     runs: Vec<Run>,
 }
 
@@ -45,6 +49,7 @@
     pub async fn listen(self, listen: &str) -> io::Result<Running> {
         let router = Router::new()
             .push(Router::with_path("control").get(runs).post(set_control))
+            .push(Router::with_path("refused").get(refused))
             .push(Router::with_path("{**rest}").goal(call));
         serve(listen, self, router).await
     }
@@ -67,6 +72,11 @@
     let (delay, lose, run_number) = {
         let mut inner = service.lock();
         if inner.control.refuse == Some(true) {
+            inner.refused += 1;
+            let retry_after = inner.control.retry_after.as_ref();
+            if let Some(value) = retry_after.and_then(|value| value.parse().ok()) {
+                response.headers_mut().insert("retry-after", value);
+            }
             return write_text(response, StatusCode::SERVICE_UNAVAILABLE, "refused");
         }
         let duplicate = !key.is_empty() && inner.runs.iter().any(|run| run.key == key);
@@ -108,6 +118,15 @@
     response.body(json!(service.lock().runs).to_string());
 }
 
+/// `GET /refused`: the number of calls that were rejected.
+#[handler]
+async fn refused(depot: &mut Depot, response: &mut Response) {
+    let Ok(service) = depot.get_typed::<PlainService>().cloned() else {
+        return;
+    };
+    response.body(json!(service.lock().refused).to_string());
+}
+
 /// `POST /control`: injects faults.
 #[handler]
 async fn set_control(request: &mut Request, depot: &mut Depot, response: &mut Response) {
@@ -123,5 +142,6 @@
     old.delay_ms = new.delay_ms.or(old.delay_ms);
     old.lose = new.lose.or(old.lose);
     old.refuse = new.refuse.or(old.refuse);
+    old.retry_after = new.retry_after.or_else(|| old.retry_after.take());
     response.body("{}");
 }
