Streams wait for the cooldown of the engine that has their copies

Cause: one stream in progress may use a request of the cooldown; the others were refused by it, and a refused takeover from the last copy ends the stream.

Change: where nothing comes from the run's own engine any more, a takeover waits for the end of the cooldown if the caller's time allows it.

--- a/crates/carawayhead/tests/forwarding/cooldowns.rs
+++ b/crates/carawayhead/tests/forwarding/cooldowns.rs
@@ -409,3 +409,54 @@
     call(&instances[1..], &load, "second", Duration::from_secs(2)).await;
     assert_eq!(leaving.executed_calls().len(), before);
 }
+
+/// Guards against streams that are lost with their engine while the one that has their copies is in its cooldown.
+#[tokio::test]
+async fn streams_go_on_at_an_engine_after_its_cooldown() {
+    const STREAMS: usize = 6;
+    let store = Store::start().await;
+    store.write_operator_record("config", &config(1, &["key-1"], 20_000));
+    let shared_runs = Arc::<SharedRuns>::default();
+    let interval = Duration::from_millis(20);
+    let lost = Engine::start(&shared_runs, "m1", 150, interval).await;
+    let cooling = Engine::start(&shared_runs, "m2", 150, interval).await;
+    store.write_endpoint_entry("m1", &lost.entry("model", "a", "ready"));
+    store.write_endpoint_entry("m2", &cooling.entry("model", "a", "ready"));
+    let instance = Instance::start("e0", "a", &store).await;
+    let address = instance.caller_address;
+    let send = |id: String| async move {
+        let request = CallerRequest {
+            deadline_ms: 20_000,
+            ..CallerRequest::new(&id, "/draft/x")
+        };
+        send_request(address, &request).await
+    };
+    let mut streams = JoinSet::new();
+    for number in 0..STREAMS {
+        streams.spawn(send(format!("e0-{number}")));
+    }
+    wait_until("the streams run", || async {
+        lost.executed_calls().len() + cooling.executed_calls().len() == STREAMS
+    })
+    .await;
+    assert!(
+        lost.executed_calls().len() > 2,
+        "streams run at both engines"
+    );
+    cooling.conditions().set_cooldown(Some("1.5"));
+    let mut number = STREAMS;
+    while cooling.conditions().rejected_calls().is_empty() {
+        streams.spawn(send(format!("e0-{number}")));
+        number += 1;
+        sleep(Duration::from_millis(20)).await;
+        assert!(number < 100, "the engine is not asked");
+    }
+    cooling.conditions().set_cooldown(None);
+    lost.crash();
+    let answers = streams.join_all().await;
+    let cut_off = answers.iter().filter(|answer| {
+        let answer = answer.as_ref();
+        answer.is_none_or(|answer| answer.status == StatusCode::OK && !answer.complete)
+    });
+    assert_eq!(cut_off.count(), 0, "of {} streams", answers.len());
+}
--- a/crates/forward/src/cooldown.rs
+++ b/crates/forward/src/cooldown.rs
@@ -86,6 +86,13 @@
         Some(Permit::Trial(self.trials))
     }
 
+    /// Time until an urgent request may be sent, if it may not.
+    #[must_use]
+    pub fn urgent_left(&self, now: Time) -> Option<Duration> {
+        let is_waiting = !self.is_over(now) && self.urgent >= MAX_URGENT;
+        is_waiting.then(|| self.until.since(now))
+    }
+
     /// Takes a permit back.
     pub fn give_back(&mut self, permit: Permit) {
         if let Permit::Trial(number) = permit
--- a/crates/forward/src/state/conditions.rs
+++ b/crates/forward/src/state/conditions.rs
@@ -141,6 +141,13 @@
         }
     }
 
+    /// Time until a stream in progress may go on at an endpoint, if its cooldown does not allow that now.
+    #[must_use]
+    pub fn takeover_delay(&self, now: Time, key: EndpointKey) -> Option<Duration> {
+        let endpoint = self.endpoints.get(key)?;
+        endpoint.statement.cooldown.urgent_left(now)
+    }
+
     /// Whether an endpoint is in its cooldown.
     #[must_use]
     pub fn is_cooling_down(&self, now: Time, key: EndpointKey) -> bool {
--- a/crates/forward/tests/cooldowns.rs
+++ b/crates/forward/tests/cooldowns.rs
@@ -170,6 +170,8 @@
     assert!(state.permit_send(at(1500), key, true).is_some());
     reject(&mut state, 1600, key, 3000);
     assert_eq!(state.permit_send(at(1700), key, true), None);
+    assert_eq!(state.takeover_delay(at(1700), key), Some(millis(2900)));
+    assert_eq!(state.takeover_delay(at(4600), key), None);
     assert!(state.permit_send(at(4600), key, true).is_some());
 }
 
--- a/crates/proxy/src/relay/attempt.rs
+++ b/crates/proxy/src/relay/attempt.rs
@@ -89,6 +89,11 @@
     ) -> Self {
         let why = why.to_string();
         let taking_over = async move {
+            // Nothing comes from the run's own engine any more.
+            let limit = match kind {
+                Kind::Continue => context.await_cooldown(copy.key, limit).await,
+                Kind::Move | Kind::Stop | Kind::TakeOver => limit,
+            };
             let result = context.open_from_copy(&copy, &why, limit).await;
             let result = result.map(Box::new);
             Settled::TakenOver { kind, result }
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -228,6 +228,19 @@
         self.open(copy.key, Some(&source), why, limit).await
     }
 
+    /// Waits for the end of an engine's cooldown, as far as `limit` allows. Returns what is left of the limit.
+    pub async fn await_cooldown(&self, key: EndpointKey, limit: Duration) -> Duration {
+        let now = clock::now();
+        let delay = self.shared.state.borrow().takeover_delay(now, key);
+        let Some(delay) = delay.filter(|delay| *delay < limit) else {
+            return limit;
+        };
+        let id = &self.original.inbound.id;
+        log::info!(id, ms = delay.as_millis(); "takeover waits for the cooldown of its engine");
+        sleep(delay).await;
+        limit.saturating_sub(delay)
+    }
+
     /// Asks an engine to start a resumable stream after the caller's last event.
     ///
     /// # Errors
