An engine that reports that it leaves stays left once the store is back

What callers saw: nothing yet; found by looking for the same cause elsewhere.

Cause: what a probe had learned while the store was away was undone by the next entry, which may call the engine ready still.

Evidence: in the process test a request went to the engine after its entry was read (2 executed in place of 1).

Change: the report counts like a statement in an answer: it holds for this start of the engine, unless the report names another start, and peers are told. mark_leaving has no caller left and is gone; the test of probes that used it records the statement instead.

Measured: the process test failed before and passes.

--- a/crates/carawayhead/tests/forwarding/cooldowns.rs
+++ b/crates/carawayhead/tests/forwarding/cooldowns.rs
@@ -8,6 +8,7 @@
         caller::{CallerRequest, CallerResponse, config, send_request},
         engine::SharedRuns,
         http::Call,
+        store::StoreBehavior,
     },
     std::{
         sync::Arc,
@@ -460,3 +461,62 @@
     });
     assert_eq!(cut_off.count(), 0, "of {} streams", answers.len());
 }
+
+/// Guards against an entry that calls an engine ready which has said in its report, while the store was away, that it
+/// leaves.
+#[tokio::test]
+async fn engine_that_reports_that_it_leaves_is_left_once_the_store_is_back() {
+    let store = Store::start().await;
+    store.write_operator_record("config", &config(1, &["key-1"], 20_000));
+    let shared_runs = Arc::<SharedRuns>::default();
+    let interval = Duration::from_millis(20);
+    let leaving = Engine::start(&shared_runs, "m1", 300, interval).await;
+    let free = Engine::start(&shared_runs, "m2", 300, interval).await;
+    store.write_endpoint_entry("m1", &leaving.entry("model", "a", "ready"));
+    store.write_endpoint_entry("m2", &free.entry("model", "a", "ready"));
+    let instances = start_instances(1, &store).await;
+    let address = instances[0].caller_address;
+    let mut streams = JoinSet::new();
+    for number in 0..2 {
+        streams.spawn(async move {
+            let id = format!("e0-{number}");
+            let request = CallerRequest {
+                deadline_ms: 20_000,
+                ..CallerRequest::new(&id, "/draft/x")
+            };
+            send_request(address, &request).await
+        });
+    }
+    wait_until("a stream runs there", || async {
+        !leaving.executed_calls().is_empty()
+    })
+    .await;
+    store.set_behavior(StoreBehavior::Rejecting);
+    leaving.report_draining();
+    wait_until("the engine is probed", || async {
+        !instances[0]
+            .log_lines_containing("probe: engine is leaving")
+            .is_empty()
+    })
+    .await;
+    store.set_behavior(StoreBehavior::Healthy);
+    let entry = leaving.entry_of_version("model", "a", "ready", "v2");
+    store.write_endpoint_entry("m1", &entry);
+    wait_until("its entry is read", || async {
+        let lines = instances[0].log_lines_containing("\"endpoint listed\"");
+        lines
+            .iter()
+            .any(|line| line.contains("\"m1\"") && line.contains("v2"))
+    })
+    .await;
+    let before = leaving.executed_calls().len();
+    let load = Load {
+        instances: 1,
+        path: "/draft/x",
+        rate: 4.0,
+    };
+    let sent = call(&instances, &load, "later", Duration::from_secs(1)).await;
+    assert!(sent.iter().all(Sent::is_served));
+    assert_eq!(leaving.executed_calls().len(), before);
+    streams.join_all().await;
+}
--- a/crates/forward/src/endpoint.rs
+++ b/crates/forward/src/endpoint.rs
@@ -221,11 +221,6 @@
         self.statement.leaving_at.get_or_insert(now);
     }
 
-    /// Records that it is leaving.
-    pub fn mark_leaving(&mut self, now: Time) {
-        self.leaving_since.get_or_insert(now);
-    }
-
     /// Records an answer, successful or failed.
     pub fn record_answer(&mut self, failed: bool) {
         self.failures = 0;
--- a/crates/forward/tests/probes.rs
+++ b/crates/forward/tests/probes.rs
@@ -18,8 +18,9 @@
     assert!(state.due_probes(at(asked_at + 100)).is_empty());
     assert_eq!(state.due_probes(at(asked_at + 600)), [first]);
     assert!(!state.must_move(at(asked_at + 611), run));
-    let endpoint = state.endpoint_mut(first).expect("a listed engine");
-    endpoint.mark_leaving(at(asked_at + 610));
+    let endpoint = state.endpoint(first).expect("a listed engine");
+    let incarnation = endpoint.incarnation;
+    assert!(state.record_leaving(at(asked_at + 610), incarnation));
     assert!(state.must_move(at(asked_at + 611), run));
     assert!(state.due_probes(at(asked_at + 2000)).is_empty());
 }
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         clock,
+        gossip::statements,
         path::{self, Reuse},
         prelude::*,
     },
@@ -74,6 +75,7 @@
     let Some((address, endpoint)) = shared.endpoint_address(key) else {
         return;
     };
+    let incarnation = shared.incarnation_of(key);
     let asked = timeout(ANSWER_TIMEOUT, answer(&shared, key, address));
     let answered = asked
         .await
@@ -84,8 +86,10 @@
         Ok(false) => {}
         Ok(true) => {
             log::info!(endpoint, list_age_ms; "probe: engine is leaving");
-            if let Some(endpoint) = shared.state.borrow_mut().endpoint_mut(key) {
-                endpoint.mark_leaving(clock::now());
+            let now = clock::now();
+            let is_new = shared.state.borrow_mut().record_leaving(now, incarnation);
+            if is_new {
+                statements::announce_leaving(&shared, incarnation);
             }
         }
         Err(why) => {
@@ -183,5 +187,12 @@
     let status = answer.status();
     let body = answer.read_body(MAX_ANSWER_BYTES).await;
     let body = body.map_err(|error| error.to_string())?;
-    engine::is_leaving(status, &body).map_err(|error| error.to_string())
+    let is_leaving = engine::is_leaving(status, &body).map_err(|error| error.to_string())?;
+    let state = shared.state.borrow();
+    let listed = state
+        .endpoint(key)
+        .and_then(|endpoint| endpoint.listing.started_at);
+    let reported = engine::started_at(&body);
+    let is_other_start = listed.is_some() && reported.is_some() && listed != reported;
+    Ok(is_leaving && !is_other_start)
 }
