An answer of another endpoint says nothing of the limit of brittle ones

What callers saw: nothing yet; found by looking for the same cause elsewhere: what an answer states was taken for the endpoint that was meant.

Cause: a 421 comes from whoever has the address now, and bears no limit of rejections, which ended the limit for the service that was meant.

Change: conditions are recorded in one place, which a misdirected answer does not reach.

Measured: the process test failed before (three changes of the limit in place of one) and passes.

--- a/crates/carawayhead/tests/forwarding/answers.rs
+++ b/crates/carawayhead/tests/forwarding/answers.rs
@@ -331,3 +331,32 @@
     }
     assert_eq!(instance.log_lines_containing("key-1"), [""; 0]);
 }
+
+/// Guards against an answer of another endpoint at the same address, which says nothing of the service that was meant.
+#[tokio::test]
+async fn misdirected_answer_does_not_end_the_limit_of_brittle_endpoints() {
+    let brittle = PlainService::start("d1").await;
+    brittle.set_behavior(ServiceBehavior::Brittle);
+    let (store, instance) = deployment(&[&brittle]).await;
+    let send = |number: usize| {
+        let address = instance.caller_address;
+        async move {
+            let id = format!("r{number}");
+            send_request(address, &CallerRequest::new(&id, "/look/x")).await
+        }
+    };
+    send(0).await;
+    store.write_endpoint_entry("d9", &brittle.entry("desk", "a", "ready"));
+    let mut number = 0;
+    while !instance
+        .log_lines_containing("request rejected by endpoint")
+        .iter()
+        .any(|line| line.contains("421"))
+    {
+        number += 1;
+        send(number).await;
+        assert!(number < 400, "the other endpoint is not asked");
+    }
+    let changes = instance.log_lines_containing("limit of rejections changed");
+    assert_eq!(changes.len(), 1, "{changes:?}");
+}
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -485,7 +485,8 @@
         }
     }
 
-    /// Records what an answer states of its endpoint, and whether it rejected the request for want of room. `sent` is when its request was sent, and to which incarnation.
+    /// Records what an answer states of its endpoint, and whether it rejected the request. `sent` is when its request was
+    /// sent, and to which incarnation.
     pub fn record_flags(
         &self,
         key: EndpointKey,
@@ -495,16 +496,30 @@
     ) {
         let now = clock::now();
         if !flags.misdirected {
-            self.record_limit(now, flags.conditions.limit, sent);
+            self.record_conditions(now, key, flags, sent);
         }
+        if flags.not_run || flags.conditions.cooldown.is_some() {
+            self.record_rejection(now, key, status, flags);
+        }
+    }
+
+    fn record_conditions(
+        &self,
+        now: Time,
+        key: EndpointKey,
+        flags: ResponseFlags,
+        sent: (Time, u32),
+    ) {
+        let conditions = flags.conditions;
         let (sent_at, incarnation) = sent;
+        self.record_limit(now, conditions.limit, sent);
         let answer = state::Answer {
-            conditions: flags.conditions,
+            conditions,
             incarnation,
             rejected: flags.not_run,
             sent_at,
         };
-        let is_leaving = !flags.misdirected && {
+        let is_leaving = {
             let mut state = self.state.borrow_mut();
             state.record_statement(now, key, &answer)
         };
@@ -512,6 +527,23 @@
             statements::log_leaving(self, incarnation, &self.settings.instance.name);
             statements::announce_leaving(self, incarnation);
         }
+        let Some((_, service)) = self.endpoint_service(key) else {
+            return;
+        };
+        let limit = conditions.max_rejections;
+        let mut state = self.state.borrow_mut();
+        if state.brittleness.record(now, &service, limit) {
+            log::info!(service, limit:?; "limit of rejections changed");
+        }
+    }
+
+    fn record_rejection(
+        &self,
+        now: Time,
+        key: EndpointKey,
+        status: StatusCode,
+        flags: ResponseFlags,
+    ) {
         let mut state = self.state.borrow_mut();
         let Some(endpoint) = state.endpoint_mut(key) else {
             return;
@@ -519,20 +551,14 @@
         if flags.not_run {
             endpoint.exposure.record_rejection(now);
         }
-        let service = endpoint.listing.service.clone();
-        if flags.not_run || flags.conditions.cooldown.is_some() {
-            let cooldown_ms = flags.conditions.cooldown.map(|time| time.as_millis());
-            log::info!(
-                endpoint = endpoint.listing.id, service, status = status.as_u16(), cooldown_ms:?;
-                "request rejected by endpoint"
-            );
-            self.metrics
-                .record_rejection(&service, cooldown_ms.is_some());
-        }
-        let limit = flags.conditions.max_rejections;
-        if state.brittleness.record(now, &service, limit) {
-            log::info!(service, limit:?; "limit of rejections changed");
-        }
+        let listing = &endpoint.listing;
+        let cooldown_ms = flags.conditions.cooldown.map(|time| time.as_millis());
+        log::info!(
+            endpoint = listing.id, service = listing.service, status = status.as_u16(),
+            cooldown_ms:?; "request rejected by endpoint"
+        );
+        self.metrics
+            .record_rejection(&listing.service, cooldown_ms.is_some());
     }
 
     fn record_limit(&self, now: Time, limit: Option<f64>, (sent_at, incarnation): (Time, u32)) {
