--- a/crates/decision/src/routing.rs
+++ b/crates/decision/src/routing.rs
@@ -77,7 +77,8 @@
         }
     }
 
-    /// Time until the first endpoint that could serve a request wants requests again, if all are in their cooldowns.
+    /// Time until the first endpoint in its cooldown that could serve a request wants requests again; `None` if there is no
+    /// such endpoint.
     pub(crate) fn cooldown_left(&self, now: Time, request: request::Key) -> Option<Duration> {
         let service = match &self.requests[request].work {
             Work::Call { service, .. } => Some(service),
--- a/crates/proxy/src/gossip/statements.rs
+++ b/crates/proxy/src/gossip/statements.rs
@@ -16,6 +16,9 @@
 /// Interval at which peers are told again, since single messages may be lost.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Shortest time between two rounds of messages to peers, as endpoints of a service often leave together.
+const MIN_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time for which peers are told that an endpoint leaves; by then its entry mostly says so too.
 const NEWS_LIFETIME: Duration = Duration::from_secs(2);
 
@@ -47,6 +50,7 @@
                 send(shared, &name, Vec::new(), part.to_vec());
             }
         }
+        sleep(MIN_INTERVAL).await;
     }
 }
 
