--- a/crates/carawayhead/src/daemon/detour.rs
+++ b/crates/carawayhead/src/daemon/detour.rs
@@ -131,7 +131,7 @@
             log::debug!(error:%; "peer instance did not answer a request for a tunnel");
             Failure::Unanswered
         }
-        tunnel::Failure::Unreached => Failure::Unreached,
+        tunnel::Failure::CoolingDown(_) | tunnel::Failure::Unreached => Failure::Unreached,
     })?;
     stream.hold(Usage::clone(&detour.usage));
     Ok(stream)
--- a/crates/carawayhead/tests/partitions.rs
+++ b/crates/carawayhead/tests/partitions.rs
@@ -419,3 +419,43 @@
     println!("serve: {counts:?}");
     assert_served_alike(&counts, 1);
 }
+
+/// Guards against instances that each keep a cooldown by themselves and send through the same peer, which the endpoint
+/// takes for their sender, and against callers that are refused since that peer opens no tunnel.
+#[tokio::test]
+async fn cooldown_of_an_endpoint_is_kept_by_all_that_send_through_one_peer() {
+    const COOLDOWN: Duration = Duration::from_secs(3);
+    const TRANSIT_TIME: Duration = Duration::from_millis(500);
+    let deployment = Deployment::start(&["a", "a", "a", "a", "b"]).await;
+    deployment.count_under(Partition::Silent, 4).await;
+    let (cooling, _) = &deployment.desks[0];
+    cooling.conditions().set_cooldown(Some("3"));
+    let before = cooling.executed_calls().len();
+    let mut refused = 0;
+    for (index, instance) in deployment.instances.iter().enumerate() {
+        for number in 0..15 {
+            let id = format!("cooling-{index}-{number}");
+            let mut request = CallerRequest::new(&id, "/look/x");
+            request.deadline_ms = 2000;
+            let response = send_request(instance.caller_address, &request).await;
+            let served = response.is_some_and(|response| response.status == StatusCode::OK);
+            refused += usize::from(!served);
+        }
+        let is_first = index == 0;
+        sleep(if is_first {
+            2 * TRANSIT_TIME
+        } else {
+            TRANSIT_TIME / 4
+        })
+        .await;
+    }
+    let rejected = cooling.conditions().rejected_calls();
+    let first = rejected.first().expect("the endpoint is asked").at;
+    let within = rejected.iter().filter(|call| {
+        let since = call.at.duration_since(first);
+        since > TRANSIT_TIME && since < COOLDOWN
+    });
+    assert!(within.count() <= 2, "{} requests in all", rejected.len());
+    assert_eq!(cooling.executed_calls().len(), before);
+    assert_eq!(refused, 0, "beside endpoints that take requests");
+}
--- a/crates/forward/src/cooldown.rs
+++ b/crates/forward/src/cooldown.rs
@@ -52,6 +52,12 @@
         now >= self.until
     }
 
+    /// Time that is left of what the endpoint asked for.
+    #[must_use]
+    pub fn time_left(&self, now: Time) -> Duration {
+        self.until.since(now)
+    }
+
     /// Whether a new request may be sent.
     #[must_use]
     pub fn admits(&self, now: Time) -> bool {
@@ -90,7 +96,7 @@
     #[must_use]
     pub fn urgent_left(&self, now: Time) -> Option<Duration> {
         let is_waiting = !self.is_over(now) && self.urgent >= MAX_URGENT;
-        is_waiting.then(|| self.until.since(now))
+        is_waiting.then(|| self.time_left(now))
     }
 
     /// Takes a permit back.
--- a/crates/forward/src/state/conditions.rs
+++ b/crates/forward/src/state/conditions.rs
@@ -148,11 +148,11 @@
         endpoint.statement.cooldown.urgent_left(now)
     }
 
-    /// Whether an endpoint is in its cooldown.
+    /// Time until the end of an endpoint's cooldown, if it is in one.
     #[must_use]
-    pub fn is_cooling_down(&self, now: Time, key: EndpointKey) -> bool {
-        let endpoint = self.endpoints.get(key);
-        endpoint.is_some_and(|endpoint| !endpoint.statement.cooldown.is_over(now))
+    pub fn cooldown_left(&self, now: Time, key: EndpointKey) -> Option<Duration> {
+        let cooldown = self.endpoints.get(key)?.statement.cooldown;
+        (!cooldown.is_over(now)).then(|| cooldown.time_left(now))
     }
 
     /// What a request may wait for that finds no endpoint of a service beside those that were tried.
--- a/crates/peer/src/tunnel.rs
+++ b/crates/peer/src/tunnel.rs
@@ -83,18 +83,22 @@
     }
 }
 
-/// How the peer answers; the values are sent as one byte.
+/// How the peer answers; the values are sent as one byte. Other values count as a refusal.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[repr(u8)]
 enum Status {
     Connected = 0,
     Refused = 1,
     Unreached = 2,
+    /// Followed by the milliseconds that are left, in four bytes.
+    CoolingDown = 3,
 }
 
 /// Why there is no tunnel; nothing has been sent to the endpoint.
 #[derive(Debug)]
 pub enum Failure {
+    /// The endpoint wants no requests from the peer for this time.
+    CoolingDown(Duration),
     /// The peer refused.
     Refused,
     /// The peer cannot be reached or did not answer.
@@ -233,8 +237,20 @@
         self.fail(Status::Unreached).await;
     }
 
-    async fn fail(mut self, status: Status) {
-        if let Err(error) = self.send.write_u8(status as u8).await {
+    /// Reports that the endpoint wants no requests from this instance for a time.
+    pub async fn report_cooldown(self, left: Duration) {
+        let millis = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+        let status = [Status::CoolingDown as u8];
+        self.answer(&[&status[..], &millis.to_be_bytes()].concat())
+            .await;
+    }
+
+    async fn fail(self, status: Status) {
+        self.answer(&[status as u8]).await;
+    }
+
+    async fn answer(mut self, data: &[u8]) {
+        if let Err(error) = self.send.write_all(data).await {
             log::debug!(error:%; "peer instance has given up a tunnel");
         }
     }
@@ -268,5 +284,10 @@
     if status == Status::Unreached as u8 {
         return Err(Failure::Unreached);
     }
+    if status == Status::CoolingDown as u8 {
+        let millis = receive.read_u32().await;
+        let millis = millis.map_err(|error| unanswered(error.into()))?;
+        return Err(Failure::CoolingDown(Duration::from_millis(millis.into())));
+    }
     Err(Failure::Refused)
 }
--- a/crates/proxy/src/gossip/statements.rs
+++ b/crates/proxy/src/gossip/statements.rs
@@ -81,19 +81,29 @@
         }
     }
     for (incarnation, millis) in &message.cooldowns {
-        let answer = Answer {
-            conditions: Conditions {
-                cooldown: Some(Duration::from_millis(u64::from(*millis))),
-                ..Conditions::default()
-            },
-            incarnation: *incarnation,
-            rejected: true,
-            sent_at: now,
-        };
-        let mut state = shared.state.borrow_mut();
-        if let Some(key) = state.find_incarnation(*incarnation) {
-            state.record_statement(now, key, &answer);
-        }
+        apply_cooldown(
+            shared,
+            *incarnation,
+            Duration::from_millis((*millis).into()),
+        );
+    }
+}
+
+/// Applies the cooldown of an endpoint of which a peer has told.
+pub fn apply_cooldown(shared: &Shared, incarnation: u32, cooldown: Duration) {
+    let now = clock::now();
+    let answer = Answer {
+        conditions: Conditions {
+            cooldown: Some(cooldown),
+            ..Conditions::default()
+        },
+        incarnation,
+        rejected: true,
+        sent_at: now,
+    };
+    let mut state = shared.state.borrow_mut();
+    if let Some(key) = state.find_incarnation(incarnation) {
+        state.record_statement(now, key, &answer);
     }
 }
 
--- a/crates/proxy/src/path.rs
+++ b/crates/proxy/src/path.rs
@@ -78,7 +78,7 @@
     if !shared.is_partitioned(&service) {
         return send_directly(shared, key, &text, request, may_write).await;
     }
-    match open_tunnel(shared, address).await {
+    match open_tunnel(shared, key, address).await {
         Some(Ok(_)) if !may_write() => Err(endpoint::Error::Withheld),
         Some(Ok((peer, stream))) => {
             shared.metrics.record_tunnel("opened");
@@ -121,7 +121,7 @@
     if route == Route::Direct {
         return shared.client.send_new(&address.to_string(), request).await;
     }
-    match open_tunnel(shared, address).await {
+    match open_tunnel(shared, key, address).await {
         Some(opened) => shared.client.send_over(opened?.1, request).await,
         None => Err(unreachable_error("there is no peer to go through")),
     }
@@ -170,6 +170,7 @@
 /// to ask.
 async fn open_tunnel(
     shared: &Shared,
+    key: EndpointKey,
     endpoint: SocketAddr,
 ) -> Option<Result<(String, tunnel::Stream), endpoint::Error>> {
     let own = &shared.settings.instance.name;
@@ -195,6 +196,11 @@
                 stream.hold(shared.state.borrow_mut().tunnels.record_opened(&name));
                 return Some(Ok((name, stream)));
             }
+            Ok(Err(tunnel::Failure::CoolingDown(left))) => {
+                let incarnation = shared.incarnation_of(key);
+                statements::apply_cooldown(shared, incarnation, left);
+                return Some(Err(endpoint::Error::Withheld));
+            }
             Ok(Err(tunnel::Failure::Unreached)) => {
                 record_failure(shared, &name, Failure::Unreached);
                 return Some(Err(unreachable_error("a peer cannot reach it either")));
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -167,7 +167,7 @@
     let listing = &state.endpoint(key)?.listing;
     let request = match state.service(&listing.service) {
         Some(service) if service.engine.is_none() => {
-            if state.is_cooling_down(clock::now(), key) {
+            if state.cooldown_left(clock::now(), key).is_some() {
                 return None;
             }
             engine::health_request(listing.address, &service.health_path)
--- a/crates/proxy/src/tunnel.rs
+++ b/crates/proxy/src/tunnel.rs
@@ -41,9 +41,10 @@
         incoming.refuse().await;
         return;
     };
-    if shared.state.borrow().is_cooling_down(clock::now(), key) {
+    let cooldown = shared.state.borrow().cooldown_left(clock::now(), key);
+    if let Some(left) = cooldown {
         // The endpoint would take the request for one of this instance.
-        incoming.report_unreached().await;
+        incoming.report_cooldown(left).await;
         return;
     }
     let _guard = Guard::new(&shared);
