--- a/crates/carawayhead/tests/forwarding/cooldowns.rs
+++ b/crates/carawayhead/tests/forwarding/cooldowns.rs
@@ -119,6 +119,57 @@
     );
 }
 
+/// Checks that no request was held for as long as requests may wait for room.
+fn check_held(instances: &[Instance]) {
+    for instance in instances {
+        for line in instance.log_lines_containing("\"request ended\"") {
+            let line = serde_json::from_str::<serde_json::Value>(&line).expect("a log line");
+            let held = line["ms"].as_u64().expect("a time");
+            assert!(held < QUEUE_TIMEOUT_MS, "{line}");
+        }
+    }
+}
+
+async fn start_store(timeout_ms: u32) -> Store {
+    let store = Store::start().await;
+    store.write_operator_record("config", &config(1, &["key-1"], timeout_ms));
+    store
+}
+
+/// A plain service with two endpoints.
+struct Desks {
+    _free: PlainService,
+    /// The one whose statements are tested, `d1`.
+    observed: PlainService,
+    store: Store,
+}
+
+impl Desks {
+    async fn start() -> Self {
+        let store = start_store(TIMEOUT_MS).await;
+        let observed = PlainService::start("d1").await;
+        let free = PlainService::start("d2").await;
+        store.write_endpoint_entry("d1", &observed.entry("desk", "a", "ready"));
+        store.write_endpoint_entry("d2", &free.entry("desk", "a", "ready"));
+        Self {
+            _free: free,
+            observed,
+            store,
+        }
+    }
+
+    /// Writes entries that call the observed endpoint ready, two seconds apart.
+    async fn renew_entry(&self) {
+        for version in ["v2", "v3", "v4"] {
+            sleep(Duration::from_secs(2)).await;
+            let entry = self
+                .observed
+                .entry_of_version("desk", "a", "ready", version);
+            self.store.write_endpoint_entry("d1", &entry);
+        }
+    }
+}
+
 async fn start_instances(count: usize, store: &Store) -> Vec<Instance> {
     let mut instances = Vec::new();
     for number in 0..count {
@@ -144,25 +195,13 @@
 /// Plays callers of two endpoints of a plain service of which one rejects everything for a while, and checks that its
 /// cooldowns are kept, that nothing is refused, and that it is used afterwards.
 async fn check_beside_free_endpoint(cooldown: &str, load: &Load) {
-    let store = Store::start().await;
-    store.write_operator_record("config", &config(1, &["key-1"], TIMEOUT_MS));
-    let (cooling, free) = (
-        PlainService::start("d1").await,
-        PlainService::start("d2").await,
-    );
-    store.write_endpoint_entry("d1", &cooling.entry("desk", "a", "ready"));
-    store.write_endpoint_entry("d2", &free.entry("desk", "a", "ready"));
-    let instances = start_instances(load.instances, &store).await;
+    let desks = Desks::start().await;
+    let (store, cooling) = (&desks.store, &desks.observed);
+    let instances = start_instances(load.instances, store).await;
     call(&instances, load, "before", Duration::from_millis(500)).await;
     cooling.conditions().set_cooldown(Some(cooldown));
-    let renewed = async {
-        for version in ["v2", "v3", "v4"] {
-            sleep(Duration::from_secs(2)).await;
-            let entry = cooling.entry_of_version("desk", "a", "ready", version);
-            store.write_endpoint_entry("d1", &entry);
-        }
-    };
-    let (sent, ()) = tokio::join!(call(&instances, load, "during", REJECTING_TIME), renewed);
+    let calls = call(&instances, load, "during", REJECTING_TIME);
+    let (sent, ()) = tokio::join!(calls, desks.renew_entry());
     cooling.conditions().set_cooldown(None);
     let seconds = cooldown.parse::<f64>().expect("a number");
     check_cooldowns(
@@ -222,8 +261,7 @@
         path: "/look/x",
         rate: 30.0,
     };
-    let store = Store::start().await;
-    store.write_operator_record("config", &config(1, &["key-1"], TIMEOUT_MS));
+    let store = start_store(TIMEOUT_MS).await;
     let cooling = PlainService::start("d1").await;
     store.write_endpoint_entry("d1", &cooling.entry("desk", "a", "ready"));
     let instances = start_instances(load.instances, &store).await;
@@ -243,13 +281,7 @@
         "of {} not refused with a time to come back",
         sent.len()
     );
-    for instance in &instances {
-        for line in instance.log_lines_containing("\"request ended\"") {
-            let line = serde_json::from_str::<serde_json::Value>(&line).expect("a log line");
-            let held = line["ms"].as_u64().expect("a time");
-            assert!(held < QUEUE_TIMEOUT_MS, "{line}");
-        }
-    }
+    check_held(&instances);
     check_is_used_again(&instances, &load, || cooling.executed_calls().len()).await;
 }
 
@@ -261,8 +293,7 @@
         path: "/draft/x",
         rate: 30.0,
     };
-    let store = Store::start().await;
-    store.write_operator_record("config", &config(1, &["key-1"], TIMEOUT_MS));
+    let store = start_store(TIMEOUT_MS).await;
     let shared_runs = Arc::<SharedRuns>::default();
     let cooling = Engine::start(&shared_runs, "m1", EVENTS, EVENT_INTERVAL).await;
     let free = Engine::start(&shared_runs, "m2", EVENTS, EVENT_INTERVAL).await;
@@ -286,26 +317,14 @@
 /// Plays callers of two endpoints of which one states in all its answers that it leaves, while the list calls it ready,
 /// and checks that no request goes there later than the drain time after an instance has passed such an answer on.
 async fn check_leaving(load: &Load) {
-    let store = Store::start().await;
-    store.write_operator_record("config", &config(1, &["key-1"], TIMEOUT_MS));
-    let (leaving, free) = (
-        PlainService::start("d1").await,
-        PlainService::start("d2").await,
-    );
-    store.write_endpoint_entry("d1", &leaving.entry("desk", "a", "ready"));
-    store.write_endpoint_entry("d2", &free.entry("desk", "a", "ready"));
-    let instances = start_instances(load.instances, &store).await;
+    let desks = Desks::start().await;
+    let (store, leaving) = (&desks.store, &desks.observed);
+    let instances = start_instances(load.instances, store).await;
     call(&instances, load, "before", Duration::from_millis(500)).await;
     leaving.conditions().set_leaving(true);
     let stated_from = Instant::now();
-    let renewed = async {
-        for version in ["v2", "v3", "v4"] {
-            sleep(Duration::from_secs(2)).await;
-            let entry = leaving.entry_of_version("desk", "a", "ready", version);
-            store.write_endpoint_entry("d1", &entry);
-        }
-    };
-    let (sent, ()) = tokio::join!(call(&instances, load, "during", REJECTING_TIME), renewed);
+    let calls = call(&instances, load, "during", REJECTING_TIME);
+    let (sent, ()) = tokio::join!(calls, desks.renew_entry());
     let calls = leaving.executed_calls();
     let stated = calls.iter().filter(|call| call.at >= stated_from);
     let late = stated.clone().filter(|call| {
@@ -358,8 +377,7 @@
         path: "/look/x",
         rate: 10.0,
     };
-    let store = Store::start().await;
-    store.write_operator_record("config", &config(1, &["key-1"], TIMEOUT_MS));
+    let store = start_store(TIMEOUT_MS).await;
     let leaving = PlainService::start("d1").await;
     store.write_endpoint_entry("d1", &leaving.entry("desk", "a", "ready"));
     let instances = start_instances(load.instances, &store).await;
@@ -367,11 +385,7 @@
     call(&instances, &load, "first", Duration::from_millis(300)).await;
     let sent = call(&instances, &load, "later", Duration::from_secs(2)).await;
     assert!(sent.iter().all(Sent::is_refused));
-    for line in instances[0].log_lines_containing("\"request ended\"") {
-        let line = serde_json::from_str::<serde_json::Value>(&line).expect("a log line");
-        let held = line["ms"].as_u64().expect("a time");
-        assert!(held < QUEUE_TIMEOUT_MS, "{line}");
-    }
+    check_held(&instances);
     let restarted = PlainService::start("d3").await;
     store.write_endpoint_entry("d3", &restarted.entry("desk", "a", "ready"));
     wait_until("the next endpoint is used", || async {
@@ -385,15 +399,9 @@
 /// Guards against requests of an instance that is lost with an endpoint of which a peer has heard that it leaves.
 #[tokio::test]
 async fn peers_hear_that_an_endpoint_leaves() {
-    let store = Store::start().await;
-    store.write_operator_record("config", &config(1, &["key-1"], TIMEOUT_MS));
-    let (leaving, free) = (
-        PlainService::start("d1").await,
-        PlainService::start("d2").await,
-    );
-    store.write_endpoint_entry("d1", &leaving.entry("desk", "a", "ready"));
-    store.write_endpoint_entry("d2", &free.entry("desk", "a", "ready"));
-    let instances = start_instances(2, &store).await;
+    let desks = Desks::start().await;
+    let (store, leaving) = (&desks.store, &desks.observed);
+    let instances = start_instances(2, store).await;
     leaving.conditions().set_leaving(true);
     let load = Load {
         instances: 1,
@@ -415,8 +423,7 @@
 #[tokio::test]
 async fn streams_go_on_at_an_engine_after_its_cooldown() {
     const STREAMS: usize = 6;
-    let store = Store::start().await;
-    store.write_operator_record("config", &config(1, &["key-1"], 20_000));
+    let store = start_store(20_000).await;
     let shared_runs = Arc::<SharedRuns>::default();
     let interval = Duration::from_millis(20);
     let lost = Engine::start(&shared_runs, "m1", 150, interval).await;
@@ -466,8 +473,7 @@
 /// leaves.
 #[tokio::test]
 async fn engine_that_reports_that_it_leaves_is_left_once_the_store_is_back() {
-    let store = Store::start().await;
-    store.write_operator_record("config", &config(1, &["key-1"], 20_000));
+    let store = start_store(20_000).await;
     let shared_runs = Arc::<SharedRuns>::default();
     let interval = Duration::from_millis(20);
     let leaving = Engine::start(&shared_runs, "m1", 300, interval).await;
