A request waits on where an endpoint that it tried is lost, as before

Found by reading: since requests that each endpoint has rejected are refused at once, so were those whose only endpoint was lost, though it may be back under another id; they waited before. The unit test has that case now: it fails on the code before (Nothing in place of Room) and passes.

--- a/crates/forward/src/endpoint.rs
+++ b/crates/forward/src/endpoint.rs
@@ -195,6 +195,12 @@
             && self.statement.cooldown.admits(now)
     }
 
+    /// Whether it has given no answer since a connection or request failed. It may restart under another id.
+    #[must_use]
+    pub const fn has_failed(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Whether it is not used because it could not be reached.
     #[must_use]
     pub fn is_unreachable(&self, now: Time) -> bool {
--- a/crates/forward/src/state/conditions.rs
+++ b/crates/forward/src/state/conditions.rs
@@ -183,7 +183,7 @@
                     is_limited |= limited.is_some();
                     soonest = Some(soonest.map_or(held, |soonest| soonest.min(held)));
                 }
-                None if tried.contains(&key) => {}
+                None if tried.contains(&key) => may_return |= endpoint.has_failed(),
                 None if endpoint.is_unreachable(now) => may_return = true,
                 None => return Outlook::Room,
             }
--- a/crates/forward/tests/cooldowns.rs
+++ b/crates/forward/tests/cooldowns.rs
@@ -294,4 +294,11 @@
     let outlook = state.outlook(at(1000), "desk", &[first, second]);
     assert_eq!(outlook, Outlook::Nothing);
     assert_eq!(state.outlook(at(1000), "model", &[]), Outlook::Room);
+    // One that was lost may be back under another id.
+    let lost = state.endpoint_mut(second).expect("a known endpoint");
+    lost.mark_unreachable(at(1000));
+    for now in [1000, 1900] {
+        let outlook = state.outlook(at(now), "desk", &[first, second]);
+        assert_eq!(outlook, Outlook::Room);
+    }
 }
