--- a/review/cases.rs
+++ b/review/cases.rs
@@ -5,6 +5,7 @@
 #[path = "lib.rs"]
 mod lib;
 mod twice_foreign_answer;
+mod lost_reading;
 mod lost_memory;
 
 /// What came of a case.
@@ -22,6 +23,7 @@
     note!("case {name}, {} the disruption", if lib::trouble() { "with" } else { "without" });
     let outcome = match name.as_str() {
         "twice_foreign_answer" => twice_foreign_answer::play(),
+        "lost_reading" => lost_reading::play(),
         "lost_memory" => lost_memory::play(),
         _ => Outcome::NotRun,
     };
