--- a/review/cases.rs
+++ b/review/cases.rs
@@ -6,6 +6,7 @@
 mod lib;
 mod twice_foreign_answer;
 mod lost_reading;
+mod lost_late;
 mod lost_memory;
 
 /// What came of a case.
@@ -25,6 +26,7 @@
         "twice_foreign_answer" => twice_foreign_answer::play(),
         "lost_reading" => lost_reading::play(),
         "lost_memory" => lost_memory::play(),
+        "lost_late" => lost_late::play(),
         _ => Outcome::NotRun,
     };
     let (text, code) = match outcome {
