--- a/review/cases.rs
+++ b/review/cases.rs
@@ -4,9 +4,7 @@
 
 #[path = "lib.rs"]
 mod lib;
-mod engine;
 mod twice_foreign_answer;
-mod twice_drained;
 mod lost_reading;
 mod lost_late;
 mod lost_memory;
@@ -26,7 +24,6 @@
     note!("case {name}, {} the disruption", if lib::trouble() { "with" } else { "without" });
     let outcome = match name.as_str() {
         "twice_foreign_answer" => twice_foreign_answer::play(),
-        "twice_drained" => twice_drained::play(),
         "lost_reading" => lost_reading::play(),
         "lost_memory" => lost_memory::play(),
         "lost_late" => lost_late::play(),
