Fix: a stopping instance admits only what has to end before it exits

What callers saw: orders without an answer, and streams without one or cut in the middle, sent 3 to 7 s after SIGTERM to an instance that was still given connections since most of its failure domain was stopping.

Cause: a stopping instance admitted a request by an estimate: 0.4 s for each plain request, and fixed speeds for prompt and tokens of a stream. Nothing holds work to the estimate. How long a request queues here and at its endpoint, and how long the endpoint works on it, is bounded by its deadline and by the timeout of its route alone.

Ruled out: that the queue alone is at fault. Requests are admitted again when they leave it, by the same estimate; those cut off had time left by it. That answers were ready and not written: the servers were still at work.

Change: after SIGTERM a request is admitted, and admitted again after its queue, only if its deadline or the timeout of its route ends it before the instance stops. The others are refused at once, with the time to come back to another instance. The estimate is gone. Running streams and their moves are not affected.

Changed tests: stopping_instance_admits_only_requests_that_fit expected an order with 39 s left to be admitted 1 s before the exit, and a short stream with 39 s left: the fault itself. Its replacement names both sides of the bound to the millisecond, for streams and orders. stopping_instance_ignores_length_hint expected the limit of tokens to bound a stream; it now expects that nothing but the deadline does.

The new tests pass. In a first form of the stream test, with half the engines, streams queued for up to 1.2 s and ended at the timeout of their route (log lines "timed_out"), not at the exit; the test has more engines now.

--- a/crates/carawayhead/tests/forwarding/main.rs
+++ b/crates/carawayhead/tests/forwarding/main.rs
@@ -12,5 +12,6 @@
 mod overlaps;
 mod rollouts;
 mod silences;
+mod stopping;
 mod streams;
 mod undelimited;
--- /dev/null
+++ b/crates/carawayhead/tests/forwarding/stopping.rs
@@ -0,0 +1,128 @@
+//! Instances that stop while callers go on sending.
+
+use {
+    crate::instance::Instance,
+    http::StatusCode,
+    platform::standin::{
+        Engine, PlainService, Store,
+        caller::{CallerRequest, CallerResponse, config, send_request},
+        engine::SharedRuns,
+        service::ServiceBehavior,
+    },
+    rustix::process::Signal,
+    std::{sync::Arc, time::Duration},
+    tokio::{task::JoinSet, time::sleep},
+};
+
+/// Pause between two requests.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Requests that are sent before the instance has to have exited.
+const MAX_REQUESTS: usize = 1000;
+
+/// Timeout of the routes, well below the grace period of an instance.
+const ROUTE_TIMEOUT_MS: u32 = 3000;
+
+/// A request, and what came of it.
+struct Outcome {
+    id: String,
+    response: Option<CallerResponse>,
+}
+
+impl Outcome {
+    fn is_answered(&self) -> bool {
+        let response = self.response.as_ref();
+        response.is_some_and(|response| response.status == StatusCode::OK && response.complete)
+    }
+
+    fn is_refused(&self) -> bool {
+        let response = self.response.as_ref();
+        response.is_some_and(|response| {
+            response.status == StatusCode::SERVICE_UNAVAILABLE && response.retry_after.is_some()
+        })
+    }
+}
+
+/// Stops the instance, and sends requests on new connections until its process has exited.
+async fn send_until_exit(instance: &mut Instance, path: &'static str) -> Vec<Outcome> {
+    instance.signal(Signal::TERM);
+    let address = instance.caller_address;
+    let mut sending = JoinSet::new();
+    for number in 0..MAX_REQUESTS {
+        sending.spawn(async move {
+            let id = format!("r{number}");
+            let mut request = CallerRequest::new(&id, path);
+            // An engine makes so few tokens in far less time than these take.
+            request.extra = vec![
+                ("carawayhead-token-count", "100,60"),
+                ("carawayhead-length-hint", "60"),
+            ];
+            let response = send_request(address, &request).await;
+            Outcome { id, response }
+        });
+        sleep(REQUEST_INTERVAL).await;
+        if let Some(status) = instance.exit_status() {
+            assert!(status.success(), "{status}");
+            return sending.join_all().await;
+        }
+    }
+    panic!("the instance has not exited");
+}
+
+async fn store_with_config() -> Store {
+    let store = Store::start().await;
+    store.write_operator_record("config", &config(1, &["key-1"], ROUTE_TIMEOUT_MS));
+    store
+}
+
+/// Guards against a stopping instance that sends orders to services which work on them until after its exit.
+#[tokio::test]
+async fn orders_that_a_stopping_instance_sends_are_answered() {
+    let store = store_with_config().await;
+    let mut services = Vec::new();
+    for id in ["d1", "d2", "d3", "d4", "d5", "d6"] {
+        let service = PlainService::start(id).await;
+        service.set_behavior(ServiceBehavior::Working(Duration::from_millis(900)));
+        store.write_endpoint_entry(id, &service.entry("desk", "a", "ready"));
+        services.push(service);
+    }
+    let mut instance = Instance::start("e1", "a", &store).await;
+    let outcomes = send_until_exit(&mut instance, "/order/7").await;
+    let mut executed = Vec::new();
+    for service in &services {
+        let calls = service.executed_calls();
+        executed.extend(calls.iter().map(|call| call.id().to_string()));
+    }
+    let find = |id: &String| outcomes.iter().find(|outcome| outcome.id == *id);
+    let is_answered = |id: &String| find(id).is_some_and(Outcome::is_answered);
+    let cut_off = executed.iter().filter(|id| !is_answered(id));
+    assert_eq!(cut_off.collect::<Vec<_>>(), [""; 0]);
+    assert!(executed.len() > 20, "{} orders ran", executed.len());
+    let refused = outcomes.iter().filter(|outcome| outcome.is_refused());
+    assert!(refused.count() > 0);
+}
+
+/// Guards against a stopping instance that begins streams which engines produce until after its exit.
+#[tokio::test]
+async fn streams_that_a_stopping_instance_begins_are_completed() {
+    let store = store_with_config().await;
+    let runs = Arc::<SharedRuns>::default();
+    let mut engines = Vec::new();
+    for id in ["m1", "m2", "m3", "m4"] {
+        let engine = Engine::start(&runs, id, 60, Duration::from_millis(25)).await;
+        store.write_endpoint_entry(id, &engine.entry("model", "a", "ready"));
+        engines.push(engine);
+    }
+    let mut instance = Instance::start("e1", "a", &store).await;
+    let outcomes = send_until_exit(&mut instance, "/draft/7").await;
+    let begun = outcomes.iter().filter(|outcome| {
+        let response = outcome.response.as_ref();
+        response.is_some_and(|response| response.status == StatusCode::OK)
+    });
+    let (complete, cut_off): (Vec<_>, Vec<_>) = begun.partition(|outcome| outcome.is_answered());
+    let cut_off = cut_off.iter().map(|outcome| &outcome.id);
+    assert_eq!(cut_off.collect::<Vec<_>>(), [""; 0]);
+    assert!(complete.len() > 20, "{} streams", complete.len());
+    let refused = outcomes.iter().filter(|outcome| outcome.is_refused());
+    assert!(refused.count() > 0);
+}
--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -1,12 +1,7 @@
 //! Admission of requests.
 
 use {
-    crate::{
-        choice::{MAX_TOKEN_TIME, PREFILL_TOKENS_PER_MS},
-        prelude::*,
-        request::Ticket,
-        state::State,
-    },
+    crate::{prelude::*, request::Ticket, state::State},
     rand::{RngExt as _, rngs::SmallRng},
 };
 
@@ -18,9 +13,6 @@
 /// since a newer version may have the route or key.
 const MAX_AGE_FOR_NOT_FOUND: Duration = Duration::from_millis(1950);
 
-/// Time that an answer takes beside prefill and generation, such as network and queueing.
-const ANSWER_OVERHEAD: Duration = Duration::from_millis(400);
-
 impl State {
     /// Time from its arrival within which the body of a request has to be complete.
     #[must_use]
@@ -69,10 +61,7 @@
         if now >= expires {
             return Err(Refusal::Expired);
         }
-        if self
-            .stops_at
-            .is_some_and(|stops_at| now.after(max_duration(route, inbound)) > stops_at)
-        {
+        if self.stops_before(expires) {
             return Err(Refusal::Stopping);
         }
         Ok(Ticket {
@@ -122,28 +111,18 @@
             && self.config_freshness.within(now, bound)
     }
 
-    /// Sets the time at which the instance stops. Requests that may not finish by then are
-    /// rejected, so that callers use another instance; an interrupted generation cannot be
-    /// repeated.
+    /// Sets the time at which the instance stops. From now on only requests are admitted that have
+    /// to end by then, so that callers use another instance for the others.
     pub const fn stop(&mut self, stops_at: Time) {
         self.stops_at = Some(stops_at);
     }
-}
 
-/// Upper bound on the time until the answer to a request is complete.
-fn max_duration(route: &Route, inbound: &Inbound) -> Duration {
-    if route.kind != Kind::Stream {
-        return ANSWER_OVERHEAD.min(route.timeout);
+    /// Whether the instance stops before a request has to end that expires at this time. Nothing
+    /// else bounds how long a request queues and how long its endpoint works on it.
+    #[must_use]
+    pub fn stops_before(&self, expires: Time) -> bool {
+        self.stops_at.is_some_and(|stops_at| expires > stops_at)
     }
-    let prefill =
-        Duration::from_secs_f64(f64::from(inbound.prompt) / PREFILL_TOKENS_PER_MS / 1000.0);
-    // The caller's length hint is no upper bound, since half of all runs exceed it.
-    let output = if inbound.max_output_tokens == 0 {
-        u32::MAX
-    } else {
-        inbound.max_output_tokens
-    };
-    prefill + MAX_TOKEN_TIME.saturating_mul(output) + ANSWER_OVERHEAD
 }
 
 /// Draws a service by weight.
--- a/crates/forward/tests/knowledge.rs
+++ b/crates/forward/tests/knowledge.rs
@@ -77,26 +77,63 @@
     assert_eq!(name("/other/7"), None);
 }
 
-/// A generation that outlasts a stopping instance would be lost; short requests still fit.
+/// Guards against a stopping instance that cuts off a request which it admitted: only what has to end before the
+/// instance stops is safe, however short the work is estimated to be.
 #[test]
-fn stopping_instance_admits_only_requests_that_fit() {
+fn stopping_instance_admits_only_requests_that_have_to_end_before() {
     let mut state = instance(&[]);
+    state.config_freshness.confirm(at(6000));
     state.stop(at(8000));
-    let long = state.admit(at(100), &inbound("/draft/x", at(100)));
-    assert_eq!(long.map(|_| ()), Err(Refusal::Stopping));
-    let mut short = inbound("/draft/x", at(100));
-    short.length_hint = Some(8);
-    short.max_output_tokens = 60;
-    let admitted = state.admit(at(100), &short);
-    assert_eq!(admitted.map(|ticket| ticket.version), Ok(1));
-    state.config_freshness.confirm(at(7000));
-    let desk = state.admit(at(7000), &inbound("/desk/x", at(7000)));
-    assert_eq!(desk.map(|ticket| ticket.version), Ok(1));
-    let late = state.admit(at(7700), &inbound("/desk/x", at(7700)));
-    assert_eq!(late.map(|_| ()), Err(Refusal::Stopping));
+    for path in ["/draft/x", "/desk/x"] {
+        for (arrived, deadline, expected) in [
+            (100, 39_000, Err(Refusal::Stopping)),
+            (100, 7900, Ok(())),
+            (100, 7901, Err(Refusal::Stopping)),
+            (6500, 1500, Ok(())),
+            (6501, 1500, Err(Refusal::Stopping)),
+            (7999, 400, Err(Refusal::Stopping)),
+        ] {
+            let mut request = inbound(path, at(arrived));
+            request.deadline = Some(millis(deadline));
+            request.length_hint = Some(8);
+            request.max_output_tokens = 60;
+            request.prompt = 10;
+            let admitted = state.admit(at(arrived), &request);
+            let what = format!("{path}, {arrived} ms, {deadline} ms");
+            assert_eq!(admitted.map(|_| ()), expected, "{what}");
+        }
+    }
     assert!(Refusal::Stopping.not_run());
 }
 
+/// Guards against a request that waits for room and is sent by an instance that stops before it has to end.
+#[test]
+fn queued_request_is_admitted_again_by_the_time_at_which_the_instance_stops() {
+    let mut state = instance(&[]);
+    for (deadline, expected) in [(2000, Ok(())), (2001, Err(Refusal::Stopping))] {
+        let mut request = inbound("/desk/x", at(100));
+        request.deadline = Some(millis(deadline));
+        state.stop(at(9000));
+        let ticket = state.admit(at(100), &request).expect("admitted");
+        state.stop(at(2100));
+        let readmitted = state.readmit(at(400), &request, &ticket);
+        assert_eq!(readmitted.map(|_| ()), expected, "{deadline} ms");
+    }
+}
+
+/// Guards against an instance that refuses requests without a deadline although their route bounds them.
+#[test]
+fn timeout_of_the_route_bounds_a_request_without_a_deadline() {
+    let mut state = instance(&[]);
+    let mut request = inbound("/desk/x", at(0));
+    request.deadline = None;
+    for (stops_at, expected) in [(39_000, Ok(())), (38_999, Err(Refusal::Stopping))] {
+        state.stop(at(stops_at));
+        let admitted = state.admit(at(0), &request);
+        assert_eq!(admitted.map(|_| ()), expected, "{stops_at} ms");
+    }
+}
+
 /// A queued request must not go to a service that its route no longer includes, nor change service
 /// after an endpoint was chosen.
 #[test]
@@ -131,8 +168,8 @@
     assert_eq!((renewed.service.as_str(), renewed.version), ("one", 3));
 }
 
-/// A generation admitted by its length hint may outlast the instance; only the caller's limit is a
-/// bound.
+/// Guards against a generation that is admitted by its expected length and outlasts the instance: neither the estimate
+/// nor the limit of tokens bounds its time, only the deadline does.
 #[test]
 fn stopping_instance_ignores_length_hint() {
     let mut state = instance(&[]);
@@ -142,6 +179,9 @@
     let refused = state.admit(at(4300), &hopeful);
     assert_eq!(refused.map(|_| ()), Err(Refusal::Stopping));
     hopeful.max_output_tokens = 120;
+    let refused = state.admit(at(4300), &hopeful);
+    assert_eq!(refused.map(|_| ()), Err(Refusal::Stopping));
+    hopeful.deadline = Some(millis(3400));
     let admitted = state.admit(at(4300), &hopeful);
     assert_eq!(admitted.map(|ticket| ticket.version), Ok(1));
 }
