Fix: queued requests that an instance cannot complete are refused when it begins to stop

What callers saw: after SIGTERM, requests with a long deadline that were in the queue for a busy service were held until there was room or their time in the queue was up, and were refused only then. Other instances could have served them meanwhile.

A request in it was looked at again only when an endpoint had room.

Evidence: in the new test, on the code before, none of four queued orders was refused before the six that ran had been answered, 4 s after SIGTERM.

Change: queued requests wait for the time at which the instance stops as well, which is announced when it is set. The shutdown has a file of its own.

Measured: the new test fails before (0 of 4) and passes; the other tests of stopping instances pass.

--- a/crates/carawayhead/tests/forwarding/stopping.rs
+++ b/crates/carawayhead/tests/forwarding/stopping.rs
@@ -1,7 +1,7 @@
 //! Instances that stop while callers go on sending.
 
 use {
-    crate::instance::Instance,
+    crate::instance::{Instance, wait_until},
     http::StatusCode,
     platform::standin::{
         Engine, PlainService, Store,
@@ -69,29 +69,40 @@
     panic!("the instance has not exited");
 }
 
-async fn store_with_config() -> Store {
+async fn store_with_config(route_timeout_ms: u32) -> Store {
     let store = Store::start().await;
-    store.write_operator_record("config", &config(1, &["key-1"], ROUTE_TIMEOUT_MS));
+    store.write_operator_record("config", &config(1, &["key-1"], route_timeout_ms));
     store
 }
 
+/// A service that works for this time on each request.
+async fn add_service(store: &Store, id: &str, work: Duration) -> PlainService {
+    let service = PlainService::start(id).await;
+    service.set_behavior(ServiceBehavior::Working(work));
+    store.write_endpoint_entry(id, &service.entry("desk", "a", "ready"));
+    service
+}
+
+/// Ids of the orders that a service has executed.
+fn orders(service: &PlainService) -> Vec<String> {
+    let calls = service.executed_calls();
+    let orders = calls.iter().filter(|call| call.path.starts_with("/order/"));
+    orders.map(|call| call.id().to_string()).collect()
+}
+
 /// Guards against a stopping instance that sends orders to services which work on them until after its exit.
 #[tokio::test]
 async fn orders_that_a_stopping_instance_sends_are_answered() {
-    let store = store_with_config().await;
+    let store = store_with_config(ROUTE_TIMEOUT_MS).await;
     let mut services = Vec::new();
     for id in ["d1", "d2", "d3", "d4", "d5", "d6"] {
-        let service = PlainService::start(id).await;
-        service.set_behavior(ServiceBehavior::Working(Duration::from_millis(900)));
-        store.write_endpoint_entry(id, &service.entry("desk", "a", "ready"));
-        services.push(service);
+        services.push(add_service(&store, id, Duration::from_millis(900)).await);
     }
     let mut instance = Instance::start("e1", "a", &store).await;
     let outcomes = send_until_exit(&mut instance, "/order/7").await;
     let mut executed = Vec::new();
     for service in &services {
-        let calls = service.executed_calls();
-        executed.extend(calls.iter().map(|call| call.id().to_string()));
+        executed.extend(orders(service));
     }
     let find = |id: &String| outcomes.iter().find(|outcome| outcome.id == *id);
     let is_answered = |id: &String| find(id).is_some_and(Outcome::is_answered);
@@ -105,7 +116,7 @@
 /// Guards against a stopping instance that begins streams which engines produce until after its exit.
 #[tokio::test]
 async fn streams_that_a_stopping_instance_begins_are_completed() {
-    let store = store_with_config().await;
+    let store = store_with_config(ROUTE_TIMEOUT_MS).await;
     let runs = Arc::<SharedRuns>::default();
     let mut engines = Vec::new();
     for id in ["m1", "m2", "m3", "m4"] {
@@ -126,3 +137,44 @@
     let refused = outcomes.iter().filter(|outcome| outcome.is_refused());
     assert!(refused.count() > 0);
 }
+
+/// Timeout of routes whose requests may outlast the grace period of an instance.
+const LONG_TIMEOUT_MS: u32 = 30_000;
+
+/// Requests that wait for room at a service with as many slots as `RUNNING` beside them.
+const QUEUED: usize = 4;
+const RUNNING: usize = 6;
+
+/// Guards against queued requests that a stopping instance holds although it could not complete them: they are free to
+/// go elsewhere before those that run are answered.
+#[tokio::test]
+async fn queued_requests_that_may_outlast_a_stopping_instance_are_refused_at_once() {
+    let store = store_with_config(LONG_TIMEOUT_MS).await;
+    let service = add_service(&store, "d1", Duration::from_secs(4)).await;
+    let instance = Instance::start("e1", "a", &store).await;
+    let address = instance.caller_address;
+    let mut sending = JoinSet::new();
+    for number in 0..RUNNING + QUEUED {
+        sending.spawn(async move {
+            let id = format!("r{number}");
+            let mut request = CallerRequest::new(&id, "/order/7");
+            request.deadline_ms = LONG_TIMEOUT_MS;
+            let response = send_request(address, &request).await;
+            Outcome { id, response }
+        });
+    }
+    wait_until("the service works on all that it has room for", || async {
+        orders(&service).len() == RUNNING
+    })
+    .await;
+    instance.signal(Signal::TERM);
+    let mut outcomes = Vec::new();
+    while let Some(outcome) = sending.join_next().await {
+        outcomes.push(outcome.expect("no panic"));
+    }
+    let refused = outcomes.iter().take_while(|outcome| outcome.is_refused());
+    assert_eq!(refused.count(), QUEUED);
+    let answered = outcomes.iter().filter(|outcome| outcome.is_answered());
+    assert_eq!(answered.count(), RUNNING);
+    assert_eq!(orders(&service).len(), RUNNING);
+}
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -115,7 +115,7 @@
         acquired = acquire_endpoint(shared, ticket, Need::default(), &progress.tried, deadline) => {
             acquired
         }
-        () = shared.stopped(original, 0) => return Attempt::Failed(Refusal::CrashesEndpoints),
+        refusal = shared.refused(original, ticket.expires) => return Attempt::Failed(refusal),
     };
     let Some((key, _)) = acquired else {
         progress.note_no_endpoint(shared.why_not_acquired(&ticket.service, &progress.tried));
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod serve;
 pub mod settings;
 pub mod shared;
+pub mod shutdown;
 pub mod stream;
 pub mod suspicion;
 pub mod takeover;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -1,14 +1,13 @@
-//! Startup, settings reload and graceful shutdown of an instance.
+//! Startup and settings reload of an instance.
 
 use {
     crate::{
-        clock, crashes, follow, gossip,
+        crashes, follow, gossip,
         listen::{self, Role},
-        logging,
         prelude::*,
         probe, rollouts,
         settings::Settings,
-        topic,
+        shutdown, topic,
     },
     tokio::{
         signal::unix::{Signal, SignalKind, signal},
@@ -16,22 +15,9 @@
     },
 };
 
-/// Time from a termination signal until idle connections are closed. The load balancer
-/// removes an instance after two failed readiness checks, one second apart.
-const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2600);
-
-/// Time before the end of the grace period at which the process exits.
-const KILL_MARGIN: Duration = Duration::from_millis(300);
-
 /// How often the settings file is checked, since it may change without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(3);
 
-/// How often a stopping instance checks whether all requests have ended.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Delay after closing idle connections, for requests that were just arriving on them.
-const LAST_REQUESTS_DELAY: Duration = Duration::from_millis(300);
-
 /// Runs an instance until SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -81,7 +67,7 @@
         }
         settings = reload(&shared, file, settings);
     }
-    drain(&shared).await;
+    shutdown::drain(&shared).await;
     Ok(())
 }
 
@@ -106,31 +92,6 @@
     }
 }
 
-/// Shuts down once no request is in progress, or shortly before the grace period ends.
-async fn drain(shared: &Shared) {
-    let started_at = clock::now();
-    let grace = Duration::from_secs_f64(shared.settings.instance.grace_s);
-    let end = started_at.after(grace.saturating_sub(KILL_MARGIN));
-    shared.draining.set(true);
-    shared.state.borrow_mut().stop(end);
-    log::info!(in_progress = shared.in_progress.get(); "stopping");
-    sleep(IDLE_CLOSE_DELAY).await;
-    shared.stop.notify_waiters();
-    sleep(LAST_REQUESTS_DELAY).await;
-    while shared.in_progress.get() > 0 && clock::now() < end {
-        shared.stop.notify_waiters();
-        sleep(DRAIN_POLL_INTERVAL).await;
-    }
-    // Requests that arrive from now on would be cut off by the exit.
-    shared.state.borrow_mut().stop(clock::now());
-    log::info!(
-        in_progress = shared.in_progress.get(), dropped_lines = logging::dropped(),
-        ms = clock::now().since(started_at).as_millis(); "stopped"
-    );
-    // Give the logging thread time to write the last line.
-    sleep(DRAIN_POLL_INTERVAL).await;
-}
-
 fn watch(kind: SignalKind) -> Result<Signal, Error> {
     signal(kind).map_err(Error::Signals)
 }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -110,6 +110,8 @@
     pub state: RefCell<State>,
     /// Notified when idle connections are to be closed.
     pub stop: Notify,
+    /// Notified when the time at which the instance stops has been set.
+    pub stop_changed: Notify,
     /// Notified when peers are to be told that an endpoint leaves.
     pub statements_changed: Notify,
     /// Client of the store.
@@ -166,6 +168,7 @@
             state: RefCell::new(state),
             statements_changed: Notify::new(),
             stop: Notify::new(),
+            stop_changed: Notify::new(),
             store: Store::new(settings.store.address.to_string(), client.clone()),
             suspects_changed: Notify::new(),
             rows_received: Notify::new(),
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -56,8 +56,8 @@
         let acquired = tokio::select! {
             biased;
             acquired = acquire_endpoint(shared, &ticket, need, &progress.tried, deadline) => acquired,
-            () = shared.stopped(original, 0) => {
-                return Err(progress.give_up(id, Refusal::CrashesEndpoints));
+            refusal = shared.refused(original, ticket.expires) => {
+                return Err(progress.give_up(id, refusal));
             }
         };
         let Some((key, backup)) = acquired else {
