Fix: requests in progress when an instance exits get a response

What callers saw: a request that was accepted before SIGTERM and outlasted the grace period, or whose body was still being uploaded, ended with a closed connection. A caller can't tell from it whether its request has run.

Change: 0.4 s before the end of the grace period the instance ends what is in progress, and has up to 150 ms to write the responses: 503 with a time to come back where nothing was sent, 502 where the endpoint may have run the request, and an aborted body with a log line for streams that have begun. The line "stopped" says how many requests were in progress and how many got no response. The process exited 0.3 s before the end of the grace period; it now does 0.2 s before it, at the latest.

--- a/crates/carawayhead/tests/forwarding/stopping.rs
+++ b/crates/carawayhead/tests/forwarding/stopping.rs
@@ -11,7 +11,12 @@
     },
     rustix::process::Signal,
     std::{sync::Arc, time::Duration},
-    tokio::{task::JoinSet, time::sleep},
+    tokio::{
+        io::{AsyncReadExt as _, AsyncWriteExt as _},
+        net::TcpStream,
+        task::JoinSet,
+        time::sleep,
+    },
 };
 
 /// Pause between two requests.
@@ -178,3 +183,60 @@
     assert_eq!(answered.count(), RUNNING);
     assert_eq!(orders(&service).len(), RUNNING);
 }
+
+/// Guards against requests whose connection is closed without a response when the instance exits: those that were sent
+/// get one that does not claim that they have not run, and the others one that does.
+#[tokio::test]
+async fn requests_in_progress_at_the_exit_get_a_response() {
+    let store = store_with_config(LONG_TIMEOUT_MS).await;
+    let service = add_service(&store, "d1", Duration::from_mins(1)).await;
+    let engine = Engine::start(&Arc::default(), "m1", 60, Duration::from_mins(1)).await;
+    store.write_endpoint_entry("m1", &engine.entry("model", "a", "ready"));
+    let mut instance = Instance::start("e1", "a", &store).await;
+    let address = instance.caller_address;
+    let mut sending = JoinSet::new();
+    for path in ["/order/7", "/look/7", "/draft/7"] {
+        sending.spawn(async move {
+            let mut request = CallerRequest::new(path, path);
+            request.deadline_ms = LONG_TIMEOUT_MS;
+            let response = send_request(address, &request).await;
+            (path, response.map(|response| response.status))
+        });
+    }
+    let mut upload = TcpStream::connect(address).await.expect("accepted");
+    let head = "POST /order/7 HTTP/1.1\r\nhost: h.example\r\nauthorization: Bearer key-1\r\n\
+                carawayhead-request-id: upload\r\ncontent-length: 4\r\n\r\nbo";
+    let written = upload.write_all(head.as_bytes()).await;
+    written.expect("written");
+    wait_until("the requests are at their endpoints", || async {
+        let calls = [service.executed_calls(), engine.executed_calls()].concat();
+        let sent = calls.iter().filter(|call| call.id().starts_with('/'));
+        sent.count() == 3
+    })
+    .await;
+    instance.signal(Signal::TERM);
+    let mut statuses = sending.join_all().await;
+    statuses.sort();
+    let broken = Some(StatusCode::BAD_GATEWAY);
+    let expected = ["/draft/7", "/look/7", "/order/7"].map(|path| (path, broken));
+    assert_eq!(statuses, expected);
+    let mut response = String::new();
+    let read = upload.read_to_string(&mut response).await;
+    read.expect("the connection ends in order");
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert!(response.contains("retry-after: "), "{response}");
+    wait_until_exit(&mut instance).await;
+    let lines = instance.log_lines_containing("\"stopped\"");
+    assert!(lines[0].contains("\"unanswered\":0"), "{lines:?}");
+}
+
+async fn wait_until_exit(instance: &mut Instance) {
+    for _ in 0..MAX_REQUESTS {
+        if let Some(status) = instance.exit_status() {
+            assert!(status.success(), "{status}");
+            return;
+        }
+        sleep(REQUEST_INTERVAL).await;
+    }
+    panic!("the instance has not exited");
+}
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -133,9 +133,9 @@
     let sent = tokio::select! {
         biased;
         sent = send(shared, original, ticket, progress, key) => sent,
-        () = shared.stopped(original, 0) => {
-            progress.note_run(key, Refusal::CrashesEndpoints.label().to_string());
-            return Attempt::Failed(Refusal::CrashesEndpoints);
+        refusal = shared.given_up(original) => {
+            progress.note_run(key, refusal.label().to_string());
+            return Attempt::Failed(refusal);
         }
     };
     match sent {
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -273,6 +273,26 @@
     guard: RequestGuard,
     route: &mut RouteInfo,
 ) -> Result<Reply, Refusal> {
+    let prepared = tokio::select! {
+        biased;
+        prepared = prepare(shared, parts, inbound, body, route) => prepared,
+        () = shared.exits() => Err(Refusal::Stopping),
+    };
+    let (original, ticket) = prepared?;
+    if ticket.route.kind == Kind::Stream {
+        return stream::serve(shared, &Rc::new(original), ticket, guard).await;
+    }
+    buffered::serve(shared, &original, ticket).await
+}
+
+/// Reads and admits a request. Nothing has been sent to an endpoint yet.
+async fn prepare(
+    shared: &Rc<Shared>,
+    parts: Parts,
+    inbound: Inbound,
+    body: Upload,
+    route: &mut RouteInfo,
+) -> Result<(Original, Ticket), Refusal> {
     let held = shared.buffers.hold(Use::Request, &inbound.id);
     let body = read_body(shared, &inbound, body, &held).await?;
     let now = clock::now();
@@ -307,10 +327,7 @@
         shared.log_refusal(&original);
         return Err(Refusal::CrashesEndpoints);
     }
-    if ticket.route.kind == Kind::Stream {
-        return stream::serve(shared, &Rc::new(original), ticket, guard).await;
-    }
-    buffered::serve(shared, &original, ticket).await
+    Ok((original, ticket))
 }
 
 /// Admits a request. If it is refused only because the configuration is stale or missing,
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -127,6 +127,8 @@
     CallerLeft,
     Events(Vec<Bytes>),
     Ended,
+    /// This instance is about to exit.
+    Exits,
     Expired,
     /// The response is let go.
     LetGo(Reason),
@@ -296,6 +298,7 @@
             let result = match self.step(&mut attempt).await {
                 Step::CallerLeft => return Ending::CallerLeft,
                 Step::Ended => return Ending::Complete,
+                Step::Exits => return Ending::Lost(Refusal::Stopping.label().to_string()),
                 Step::Expired => return Ending::Expired,
                 Step::LetGo(reason) => return Ending::LetGo(reason),
                 Step::ReadOn => {
@@ -392,6 +395,7 @@
             settled = attempt::settled(attempt) => Step::Settled(settled),
             settled = attempt::settled(&mut self.stopping) => Step::SettledStop(settled),
             () = self.shared.stopped(&self.original, events) => Step::Stopped,
+            () = self.shared.exits() => Step::Exits,
             () = sleep(wait) => if wait == remaining { Step::Expired } else { due },
         }
     }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -64,6 +64,8 @@
     pub connections: Cell<usize>,
     /// Whether the instance is shutting down.
     pub draining: Cell<bool>,
+    /// Whether it is about to exit, and ends the requests that are in progress.
+    pub exiting: Cell<bool>,
     /// Conditions of endpoints that were logged as unknown.
     conditions: RefCell<Conditions>,
     /// Which new connections of callers are accepted.
@@ -110,7 +112,7 @@
     pub state: RefCell<State>,
     /// Notified when idle connections are to be closed.
     pub stop: Notify,
-    /// Notified when the time at which the instance stops has been set.
+    /// Notified when the time at which the instance stops has been set, and when it is about to exit.
     pub stop_changed: Notify,
     /// Notified when peers are to be told that an endpoint leaves.
     pub statements_changed: Notify,
@@ -147,6 +149,7 @@
             conditions: RefCell::default(),
             connections: Cell::new(0),
             draining: Cell::new(false),
+            exiting: Cell::new(false),
             peers: Peers::default(),
             grown: RefCell::default(),
             history: Default::default(),
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -6,16 +6,23 @@
 /// removes an instance after two failed readiness checks, one second apart.
 const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2600);
 
-/// Time before the end of the grace period at which the process exits.
-const KILL_MARGIN: Duration = Duration::from_millis(300);
+/// Time before the end of the grace period at which the requests in progress are ended.
+const KILL_MARGIN: Duration = Duration::from_millis(400);
+
+/// Maximum time for writing the responses to these requests.
+const LAST_WRITES_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// How often a stopping instance checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How often a stopping instance checks whether the last responses have been written.
+const LAST_WRITES_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Delay after closing idle connections, for requests that were just arriving on them.
 const LAST_REQUESTS_DELAY: Duration = Duration::from_millis(300);
 
-/// Shuts down once no request is in progress, or shortly before the grace period ends.
+/// Shuts down once no request is in progress, or shortly before the grace period ends. Requests that
+/// are in progress then get a response that says whether they may have run.
 pub async fn drain(shared: &Shared) {
     let started_at = clock::now();
     let grace = Duration::from_secs_f64(shared.settings.instance.grace_s);
@@ -30,10 +37,14 @@
         shared.stop.notify_waiters();
         sleep(DRAIN_POLL_INTERVAL).await;
     }
-    // Requests that arrive from now on would be cut off by the exit.
-    shared.stop_at(clock::now());
+    let in_progress = shared.in_progress.get();
+    shared.end_requests();
+    let exit_at = clock::now().after(LAST_WRITES_TIMEOUT);
+    while shared.in_progress.get() > 0 && clock::now() < exit_at {
+        sleep(LAST_WRITES_POLL_INTERVAL).await;
+    }
     log::info!(
-        in_progress = shared.in_progress.get(), dropped_lines = logging::dropped(),
+        in_progress, unanswered = shared.in_progress.get(), dropped_lines = logging::dropped(),
         ms = clock::now().since(started_at).as_millis(); "stopped"
     );
     // Give the logging thread time to write the last line.
@@ -57,6 +68,33 @@
         }
     }
 
+    /// Waits until a request that was sent is to be given up: it crashes endpoints, or the instance
+    /// exits.
+    pub async fn given_up(&self, original: &Original) -> Refusal {
+        tokio::select! {
+            biased;
+            () = self.stopped(original, 0) => Refusal::CrashesEndpoints,
+            () = self.exits() => Refusal::Stopping,
+        }
+    }
+
+    /// Refuses all requests from now on, and ends those that are in progress.
+    fn end_requests(&self) {
+        self.exiting.set(true);
+        self.stop_at(clock::now());
+    }
+
+    /// Waits until the instance is about to exit.
+    pub async fn exits(&self) {
+        loop {
+            let changed = self.stop_changed.notified();
+            if self.exiting.get() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     async fn stops_before(&self, expires: Time) {
         loop {
             let changed = self.stop_changed.notified();
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -77,7 +77,7 @@
         let opened = tokio::select! {
             biased;
             opened = open(shared, original, &ticket, &progress, key, backup) => opened,
-            () = shared.stopped(original, 0) => OpenOutcome::GivenUp(Refusal::CrashesEndpoints),
+            refusal = shared.given_up(original) => OpenOutcome::GivenUp(refusal),
         };
         match opened {
             OpenOutcome::Answer(reply) => {
@@ -193,7 +193,7 @@
 enum OpenOutcome {
     Answer(Reply),
     /// The request ends for a reason that says nothing about the engine, which may have begun it: equal requests have
-    /// crashed too many engines, or this instance is short of memory.
+    /// crashed too many engines, or this instance is short of memory or exits.
     GivenUp(Refusal),
     NotReached,
     NotRun(String),
