Fix: an instance exits only when its responses have been written

Cause: a buffered request counted as ended when its response was handed to the connection. What the connection had not written yet, up to 16 MiB, was held by nothing that the shutdown waits for.

Change: the shutdown also waits until the connections of callers are closed. A stopping instance closes each of them once its response has been written, and at once if none is on it, so an open connection is a response that is not written, or a request that is being received.

--- a/crates/carawayhead/tests/forwarding/stopping.rs
+++ b/crates/carawayhead/tests/forwarding/stopping.rs
@@ -13,7 +13,7 @@
     std::{sync::Arc, time::Duration},
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
-        net::TcpStream,
+        net::{TcpSocket, TcpStream},
         task::JoinSet,
         time::sleep,
     },
@@ -230,6 +230,47 @@
     assert!(lines[0].contains("\"unanswered\":0"), "{lines:?}");
 }
 
+/// Size of a response that fits into no buffer between an instance and its caller.
+const LARGE_RESPONSE_BYTES: usize = 6 << 20;
+
+/// How long its caller pauses: longer than an instance without requests takes to exit, and shorter than its grace period.
+const READ_PAUSE: Duration = Duration::from_millis(4500);
+
+/// Guards against an instance that exits while a caller is still reading its response.
+#[tokio::test]
+async fn response_that_is_read_slowly_is_written_before_the_exit() {
+    let store = store_with_config(ROUTE_TIMEOUT_MS).await;
+    let service = PlainService::start("d1").await;
+    service.set_behavior(ServiceBehavior::Large(LARGE_RESPONSE_BYTES));
+    store.write_endpoint_entry("d1", &service.entry("desk", "a", "ready"));
+    let mut instance = Instance::start("e1", "a", &store).await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    let set = socket.set_recv_buffer_size(64 << 10);
+    set.expect("the buffer can be set");
+    let mut stream = socket.connect(instance.caller_address).await;
+    let stream = stream.as_mut().expect("accepted");
+    let head = "POST /order/7 HTTP/1.1\r\nhost: h.example\r\nauthorization: Bearer key-1\r\n\
+                carawayhead-request-id: slow\r\ncontent-length: 4\r\n\r\nbody";
+    let written = stream.write_all(head.as_bytes()).await;
+    written.expect("written");
+    let mut buffer = vec![0; 64 << 10];
+    let mut received = stream.read(&mut buffer).await.expect("read");
+    assert!(buffer.starts_with(b"HTTP/1.1 200"));
+    instance.signal(Signal::TERM);
+    sleep(READ_PAUSE).await;
+    loop {
+        match stream.read(&mut buffer).await {
+            Ok(0) => break,
+            Ok(count) => received += count,
+            Err(error) => panic!("{error} after {received} bytes"),
+        }
+    }
+    assert!(received > LARGE_RESPONSE_BYTES, "{received}");
+    wait_until_exit(&mut instance).await;
+    let lines = instance.log_lines_containing("\"stopped\"");
+    assert!(lines[0].contains("\"unanswered\":0"), "{lines:?}");
+}
+
 async fn wait_until_exit(instance: &mut Instance) {
     for _ in 0..MAX_REQUESTS {
         if let Some(status) = instance.exit_status() {
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -21,7 +21,7 @@
 /// Delay after closing idle connections, for requests that were just arriving on them.
 const LAST_REQUESTS_DELAY: Duration = Duration::from_millis(300);
 
-/// Shuts down once no request is in progress, or shortly before the grace period ends. Requests that
+/// Shuts down once all responses have been written, or shortly before the grace period ends. Requests that
 /// are in progress then get a response that says whether they may have run.
 pub async fn drain(shared: &Shared) {
     let started_at = clock::now();
@@ -33,18 +33,18 @@
     sleep(IDLE_CLOSE_DELAY).await;
     shared.stop.notify_waiters();
     sleep(LAST_REQUESTS_DELAY).await;
-    while shared.in_progress.get() > 0 && clock::now() < end {
+    while shared.has_work() && clock::now() < end {
         shared.stop.notify_waiters();
         sleep(DRAIN_POLL_INTERVAL).await;
     }
     let in_progress = shared.in_progress.get();
     shared.end_requests();
     let exit_at = clock::now().after(LAST_WRITES_TIMEOUT);
-    while shared.in_progress.get() > 0 && clock::now() < exit_at {
+    while shared.has_work() && clock::now() < exit_at {
         sleep(LAST_WRITES_POLL_INTERVAL).await;
     }
     log::info!(
-        in_progress, unanswered = shared.in_progress.get(), dropped_lines = logging::dropped(),
+        in_progress, unanswered = shared.in_progress.get(), connections = shared.connections.get(), dropped_lines = logging::dropped(),
         ms = clock::now().since(started_at).as_millis(); "stopped"
     );
     // Give the logging thread time to write the last line.
@@ -52,6 +52,12 @@
 }
 
 impl Shared {
+    /// Whether requests or tunnels are in progress, or connections of callers are open. A response has
+    /// been written once its connection is closed, which follows at once while the instance stops.
+    fn has_work(&self) -> bool {
+        self.in_progress.get() > 0 || self.connections.get() > 0
+    }
+
     /// Sets the time at which the instance stops, and wakes the queued requests that may end later.
     fn stop_at(&self, stops_at: Time) {
         self.state.borrow_mut().stop(stops_at);
