Fix: an instance keeps a grace period that is shorter than its wait for idle connections

What callers would see: with a grace period below 2.9 s, requests that were cut off by the kill, since the shutdown first waits that long for the balancer and for idle connections, whatever the settings say.

Cause: two pauses of the shutdown did not know its end.

Evidence: in the new test, with a grace period of 1 s, an order ended 2.5 s after SIGTERM on the code before.

Change: both pauses end with the time at which the requests in progress are ended.

Measured: the new test fails before and passes.

--- a/crates/carawayhead/tests/forwarding/instance.rs
+++ b/crates/carawayhead/tests/forwarding/instance.rs
@@ -34,10 +34,7 @@
     /// Starts an instance in a failure domain and waits until it is ready.
     pub async fn start(name: &str, domain: &str, store: &Store) -> Self {
         let instance = Self::start_without_waiting(name, domain, store).await;
-        wait_until("the instance is ready", || async {
-            caller::is_ready(instance.readiness_address).await
-        })
-        .await;
+        instance.wait_until_ready().await;
         instance
     }
 
@@ -72,6 +69,14 @@
         Self::start_with_settings(name, domain, store, limits, "").await
     }
 
+    /// Starts an instance with this time between SIGTERM and its end, and waits until it is ready.
+    pub async fn start_with_grace(name: &str, domain: &str, store: &Store, grace_s: f64) -> Self {
+        let settings = format!("grace_s = {grace_s}");
+        let instance = Self::start_with_limits(name, domain, store.address, &settings).await;
+        instance.wait_until_ready().await;
+        instance
+    }
+
     /// Starts an instance with these features of its decisions and waits until it is ready.
     pub async fn start_with_features(
         name: &str,
@@ -81,11 +86,15 @@
     ) -> Self {
         let decisions = format!("[decisions]\nenabled = {features:?}\n");
         let instance = Self::start_with_settings(name, domain, store.address, "", &decisions).await;
+        instance.wait_until_ready().await;
+        instance
+    }
+
+    async fn wait_until_ready(&self) {
         wait_until("the instance is ready", || async {
-            caller::is_ready(instance.readiness_address).await
+            caller::is_ready(self.readiness_address).await
         })
         .await;
-        instance
     }
 
     async fn start_with_settings(
@@ -102,8 +111,13 @@
             store.port()
         ));
         let any = "127.0.0.1:0";
+        let grace = if limits.contains("grace_s") {
+            ""
+        } else {
+            "grace_s = 8\n"
+        };
         let settings = format!(
-            "[instance]\ndomain = \"{domain}\"\nfellows = \"{any}\"\ngrace_s = 8\n\
+            "[instance]\ndomain = \"{domain}\"\nfellows = \"{any}\"\n{grace}\
              listen = \"{any}\"\n{limits}\nmetrics = \"{any}\"\nname = \"{name}\"\nready = \"{any}\"\n\
              [joint]\ncanary_requests = 50\ncanary_share = 0.1\nretry_burst = 50\nretry_ratio = 0.2\nretry_window_s = 10\n\
              revocation_ms = 5000\n[store]\naddress = \"{store}\"\n{decisions}"
--- a/crates/carawayhead/tests/forwarding/stopping.rs
+++ b/crates/carawayhead/tests/forwarding/stopping.rs
@@ -230,6 +230,30 @@
     assert!(lines[0].contains("\"unanswered\":0"), "{lines:?}");
 }
 
+/// Guards against an instance that still waits for idle connections when its grace period is over.
+#[tokio::test]
+async fn short_grace_period_is_kept() {
+    let store = store_with_config(LONG_TIMEOUT_MS).await;
+    // Ended after the grace period, and before the time for idle connections is over.
+    let service = add_service(&store, "d1", Duration::from_millis(2500)).await;
+    let mut instance = Instance::start_with_grace("e1", "a", &store, 1.0).await;
+    let address = instance.caller_address;
+    let sending = tokio::spawn(async move {
+        let mut request = CallerRequest::new("r1", "/order/7");
+        request.deadline_ms = LONG_TIMEOUT_MS;
+        send_request(address, &request).await
+    });
+    wait_until("the service has the order", || async {
+        !orders(&service).is_empty()
+    })
+    .await;
+    instance.signal(Signal::TERM);
+    let response = sending.await.expect("no panic");
+    let status = response.map(|response| response.status);
+    assert_eq!(status, Some(StatusCode::BAD_GATEWAY));
+    wait_until_exit(&mut instance).await;
+}
+
 /// Size of a response that fits into no buffer between an instance and its caller.
 const LARGE_RESPONSE_BYTES: usize = 6 << 20;
 
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -30,9 +30,9 @@
     shared.draining.set(true);
     shared.stop_at(end);
     log::info!(in_progress = shared.in_progress.get(); "stopping");
-    sleep(IDLE_CLOSE_DELAY).await;
+    sleep(IDLE_CLOSE_DELAY.min(end.since(clock::now()))).await;
     shared.stop.notify_waiters();
-    sleep(LAST_REQUESTS_DELAY).await;
+    sleep(LAST_REQUESTS_DELAY.min(end.since(clock::now()))).await;
     while shared.has_work() && clock::now() < end {
         shared.stop.notify_waiters();
         sleep(DRAIN_POLL_INTERVAL).await;
