Fix: an answer that its endpoint breaks off during the request does not end in order in a tunnel

What callers would see: of an instance that reaches its endpoints through a peer, a success with an empty or short body, framed as whole: an answer without a length whose endpoint was lost while the body of the request was still being written.

Cause: Accepted::relay took a write to the endpoint that failed for a peer that needs no answer any more, and closed the stream in order. A socket reports its reset once: to the write, where that comes first, and a read after it finds what looks like an orderly end. So reading on after a failed write is not enough.

Change: only the peer's own end ends the tunnel; a failed write to the endpoint resets the stream once the answer has been forwarded. An answer with a length is complete by then. `serve` uses the same relay.

--- a/crates/peer/src/tunnel.rs
+++ b/crates/peer/src/tunnel.rs
@@ -9,12 +9,13 @@
     std::{
         io,
         pin::Pin,
+        sync::atomic::{AtomicBool, Ordering},
         task::{Context, Poll},
         time::Instant,
     },
     tokio::{
         io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _, Join, ReadBuf},
-        net::TcpStream,
+        net::{TcpStream, tcp::OwnedWriteHalf},
     },
 };
 
@@ -35,6 +36,9 @@
 /// How often it is checked whether a peer has been heard.
 const SILENCE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Size of the buffer for what a peer sends.
+const FORWARD_BUFFER_BYTES: usize = 8 << 10;
+
 /// Size limit of an encoded address.
 const MAX_ADDRESS_BYTES: usize = 32;
 
@@ -153,9 +157,10 @@
     pub async fn relay(mut self, stream: TcpStream) {
         let (mut from_endpoint, mut to_endpoint) = stream.into_split();
         let lost = self.peer_lost();
+        let broke = AtomicBool::new(false);
         let result = tokio::select! {
             // The peer's request needs no answer any more.
-            _ = tokio::io::copy(&mut self.receive, &mut to_endpoint) => return,
+            () = forward_request(&mut self.receive, &mut to_endpoint, &broke) => return,
             () = lost => {
                 log::info!("peer instance of a tunnel does not answer; connection to its endpoint closed");
                 self.reset();
@@ -163,9 +168,12 @@
             }
             copied = tokio::io::copy(&mut from_endpoint, &mut self.send) => copied,
         };
-        if let Err(error) = result {
-            log::debug!(error:%; "tunnel broke");
-            self.reset();
+        match result {
+            Ok(_) if !broke.load(Ordering::Relaxed) => {}
+            ended => {
+                log::debug!(ended:?; "tunnel broke");
+                self.reset();
+            }
         }
     }
 
@@ -177,6 +185,22 @@
     }
 }
 
+/// Forwards what the peer sends until it sends no more, and sets `broke` if the endpoint takes no more.
+/// A socket reports its reset once only: after a failed write, it reads like one that was closed in order.
+async fn forward_request(
+    receive: &mut RecvStream,
+    to_endpoint: &mut OwnedWriteHalf,
+    broke: &AtomicBool,
+) {
+    let mut buffer = vec![0; FORWARD_BUFFER_BYTES];
+    while let Ok(Some(count)) = receive.read(&mut buffer).await {
+        let is_open = !broke.load(Ordering::Relaxed);
+        if is_open && to_endpoint.write_all(&buffer[..count]).await.is_err() {
+            broke.store(true, Ordering::Relaxed);
+        }
+    }
+}
+
 impl Incoming {
     /// Reads the request of a stream that a peer has opened.
     pub(crate) async fn read(
--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -18,7 +18,7 @@
     },
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
-        net::UdpSocket,
+        net::{TcpListener, TcpStream, UdpSocket},
         sync::mpsc,
         time::timeout,
     },
@@ -152,6 +152,47 @@
     assert_eq!(error.kind(), ErrorKind::ConnectionReset);
 }
 
+/// Number of times that a race of the two directions of a tunnel is repeated.
+const RACES: usize = 40;
+
+/// Guards against an answer without a length that its endpoint breaks off while the request is still being written: the
+/// failed write must not look like the end of the answer at the other end of a tunnel.
+#[tokio::test]
+async fn answer_broken_off_during_its_request_does_not_end_in_order() {
+    let [one, mut two] = pair();
+    for _ in 0..RACES {
+        let (stream, accepted) = open_tunnel(&one, &mut two).await;
+        let listener = TcpListener::bind("127.0.0.1:0").await;
+        let listener = listener.expect("a free loopback port");
+        let address = listener.local_addr().expect("a bound address");
+        let connected = TcpStream::connect(address).await.expect("accepted");
+        let relaying = tokio::spawn(accepted.relay(connected));
+        let (mut endpoint, _) = listener.accept().await.expect("connected");
+        let (mut answer_part, mut request_part) = tokio::io::split(stream);
+        let writing = tokio::spawn(async move {
+            let body = vec![b'x'; 64 << 10];
+            while request_part.write_all(&body).await.is_ok() {}
+        });
+        let mut begun = [0; 4];
+        endpoint.read_exact(&mut begun).await.expect("a request");
+        endpoint.write_all(b"half").await.expect("an open tunnel");
+        let mut answer = [0; 4];
+        answer_part
+            .read_exact(&mut answer)
+            .await
+            .expect("its start");
+        // With unread bytes, as a crashed process leaves them.
+        drop(endpoint);
+        let mut rest = Vec::new();
+        let read = timeout(TEST_TIMEOUT, answer_part.read_to_end(&mut rest)).await;
+        let error = read.expect("it ends").expect_err("it is not complete");
+        assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+        writing.abort();
+        drop((answer_part, writing.await));
+        relaying.await.expect("no panic");
+    }
+}
+
 /// A peer that is lost has to look unlike an endpoint that breaks a connection, since requests are
 /// refused under which several endpoints were lost.
 #[tokio::test]
