Fix: a success without a seal on a streaming route is not passed on, whatever its status

Cause: the seal was looked for in a 200 only; any other status of a streaming route was taken for a plain answer.

Evidence: the new test, six cases: /draft/ with a 202 was answered 202 before, the other five 502.

Change: each 2xx of a streaming route needs the seal and no encoding, as on other routes.

Measured: the new test fails before and passes.

--- a/crates/carawayhead/tests/forwarding/answers.rs
+++ b/crates/carawayhead/tests/forwarding/answers.rs
@@ -211,6 +211,31 @@
     }
 }
 
+/// Guards against a success without a seal, of any status, that is passed on as the response of its endpoint.
+#[tokio::test]
+async fn success_without_a_seal_is_not_forwarded() {
+    let store = Store::start().await;
+    let config = config(1, &["key-1"], 5000);
+    store.write_operator_record(
+        "config",
+        &config.replace(r#""service":"desk""#, r#""service":"model""#),
+    );
+    let service = PlainService::start("m1").await;
+    store.write_endpoint_entry("m1", &service.entry("model", "a", "ready"));
+    let instance = Instance::start("e1", "a", &store).await;
+    for behavior in [ServiceBehavior::Unsealed, ServiceBehavior::UnsealedAccepted] {
+        service.set_behavior(behavior);
+        for path in ["/order/7", "/look/7", "/draft/7"] {
+            let request = CallerRequest::new("r1", path);
+            let response = send_request(instance.caller_address, &request).await;
+            let response = response.expect("the instance responds");
+            let what = format!("{behavior:?}, {path}");
+            assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{what}");
+            assert!(!response.body.contains("done"), "{what}");
+        }
+    }
+}
+
 /// After SIGTERM an instance reports that it is not ready, still serves requests on its
 /// listener, and exits by itself.
 #[tokio::test]
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -238,10 +238,13 @@
                 shared.mark_rejected(key, answer.status());
                 OpenOutcome::NotRun(format!("rejected with {}", answer.status()))
             }
-            SendOutcome::Answer(answer, flags) if answer.status() == StatusCode::OK => {
-                if !flags.sealed || flags.encoded {
-                    return fail(shared, key, "invalid response".to_string());
-                }
+            SendOutcome::Answer(answer, flags)
+                if answer.status().is_success() && (!flags.sealed || flags.encoded) =>
+            {
+                let why = format!("invalid response with {}", answer.status());
+                fail(shared, key, why)
+            }
+            SendOutcome::Answer(answer, _) if answer.status() == StatusCode::OK => {
                 first_event(shared, original, key, sent_at, *answer).await
             }
             SendOutcome::Answer(answer, _) => {
