Tests: requests in progress beside a configuration without their routes, and orders at a draining `serve`

A configuration that takes away the routes and services of an order at work and of a running stream cuts off neither. `serve` has no estimate and no limit of its own: a draining instance sent orders for as long as its listener was open, to a service that worked for 2.5 s, and answered each that ran. Both tests pass on the code as it was: no fault.

--- a/crates/carawayhead/tests/forwarding/stopping.rs
+++ b/crates/carawayhead/tests/forwarding/stopping.rs
@@ -254,6 +254,46 @@
     wait_until_exit(&mut instance).await;
 }
 
+/// Guards against requests that are cut off when a configuration takes their routes and services away.
+#[tokio::test]
+async fn requests_in_progress_outlast_their_routes() {
+    let store = store_with_config(LONG_TIMEOUT_MS).await;
+    let service = add_service(&store, "d1", Duration::from_secs(2)).await;
+    let runs = Arc::<SharedRuns>::default();
+    let engine = Engine::start(&runs, "m1", 40, Duration::from_millis(50)).await;
+    store.write_endpoint_entry("m1", &engine.entry("model", "a", "ready"));
+    let instance = Instance::start("e1", "a", &store).await;
+    let address = instance.caller_address;
+    let mut sending = JoinSet::new();
+    for path in ["/order/7", "/draft/7"] {
+        sending.spawn(async move {
+            let response = send_request(address, &CallerRequest::new(path, path)).await;
+            let id = path.to_string();
+            Outcome { id, response }
+        });
+    }
+    wait_until("the requests are at their endpoints", || async {
+        let calls = [service.executed_calls(), engine.executed_calls()].concat();
+        let sent = calls.iter().filter(|call| call.id().starts_with('/'));
+        sent.count() == 2
+    })
+    .await;
+    let mut emptied = serde_json::from_str::<serde_json::Value>(&config(2, &["key-1"], 1000));
+    let emptied = emptied.as_mut().expect("a configuration");
+    emptied["routes"] = serde_json::json!([]);
+    emptied["services"] = serde_json::json!([]);
+    store.write_operator_record("config", &emptied.to_string());
+    wait_until("the configuration is in force", || async {
+        let request = CallerRequest::new("new", "/order/7");
+        let response = send_request(address, &request).await;
+        response.is_some_and(|response| response.status == StatusCode::NOT_FOUND)
+    })
+    .await;
+    for outcome in sending.join_all().await {
+        assert!(outcome.is_answered(), "{}", outcome.id);
+    }
+}
+
 /// Size of a response that fits into no buffer between an instance and its caller.
 const LARGE_RESPONSE_BYTES: usize = 6 << 20;
 
--- a/crates/carawayhead/tests/leaving.rs
+++ b/crates/carawayhead/tests/leaving.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use {
-    common::{API_KEY, Builder, CallerRequest, Events, expected_words},
+    common::{API_KEY, Builder, CallerRequest, Events, expected_words, new_idempotency_key},
+    futures_util::stream::{FuturesUnordered, StreamExt as _},
     rustix::process::Signal,
     serde_json::json,
     std::time::Duration,
@@ -37,6 +38,53 @@
     assert_eq!(ended, Some(true));
 }
 
+/// Guards against a draining instance that sends orders to services which work on them for longer than it waits: each
+/// order that ran is answered, and the others are refused or find no listener.
+#[tokio::test]
+async fn orders_that_a_draining_instance_sends_are_answered() {
+    let mut cluster = Builder::default().start().await;
+    let control = json!({"delay_ms": 2500});
+    cluster
+        .post(&cluster.services[0].address, "/control", &control)
+        .await;
+    cluster.instances[0].signal(Signal::TERM);
+    // Until after the notice of 200 ms.
+    let sent = (0..16).map(async |number| {
+        tokio::time::sleep(Duration::from_millis(20 * number)).await;
+        let key = new_idempotency_key();
+        let reply = cluster.send(0, CallerRequest::order(&key, "plate")).await;
+        let status = match reply {
+            Ok(reply) => {
+                let status = reply.status().as_u16();
+                reply.read_body(1 << 20).await.map(|_body| status).ok()
+            }
+            Err(_) => None,
+        };
+        (status, cluster.run_count(&key).await)
+    });
+    let outcomes = join_all(sent).await;
+    let answered = outcomes.iter().filter(|(status, _)| *status == Some(200));
+    assert!(answered.count() > 0, "{outcomes:?}");
+    for (status, runs) in &outcomes {
+        assert_eq!(*runs, usize::from(*status == Some(200)), "{outcomes:?}");
+    }
+    let mut ended = None;
+    for _ in 0..500 {
+        ended = cluster.instances[0].exit_success();
+        if ended.is_some() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(ended, Some(true));
+}
+
+/// Runs requests at the same time, on one task.
+async fn join_all<T>(futures: impl Iterator<Item = impl Future<Output = T>>) -> Vec<T> {
+    let unordered = futures.collect::<FuturesUnordered<_>>();
+    unordered.collect().await
+}
+
 /// After operators disable a failure domain, no instance, including those in the domain,
 /// sends it new requests, and its running streams complete.
 #[tokio::test]
