Fix: a takeover that is not answered is not sent again to the same engine

Cause: an unknown outcome left the copy in use. Only a refusal was recorded. A handle of a move can be used once, but a backup copy stays until the run has ended, so that each further request runs.

Ruled out: marking the engine unreachable; it answers checks of its liveness, and a move may choose it again.

Change: an engine that is asked to take a run over counts as running it until it refuses. It is not asked again, neither from its backup copy nor as the target of a move, nor from another copy of the run; the same handle of a move may still be repeated, since it can be used once. The stream waits for its own engine, or is lost with it.

--- a/crates/carawayhead/tests/forwarding/silences.rs
+++ b/crates/carawayhead/tests/forwarding/silences.rs
@@ -10,7 +10,10 @@
     platform::standin::caller::{CallerRequest, CallerResponse, send_request},
     rustix::process::Signal,
     std::{net::SocketAddr, time::Duration},
-    tokio::{task::JoinHandle, time::sleep},
+    tokio::{
+        task::JoinHandle,
+        time::{sleep, timeout},
+    },
 };
 
 const ENGINES: usize = 3;
@@ -154,6 +157,50 @@
     assert_streams_survive_each(vec![Silence::new(3, 4600)]).await;
 }
 
+/// What becomes of the engine of a run whose takeover is not answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Own {
+    /// It stays silent.
+    Silent,
+    /// It is lost.
+    Lost,
+    /// It is back, and leaves.
+    Leaving,
+}
+
+/// Guards against a run that is sent again to the engine with its copy, which runs it and does not answer.
+#[tokio::test]
+async fn takeover_that_is_not_answered_is_not_sent_again() {
+    for own in [Own::Silent, Own::Lost, Own::Leaving] {
+        let deployment = deployment(2).await;
+        let stream = start_stream(deployment.instance.caller_address, "r1".to_string());
+        let index = deployment.wait_for_run().await;
+        let (engine, other) = (&deployment.engines[index], &deployment.engines[1 - index]);
+        other.set_mute(true);
+        engine.freeze();
+        wait_until("the other engine runs it", || async {
+            !other.executed_calls().is_empty()
+        })
+        .await;
+        wait_until("the takeover is given up", || async {
+            let lines = deployment.instance.log_lines_containing("\"takeover\"");
+            !lines.is_empty()
+        })
+        .await;
+        match own {
+            Own::Silent => {}
+            Own::Lost => engine.crash(),
+            Own::Leaving => {
+                deployment.announce_leaving(index);
+                engine.thaw();
+            }
+        }
+        // Several times as long as a takeover is awaited, and as a silence lasts before one.
+        let _response = timeout(Duration::from_secs(9), stream).await;
+        assert_eq!(other.executed_calls().len(), 1, "{own:?}");
+    }
+}
+
 /// Engines are silent for less time than it takes to ask them to stop, or for longer.
 #[tokio::test]
 async fn streams_survive_silences_of_any_length() {
--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -178,7 +178,8 @@
         }
     }
 
-    /// Chooses an engine to move a run to, one that is silent only if there is no other.
+    /// Chooses an engine to move a run to, one that is silent only if there is no other. Engines that may
+    /// be running it are not chosen.
     #[must_use]
     pub fn pick_target(
         &mut self,
@@ -203,10 +204,12 @@
         tried: &[EndpointKey],
     ) -> Option<EndpointKey> {
         let jitter = self.jitter();
-        let run = self.runs.get(run)?;
+        let key = run;
+        let run = self.runs.get(key)?;
         let service = self.service(&run.service)?;
         let mut skip = tried.to_vec();
         skip.push(run.endpoint);
+        skip.extend(self.asked(key));
         let source = self.endpoints.get(run.endpoint)?;
         let loads = self.loads();
         let queued = self.queued_moves(run.endpoint, source, &loads);
--- a/crates/forward/src/silence.rs
+++ b/crates/forward/src/silence.rs
@@ -170,7 +170,7 @@
         if !engine.liveness.is_unanswered_for(now, UNANSWERED_LIMIT) {
             return poll;
         }
-        let backup = run.backup.filter(|key| self.may_continue_at(now, *key));
+        let backup = self.backup(now, silence.run);
         let successor = backup
             .or_else(|| (silence.is_resumable).then(|| self.pick_target(now, silence.run, &[]))?);
         let Some((key, successor)) =
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -9,6 +9,7 @@
 mod rollouts;
 mod room;
 mod shares;
+mod takeovers;
 
 pub use self::{
     conditions::{Answer, Outlook},
@@ -41,7 +42,7 @@
         tunnel::Tunnels,
     },
     rand::{RngExt as _, rngs::SmallRng},
-    slotmap::SlotMap,
+    slotmap::{SecondaryMap, SlotMap},
 };
 
 /// A change of the endpoint list.
@@ -56,6 +57,8 @@
 /// State of an instance.
 #[derive(Debug)]
 pub struct State {
+    /// Engines that were asked to take a run over, sorted.
+    asked: SecondaryMap<RunKey, Vec<EndpointKey>>,
     /// Spreads the backoff of instances.
     backoff_seed: u64,
     /// Services whose endpoints fall over when they reject too much.
@@ -127,6 +130,7 @@
         let mut rollouts = Rollouts::default();
         rollouts.set_limit(settings.canary);
         Self {
+            asked: SecondaryMap::new(),
             backoff_seed: random.clone().random(),
             brittleness: Brittleness::default(),
             budget: RetryBudget::new(&settings),
@@ -322,6 +326,7 @@
 
     /// Removes a run that has ended.
     pub fn end(&mut self, key: RunKey) -> Option<Run> {
+        self.asked.remove(key);
         self.runs.remove(key)
     }
 
@@ -354,10 +359,10 @@
     /// The engine that holds the copy of a run, if it takes new work.
     #[must_use]
     pub fn healthy_backup(&self, now: Time, run: RunKey) -> Option<EndpointKey> {
-        let backup = self.runs.get(run)?.backup?;
+        let backup = self.backup(now, run)?;
         let endpoint = self.endpoints.get(backup)?;
         let is_open = self.access(now, endpoint) == Access::Open;
-        (endpoint.usable(now) && is_open && self.may_continue_at(now, backup)).then_some(backup)
+        (endpoint.usable(now) && is_open).then_some(backup)
     }
 
     /// Records that an engine does not have the copy of a run.
--- a/crates/forward/tests/leaving.rs
+++ b/crates/forward/tests/leaving.rs
@@ -182,6 +182,31 @@
     assert_eq!(state.healthy_backup(at(11), run), None);
 }
 
+/// Guards against a run that is sent again, as a takeover or as a move, to an engine that was asked to take it over and
+/// may be running it.
+#[test]
+fn engine_that_may_be_running_a_run_is_not_asked_again() {
+    let mut state = instance(&pair());
+    let (first, backup) = picked(state.pick(at(10), "model", LONG, &[]));
+    let backup = backup.expect("there is room for a copy");
+    let run = begin_run(&mut state, first, Some(backup));
+    let others = state.endpoints().map(|(key, _)| key);
+    let others = others.filter(|key| *key != backup).collect::<Vec<_>>();
+    assert_eq!(state.pick_target(at(11), run, &others), Some(backup));
+    state.record_takeover(run, backup);
+    assert!(state.may_be_running(run, backup));
+    assert_eq!(state.backup(at(11), run), None);
+    assert_eq!(state.healthy_backup(at(11), run), None);
+    assert_eq!(state.pick_target(at(11), run, &others), None);
+    // Other runs are not affected.
+    let other = begin_run(&mut state, first, Some(backup));
+    assert_eq!(state.backup(at(11), other), Some(backup));
+    // It has refused.
+    state.settle_takeover(run, backup);
+    assert_eq!(state.backup(at(11), run), Some(backup));
+    assert_eq!(state.pick_target(at(11), run, &others), Some(backup));
+}
+
 /// Has an endpoint state in an answer that it leaves; returns whether that is new.
 fn state_leaving(state: &mut State, now: u64, id: &str) -> bool {
     let mut endpoints = state.endpoints();
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -135,16 +135,14 @@
             self.wait_for_engine(&failure.to_string());
             return Ok(());
         };
-        // The connection broke while the engine with the backup copy was asked, which has not answered in time.
         let is_unknown = matches!(failure, takeover::Failure::Unknown(_));
-        if kind == Kind::TakeOver && is_unknown {
-            self.copies.splice(0..0, self.backup_copy());
-        }
         // Its engine may be back later, while nothing else can continue the run.
         if kind == Kind::Continue && is_unknown && self.repeats < MAX_REPEATS {
             self.repeats += 1;
-            self.copies.splice(0..0, self.continuing.take());
+            self.copies.splice(0..0, self.continuing.clone());
         }
+        let copies = std::mem::take(&mut self.copies);
+        self.copies = self.unasked(copies);
         if self.copies.is_empty() {
             let lost = format!("{}; copy {failure}", broken.why);
             return self.restart_or_wait(broken, lost).await;
@@ -304,6 +302,7 @@
     ) -> Result<(), Ending> {
         let mut copies = std::mem::take(&mut self.copies);
         copies.extend(self.backup_copy());
+        let copies = self.unasked(copies);
         if copies.is_empty() {
             let lost = format!("{}; no copy", broken.why);
             return self.restart_or_wait(broken, lost).await;
@@ -320,7 +319,7 @@
         copies: Vec<RunCopy>,
         why: &str,
     ) -> Result<(), Ending> {
-        self.copies = copies;
+        self.copies = self.unasked(copies);
         self.copies.reverse();
         self.copies.dedup();
         self.broken.get_or_insert_with(|| Break {
@@ -426,12 +425,24 @@
         })
     }
 
+    /// The copies whose engines are not running the stream already, as far as is known. An engine that has not
+    /// answered is asked again with the same handle only, which it uses once.
+    fn unasked(&self, copies: Vec<RunCopy>) -> Vec<RunCopy> {
+        let state = self.shared.state.borrow();
+        let id = &self.original.inbound.id;
+        let mut copies = copies;
+        copies.retain(|copy| {
+            let is_repeat = self.continuing.as_ref() == Some(copy) && copy.handle != *id;
+            is_repeat || !state.may_be_running(self.running.key, copy.key)
+        });
+        copies
+    }
+
     /// The backup copy of the run, if its engine may continue it.
     pub(super) fn backup_copy(&self) -> Option<RunCopy> {
         let key = {
             let state = self.shared.state.borrow();
-            let key = state.run(self.running.key)?.backup?;
-            state.may_continue_at(clock::now(), key).then_some(key)?
+            state.backup(clock::now(), self.running.key)?
         };
         Some(RunCopy {
             address: self.shared.endpoint_address(key)?.0,
@@ -456,6 +467,7 @@
 
     fn attach(&mut self, opened: Opened) {
         let mut state = self.shared.state.borrow_mut();
+        state.settle_takeover(self.running.key, opened.source.key);
         if let Some(run) = state.run_mut(self.running.key) {
             run.endpoint = opened.source.key;
             run.backup = opened.backup;
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -277,6 +277,10 @@
             source,
         };
         self.shared.record_attempt(&self.ticket.service, true);
+        if source.is_some() {
+            let mut state = self.shared.state.borrow_mut();
+            state.record_takeover(self.run, key);
+        }
         let sent = exchange::send(&self.shared, &self.original, &destination, limit).await;
         let result = match sent {
             SendOutcome::Answer(answer, flags)
@@ -320,6 +324,10 @@
             }
             SendOutcome::Unknown(error) => Err(Failure::Unknown(error)),
         };
+        if matches!(result, Err(Failure::NotRun(_))) {
+            let mut state = self.shared.state.borrow_mut();
+            state.settle_takeover(self.run, key);
+        }
         let error = result.as_ref().err().map(ToString::to_string);
         log::info!(
             id = self.original.inbound.id, why, error = error.unwrap_or_default(),
