--- a/crates/carawayhead/tests/forwarding/answers.rs
+++ b/crates/carawayhead/tests/forwarding/answers.rs
@@ -211,6 +211,25 @@
     }
 }
 
+/// Guards against an order that runs at a second endpoint, since the late rejection of a check is taken for its own.
+#[tokio::test]
+async fn rejection_without_an_id_is_not_taken_for_that_of_an_order() {
+    let services = [
+        PlainService::start("d1").await,
+        PlainService::start("d2").await,
+    ];
+    let (_store, instance) = deployment(&[&services[0], &services[1]]).await;
+    for service in &services {
+        service.set_behavior(ServiceBehavior::ForeignRejection);
+    }
+    let request = CallerRequest::new("r1", "/order/7");
+    let response = send_request(instance.caller_address, &request).await;
+    let status = response.expect("the instance responds").status;
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
+    let calls = services.iter().flat_map(PlainService::executed_calls);
+    assert_eq!(calls.filter(|call| call.id() == "r1").count(), 1);
+}
+
 /// Guards against a success without a seal, of any status, that is passed on as the response of its endpoint.
 #[tokio::test]
 async fn success_without_a_seal_is_not_forwarded() {
