Fix: the parts of a response that were read take no memory

Cause: a response was handed out in slices of one buffer, each counted as released when the next was taken. The buffer lives until the last of them has been written, so a caller that has read nine tenths counted for one and cost ten.

Change: a response larger than a frame is copied into frames of their own.

--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -5,6 +5,7 @@
     hyper::body::{Frame, SizeHint},
     platform::head,
     std::{
+        collections::VecDeque,
         pin::Pin,
         task::{Context, Poll},
     },
@@ -29,8 +30,8 @@
 /// Where the frames of a body come from.
 #[derive(Debug)]
 enum Source {
-    /// A complete body, with what counts it if that is not small.
-    Full(Bytes, Option<Held>),
+    /// A complete body in frames, with what counts it if that is not small.
+    Full(VecDeque<Bytes>, Option<Held>),
     /// A streamed body. It is complete only after [`BodyPart::End`]; if the sender is dropped
     /// before, the connection is aborted, so that a truncated body does not look complete.
     Stream(mpsc::UnboundedReceiver<BodyPart>, Rc<Held>),
@@ -39,10 +40,10 @@
 impl Body {
     /// A complete body, with what counts it if that is not small.
     #[must_use]
-    pub const fn full(bytes: Bytes, held: Option<Held>) -> Self {
+    pub fn full(bytes: Bytes, held: Option<Held>) -> Self {
         Self {
             handed_out: 0,
-            source: Source::Full(bytes, held),
+            source: Source::Full(frames(bytes), held),
         }
     }
 
@@ -111,12 +112,10 @@
         let body = self.get_mut();
         body.release();
         match &mut body.source {
-            Source::Full(bytes, _) if bytes.is_empty() => Poll::Ready(None),
-            Source::Full(bytes, _) => {
-                let data = bytes.split_to(bytes.len().min(MAX_FRAME_BYTES));
+            Source::Full(frames, _) => Poll::Ready(frames.pop_front().map(|data| {
                 body.handed_out = data.len();
-                Poll::Ready(Some(Ok(Frame::data(data))))
-            }
+                Ok(Frame::data(data))
+            })),
             Source::Stream(parts, _) => parts.poll_recv(cx).map(|part| match part {
                 Some(BodyPart::Data(data)) => {
                     body.handed_out = part_size(&data);
@@ -130,14 +129,27 @@
 
     fn size_hint(&self) -> SizeHint {
         match &self.source {
-            Source::Full(bytes, _) => {
-                SizeHint::with_exact(u64::try_from(bytes.len()).unwrap_or(u64::MAX))
+            Source::Full(frames, _) => {
+                let left = frames.iter().map(Bytes::len).sum::<usize>();
+                SizeHint::with_exact(u64::try_from(left).unwrap_or(u64::MAX))
             }
             Source::Stream(..) => SizeHint::default(),
         }
     }
 }
 
+/// Splits a body into frames. Slices of one buffer would keep all of it until the last one is written.
+fn frames(bytes: Bytes) -> VecDeque<Bytes> {
+    if bytes.is_empty() {
+        return VecDeque::new();
+    }
+    if bytes.len() <= MAX_FRAME_BYTES {
+        return VecDeque::from([bytes]);
+    }
+    let frames = bytes.chunks(MAX_FRAME_BYTES);
+    frames.map(Bytes::copy_from_slice).collect()
+}
+
 /// Number of bytes that a part of a streamed body holds.
 #[must_use]
 pub const fn part_size(data: &Bytes) -> usize {
--- a/crates/proxy/tests/replies.rs
+++ b/crates/proxy/tests/replies.rs
@@ -91,3 +91,23 @@
     assert_eq!(body.held().and_then(Held::reason), Some(Reason::NotRead));
     assert_eq!(frame(&mut body), None);
 }
+
+/// Guards against a response that keeps all of its memory until its last part has been read, while it counts for less
+/// with each part.
+#[test]
+fn parts_of_a_response_that_were_read_take_no_memory() {
+    let buffers = buffers();
+    let bytes = Bytes::from(vec![b'x'; 100_000]);
+    let held = held(&buffers, Use::Response, bytes.len());
+    let mut body = Body::full(bytes.clone(), Some(held));
+    let mut read = Vec::new();
+    while let Some(frame) = frame(&mut body) {
+        assert!(frame.is_unique(), "{} bytes", frame.len());
+        read.extend_from_slice(&frame);
+        let left = body.held().map(Held::bytes);
+        assert_eq!(left, Some(bytes.len() - read.len() + frame.len()));
+        let hint = body.size_hint().exact();
+        assert_eq!(hint, u64::try_from(bytes.len() - read.len()).ok());
+    }
+    assert_eq!(read, bytes);
+}
