Soak: plain services that work for up to a second beside planned changes, and requests that ran without a response

The soak drew no service that works for long beside stops, and took a closed connection for a request that was not read, whether it had run or not. The new mode draws work of 0.1 to 1 s for each service; and where only planned changes are made, a request that ran and has no response is a violation, in all such modes. No check is weaker. Two seeds run by default.

--- a/crates/carawayhead/tests/soak/main.rs
+++ b/crates/carawayhead/tests/soak/main.rs
@@ -164,6 +164,22 @@
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
+/// Guards against stopping instances that cut off requests at services which work on them for long.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn guarantees_hold_while_services_work_for_long() {
+    let (first, count) = (
+        env_or_default("SOAK_SEED", 1),
+        env_or_default("SOAK_WORK_SEEDS", 2),
+    );
+    let length = Duration::from_secs(env_or_default("SOAK_SECONDS", 6));
+    let mut violations = Vec::new();
+    for seed in first..first + count {
+        println!("seed {seed} with long work");
+        violations.extend(run_seed_in(Mode::Work, seed, length).await);
+    }
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 /// The only trial of a harmless stream is sent to an engine that has crashed before, behind a proxy that accepts its
 /// connections. The stream must be served all the same once the faults have ended.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -220,7 +236,7 @@
     if mode == Mode::Silences {
         deployment.slow_copies();
     }
-    let is_planned = matches!(mode, Mode::Planned | Mode::Silences);
+    let is_planned = matches!(mode, Mode::Planned | Mode::Silences | Mode::Work);
     if !is_planned {
         deployment.start_rollout(seed.is_multiple_of(2)).await;
         callers.push(tokio::spawn(callers::repeat_fatal_request(
@@ -239,7 +255,7 @@
     let mut violations = check_guarantees(&deployment, &injector, &records);
     violations.extend(check_rollout(&deployment));
     if is_planned {
-        violations.extend(check_uninterrupted(&records));
+        violations.extend(check_uninterrupted(&runs(&deployment), &records));
     }
     deployment.keys = vec!["key-1", "key-2"];
     deployment.publish();
@@ -387,11 +403,11 @@
     violations
 }
 
-/// Checks that planned changes interrupt no request that an instance has started to read.
-fn check_uninterrupted(records: &[Record]) -> Vec<String> {
+/// Checks that planned changes interrupt no request that an instance has started to read, nor one that has run.
+fn check_uninterrupted(runs: &BTreeMap<String, Vec<Instant>>, records: &[Record]) -> Vec<String> {
     let interrupted = records.iter().filter(|record| match &record.response {
         Some(response) => !response.complete || matches!(response.status.as_u16(), 502 | 504),
-        None => false,
+        None => runs.contains_key(&record.id),
     });
     interrupted
         .map(|record| {
--- a/crates/carawayhead/tests/soak/script.rs
+++ b/crates/carawayhead/tests/soak/script.rs
@@ -35,6 +35,8 @@
     Planned,
     /// Planned changes, and engines that are paused, up to all of them.
     Silences,
+    /// Planned changes, and plain services that work on each request for up to a second.
+    Work,
 }
 
 /// The undo of a change; indexes refer to the lists of the deployment.
@@ -111,6 +113,10 @@
                 | Mode::Silences => {
                     self.apply_planned_change(deployment);
                 }
+                Mode::Work => {
+                    self.change_work(deployment);
+                    self.apply_planned_change(deployment);
+                }
             }
         }
         // A draining instance takes up to its grace time to exit before it can be restarted.
@@ -153,6 +159,14 @@
         }
     }
 
+    /// Sets how long a plain service works on each request from now on.
+    fn change_work(&mut self, deployment: &Deployment) {
+        let index = self.random.random_range(0..deployment.services.len());
+        let work = Duration::from_millis(self.random.random_range(100..1000));
+        let service = &deployment.services[index].server;
+        service.set_behavior(ServiceBehavior::Working(work));
+    }
+
     /// Pauses any number of engines, unless some are already.
     fn pause_engines(&mut self, deployment: &Deployment) {
         if self.has_pending_undo(|undo| matches!(undo, Undo::Thaw)) {
