Fix: a part of prompts is not tried while the result of its last trial is awaited

Cause, from its logs: a sound part came with a fatal one and had lost four engines. Its second trial, a sound prompt, ran well at an engine. 0.26 s later the third trial was claimed, by a prompt with the fatal part, and sent to the same engine, which crashed. Both counted against the sound part, whose three trials were used up. Where other suspects account for all crashes of a part, a trial has no delay, and the one in progress was looked for only among the claims that the log does not have yet.

The trial was neither refused nor stopped by its instance; its engine was lost.

Change: a part is not tried for as long as the result of its last trial is awaited (1 s), unless an engine is lost under it or it is cleared meanwhile.

Measured: the new test fails before (a second claim at 0 ms) and passes, with the histories of parts and of crashes.

--- a/crates/decision/src/part_suspects/trial.rs
+++ b/crates/decision/src/part_suspects/trial.rs
@@ -67,7 +67,9 @@
                 number: suspect.trials() + 1,
                 part: suspect.part,
             };
-            (may_be_tried && !self.is_claimed(suspect.part)).then_some(claim)
+            // An engine that the next trial crashes may be the one that works on this trial.
+            let is_tried = self.trial_left(now, suspect.part).is_some();
+            (may_be_tried && !is_tried).then_some(claim)
         });
         let claims = claims.collect::<Option<Vec<_>>>().unwrap_or_default();
         for claim in &claims {
--- a/crates/forward/tests/part_suspects.rs
+++ b/crates/forward/tests/part_suspects.rs
@@ -353,6 +353,35 @@
     assert!(!refuses(&a, soon, "aa"));
 }
 
+/// Guards against a trial that begins while the result of another one is awaited, and crashes the engine that works on
+/// it: both would count against a sound part, which is refused for long then.
+#[test]
+fn trial_waits_for_the_result_of_the_one_before() {
+    let mut suspects = Suspects::default();
+    for number in 0..3_u64 {
+        let now = 1000 + STEP_MS * number * 2;
+        lose(&mut suspects, at(now), &format!("a{number}"), &["aa bad1"]);
+        lose(
+            &mut suspects,
+            at(now + 300),
+            &format!("b{number}"),
+            &["aa bad2"],
+        );
+    }
+    let now = at(1000 + STEP_MS * 4 + 300);
+    // Others account for all crashes, so that nothing else delays it.
+    let first = claim(&mut suspects, now, &parts("aa cc"), 1).expect("a claim");
+    suspects.apply(now, &Change::Claimed(first));
+    for waited in [0, 260, 999] {
+        let soon = now.after(millis(waited));
+        let second = claim(&mut suspects, soon, &parts("aa dd"), 2);
+        assert_eq!(second, None, "{waited} ms");
+    }
+    let later = now.after(RESULT_TIMEOUT);
+    let second = claim(&mut suspects, later, &parts("aa dd"), 2);
+    assert_eq!(second.map(|claim| claim.number), Some(2));
+}
+
 /// A sound part came with two fatal ones, so that it has lost more engines than either. Prompts without other
 /// suspects are its first trial: the engine that another one crashes would count against it for long.
 #[test]
