--- a/crates/carawayhead/tests/leaving.rs
+++ b/crates/carawayhead/tests/leaving.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use {
-    common::{API_KEY, Builder, CallerRequest, Events, expected_words, new_idempotency_key},
+    common::{
+        API_KEY, Builder, CallerRequest, Cluster, Events, expected_words, new_idempotency_key,
+    },
     futures_util::stream::{FuturesUnordered, StreamExt as _},
     rustix::process::Signal,
     serde_json::json,
@@ -27,15 +29,7 @@
     cluster.instances[0].signal(Signal::TERM);
     events.read_to_end(&mut reply).await;
     assert_eq!(events.words(), (expected_words(60), true));
-    let mut ended = None;
-    for _ in 0..500 {
-        ended = cluster.instances[0].exit_success();
-        if ended.is_some() {
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    assert_eq!(ended, Some(true));
+    assert_exits(&mut cluster).await;
 }
 
 /// Guards against a draining instance that sends orders to services which work on them for longer than it waits: each
@@ -68,6 +62,11 @@
     for (status, runs) in &outcomes {
         assert_eq!(*runs, usize::from(*status == Some(200)), "{outcomes:?}");
     }
+    assert_exits(&mut cluster).await;
+}
+
+/// Asserts that the first instance exits by itself, without an error.
+async fn assert_exits(cluster: &mut Cluster) {
     let mut ended = None;
     for _ in 0..500 {
         ended = cluster.instances[0].exit_success();
--- a/crates/forward/tests/part_suspects.rs
+++ b/crates/forward/tests/part_suspects.rs
@@ -51,6 +51,22 @@
     now
 }
 
+/// Loses engines under two fatal parts in turn, which account for all crashes of their companion "aa".
+fn companion_of_two_fatal_parts() -> (Suspects, Time) {
+    let mut suspects = Suspects::default();
+    for number in 0..3_u64 {
+        let now = 1000 + STEP_MS * number * 2;
+        lose(&mut suspects, at(now), &format!("a{number}"), &["aa bad1"]);
+        lose(
+            &mut suspects,
+            at(now + 300),
+            &format!("b{number}"),
+            &["aa bad2"],
+        );
+    }
+    (suspects, at(1000 + STEP_MS * 4 + 300))
+}
+
 /// Claims a trial of a single part.
 fn claim(suspects: &mut Suspects, now: Time, parts: &[Part], instance: u64) -> Option<Claim> {
     let requests = suspects::Suspects::default();
@@ -151,18 +167,7 @@
 /// Two parts are fatal at once. Neither may hide behind the other, and their companion is tried at once.
 #[test]
 fn two_fatal_parts_are_both_refused() {
-    let mut suspects = Suspects::default();
-    for number in 0..3_u64 {
-        let now = 1000 + STEP_MS * number * 2;
-        lose(&mut suspects, at(now), &format!("a{number}"), &["aa bad1"]);
-        lose(
-            &mut suspects,
-            at(now + 300),
-            &format!("b{number}"),
-            &["aa bad2"],
-        );
-    }
-    let now = at(1000 + STEP_MS * 4 + 300);
+    let (mut suspects, now) = companion_of_two_fatal_parts();
     assert!(refuses(&suspects, now, "aa bad1") && refuses(&suspects, now, "aa bad2"));
     assert_eq!(
         claim(&mut suspects, now, &parts("aa"), 1).map(|claim| claim.number),
@@ -357,18 +362,7 @@
 /// it: both would count against a sound part, which is refused for long then.
 #[test]
 fn trial_waits_for_the_result_of_the_one_before() {
-    let mut suspects = Suspects::default();
-    for number in 0..3_u64 {
-        let now = 1000 + STEP_MS * number * 2;
-        lose(&mut suspects, at(now), &format!("a{number}"), &["aa bad1"]);
-        lose(
-            &mut suspects,
-            at(now + 300),
-            &format!("b{number}"),
-            &["aa bad2"],
-        );
-    }
-    let now = at(1000 + STEP_MS * 4 + 300);
+    let (mut suspects, now) = companion_of_two_fatal_parts();
     // Others account for all crashes, so that nothing else delays it.
     let first = claim(&mut suspects, now, &parts("aa cc"), 1).expect("a claim");
     suspects.apply(now, &Change::Claimed(first));
