Fix: one odd entry in the instance list of `serve` does not hide all the others

Instances that run `serve` would have stopped following their list for good.

Cause: the list was decoded as a whole, so that an entry that is nested too deeply, has a number that is too large, or lacks a field made each read fail.

Change: entries are decoded one by one; invalid ones, and those whose addresses have no port from 1 to 65535, are logged and ignored.

--- a/crates/streamlog/src/list.rs
+++ b/crates/streamlog/src/list.rs
@@ -7,6 +7,7 @@
         event::Peer,
     },
     http::header::IF_NONE_MATCH,
+    serde_json::value::RawValue,
 };
 
 /// Time limit for one read of the list.
@@ -82,7 +83,7 @@
         match status {
             StatusCode::NOT_MODIFIED => Ok(None),
             StatusCode::OK => {
-                let list = classify(serde_json::from_slice(&body)?);
+                let list = decode(&body)?;
                 self.etag = etag;
                 Ok(Some(list))
             }
@@ -91,7 +92,37 @@
     }
 }
 
-fn classify(rows: Vec<Row>) -> List {
+/// Decodes the list. Entries of other writers that cannot be decoded, or whose addresses have no port, are ignored.
+///
+/// # Errors
+///
+/// It is not an array in JSON.
+pub fn decode(body: &[u8]) -> Result<List, Error> {
+    let text = String::from_utf8_lossy(body);
+    let rows = serde_json::from_str::<Vec<&RawValue>>(&text)?;
+    Ok(classify(rows.into_iter().filter_map(decode_row)))
+}
+
+fn decode_row(row: &RawValue) -> Option<Row> {
+    let row = serde_json::from_str::<Row>(row.get());
+    let row = row.inspect_err(|error| log::warn!(error:%; "invalid entry in the instance list"));
+    row.ok().filter(|row| {
+        let has_port = has_port(&row.address);
+        if !has_port {
+            log::warn!(name:% = row.name, address:% = row.address; "invalid address in the instance list");
+        }
+        has_port
+    })
+}
+
+fn has_port(address: &str) -> bool {
+    let port = address
+        .rsplit_once(':')
+        .map(|(_, port)| port.parse::<u16>());
+    matches!(port, Some(Ok(1..)))
+}
+
+fn classify(rows: impl Iterator<Item = Row>) -> List {
     let mut list = List::default();
     for row in rows {
         let leaving = row.state == "leaving";
