Fix: one odd item in a page of the store does not hide all the others

An instance that reads a page of newest records with one item that cannot be decoded never becomes ready, and one that has to read it again does not follow the topic any more.

Cause: `Store::newest` failed as a whole for one item: a value that is not encoded, a key that is no text, an offset that is too large, bytes that are not UTF-8. Records that are read from the log one by one had no such fault.

Ruled out, with a test that passed before, too: `odd_entries_in_topics_harm_no_instance` writes 64 odd entries (nested 40,000 deep, numbers too large, ports out of range, no UTF-8, keys of 0 and 255 bytes, records without a key) into each of the five topics that instances follow. No process ended, two instances in service followed on, and a third one started with all of them.

Change: items are decoded one by one; the invalid ones are logged.

--- a/crates/carawayhead/tests/forwarding/main.rs
+++ b/crates/carawayhead/tests/forwarding/main.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod load;
 mod memory;
+mod odd_entries;
 mod overlaps;
 mod rollouts;
 mod silences;
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -252,6 +252,9 @@
     let sent_at = clock::now();
     let newest = shared.store.newest(topic).await?;
     shared.metrics.record_store_call("newest");
+    for error in &newest.invalid {
+        log::warn!(topic:?, error:%; "invalid item in a page of the store");
+    }
     if gap.is_some_and(|gap| newest.end < gap.from) {
         // The store has lost records that were read before; keep what is known.
         return Err(platform::Error::Malformed(format!(
