Fix: a stopped stream does not go on at an engine that may not be used any more

Cause: a run that is stopped leaves a copy at its own engine. That copy was used like any other (`kept_copy`), also where its engine's failure domain is disabled or the engine has been leaving for longer than its notice; only the backup copy was checked.

The new process test does the same with two engines; before, engine 1 in the disabled domain was asked to continue from "stopped" (failed 1 of 1).

Change: all copies are checked alike before one is used (`Relay::usable`). If none is left, the stream restarts where its route allows it, or is lost.

--- a/crates/carawayhead/tests/forwarding/overlaps.rs
+++ b/crates/carawayhead/tests/forwarding/overlaps.rs
@@ -55,14 +55,14 @@
     began_at: AtomicUsize,
     has_next: AtomicBool,
     is_stopped: AtomicBool,
-    /// Requests to continue it, by the handle.
-    continued: Mutex<Vec<String>>,
+    /// Requests to continue it, by the number of the engine and the handle.
+    continued: Mutex<Vec<(usize, String)>>,
 }
 
 impl Run {
-    fn record_continued(&self, handle: &str) {
+    fn record_continued(&self, number: usize, handle: &str) {
         let mut continued = self.continued.lock().expect("not poisoned");
-        continued.push(handle.to_string());
+        continued.push((number, handle.to_string()));
     }
 }
 
@@ -109,7 +109,7 @@
         };
         let handle = source.rsplit('/').next().unwrap_or_default();
         let last = header("last-event-id").and_then(|last| last.parse().ok());
-        run.record_continued(handle);
+        run.record_continued(number, handle);
         return go_on(&mut stream, &run, handle, last.unwrap_or_default()).await;
     }
     let is_move = request.starts_with("post /v1/kv-move");
@@ -195,6 +195,30 @@
 
 /// Has a stream move from its engine, which is leaving; returns the handles from which it was continued.
 async fn move_stream(next: Next) -> (CallerResponse, Vec<String>) {
+    let moved = move_stream_among(3, next, Cause::Leaves).await;
+    let handles = moved.continued.into_iter().map(|(_, handle)| handle);
+    (moved.response, handles.collect())
+}
+
+/// Why a stream has to move.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Cause {
+    /// Its engine is leaving.
+    Leaves,
+    /// Its engine is leaving, in a failure domain that is disabled.
+    LeavesDisabledDomain,
+}
+
+/// What came of a stream that had to move.
+struct Moved {
+    began_at: usize,
+    /// Engines that were asked to continue it, with the handles.
+    continued: Vec<(usize, String)>,
+    response: CallerResponse,
+}
+
+/// Has a stream move among as many engines, each in a failure domain of its own.
+async fn move_stream_among(engines: usize, next: Next, cause: Cause) -> Moved {
     let store = Store::start().await;
     store.write_operator_record("config", &config(1, &["key-1"], 10_000));
     let run = Arc::new(Run {
@@ -208,11 +232,12 @@
     let write_entry = |number: usize, address: SocketAddr, state: &str| {
         let entry = serde_json::json!({
             "address": address.to_string(), "coldRemainingMs": 0, "sequence": 1,
-            "service": "model", "slots": 8, "state": state, "version": "v1", "zone": "a",
+            "service": "model", "slots": 8, "state": state, "version": "v1",
+            "zone": format!("z{number}"),
         });
         store.write_endpoint_entry(&format!("m{number}"), &entry.to_string());
     };
-    for number in 1..=3 {
+    for number in 1..=engines {
         let address = start_engine(Arc::clone(&run), number).await;
         write_entry(number, address, "ready");
         addresses.push(address);
@@ -225,10 +250,34 @@
     let began_at = || run.began_at.load(Ordering::Relaxed);
     wait_until("an engine has the run", || async { began_at() > 0 }).await;
     sleep(Duration::from_millis(100)).await;
+    if cause == Cause::LeavesDisabledDomain {
+        store.set_domain(&format!("z{}", began_at()), true);
+        wait_until("the domain is disabled", || async {
+            let lines = instance.log_lines_containing("failure domain set");
+            !lines.is_empty()
+        })
+        .await;
+    }
     write_entry(began_at(), addresses[began_at() - 1], "draining");
     let response = stream.await.expect("the task does not panic");
     let continued = run.continued.lock().expect("not poisoned").clone();
-    (response.expect("the instance responds"), continued)
+    Moved {
+        began_at: began_at(),
+        continued,
+        response: response.expect("the instance responds"),
+    }
+}
+
+/// Guards against a stream that goes on at its own engine after its failure domain was disabled: it was stopped there, since
+/// the only other engine was lost as it took over.
+#[tokio::test]
+async fn stopped_stream_does_not_go_on_in_a_disabled_domain() {
+    let moved = move_stream_among(2, Next::Resets, Cause::LeavesDisabledDomain).await;
+    let asked = moved.continued.iter().map(|(engine, _)| *engine);
+    let asked = asked.collect::<Vec<_>>();
+    assert!(!asked.is_empty());
+    assert!(!asked.contains(&moved.began_at), "{:?}", moved.continued);
+    assert!(!moved.response.complete);
 }
 
 /// The engine that takes a run over is lost after the head of its answer, while the previous engine still sends
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -142,7 +142,7 @@
             self.copies.splice(0..0, self.continuing.clone());
         }
         let copies = std::mem::take(&mut self.copies);
-        self.copies = self.unasked(copies);
+        self.copies = self.usable(copies);
         if self.copies.is_empty() {
             let lost = format!("{}; copy {failure}", broken.why);
             return self.restart_or_wait(broken, lost).await;
@@ -244,7 +244,8 @@
             let kept = self.kept_copy(&copy);
             let mut copies = vec![copy, kept];
             copies.extend(self.backup_copy());
-            return self.continue_from(attempt, copies, why);
+            let broken = self.broken.take().unwrap_or_else(|| self.ended(why));
+            return self.continue_or_restart(attempt, copies, broken).await;
         }
         self.record_stop(&outcome);
         if let Some(broken) = self.broken.take() {
@@ -284,13 +285,18 @@
 
     /// Continues elsewhere once nothing more can come from the engine.
     async fn fail_over(&mut self, attempt: &mut Option<Attempt>, why: &str) -> Result<(), Ending> {
-        let broken = self.broken.take().unwrap_or_else(|| Break {
+        let broken = self.broken.take().unwrap_or_else(|| self.ended(why));
+        self.take_over_or_restart(attempt, broken).await
+    }
+
+    /// The end of a run at its engine that is no crash.
+    fn ended(&self, why: &str) -> Break {
+        Break {
             is_crash: false,
             is_end: false,
             until: self.ticket.expires,
             why: why.to_string(),
-        });
-        self.take_over_or_restart(attempt, broken).await
+        }
     }
 
     /// The engine is lost: takes over from the backup copy, or else restarts after the last
@@ -302,32 +308,24 @@
     ) -> Result<(), Ending> {
         let mut copies = std::mem::take(&mut self.copies);
         copies.extend(self.backup_copy());
-        let copies = self.unasked(copies);
-        if copies.is_empty() {
-            let lost = format!("{}; no copy", broken.why);
-            return self.restart_or_wait(broken, lost).await;
-        }
-        let why = broken.why.clone();
-        self.broken = Some(broken);
-        self.continue_from(attempt, copies, &why)
+        self.continue_or_restart(attempt, copies, broken).await
     }
 
     /// Continues a run that has ended at its engine from the first of these copies that allows it.
-    fn continue_from(
+    async fn continue_or_restart(
         &mut self,
         attempt: &mut Option<Attempt>,
         copies: Vec<RunCopy>,
-        why: &str,
+        broken: Break,
     ) -> Result<(), Ending> {
-        self.copies = self.unasked(copies);
+        self.copies = self.usable(copies);
+        if self.copies.is_empty() {
+            let lost = format!("{}; no copy", broken.why);
+            return self.restart_or_wait(broken, lost).await;
+        }
         self.copies.reverse();
         self.copies.dedup();
-        self.broken.get_or_insert_with(|| Break {
-            is_crash: false,
-            is_end: false,
-            until: self.ticket.expires,
-            why: why.to_string(),
-        });
+        self.broken = Some(broken);
         self.continue_from_next(attempt)
     }
 
@@ -425,15 +423,17 @@
         })
     }
 
-    /// The copies whose engines are not running the stream already, as far as is known. An engine that has not
-    /// answered is asked again with the same handle only, which it uses once.
-    fn unasked(&self, copies: Vec<RunCopy>) -> Vec<RunCopy> {
+    /// The copies whose engines may continue the stream, and are not running it already as far as is known. An engine that
+    /// has not answered is asked again with the same handle only, which it uses once.
+    fn usable(&self, copies: Vec<RunCopy>) -> Vec<RunCopy> {
+        let now = clock::now();
         let state = self.shared.state.borrow();
         let id = &self.original.inbound.id;
         let mut copies = copies;
         copies.retain(|copy| {
             let is_repeat = self.continuing.as_ref() == Some(copy) && copy.handle != *id;
-            is_repeat || !state.may_be_running(self.running.key, copy.key)
+            let is_free = is_repeat || !state.may_be_running(self.running.key, copy.key);
+            is_free && state.may_continue_at(now, copy.key)
         });
         copies
     }
