Fix: an instance that is about to exit accepts no connections

Cause: the listener was open until the process ended, so that connections came which nobody read any more.

Ruled out: orders that had run; the last requests are refused from the decision to exit on, and none of them is passed on.

Change: the listener of callers is closed as soon as the exit is decided, after what it has already taken in. A refused connection shows the caller that nothing was read.

--- a/crates/carawayhead/tests/forwarding/stopping.rs
+++ b/crates/carawayhead/tests/forwarding/stopping.rs
@@ -428,6 +428,26 @@
     assert_eq!(cut_off, [""; 0]);
 }
 
+/// How long an instance whose last log line is written still runs, at least.
+const LAST_MOMENTS: Duration = Duration::from_millis(10);
+
+/// Guards against a caller whose connection is accepted as the instance exits, and closed without a response.
+#[tokio::test]
+async fn connections_are_refused_in_the_last_moments_of_an_instance() {
+    let store = store_with_config(ROUTE_TIMEOUT_MS).await;
+    let mut instance = Instance::start("e1", "a", &store).await;
+    instance.signal(Signal::TERM);
+    let poll_interval = Duration::from_millis(1);
+    let is_running = |instance: &mut Instance| instance.exit_status().is_none();
+    while is_running(&mut instance) && instance.log_lines_containing("\"stopped\"").is_empty() {
+        sleep(poll_interval).await;
+    }
+    sleep(LAST_MOMENTS).await;
+    let connected = TcpStream::connect(instance.caller_address).await;
+    assert!(connected.is_err(), "{connected:?}");
+    wait_until_exit(&mut instance).await;
+}
+
 async fn wait_until_exit(instance: &mut Instance) {
     for _ in 0..MAX_REQUESTS {
         if let Some(status) = instance.exit_status() {
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -98,10 +98,16 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections; never returns.
+/// Accepts connections, those of callers until the instance is about to exit: a connection that is refused shows that
+/// nothing was read.
 pub async fn accept(shared: Rc<Shared>, listener: TcpListener, role: Role) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = shared.exits(), if role == Role::Callers => return,
+        };
+        match accepted {
             Ok((stream, _)) if role == Role::Callers && !shared.accepts_connection() => {
                 // Closed before anything is read, so that the caller may send the request elsewhere.
                 drop(stream);
