Lateness of the event loop: measured from one firing of its timer to the next

What the timer's own task does counted as on time, also a stall in it: the time until its next sleep was not measured. `Lateness::record` works out the lateness itself, so that its caller keeps no time of its own.

--- a/crates/forward/src/lateness.rs
+++ b/crates/forward/src/lateness.rs
@@ -27,16 +27,18 @@
         self.measured_at = Some(now);
     }
 
-    /// Records how late the timer has fired.
-    pub fn record(&mut self, now: Time, late: Duration) {
-        let before = self.measured_at.replace(now);
+    /// Records that the timer has fired, and returns how late it is.
+    pub fn record(&mut self, now: Time) -> Duration {
+        let before = self.measured_at.replace(now).unwrap_or(now);
+        let late = now.since(before).saturating_sub(self.interval);
         if late > TOLERANCE {
-            self.stall = before.map(|before| (before, now));
+            self.stall = Some((before, now));
         }
         if late >= self.worst(now) {
             self.worst = late;
             self.worst_at = now;
         }
+        late
     }
 
     /// The worst recent lateness.
--- a/crates/forward/tests/stopping.rs
+++ b/crates/forward/tests/stopping.rs
@@ -13,12 +13,12 @@
     let mut lateness = Lateness::default();
     assert_eq!(lateness.earliest_arrival(at(5000)), at(5000));
     lateness.start(at(0), millis(250));
-    lateness.record(at(250), millis(0));
+    assert_eq!(lateness.record(at(250)), millis(0));
     for (now, expected) in [(250, 250), (499, 499), (560, 560), (561, 250), (2250, 250)] {
         let arrival = lateness.earliest_arrival(at(now));
         assert_eq!(arrival, at(expected), "{now} ms");
     }
-    lateness.record(at(2250), millis(1750));
+    assert_eq!(lateness.record(at(2250)), millis(1750));
     for (now, expected) in [(2250, 250), (2310, 250), (2311, 2311)] {
         let arrival = lateness.earliest_arrival(at(now));
         assert_eq!(arrival, at(expected), "{now} ms, the timer has fired");
@@ -55,8 +55,8 @@
 fn recent_stalls_leave_less_time_for_requests() {
     let mut state = instance(&[]);
     state.lateness.start(at(0), millis(250));
-    state.lateness.record(at(2000), millis(700));
-    state.lateness.record(at(3000), millis(100));
+    state.lateness.record(at(950));
+    state.lateness.record(at(1300));
     state.stop(at(8000));
     for (deadline, expected) in [(3300, Ok(())), (3301, Err(Refusal::Stopping))] {
         let mut request = inbound("/desk/x", at(4000));
@@ -64,7 +64,6 @@
         let admitted = state.admit(at(4000), &request);
         assert_eq!(admitted.map(|_| ()), expected, "{deadline} ms");
     }
-    // Ten seconds later it is forgotten.
-    state.lateness.record(at(13_000), millis(20));
-    assert_eq!(state.lateness.worst(at(13_000)), millis(20));
+    assert_eq!(state.lateness.worst(at(10_950)), millis(700));
+    assert_eq!(state.lateness.worst(at(10_951)), millis(0));
 }
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -403,12 +403,10 @@
         .lateness
         .start(clock::now(), TICK_INTERVAL);
     loop {
-        let started_at = clock::now();
         sleep(TICK_INTERVAL).await;
         let now = clock::now();
-        let late = now.since(started_at).saturating_sub(TICK_INTERVAL);
+        let late = shared.state.borrow_mut().lateness.record(now);
         shared.state.borrow_mut().tick(now);
-        shared.state.borrow_mut().lateness.record(now, late);
         shared.record_lateness(now, late);
         shared.buffers.let_go_unread(shared.limits().idle_timeout);
         if late > STALL_THRESHOLD {
