--- a/crates/carawayhead/tests/forwarding/odd_entries.rs
+++ b/crates/carawayhead/tests/forwarding/odd_entries.rs
@@ -7,18 +7,10 @@
     platform::standin::{
         PlainService, Store,
         caller::{CallerRequest, config, send_request},
+        store::FOLLOWED_TOPICS,
     },
 };
 
-/// Topics that instances follow, each with the start of a key that they read.
-const TOPICS: [(&str, &str); 5] = [
-    ("keyed.crashes", "part/1/"),
-    ("keyed.instances", ""),
-    ("keyed.op", "evacuate/"),
-    ("keyed.rollouts", "published/desk/"),
-    ("keyed.servers", ""),
-];
-
 /// Levels of a value that is too deeply nested.
 const DEPTH: usize = 40_000;
 
@@ -99,7 +91,7 @@
 
 /// Writes odd entries into all topics, under keys of all kinds.
 fn write_odd_entries(store: &Store) {
-    for (topic, prefix) in TOPICS {
+    for (topic, prefix) in FOLLOWED_TOPICS {
         for (number, value) in odd_values().iter().enumerate() {
             let key = format!("{prefix}odd{number}");
             store.write_odd_record(topic, &record(key.as_bytes(), value));
