Logs: which response stood in the place of another, and what a stream left behind

Without them the hypotheses of the incident cannot be told apart: a response of another request was logged as an unknown result only, a copy without the engines that it joins, and a stream that goes on elsewhere without the engine that it left.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -231,9 +231,20 @@
             if !flags.matches {
                 // A late response to an earlier request. The right one may follow, but the
                 // connection is out of sync.
+                log_foreign(shared, key, id, &reply);
                 return SendOutcome::Unknown("response belongs to another request".to_string());
             }
             SendOutcome::Answer(Box::new(reply), flags)
         }
     }
 }
+
+/// Logs a response that stood where that of another request was due.
+fn log_foreign(shared: &Shared, key: EndpointKey, id: &str, reply: &endpoint::client::Reply) {
+    let endpoint = shared.endpoint_name(key);
+    let answered = head::answered_id(reply.headers()).unwrap_or_default();
+    log::warn!(
+        id, endpoint, answered, status = reply.status().as_u16();
+        "response belongs to another request"
+    );
+}
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -466,6 +466,12 @@
     }
 
     fn attach(&mut self, opened: Opened) {
+        let why = self.broken.as_ref().map(|broken| broken.why.as_str());
+        log::info!(
+            id = self.original.inbound.id, left = self.shared.endpoint_name(self.source.key), endpoint = self.shared.endpoint_name(opened.source.key),
+            why = why.unwrap_or_default(), is_connected = self.broken.is_none(), is_leaving = self.is_leaving();
+            "stream goes on at another engine"
+        );
         let mut state = self.shared.state.borrow_mut();
         state.settle_takeover(self.running.key, opened.source.key);
         if let Some(run) = state.run_mut(self.running.key) {
--- a/crates/proxy/src/relocate.rs
+++ b/crates/proxy/src/relocate.rs
@@ -87,7 +87,10 @@
         let result = call(shared, &ends, id, false).await;
         let result = result.map_err(|failure| failure.why);
         let took = clock::now().since(started_at);
-        log::info!(id, ms = took.as_millis(), result:?; "copied");
+        log::info!(
+            id, endpoint = shared.endpoint_name(ends.source_key),
+            target = shared.endpoint_name(ends.target_key), ms = took.as_millis(), result:?; "copied"
+        );
         return match result {
             Ok(MoveResult::Copied { handle, .. }) => MoveOutcome::Ready(RunCopy {
                 address: ends.source,
@@ -206,11 +209,9 @@
     took: Duration,
     result: &Result<MoveResult, CallFailure>,
 ) {
-    let state = shared.state.borrow();
-    let name = |key| state.endpoint(key).map(|known| known.listing.id.as_str());
     log::info!(
-        id, endpoint = name(ends.source_key).unwrap_or_default(),
-        target = name(ends.target_key).unwrap_or_default(), ms = took.as_millis(), result:?;
+        id, endpoint = shared.endpoint_name(ends.source_key),
+        target = shared.endpoint_name(ends.target_key), ms = took.as_millis(), result:?;
         "stop requested from engine"
     );
     shared.metrics.record_stop(match result {
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -204,6 +204,13 @@
         Some((listing.address, listing.id.clone()))
     }
 
+    /// Id of an endpoint for log lines; empty if it is no longer listed.
+    #[must_use]
+    pub fn endpoint_name(&self, key: EndpointKey) -> String {
+        let known = self.endpoint_address(key);
+        known.map(|(_, name)| name).unwrap_or_default()
+    }
+
     /// Address and service of an endpoint.
     #[must_use]
     pub fn endpoint_service(&self, key: EndpointKey) -> Option<(SocketAddr, String)> {
