--- a/crates/carawayhead/tests/forwarding/main.rs
+++ b/crates/carawayhead/tests/forwarding/main.rs
@@ -4,6 +4,7 @@
 mod bounds;
 mod cooldowns;
 mod crashes;
+mod faulty;
 mod instance;
 mod knowledge;
 mod limits;
--- a/crates/carawayhead/tests/forwarding/silences.rs
+++ b/crates/carawayhead/tests/forwarding/silences.rs
@@ -26,7 +26,7 @@
 const COPY_TIME: Duration = Duration::from_millis(300);
 
 /// Events that an engine may send of a run that has gone on elsewhere: those of 400 ms.
-const MAX_OVERLAPPING_EVENTS: u32 = 26;
+pub const MAX_OVERLAPPING_EVENTS: u32 = 26;
 
 /// A silence of engines at the same time.
 #[derive(Clone, Copy, Debug)]
@@ -53,12 +53,12 @@
     }
 }
 
-fn start_stream(address: SocketAddr, id: String) -> JoinHandle<Option<CallerResponse>> {
+pub fn start_stream(address: SocketAddr, id: String) -> JoinHandle<Option<CallerResponse>> {
     tokio::spawn(async move { send_request(address, &CallerRequest::new(&id, "/draft/7")).await })
 }
 
 /// Starts streams and waits until an engine has begun each of them.
-async fn start_streams(deployment: &Deployment) -> Vec<JoinHandle<Option<CallerResponse>>> {
+pub async fn start_streams(deployment: &Deployment) -> Vec<JoinHandle<Option<CallerResponse>>> {
     let mut streams = Vec::new();
     for number in 0..STREAMS {
         let address = deployment.instance.caller_address;
@@ -78,7 +78,7 @@
 }
 
 /// Asserts that streams end complete.
-async fn assert_complete(streams: Vec<JoinHandle<Option<CallerResponse>>>) {
+pub async fn assert_complete(streams: Vec<JoinHandle<Option<CallerResponse>>>) {
     for response in join_all(streams).await {
         let response = response.expect("the task does not panic");
         let response = response.expect("the instance responds");
--- a/crates/carawayhead/tests/soak/deployment.rs
+++ b/crates/carawayhead/tests/soak/deployment.rs
@@ -10,6 +10,7 @@
         Engine, PlainService, Store,
         caller::{self, config},
         engine::SharedRuns,
+        fault::Fault,
         service::ServiceBehavior,
     },
     rustix::process::Signal,
@@ -22,6 +23,14 @@
 /// Time in which a run is copied where that takes time.
 const COPY_TIME: Duration = Duration::from_millis(150);
 
+/// The same where many runs move at once.
+const SHORT_COPY_TIME: Duration = Duration::from_millis(20);
+
+/// Share of the answers of faulty servers that have a fault, and how many times as often as another one this is a late
+/// second copy.
+const FAULT_SHARE: f64 = 0.3;
+const LATE_COPY_WEIGHT: usize = 10;
+
 /// Seconds within which a rollout has to be decided.
 const ROLLOUT_S: f64 = 5.0;
 
@@ -72,6 +81,19 @@
     }
 }
 
+/// Faults to draw from.
+fn fault_kinds() -> Vec<Fault> {
+    let mut kinds = Fault::ALL.to_vec();
+    kinds.extend([Fault::LateSecondCopy; LATE_COPY_WEIGHT]);
+    kinds
+}
+
+fn set_faults(engine: &Engine, seed: u64) {
+    engine.faults().set(FAULT_SHARE, &fault_kinds(), seed);
+    engine.refuse_first_moves();
+    engine.ignore_disconnects();
+}
+
 /// All processes and stand-ins of a soak run.
 pub struct Deployment {
     pub services: Vec<ProxiedServer<PlainService>>,
@@ -81,6 +103,8 @@
     pub keys: Vec<&'static str>,
     pub slots: Vec<InstanceSlot>,
     pub store: Store,
+    /// Seed of the faults of servers; `None` if they have none.
+    fault_seed: Option<u64>,
     engines_started: u32,
     config_version: u64,
     shared_runs: Arc<SharedRuns>,
@@ -100,6 +124,7 @@
             keys: vec!["key-1", "key-2"],
             slots: Vec::new(),
             store,
+            fault_seed: None,
             engines_started: 0,
             config_version: 0,
             shared_runs: Arc::default(),
@@ -206,6 +231,9 @@
         self.store
             .write_endpoint_entry(&id, &server.entry("model", domain, "ready"));
         proxy.set_known_pids(&self.pids());
+        if let Some(seed) = self.fault_seed {
+            set_faults(&server, seed + u64::from(self.engines_started));
+        }
         self.engines.push(ProxiedServer {
             server,
             proxy,
@@ -221,6 +249,45 @@
         self.store.write_endpoint_entry(&engine.id, &entry);
     }
 
+    /// From now on, servers send answers twice and break connections off, and engines work on after they are closed.
+    pub fn set_server_faults(&mut self, seed: u64) {
+        self.fault_seed = Some(seed);
+        for (engine, number) in self.engines.iter().zip(1..) {
+            set_faults(&engine.server, seed + number);
+        }
+        for (service, number) in self.services.iter().zip(1..) {
+            let faults = service.server.faults();
+            faults.set(FAULT_SHARE, &fault_kinds(), seed.wrapping_sub(number));
+        }
+        self.shared_runs.set_copy_time(SHORT_COPY_TIME);
+    }
+
+    /// Ends the faults of servers.
+    pub fn clear_server_faults(&mut self) {
+        self.fault_seed = None;
+        for engine in &self.engines {
+            engine.server.faults().clear();
+        }
+        for service in &self.services {
+            service.server.faults().clear();
+        }
+    }
+
+    /// Drops the backup copies of all runs.
+    pub fn drop_copies(&self) {
+        self.shared_runs.drop_copies();
+    }
+
+    /// Number of requests to continue a run from the copy of another one.
+    pub fn foreign_copies(&self) -> usize {
+        self.shared_runs.foreign_copies()
+    }
+
+    /// Highest number of events that an engine sent of a run after another engine had begun it.
+    pub fn max_overlapping_events(&self) -> u32 {
+        self.shared_runs.max_overlapping_events()
+    }
+
     /// From now on, copies of runs take time, one after the other at each engine.
     pub fn slow_copies(&self) {
         self.shared_runs.set_copy_time(COPY_TIME);
--- a/crates/carawayhead/tests/soak/main.rs
+++ b/crates/carawayhead/tests/soak/main.rs
@@ -33,6 +33,9 @@
 
 const CALLER_COUNT: usize = 20;
 
+/// Callers where engines are to have many streams each.
+const STREAM_CALLER_COUNT: usize = 50;
+
 /// Deadline of callers, and one that a stream does not reach whose engine is paused.
 const DEADLINE: Duration = Duration::from_secs(3);
 const LONG_DEADLINE: Duration = Duration::from_secs(10);
@@ -51,6 +54,9 @@
 const MAX_PART_CRASHES: usize = 5;
 const MAX_LATE_SENDS: usize = 3;
 
+/// Events that an engine may send of a run that has gone on elsewhere: those of 400 ms.
+const MAX_OVERLAPPING_EVENTS: u32 = 26;
+
 /// Callers that send prompts.
 const PROMPT_CALLERS: u64 = 3;
 
@@ -180,6 +186,23 @@
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
+/// Guards against answers that are taken for those of other requests, and work that goes on where a stream has left: servers
+/// send answers twice, break connections off, and work on after they are closed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn guarantees_hold_before_faulty_servers() {
+    let (first, count) = (
+        env_or_default("SOAK_SEED", 1),
+        env_or_default("SOAK_SERVER_SEEDS", 2),
+    );
+    let length = Duration::from_secs(env_or_default("SOAK_SECONDS", 6));
+    let mut violations = Vec::new();
+    for seed in first..first + count {
+        println!("seed {seed} with faulty servers");
+        violations.extend(run_seed_in(Mode::Servers, seed, length).await);
+    }
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 /// The only trial of a harmless stream is sent to an engine that has crashed before, behind a proxy that accepts its
 /// connections. The stream must be served all the same once the faults have ended.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -211,7 +234,12 @@
     } else {
         DEADLINE
     };
-    let callers = (0..CALLER_COUNT).map(|number| {
+    let count = if mode == Mode::Servers {
+        STREAM_CALLER_COUNT
+    } else {
+        CALLER_COUNT
+    };
+    let callers = (0..count).map(|number| {
         let records = Arc::clone(&records);
         tokio::spawn(callers::run_caller(
             number,
@@ -236,8 +264,11 @@
     if mode == Mode::Silences {
         deployment.slow_copies();
     }
+    if mode == Mode::Servers {
+        deployment.set_server_faults(seed);
+    }
     let is_planned = matches!(mode, Mode::Planned | Mode::Silences | Mode::Work);
-    if !is_planned {
+    if !is_planned && mode != Mode::Servers {
         deployment.start_rollout(seed.is_multiple_of(2)).await;
         callers.push(tokio::spawn(callers::repeat_fatal_request(
             seed,
@@ -254,6 +285,10 @@
     let records = records.lock().expect("not poisoned").clone();
     let mut violations = check_guarantees(&deployment, &injector, &records);
     violations.extend(check_rollout(&deployment));
+    if mode == Mode::Servers {
+        violations.extend(check_engines(&deployment));
+        deployment.clear_server_faults();
+    }
     if is_planned {
         violations.extend(check_uninterrupted(&runs(&deployment), &records));
     }
@@ -403,6 +438,22 @@
     violations
 }
 
+/// Checks that no run went on from the memory of another one, nor at two engines at once.
+fn check_engines(deployment: &Deployment) -> Vec<String> {
+    let mut violations = Vec::new();
+    let foreign = deployment.foreign_copies();
+    if foreign > 0 {
+        violations.push(format!("{foreign} runs went on from the memory of another"));
+    }
+    let overlapping = deployment.max_overlapping_events();
+    if overlapping > MAX_OVERLAPPING_EVENTS {
+        violations.push(format!(
+            "an engine sent {overlapping} events of a run that had gone on elsewhere"
+        ));
+    }
+    violations
+}
+
 /// Checks that planned changes interrupt no request that an instance has started to read, nor one that has run.
 fn check_uninterrupted(runs: &BTreeMap<String, Vec<Instant>>, records: &[Record]) -> Vec<String> {
     let interrupted = records.iter().filter(|record| match &record.response {
--- a/crates/carawayhead/tests/soak/script.rs
+++ b/crates/carawayhead/tests/soak/script.rs
@@ -37,6 +37,8 @@
     Silences,
     /// Planned changes, and plain services that work on each request for up to a second.
     Work,
+    /// Planned changes, and servers that send answers twice, break connections off and work on after they are closed.
+    Servers,
 }
 
 /// The undo of a change; indexes refer to the lists of the deployment.
@@ -113,6 +115,8 @@
                 | Mode::Silences => {
                     self.apply_planned_change(deployment);
                 }
+                Mode::Servers if self.random.random_bool(0.5) => self.change_servers(deployment),
+                Mode::Servers => self.apply_planned_change(deployment),
                 Mode::Work => {
                     self.change_work(deployment);
                     self.apply_planned_change(deployment);
@@ -167,6 +171,22 @@
         service.set_behavior(ServiceBehavior::Working(work));
     }
 
+    /// Has a service reject requests for a moment, or an engine leave without backup copies of its runs.
+    fn change_servers(&mut self, deployment: &Deployment) {
+        let leaves = self.has_pending_undo(|undo| matches!(undo, Undo::Leave(_)));
+        if !leaves && self.random.random_bool(0.5) {
+            deployment.drop_copies();
+            let index = self.random.random_range(0..deployment.engines.len());
+            deployment.announce_leaving(index);
+            self.schedule_undo(1800, 2600, Undo::Leave(index));
+            return;
+        }
+        let index = self.random.random_range(0..deployment.services.len());
+        let service = &deployment.services[index].server;
+        service.set_behavior(ServiceBehavior::Rejecting);
+        self.schedule_undo(50, 500, Undo::Service(index));
+    }
+
     /// Pauses any number of engines, unless some are already.
     fn pause_engines(&mut self, deployment: &Deployment) {
         if self.has_pending_undo(|undo| matches!(undo, Undo::Thaw)) {
