Fix: a call without an id has a connection of its own

Cause: moves, reports and checks have no id, and shared pooled connections with each other and with requests. A late second copy of the answer to one move stands where that of the next is due, and carries the handle of another run.

Ruled out: the id of the request in the handle, which is the engine's to choose.

Change: a call has a connection of its own, new and not used again (path::call). The same for takeovers and resumptions, whose id the engine may have answered before, so that it does not tell two answers apart. Price: one new channel for each move and report.

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -163,6 +163,20 @@
         self.send_over(stream, request).await
     }
 
+    /// Sends a request on a new connection that is used for nothing else.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::unwritten`] says whether the endpoint may have received anything.
+    pub async fn send_alone(
+        &self,
+        address: &str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Reply, Error> {
+        let stream = self.connect(address).await?;
+        self.send_over(stream, request).await
+    }
+
     /// Sends a request on a connection that [`Self::connect`] has opened.
     ///
     /// # Errors
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -65,6 +65,17 @@
     pub source: Option<&'a KvSource>,
 }
 
+impl Destination<'_> {
+    /// An engine that is asked to continue a run may have answered a request with the same id before.
+    const fn reuse(&self) -> Reuse {
+        if self.source.is_some() || self.last_event.is_some() {
+            Reuse::Never
+        } else {
+            Reuse::Allowed
+        }
+    }
+}
+
 /// Sends a request and waits for the head of the response, until the caller's deadline or
 /// until `limit` has passed.
 pub async fn send(
@@ -108,6 +119,7 @@
         &permit,
         request,
         &original.inbound.id,
+        destination.reuse(),
         limit.min(left),
     )
     .await;
@@ -214,10 +226,11 @@
     permit: &SendPermit<'_>,
     request: Request<Full<Bytes>>,
     id: &str,
+    reuse: Reuse,
     limit: Duration,
 ) -> SendOutcome {
     let key = permit.key;
-    let sending = path::send_if(shared, key, request, Reuse::Allowed, || permit.holds());
+    let sending = path::send(shared, key, request, reuse, || permit.holds());
     match timeout(limit, sending).await {
         Err(_) => SendOutcome::Unknown("no response within the time limit".to_string()),
         Ok(Err(endpoint::Error::Withheld)) => SendOutcome::Withheld,
--- a/crates/proxy/src/path.rs
+++ b/crates/proxy/src/path.rs
@@ -24,35 +24,36 @@
 /// Maximum number of peers that are asked for one tunnel.
 const MAX_TUNNEL_TRIES: usize = 4;
 
-/// Whether a request may use a connection that was open before.
+/// Whether a request shares its connection with other requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reuse {
-    /// It may.
+    /// It may use one that was open before, and leaves it to others: the response names the id of its request, which the
+    /// endpoint has not seen before.
     Allowed,
-    /// It needs a new one, which shows at once whether the endpoint can be reached.
+    /// It has one of its own, since nothing but the connection tells its response from a late copy of another one.
     Never,
 }
 
-/// Sends a request to an endpoint.
+/// Sends a call that has no id to an endpoint, on a connection of its own.
 ///
 /// # Errors
 ///
 /// [`endpoint::Error::unwritten`] says whether the endpoint may have received anything.
-pub async fn send(
+pub async fn call(
     shared: &Shared,
     key: EndpointKey,
     request: Request<Full<Bytes>>,
-    reuse: Reuse,
 ) -> Result<Reply, endpoint::Error> {
-    send_if(shared, key, request, reuse, || true).await
+    send(shared, key, request, Reuse::Never, || true).await
 }
 
 /// Sends a request to an endpoint if `may_write` still allows it once there is a connection.
 ///
 /// # Errors
 ///
-/// As for [`send`]; [`endpoint::Error::Withheld`] if `may_write` did not allow it.
-pub async fn send_if(
+/// [`endpoint::Error::unwritten`] says whether the endpoint may have received anything;
+/// [`endpoint::Error::Withheld`] if `may_write` did not allow it.
+pub async fn send(
     shared: &Shared,
     key: EndpointKey,
     request: Request<Full<Bytes>>,
@@ -76,7 +77,7 @@
         }
     }
     if !shared.is_partitioned(&service) {
-        return send_directly(shared, key, &text, request, may_write).await;
+        return send_directly(shared, key, &text, request, reuse, may_write).await;
     }
     match open_tunnel(shared, key, address).await {
         Some(Ok(_)) if !may_write() => Err(endpoint::Error::Withheld),
@@ -91,7 +92,7 @@
             Ok(reply)
         }
         Some(Err(error)) => Err(error),
-        None => send_directly(shared, key, &text, request, may_write).await,
+        None => send_directly(shared, key, &text, request, reuse, may_write).await,
     }
 }
 
@@ -104,12 +105,12 @@
     Peer,
 }
 
-/// Sends a request over the given way only.
+/// Sends a call that has no id over the given way only, on a connection of its own.
 ///
 /// # Errors
 ///
 /// The endpoint cannot be reached over this way.
-pub async fn send_by(
+pub async fn call_by(
     shared: &Shared,
     key: EndpointKey,
     request: Request<Full<Bytes>>,
@@ -119,7 +120,10 @@
         return Err(unreachable_error("endpoint is no longer listed"));
     };
     if route == Route::Direct {
-        return shared.client.send_new(&address.to_string(), request).await;
+        return shared
+            .client
+            .send_alone(&address.to_string(), request)
+            .await;
     }
     match open_tunnel(shared, key, address).await {
         Some(opened) => shared.client.send_over(opened?.1, request).await,
@@ -133,6 +137,7 @@
     key: EndpointKey,
     address: &str,
     request: Request<Full<Bytes>>,
+    reuse: Reuse,
     may_write: impl Fn() -> bool,
 ) -> Result<Reply, endpoint::Error> {
     let stream = shared.client.connect(address).await;
@@ -140,7 +145,12 @@
     if !may_write() {
         return Err(endpoint::Error::Withheld);
     }
-    let sending = shared.client.send_on(address, stream, request);
+    let sending = async {
+        match reuse {
+            Reuse::Allowed => shared.client.send_on(address, stream, request).await,
+            Reuse::Never => shared.client.send_over(stream, request).await,
+        }
+    };
     let sent = watch(shared, key, address, sending).await;
     match &sent {
         Ok(_) => record_reached(shared, key),
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -2,12 +2,7 @@
 //! reached, and whether those whose connections broke live on.
 
 use {
-    crate::{
-        clock,
-        gossip::statements,
-        path::{self, Reuse},
-        prelude::*,
-    },
+    crate::{clock, gossip::statements, path, prelude::*},
     endpoint::client::Reply,
     forward::{condition::Conditions, state::Answer},
     http_body_util::Full,
@@ -53,7 +48,7 @@
         return;
     };
     let asked = async {
-        let reply = path::send(&shared, key, request, Reuse::Never).await?;
+        let reply = path::call(&shared, key, request).await?;
         reply.read_body(MAX_ANSWER_BYTES).await
     };
     let answered = timeout(LIVENESS_TIMEOUT, asked).await;
@@ -108,7 +103,7 @@
         return;
     };
     let sent = (clock::now(), shared.incarnation_of(key));
-    let asked = shared.client.send_new(&address, request);
+    let asked = shared.client.send_alone(&address, request);
     match timeout(ANSWER_TIMEOUT, asked).await {
         Ok(Ok(reply)) => {
             record_rejection(&shared, key, &reply, sent);
@@ -127,7 +122,7 @@
         };
         let sent = (clock::now(), shared.incarnation_of(key));
         let asked = async {
-            let reply = path::send_by(&shared, key, request, route).await.ok()?;
+            let reply = path::call_by(&shared, key, request, route).await.ok()?;
             record_rejection(&shared, key, &reply, sent);
             reply.read_body(MAX_ANSWER_BYTES).await.ok()
         };
@@ -182,7 +177,7 @@
 
 async fn answer(shared: &Shared, key: EndpointKey, address: SocketAddr) -> Result<bool, String> {
     let request = engine::report_request(address).map_err(|error| error.to_string())?;
-    let answer = path::send(shared, key, request, Reuse::Allowed).await;
+    let answer = path::call(shared, key, request).await;
     let answer = answer.map_err(|error| error.to_string())?;
     let status = answer.status();
     let body = answer.read_body(MAX_ANSWER_BYTES).await;
--- a/crates/proxy/src/relocate.rs
+++ b/crates/proxy/src/relocate.rs
@@ -1,11 +1,7 @@
 //! Moving the KV cache of runs between engines.
 
 use {
-    crate::{
-        clock, gossip,
-        path::{self, Reuse},
-        prelude::*,
-    },
+    crate::{clock, gossip, path, prelude::*},
     platform::engine::{self, MoveResult},
 };
 
@@ -297,8 +293,7 @@
     let (source, target) = (ends.source, ends.target);
     let request = engine::move_request(source, id, target, stop);
     let request = request.map_err(|error| failure(true, error.to_string()))?;
-    let reuse = if stop { Reuse::Never } else { Reuse::Allowed };
-    let answer = path::send(shared, ends.source_key, request, reuse).await;
+    let answer = path::call(shared, ends.source_key, request).await;
     let answer = answer.map_err(|error| failure(error.unwritten(), error.to_string()))?;
     let status = answer.status();
     let body = answer.read_body(MAX_ANSWER_BYTES).await;
