--- a/crates/carawayhead/tests/forwarding/answers.rs
+++ b/crates/carawayhead/tests/forwarding/answers.rs
@@ -230,6 +230,19 @@
     assert_eq!(calls.filter(|call| call.id() == "r1").count(), 1);
 }
 
+/// Guards against the late failure of a check that is passed on as the response to an order.
+#[tokio::test]
+async fn failure_without_an_id_is_not_taken_for_that_of_an_order() {
+    let service = PlainService::start("d1").await;
+    let (_store, instance) = deployment(&[&service]).await;
+    service.set_behavior(ServiceBehavior::ForeignFailure);
+    let request = CallerRequest::new("r1", "/order/7");
+    let response = send_request(instance.caller_address, &request).await;
+    let status = response.expect("the instance responds").status;
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
+    assert_eq!(service.executed_calls().len(), 1);
+}
+
 /// Guards against a success without a seal, of any status, that is passed on as the response of its endpoint.
 #[tokio::test]
 async fn success_without_a_seal_is_not_forwarded() {
