Fix: an engine that a stream has left is told to stop the run

What callers saw: nothing; engines that do not notice a closed connection worked on streams which went on elsewhere (TWICE), for seconds.

Cause: each path decided by itself whether the engine before has to be told. switch_over did it only while the connection was open and the engine was not leaving; a takeover that was cancelled, given up or lost, and a run whose connection had ended, relied on the closed connection. "Most servers drop a request when its channel closes": not all.

Ruled out: a stop before the takeover, which would queue behind the copies of other runs on the link. A stop at once: engines that notice the close would copy the run for nothing; after 50 ms they answer that they have no such run.

Change: proxy::placement. A placement is made before a run is sent to an engine, and moves with the source of its events. Dropping it has the engine told to stop the run, unless the run is known not to be there: not sent, rejected, complete, stopped. So a path that forgets it errs on the safe side. The call is repeated for ten seconds, waits for an engine that is silent, and ends if the stream is back there. The copy that comes of it is freed. An engine whose stop is not confirmed is not chosen for the run again; one that never answered is not either, as before.

Price: a call on a new connection for each stream that is moved, lost or left by its caller.

--- a/crates/endpoint/src/error.rs
+++ b/crates/endpoint/src/error.rs
@@ -64,6 +64,12 @@
         }
     }
 
+    /// Whether nothing listens at the address.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect(error) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+
     /// Whether the connection broke at the endpoint, and not at a peer that forwards its bytes.
     #[must_use]
     pub fn is_break_of_endpoint(&self) -> bool {
--- a/crates/forward/src/state/takeovers.rs
+++ b/crates/forward/src/state/takeovers.rs
@@ -38,6 +38,22 @@
         self.asked(run).binary_search(&engine).is_ok()
     }
 
+    /// Where an engine is told to copy a run that it is to stop: to the engine that has it now, or to any other one if
+    /// there is none. `None` if it cannot stop runs.
+    #[must_use]
+    pub fn stop_target(&self, run: RunKey, engine: EndpointKey) -> Option<EndpointKey> {
+        let service = &self.endpoints.get(engine)?.listing.service;
+        let can_move = |service: &Service| service.engine.is_some_and(|engine| engine.moves);
+        self.service(service).filter(|service| can_move(service))?;
+        let current = self.runs.get(run).map(|run| run.endpoint);
+        let mut others = self
+            .endpoints
+            .iter()
+            .filter(|(key, other)| *key != engine && other.listing.service == *service);
+        let other = others.next().map(|(key, _)| key);
+        current.filter(|key| *key != engine).or(other)
+    }
+
     /// The engine that holds the backup copy of a run, if it may be asked to continue it.
     #[must_use]
     pub fn backup(&self, now: Time, run: RunKey) -> Option<EndpointKey> {
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -29,6 +29,18 @@
     Withheld,
 }
 
+impl SendOutcome {
+    /// Whether the endpoint has not run the request and never will.
+    #[must_use]
+    pub const fn is_not_run(&self) -> bool {
+        match self {
+            Self::Answer(_, flags) => flags.not_run,
+            Self::NotWritten(_) | Self::Withheld => true,
+            Self::Broken(_) | Self::Unknown(_) => false,
+        }
+    }
+}
+
 /// A caller's buffered request, so that it can be retried.
 #[derive(Debug)]
 pub struct Original {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod metrics;
 pub mod path;
 pub mod peers;
+pub mod placement;
 pub mod prelude;
 pub mod probe;
 pub mod progress;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -243,6 +243,9 @@
         if matches!(ending, Ending::Complete) && self.sequence.count() > 0 {
             self.shared.record_completion(&self.original);
         }
+        if matches!(ending, Ending::Complete) {
+            self.source.placement.end();
+        }
         if matches!(ending, Ending::Complete) && self.out.send(BodyPart::End).is_err() {
             log::debug!(id = self.original.inbound.id; "caller disconnected at the end");
         }
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -9,11 +9,10 @@
         buffered::acquire_endpoint,
         clock,
         prelude::*,
-        relocate::{self, Abandoned, RunCopy, StopOutcome},
+        relocate::{self, RunCopy, StopOutcome},
         takeover::{self, Opened, TAKEOVER_TIMEOUT, TakeoverOutcome},
     },
     forward::choice::Need,
-    tokio::task::spawn_local,
 };
 
 /// Maximum number of takeovers for one stream. An engine usually runs for ten seconds at least, and a
@@ -237,6 +236,7 @@
         outcome: StopOutcome,
         why: &str,
     ) -> Result<(), Ending> {
+        self.record_stop(&outcome);
         if let StopOutcome::Stopped(copy) = outcome {
             if self.broken.is_none() {
                 self.last_events().await?;
@@ -247,7 +247,6 @@
             let broken = self.broken.take().unwrap_or_else(|| self.ended(why));
             return self.continue_or_restart(attempt, copies, broken).await;
         }
-        self.record_stop(&outcome);
         if let Some(broken) = self.broken.take() {
             if broken.is_end && self.stop == Stop::NotAsked {
                 return Err(Ending::Complete);
@@ -267,6 +266,9 @@
     /// Records what the answer to a stop says of the run. Once the outcome of one is unknown, the answers to later
     /// ones do not show whether the first has stopped it.
     fn record_stop(&mut self, outcome: &StopOutcome) {
+        if matches!(outcome, StopOutcome::Stopped(_) | StopOutcome::NoRun) {
+            self.source.placement.end();
+        }
         self.stop = match outcome {
             StopOutcome::Unknown(_) => Stop::Unknown,
             StopOutcome::Stopped(_) => self.stop,
@@ -454,14 +456,6 @@
     /// Continues with an engine that has taken the run over, and drops the previous run.
     pub(super) fn switch_over(&mut self, opened: Opened) {
         self.takeovers += 1;
-        if self.broken.is_none() && !self.is_leaving() {
-            let abandoned = Abandoned {
-                id: self.original.inbound.id.clone(),
-                source: self.source.key,
-                target: opened.source.key,
-            };
-            spawn_local(relocate::stop_abandoned(Rc::clone(&self.shared), abandoned));
-        }
         self.attach(opened);
     }
 
@@ -472,11 +466,15 @@
             why = why.unwrap_or_default(), is_connected = self.broken.is_none(), is_leaving = self.is_leaving();
             "stream goes on at another engine"
         );
+        let Opened { backup, source } = opened;
+        let key = source.key;
+        self.source = source;
+        self.source.placement.confirm();
         let mut state = self.shared.state.borrow_mut();
-        state.settle_takeover(self.running.key, opened.source.key);
+        state.settle_takeover(self.running.key, key);
         if let Some(run) = state.run_mut(self.running.key) {
-            run.endpoint = opened.source.key;
-            run.backup = opened.backup;
+            run.endpoint = key;
+            run.backup = backup;
             run.target = None;
         }
         drop(state);
@@ -490,7 +488,6 @@
         self.is_connected = Rc::new(Cell::new(true));
         self.earlier_events = self.sequence.count();
         self.end_silence(now);
-        self.source = opened.source;
         self.stop = Stop::NotAsked;
         self.repeats = 0;
         self.stop_asked_at = None;
--- a/crates/proxy/src/relay/silence.rs
+++ b/crates/proxy/src/relay/silence.rs
@@ -108,8 +108,7 @@
         ));
     }
 
-    /// Drops an attempt to take over from an engine that is back. The engine that was asked drops the run once its
-    /// connection is closed.
+    /// Drops an attempt to take over from an engine that is back. The engine that was asked is told to stop the run.
     pub(super) fn cancel_takeover(&self, attempt: &mut Option<Attempt>) {
         if let Some(Attempt {
             kind: Kind::TakeOver,
--- a/crates/proxy/src/relocate.rs
+++ b/crates/proxy/src/relocate.rs
@@ -1,7 +1,7 @@
 //! Moving the KV cache of runs between engines.
 
 use {
-    crate::{clock, gossip, path, prelude::*},
+    crate::{clock, gossip, path, placement::Abandoned, prelude::*},
     platform::engine::{self, MoveResult},
 };
 
@@ -15,9 +15,6 @@
 const MAX_STOP_TRIES: u32 = 3;
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(40);
 
-/// How long an abandoned run is waited for, which must not hold the state of its engine forever.
-const ABANDONED_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Time from which on a refused move may show that the engine which has the run could not reach the other one: whether
 /// there is room is known at once. The other one is asked whether it lives on, since the way to the first may have been
 /// slow as well, and runs that are moved later to a silent engine would lose the same time of their notice.
@@ -173,29 +170,51 @@
     }
 }
 
-/// Stops what is left of a run that another engine has taken over, in case the engine before it has only been silent
-/// and does not notice that its connection is closed.
-pub async fn stop_abandoned(shared: Rc<Shared>, abandoned: Abandoned) {
-    let (source, target) = (abandoned.source, abandoned.target);
-    let ends = ends_between(&shared, source, target);
-    let Some(ends) = ends else {
-        return;
+/// What an engine is known to do with a run that a stream has left there.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StopAnswer {
+    /// It cannot stop it yet.
+    Busy,
+    /// It does not work on it.
+    Ended,
+    /// There is no such engine any more, or none that can stop runs.
+    Gone,
+    /// It has not answered.
+    Unknown,
+}
+
+/// Asks an engine to stop a run that a stream has left there.
+pub async fn stop_abandoned(shared: &Shared, abandoned: &Abandoned) -> StopAnswer {
+    let (engine, id) = (abandoned.engine, &abandoned.id);
+    let target = shared.state.borrow().stop_target(abandoned.run, engine);
+    let Some(ends) = target.and_then(|target| ends_between(shared, engine, target)) else {
+        return StopAnswer::Gone;
     };
     let asked_at = clock::now();
-    let asked = timeout(ABANDONED_TIMEOUT, call(&shared, &ends, &abandoned.id, true));
-    let result = asked.await.unwrap_or_else(|_| {
-        Err(CallFailure {
-            is_unsent: false,
-            why: "no response within the time limit".to_string(),
-        })
-    });
-    log_stop(
-        &shared,
-        &ends,
-        &abandoned.id,
-        clock::now().since(asked_at),
-        &result,
-    );
+    let result = call(shared, &ends, id, true).await;
+    log_stop(shared, &ends, id, clock::now().since(asked_at), &result);
+    match result {
+        Ok(MoveResult::NoRun) => StopAnswer::Ended,
+        Ok(MoveResult::Copied { handle, .. } | MoveResult::Refused(Some(handle))) => {
+            release(shared, &ends, &handle).await;
+            StopAnswer::Ended
+        }
+        Ok(MoveResult::Busy | MoveResult::Refused(None)) => StopAnswer::Busy,
+        Err(failure) if failure.is_refused => StopAnswer::Gone,
+        Err(_) => StopAnswer::Unknown,
+    }
+}
+
+/// Frees a copy that nothing will use, which would take a slot and memory of two engines.
+async fn release(shared: &Shared, ends: &MoveEnds, handle: &str) {
+    let request = engine::release_request(ends.source, handle);
+    let released = match request {
+        Ok(request) => path::call(shared, ends.source_key, request).await,
+        Err(error) => Err(error.into()),
+    };
+    if let Err(error) = released {
+        log::info!(handle, error:%; "copy not released");
+    }
 }
 
 fn log_stop(
@@ -220,20 +239,11 @@
     });
 }
 
-/// A run that another engine has taken over from one that does not answer.
-#[derive(Clone, Debug)]
-pub struct Abandoned {
-    /// Id of the request.
-    pub id: String,
-    /// Engine that may still have the run.
-    pub source: EndpointKey,
-    /// Engine that has taken it over.
-    pub target: EndpointKey,
-}
-
 /// Why a call for a move got no answer.
 #[derive(Debug)]
 struct CallFailure {
+    /// Whether the engine accepts no connections, since it has ended.
+    is_refused: bool,
     /// Whether the engine has received nothing of it.
     is_unsent: bool,
     why: String,
@@ -289,12 +299,20 @@
     id: &str,
     stop: bool,
 ) -> Result<MoveResult, CallFailure> {
-    let failure = |is_unsent, why: String| CallFailure { is_unsent, why };
+    let failure = |is_unsent, why: String| CallFailure {
+        is_refused: false,
+        is_unsent,
+        why,
+    };
     let (source, target) = (ends.source, ends.target);
     let request = engine::move_request(source, id, target, stop);
     let request = request.map_err(|error| failure(true, error.to_string()))?;
     let answer = path::call(shared, ends.source_key, request).await;
-    let answer = answer.map_err(|error| failure(error.unwritten(), error.to_string()))?;
+    let answer = answer.map_err(|error| CallFailure {
+        is_refused: error.is_refused(),
+        is_unsent: error.unwritten(),
+        why: error.to_string(),
+    })?;
     let status = answer.status();
     let body = answer.read_body(MAX_ANSWER_BYTES).await;
     let body = body.map_err(|error| failure(false, error.to_string()))?;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -4,6 +4,7 @@
     crate::{
         crashes, follow, gossip,
         listen::{self, Role},
+        placement,
         prelude::*,
         probe, rollouts,
         settings::Settings,
@@ -11,6 +12,7 @@
     },
     tokio::{
         signal::unix::{Signal, SignalKind, signal},
+        sync::mpsc,
         task::{LocalSet, spawn_local},
     },
 };
@@ -31,7 +33,8 @@
     let mut terminate = watch(SignalKind::terminate())?;
     let mut interrupt = watch(SignalKind::interrupt())?;
     let mut hangup = watch(SignalKind::hangup())?;
-    let shared = Shared::new(settings)?;
+    let (abandoned, left) = mpsc::unbounded_channel();
+    let shared = Shared::new(settings, abandoned)?;
     let instance = &shared.settings.instance;
     for (address, role) in [
         (instance.listen, Role::Callers),
@@ -53,6 +56,7 @@
     spawn_local(gossip::run(Rc::clone(&shared)));
     spawn_local(follow::tick(Rc::clone(&shared)));
     spawn_local(probe::run(Rc::clone(&shared)));
+    spawn_local(placement::run(Rc::clone(&shared), left));
     log::info!(
         listen:% = instance.listen, domain = instance.domain,
         version = env!("CARGO_PKG_VERSION"); "started"
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -13,6 +13,7 @@
         memory::Buffers,
         metrics::Metrics,
         peers::Peers,
+        placement::Abandoned,
         prelude::*,
         probe,
         settings::Settings,
@@ -41,7 +42,7 @@
     peer::datagram::DatagramSocket,
     platform::{Store, condition, head::ResponseFlags, store::Topic},
     rand::{RngExt as _, SeedableRng as _, rngs::SmallRng},
-    tokio::sync::Notify,
+    tokio::sync::{Notify, mpsc},
 };
 
 /// Timeout for opening a connection to an endpoint or the store.
@@ -54,6 +55,8 @@
 /// State shared by all tasks of an instance.
 #[derive(Debug)]
 pub struct Shared {
+    /// Runs that streams have left at engines which may be working on them.
+    pub abandoned: mpsc::UnboundedSender<Abandoned>,
     /// Asks for requests to endpoints with a limit.
     pub asks: RefCell<Asks>,
     /// Bytes held for callers and endpoints.
@@ -62,6 +65,8 @@
     pub client: Client,
     /// Open connections of callers.
     pub connections: Cell<usize>,
+    /// Runs at the engines that streams use.
+    pub placements: RefCell<Vec<(RunKey, EndpointKey)>>,
     /// Whether the instance is shutting down.
     pub draining: Cell<bool>,
     /// Whether it is about to exit, and ends the requests that are in progress.
@@ -134,7 +139,10 @@
     /// # Errors
     ///
     /// The metrics cannot be set up.
-    pub fn new(settings: Settings) -> Result<Rc<Self>, Error> {
+    pub fn new(
+        settings: Settings,
+        abandoned: mpsc::UnboundedSender<Abandoned>,
+    ) -> Result<Rc<Self>, Error> {
         let client = Client::new(CONNECT_TIMEOUT);
         let random = SmallRng::from_rng(&mut rand::rng());
         let incarnation = rand::rng().random_range(1..=u64::MAX);
@@ -144,6 +152,7 @@
         let metrics = Metrics::new()?;
         let buffers = Buffers::new(settings.instance.buffer_bytes(), metrics.buffers.clone());
         Ok(Rc::new(Self {
+            abandoned,
             asks: RefCell::default(),
             buffers,
             conditions: RefCell::default(),
@@ -151,6 +160,7 @@
             draining: Cell::new(false),
             exiting: Cell::new(false),
             peers: Peers::default(),
+            placements: RefCell::default(),
             grown: RefCell::default(),
             history: Default::default(),
             in_progress: Cell::new(0),
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -6,6 +6,7 @@
         clock,
         exchange::{self, Destination, Original, SendOutcome},
         memory::Held,
+        placement::Placement,
         prelude::*,
         progress::Progress,
         relay::{Relay, RelayStart},
@@ -73,10 +74,10 @@
         }
         shared.record_attempt(&ticket.service, progress.sends > 0);
         progress.sends += 1;
-        let running = begin(shared, original, &ticket, key, backup, expected);
+        let (running, placement) = begin(shared, original, &ticket, key, backup, expected);
         let opened = tokio::select! {
             biased;
-            opened = open(shared, original, &ticket, &progress, key, backup) => opened,
+            opened = open(shared, original, &ticket, &progress, placement, backup) => opened,
             refusal = shared.given_up(original) => OpenOutcome::GivenUp(refusal),
         };
         match opened {
@@ -159,7 +160,7 @@
     key: EndpointKey,
     backup: Option<EndpointKey>,
     expected: u32,
-) -> RunGuard {
+) -> (RunGuard, Placement) {
     let tokens_per_event = shared
         .state
         .borrow()
@@ -177,7 +178,9 @@
         target: None,
         tokens_per_event,
     };
-    RunGuard::new(shared, run)
+    let running = RunGuard::new(shared, run);
+    let placement = Placement::new(shared, running.key, &original.inbound.id, key);
+    (running, placement)
 }
 
 /// A stream whose first events have been read.
@@ -208,9 +211,11 @@
     original: &Original,
     ticket: &Ticket,
     progress: &Progress,
-    key: EndpointKey,
+    placement: Placement,
     backup: Option<EndpointKey>,
 ) -> OpenOutcome {
+    let mut placement = placement;
+    let key = placement.engine();
     let sent_at = clock::now();
     let limit = ticket.attempt_timeout(sent_at, progress.runs);
     let destination = Destination {
@@ -222,7 +227,11 @@
         source: None,
     };
     let opened = async {
-        match exchange::send(shared, original, &destination, limit).await {
+        let sent = exchange::send(shared, original, &destination, limit).await;
+        if sent.is_not_run() {
+            placement.end();
+        }
+        match sent {
             SendOutcome::Withheld => OpenOutcome::NotReached,
             SendOutcome::NotWritten(why) => {
                 shared.mark_unreachable(key);
@@ -245,10 +254,10 @@
                 fail(shared, key, why)
             }
             SendOutcome::Answer(answer, _) if answer.status() == StatusCode::OK => {
-                first_event(shared, original, key, sent_at, *answer).await
+                first_event(shared, original, placement, sent_at, *answer).await
             }
             SendOutcome::Answer(answer, _) => {
-                non_stream_answer(shared, original, key, *answer).await
+                non_stream_answer(shared, original, placement, *answer).await
             }
         }
     };
@@ -267,10 +276,12 @@
 async fn first_event(
     shared: &Shared,
     original: &Original,
-    key: EndpointKey,
+    placement: Placement,
     sent_at: Time,
     answer: endpoint::client::Reply,
 ) -> OpenOutcome {
+    let mut placement = placement;
+    let key = placement.engine();
     let headers = head::response_headers(answer.headers());
     let mut answer = answer;
     let mut splitter = EventSplitter::default();
@@ -303,6 +314,7 @@
             return fail(shared, key, why.to_string());
         }
         shared.record_answer(key, false);
+        placement.confirm();
         return OpenOutcome::Stream(Box::new(OpenedStream {
             blocks,
             ended,
@@ -311,6 +323,7 @@
             source: takeover::EventSource {
                 answer,
                 early: None,
+                placement,
                 splitter,
                 key,
                 sent_at,
@@ -323,9 +336,11 @@
 async fn non_stream_answer(
     shared: &Shared,
     original: &Original,
-    key: EndpointKey,
+    placement: Placement,
     answer: endpoint::client::Reply,
 ) -> OpenOutcome {
+    let mut placement = placement;
+    let key = placement.engine();
     let status = answer.status();
     shared.record_answer(key, status.is_server_error());
     if matches!(status.as_u16(), 408 | 421 | 429 | 503) {
@@ -334,7 +349,10 @@
     let headers = head::response_headers(answer.headers());
     let held = shared.buffers.hold(Use::Response, &original.inbound.id);
     match read_body(answer, &held).await {
-        Ok(body) => OpenOutcome::Answer(reply::counted(status, headers, body, held)),
+        Ok(body) => {
+            placement.end();
+            OpenOutcome::Answer(reply::counted(status, headers, body, held))
+        }
         Err(_) if held.reason().is_some() => OpenOutcome::GivenUp(Refusal::OutOfMemory),
         Err(error) => fail(shared, key, error.to_string()),
     }
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -4,6 +4,7 @@
     crate::{
         clock,
         exchange::{self, Destination, Original, SendOutcome},
+        placement::Placement,
         prelude::*,
         relocate::{self, MoveOutcome, RunCopy},
     },
@@ -32,6 +33,8 @@
     pub answer: endpoint::client::Reply,
     /// What was read of the body while the previous engine was still running.
     pub early: Option<Result<Option<Bytes>, endpoint::Error>>,
+    /// The run at the engine, which is told to stop it once it is left.
+    pub placement: Placement,
     /// Splits the body into events.
     pub splitter: EventSplitter,
     /// The engine.
@@ -281,7 +284,12 @@
             let mut state = self.shared.state.borrow_mut();
             state.record_takeover(self.run, key);
         }
+        let id = &self.original.inbound.id;
+        let mut placement = Placement::new(&self.shared, self.run, id, key);
         let sent = exchange::send(&self.shared, &self.original, &destination, limit).await;
+        if sent.is_not_run() {
+            placement.end();
+        }
         let result = match sent {
             SendOutcome::Answer(answer, flags)
                 if answer.status() == StatusCode::OK && flags.sealed && !flags.not_run =>
@@ -291,6 +299,7 @@
                     source: EventSource {
                         answer: *answer,
                         early: None,
+                        placement,
                         splitter: EventSplitter::default(),
                         key,
                         sent_at: started_at,
