Test: the lines of both refused responses are awaited before they are counted

Failed once in a run of the whole workspace: one of the two lines was there. The lines come through a pipe that a thread reads, after the response. The counts are as before.

--- a/crates/carawayhead/tests/forwarding/memory.rs
+++ b/crates/carawayhead/tests/forwarding/memory.rs
@@ -315,6 +315,10 @@
             .filter(|line| line.contains(&format!("\"{id}\"")));
         assert_eq!(sent.count(), 1, "{path}: {lines:?}");
     }
+    wait_until("both are logged", || async {
+        instance.log_lines_containing("given up").len() >= 2
+    })
+    .await;
     let lines = instance.log_lines_containing("given up");
     let short = lines.iter().filter(|line| line.contains("out_of_memory"));
     assert_eq!((short.count(), lines.len()), (2, 2), "{lines:?}");
