Whether a request may have run is counted in one place

What it guards: a refusal that says "not run" (408, 421, 429, 503) for a request that an endpoint has run or may run yet. Until now each path counted its sends by hand, a new one could forget it, and a send that was dropped between its first byte and the count was not counted.

Change: proxy::exposure. exchange::send, through which all requests of callers go to endpoints, counts a send before it is written; the count stands unless its outcome proves that the endpoint has not run the request. Original::truthful turns refusals by it, for all requests on the way out of listen::forward. The counts of runs in Progress only decide on retries now.

What callers get that they did not: a request that is given up while it waits for leave to be sent is refused as not run, which it is; it got 502.

--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -76,7 +76,6 @@
 ) -> Result<Reply, Refusal> {
     let mut progress = Progress::for_request(shared, original, &ticket);
     let mut ticket = ticket;
-    let id = &original.inbound.id;
     loop {
         match attempt(shared, original, &mut ticket, &mut progress).await {
             Attempt::Answered(reply) => {
@@ -87,12 +86,12 @@
                 }
                 return Ok(reply);
             }
-            Attempt::Failed(refusal) => return progress.finish(id, refusal),
+            Attempt::Failed(refusal) => return progress.finish(original, refusal),
             Attempt::Retry => {}
         }
         if !progress.may_send(shared, &ticket) {
             progress.note_no_retry();
-            return progress.finish(id, Refusal::Full);
+            return progress.finish(original, Refusal::Full);
         }
     }
 }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         clock,
+        exposure::Exposure,
         gossip::limits,
         memory::Held,
         path::{self, Reuse},
@@ -46,6 +47,8 @@
 pub struct Original {
     /// Body.
     pub body: Bytes,
+    /// Sends of the request that endpoints may have run.
+    pub exposure: Exposure,
     /// Identifies equal requests.
     pub fingerprint: Fingerprint,
     /// Whether an endpoint has answered it and lived on, so that no part of its prompt crashes endpoints.
@@ -60,6 +63,18 @@
     pub parts: Parts,
 }
 
+impl Original {
+    /// The refusal to report for the request: once an endpoint may have run it, none that claims that it has not run.
+    #[must_use]
+    pub fn truthful(&self, refusal: Refusal) -> Refusal {
+        match refusal {
+            refusal if self.exposure.count() == 0 => refusal,
+            Refusal::Expired | Refusal::TimedOut => Refusal::TimedOut,
+            _ => Refusal::Broken,
+        }
+    }
+}
+
 /// Target endpoint of a send and the headers that go with it.
 #[derive(Clone, Debug)]
 pub struct Destination<'a> {
@@ -126,6 +141,7 @@
     shared.record_send(destination.key);
     log_send(shared, original, destination, &endpoint);
     let _unanswered = Unanswered::new(shared, destination.key);
+    let exposed = original.exposure.begin();
     let outcome = exchange(
         shared,
         &permit,
@@ -135,6 +151,9 @@
         limit.min(left),
     )
     .await;
+    if outcome.is_not_run() {
+        exposed.retract();
+    }
     match &outcome {
         SendOutcome::NotWritten(_) => shared.record_unreachable(destination.key),
         SendOutcome::Answer(reply, flags) => {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod crashes;
 pub mod error;
 pub mod exchange;
+pub mod exposure;
 pub mod follow;
 pub mod gossip;
 pub mod idle;
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -4,6 +4,7 @@
     crate::{
         buffered, clock,
         exchange::Original,
+        exposure::Exposure,
         follow,
         idle::{Activity, Tracked},
         memory::Held,
@@ -285,10 +286,13 @@
         () = shared.exits() => Err(Refusal::Stopping),
     };
     let (original, ticket) = prepared?;
-    if ticket.route.kind == Kind::Stream {
-        return stream::serve(shared, &Rc::new(original), ticket, guard).await;
-    }
-    buffered::serve(shared, &original, ticket).await
+    let original = Rc::new(original);
+    let served = if ticket.route.kind == Kind::Stream {
+        stream::serve(shared, &original, ticket, guard).await
+    } else {
+        buffered::serve(shared, &original, ticket).await
+    };
+    served.map_err(|refusal| original.truthful(refusal))
 }
 
 /// Reads and admits a request. Nothing has been sent to an endpoint yet.
@@ -320,6 +324,7 @@
     let original = Original {
         fingerprint: Fingerprint::new(customer, &inbound.host, target, &body),
         body,
+        exposure: Exposure::default(),
         held,
         inbound,
         is_proven: Cell::new(false),
--- a/crates/proxy/src/progress.rs
+++ b/crates/proxy/src/progress.rs
@@ -89,23 +89,18 @@
     /// # Errors
     ///
     /// No endpoint has returned an error response; see [`Self::give_up`].
-    pub fn finish(&mut self, id: &str, refusal: Refusal) -> Result<Reply, Refusal> {
+    pub fn finish(&mut self, original: &Original, refusal: Refusal) -> Result<Reply, Refusal> {
         let failure = self.failure.take();
-        failure.ok_or_else(|| self.give_up(id, refusal))
+        failure.ok_or_else(|| self.give_up(original, refusal))
     }
 
-    /// Gives the request up. Once an endpoint may have run it, the result must not claim that
-    /// it was not run, so `refusal` becomes `TimedOut` or `Broken`.
+    /// Gives the request up; returns what is reported of it.
     #[must_use]
-    pub fn give_up(&self, id: &str, refusal: Refusal) -> Refusal {
-        let reported = match refusal {
-            refusal if self.runs == 0 => refusal,
-            Refusal::Expired | Refusal::TimedOut => Refusal::TimedOut,
-            _ => Refusal::Broken,
-        };
+    pub fn give_up(&self, original: &Original, refusal: Refusal) -> Refusal {
+        let reported = original.truthful(refusal);
         log::info!(
-            id, customer = self.customer, sends = self.sends, runs = self.runs, why = self.why,
-            outcome = reported.label(); "given up"
+            id = original.inbound.id, customer = self.customer, sends = self.sends, runs = self.runs,
+            exposed = original.exposure.count(), why = self.why, outcome = reported.label(); "given up"
         );
         reported
     }
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -58,19 +58,19 @@
             biased;
             acquired = acquire_endpoint(shared, &ticket, need, &progress.tried, deadline) => acquired,
             refusal = shared.refused(original, ticket.expires) => {
-                return Err(progress.give_up(id, refusal));
+                return Err(progress.give_up(original, refusal));
             }
         };
         let Some((key, backup)) = acquired else {
             progress.note_no_endpoint(shared.why_not_acquired(&ticket.service, &progress.tried));
             let refusal = shared.refusal_without_endpoint(&ticket.service, &progress.tried);
-            return Err(progress.give_up(id, refusal));
+            return Err(progress.give_up(original, refusal));
         };
         // No event has reached the caller yet, so the newest configuration applies.
         match shared.readmit(original, &mut ticket) {
             Ok(true) => {}
             Ok(false) => continue,
-            Err(refusal) => return Err(progress.give_up(id, refusal)),
+            Err(refusal) => return Err(progress.give_up(original, refusal)),
         }
         shared.record_attempt(&ticket.service, progress.sends > 0);
         progress.sends += 1;
@@ -91,12 +91,12 @@
                 shared.observe(key, &ticket.route.name, Outcome::Failed);
                 progress.note_run(key, why);
                 if clock::now() >= ticket.expires || !progress.may_send(shared, &ticket) {
-                    return Err(progress.give_up(id, refusal));
+                    return Err(progress.give_up(original, refusal));
                 }
             }
             OpenOutcome::GivenUp(why) => {
                 progress.note_run(key, why.label().to_string());
-                return Err(progress.give_up(id, why));
+                return Err(progress.give_up(original, why));
             }
             OpenOutcome::Stream(opened_stream) => {
                 let (out, parts) = mpsc::unbounded_channel();
@@ -135,7 +135,7 @@
                 progress.note_rejected(key, why);
                 if !progress.may_send(shared, &ticket) {
                     progress.note_no_retry();
-                    return Err(progress.give_up(id, Refusal::Full));
+                    return Err(progress.give_up(original, Refusal::Full));
                 }
             }
         }
