--- a/crates/forward/tests/leaving.rs
+++ b/crates/forward/tests/leaving.rs
@@ -207,6 +207,21 @@
     assert_eq!(state.pick_target(at(11), run, &others), Some(backup));
 }
 
+/// Guards against a stop that an engine obeys by a copy to itself, or that it is not asked for as the run has ended elsewhere.
+#[test]
+fn run_that_a_stream_has_left_is_stopped_towards_another_engine() {
+    let mut state = instance(&pair());
+    let (first, _) = picked(state.pick(at(10), "model", LONG, &[]));
+    let others = state.endpoints().map(|(key, _)| key);
+    let other = others.into_iter().find(|key| *key != first);
+    let other = other.expect("a second engine");
+    let run = begin_run(&mut state, first, None);
+    assert_eq!(state.stop_target(run, first), Some(other));
+    assert_eq!(state.stop_target(run, other), Some(first));
+    state.end(run);
+    assert_eq!(state.stop_target(run, first), Some(other));
+}
+
 /// Has an endpoint state in an answer that it leaves; returns whether that is new.
 fn state_leaving(state: &mut State, now: u64, id: &str) -> bool {
     let mut endpoints = state.endpoints();
