--- a/crates/carawayhead/tests/forwarding/faulty.rs
+++ b/crates/carawayhead/tests/forwarding/faulty.rs
@@ -6,7 +6,11 @@
         silences::{MAX_OVERLAPPING_EVENTS, assert_complete, start_stream, start_streams},
         streams::{Deployment, deployment},
     },
-    platform::standin::fault::Fault,
+    http::StatusCode,
+    platform::standin::{
+        caller::{CallerRequest, send_request},
+        fault::Fault,
+    },
     std::time::Duration,
 };
 
@@ -86,3 +90,21 @@
     let overlapping = deployment.shared_runs.max_overlapping_events();
     assert!(overlapping <= MAX_OVERLAPPING_EVENTS, "{overlapping}");
 }
+
+/// Guards against engines that accept connections and answer nothing, and are chosen again and again beside engines that answer.
+#[tokio::test]
+async fn engines_that_answer_nothing_are_not_chosen_again() {
+    let deployment = deployment(4).await;
+    let silent = &deployment.engines[..2];
+    silent.iter().for_each(platform::standin::Engine::freeze);
+    let mut unserved = 0;
+    for number in 0..6 {
+        let id = format!("r{number}");
+        let mut request = CallerRequest::new(&id, "/draft/7");
+        request.deadline_ms = 2500;
+        let response = send_request(deployment.instance.caller_address, &request).await;
+        let response = response.expect("the instance responds");
+        unserved += usize::from(response.status != StatusCode::OK);
+    }
+    assert!(unserved <= silent.len(), "{unserved}");
+}
--- a/crates/carawayhead/tests/soak/deployment.rs
+++ b/crates/carawayhead/tests/soak/deployment.rs
@@ -242,6 +242,11 @@
         });
     }
 
+    /// Index of the engine with this id, unless it was replaced.
+    pub fn engine_index(&self, id: &str) -> Option<usize> {
+        self.engines.iter().position(|engine| engine.id == id)
+    }
+
     /// Announces in the store that an engine is leaving.
     pub fn announce_leaving(&self, index: usize) {
         let engine = &self.engines[index];
--- a/crates/carawayhead/tests/soak/script.rs
+++ b/crates/carawayhead/tests/soak/script.rs
@@ -41,15 +41,16 @@
     Servers,
 }
 
-/// The undo of a change; indexes refer to the lists of the deployment.
-#[derive(Clone, Copy, Debug)]
+/// The undo of a change; indexes refer to the lists of the deployment. Engines have their ids, since those that are lost are
+/// replaced meanwhile.
+#[derive(Clone, Debug)]
 enum Undo {
     Service(usize),
     ServiceLink(usize),
     Domain(usize),
     Partition,
-    EngineLink(usize),
-    Leave(usize),
+    EngineLink(String),
+    Leave(String),
     StoreBehavior,
     Resume(usize),
     Restart(usize),
@@ -157,7 +158,8 @@
             5 if !self.has_pending_undo(|undo| matches!(undo, Undo::Leave(_))) => {
                 let index = self.random.random_range(0..deployment.engines.len());
                 deployment.announce_leaving(index);
-                self.schedule_undo(1800, 2600, Undo::Leave(index));
+                let id = deployment.engines[index].id.clone();
+                self.schedule_undo(1800, 2600, Undo::Leave(id));
             }
             _ => {}
         }
@@ -178,7 +180,8 @@
             deployment.drop_copies();
             let index = self.random.random_range(0..deployment.engines.len());
             deployment.announce_leaving(index);
-            self.schedule_undo(1800, 2600, Undo::Leave(index));
+            let id = deployment.engines[index].id.clone();
+            self.schedule_undo(1800, 2600, Undo::Leave(id));
             return;
         }
         let index = self.random.random_range(0..deployment.services.len());
@@ -240,8 +243,9 @@
             }
             3 => {
                 let index = self.random.random_range(0..deployment.engines.len());
-                self.apply_link_fault(&deployment.engines[index].proxy, fault);
-                self.schedule_undo(200, 3000, Undo::EngineLink(index));
+                let engine = &deployment.engines[index];
+                self.apply_link_fault(&engine.proxy, fault);
+                self.schedule_undo(200, 3000, Undo::EngineLink(engine.id.clone()));
             }
             4 => {
                 let index = self.random.random_range(0..deployment.services.len());
@@ -348,7 +352,7 @@
                 _ => until,
             };
             if *at <= until {
-                due.push(*undo);
+                due.push(undo.clone());
             }
             *at > until
         });
@@ -366,13 +370,21 @@
                         proxy.heal();
                     }
                 }
-                Undo::EngineLink(index) => deployment.engines[index].proxy.set(LinkState::Open),
+                Undo::EngineLink(id) => {
+                    if let Some(index) = deployment.engine_index(&id) {
+                        deployment.engines[index].proxy.set(LinkState::Open);
+                    }
+                }
                 // A paused engine cannot use its notice, and would end as if it had crashed.
-                Undo::Leave(index) if is_paused => {
+                Undo::Leave(id) if is_paused => {
                     self.pending_undos
-                        .push((Instant::now() + MIN_NOTICE, Undo::Leave(index)));
+                        .push((Instant::now() + MIN_NOTICE, Undo::Leave(id)));
+                }
+                Undo::Leave(id) => {
+                    if let Some(index) = deployment.engine_index(&id) {
+                        deployment.replace(index).await;
+                    }
                 }
-                Undo::Leave(index) => deployment.replace(index).await,
                 Undo::StoreBehavior => deployment.store.set_behavior(StoreBehavior::Healthy),
                 Undo::Resume(index) => deployment.slots[index].signal(Signal::CONT),
                 Undo::Restart(index) => self.restart(deployment, index).await,
