Stops of left runs: repeated at growing intervals; placements sorted

By reading the change: an engine that answers a stop with an error, or refuses it, was asked every 40 ms for ten seconds, once for each run that streams have left there. The delay doubles now, up to a second. The placements are a sorted vector, as elsewhere; an attempt to send has a name that is not that of the marker trait.

--- a/crates/proxy/src/exposure.rs
+++ b/crates/proxy/src/exposure.rs
@@ -9,9 +9,9 @@
 impl Exposure {
     /// Counts a send that is about to be written. It stays counted, also if the send is given up.
     #[must_use]
-    pub fn begin(&self) -> Send<'_> {
+    pub fn begin(&self) -> Attempt<'_> {
         self.0.set(self.0.get() + 1);
-        Send(self)
+        Attempt(self)
     }
 
     /// Number of sends that endpoints may have run.
@@ -21,11 +21,11 @@
     }
 }
 
-/// A send of a request.
+/// An attempt to send a request.
 #[derive(Debug)]
-pub struct Send<'a>(&'a Exposure);
+pub struct Attempt<'a>(&'a Exposure);
 
-impl Send<'_> {
+impl Attempt<'_> {
     /// Takes the send out of the count, since its endpoint has not run the request and never will.
     pub fn retract(self) {
         self.0.0.set(self.0.0.get() - 1);
--- a/crates/proxy/src/placement.rs
+++ b/crates/proxy/src/placement.rs
@@ -15,8 +15,9 @@
 /// has nothing to copy then.
 const CLOSE_DELAY: Duration = Duration::from_millis(50);
 
-/// Interval between two attempts to have a run stopped.
+/// Delay before a run is asked to be stopped once more; doubled each time, up to the longest one.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// How long an engine is told to stop a run that answers nothing.
 const STOP_TIMEOUT: Duration = Duration::from_secs(10);
@@ -37,7 +38,10 @@
     /// Records that a run is about to be sent to an engine.
     #[must_use]
     pub fn new(shared: &Rc<Shared>, run: RunKey, id: &str, engine: EndpointKey) -> Self {
-        shared.placements.borrow_mut().push((run, engine));
+        let mut placements = shared.placements.borrow_mut();
+        let index = placements.partition_point(|other| *other < (run, engine));
+        placements.insert(index, (run, engine));
+        drop(placements);
         Self {
             engine,
             has_ended: false,
@@ -69,8 +73,8 @@
     fn drop(&mut self) {
         let mut placements = self.shared.placements.borrow_mut();
         let own = (self.run, self.engine);
-        if let Some(index) = placements.iter().position(|other| *other == own) {
-            placements.swap_remove(index);
+        if let Ok(index) = placements.binary_search(&own) {
+            placements.remove(index);
         }
         drop(placements);
         if self.has_ended {
@@ -122,6 +126,7 @@
 }
 
 async fn try_stop(shared: &Rc<Shared>, abandoned: &Abandoned) {
+    let mut delay = RETRY_DELAY;
     // The stream may have come back meanwhile.
     while !shared.is_placed(abandoned.run, abandoned.engine) {
         match relocate::stop_abandoned(shared, abandoned).await {
@@ -133,13 +138,15 @@
             StopAnswer::Busy => {}
             StopAnswer::Unknown => shared.wait_until_responsive(abandoned.engine).await,
         }
-        sleep(RETRY_DELAY).await;
+        sleep(delay).await;
+        delay = delay.saturating_mul(2).min(MAX_RETRY_DELAY);
     }
 }
 
 impl Shared {
     /// Whether a stream is at an engine with a run.
     fn is_placed(&self, run: RunKey, engine: EndpointKey) -> bool {
-        self.placements.borrow().contains(&(run, engine))
+        let placements = self.placements.borrow();
+        placements.binary_search(&(run, engine)).is_ok()
     }
 }
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -460,14 +460,9 @@
     }
 
     fn attach(&mut self, opened: Opened) {
-        let why = self.broken.as_ref().map(|broken| broken.why.as_str());
-        log::info!(
-            id = self.original.inbound.id, left = self.shared.endpoint_name(self.source.key), endpoint = self.shared.endpoint_name(opened.source.key),
-            why = why.unwrap_or_default(), is_connected = self.broken.is_none(), is_leaving = self.is_leaving();
-            "stream goes on at another engine"
-        );
         let Opened { backup, source } = opened;
         let key = source.key;
+        self.log_change(key);
         self.source = source;
         self.source.placement.confirm();
         let mut state = self.shared.state.borrow_mut();
@@ -494,4 +489,15 @@
         self.stopping = None;
         self.unjudged = false;
     }
+
+    /// Logs what is known of the engine that the stream leaves for another one.
+    fn log_change(&self, key: EndpointKey) {
+        let why = self.broken.as_ref().map(|broken| broken.why.as_str());
+        log::info!(
+            id = self.original.inbound.id, left = self.shared.endpoint_name(self.source.key),
+            endpoint = self.shared.endpoint_name(key), why = why.unwrap_or_default(),
+            is_connected = self.broken.is_none(), is_leaving = self.is_leaving();
+            "stream goes on at another engine"
+        );
+    }
 }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -65,7 +65,7 @@
     pub client: Client,
     /// Open connections of callers.
     pub connections: Cell<usize>,
-    /// Runs at the engines that streams use.
+    /// Runs and the engines that streams use for them, sorted.
     pub placements: RefCell<Vec<(RunKey, EndpointKey)>>,
     /// Whether the instance is shutting down.
     pub draining: Cell<bool>,
