--- a/crates/carawayhead/tests/forwarding/faulty.rs
+++ b/crates/carawayhead/tests/forwarding/faulty.rs
@@ -17,6 +17,9 @@
 /// How long each of the copies takes that an engine makes one after the other.
 const COPY_TIME: Duration = Duration::from_millis(30);
 
+/// Times that an engine is asked to stop a run within the two seconds of a stream, at intervals that double from 40 ms.
+const MAX_STOPS: usize = 6;
+
 /// Index of the engine with most runs.
 fn busiest(deployment: &Deployment) -> usize {
     let runs = deployment.engines.iter().enumerate();
@@ -91,6 +94,21 @@
     assert!(overlapping <= MAX_OVERLAPPING_EVENTS, "{overlapping}");
 }
 
+/// Guards against an engine that is asked without a pause to stop a run which it does not stop.
+#[tokio::test]
+async fn engine_that_refuses_to_stop_a_run_is_asked_at_growing_intervals() {
+    let deployment = deployment(2).await;
+    let stream = start_stream(deployment.instance.caller_address, "r1".to_string());
+    let index = deployment.wait_for_run().await;
+    let engine = &deployment.engines[index];
+    engine.ignore_disconnects();
+    engine.refuse_moves();
+    deployment.announce_leaving(index);
+    assert_complete(vec![stream]).await;
+    let asked = deployment.instance.log_lines_containing("\"stop requested");
+    assert!((2..=MAX_STOPS).contains(&asked.len()), "{}", asked.len());
+}
+
 /// Guards against engines that accept connections and answer nothing, and are chosen again and again beside engines that answer.
 #[tokio::test]
 async fn engines_that_answer_nothing_are_not_chosen_again() {
