Logs: since when a run may have been at two engines, until the engine before has ended it

What callers saw: streams that ran at two engines, without a line that says for how long. No decision depends on it yet. An engine that a stream had left and come back to was taken out of the list by the end of its first stay.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod outcome;
 pub mod overflow;
 pub mod paths;
+pub mod placement;
 pub mod prelude;
 pub mod probe;
 pub mod profile;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -55,6 +55,7 @@
     loop_late: Histogram<f64>,
     late_pauses: Counter<u64>,
     moves: Counter<u64>,
+    overlaps: Counter<u64>,
     parts: Counter<u64>,
     registry: Registry,
     rejections: Counter<u64>,
@@ -141,6 +142,10 @@
                 "runs_moved",
                 "generations that went on elsewhere, by outcome",
             ),
+            overlaps: counter(
+                "runs_at_two_engines",
+                "runs that ended at an engine after they had begun at another one, by whether that took too long",
+            ),
             parts: counter(
                 "suspect_parts",
                 "crashes of endpoints that count against parts of prompts, clearances, trials and refusals",
@@ -247,6 +252,11 @@
         self.moves.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records that a run has ended at one of two engines that may have worked on it.
+    pub fn record_overlap(&self, is_late: bool) {
+        self.overlaps.add(1, &[KeyValue::new("late", is_late)]);
+    }
+
     /// Records a change of what speaks against a part of prompts, or what was done for it.
     pub fn record_part(&self, change: &'static str) {
         self.parts.add(1, &[KeyValue::new("change", change)]);
--- a/crates/proxy/src/placement.rs
+++ b/crates/proxy/src/placement.rs
@@ -5,9 +5,11 @@
 
 use {
     crate::{
+        clock,
         prelude::*,
         relocate::{self, StopAnswer},
     },
+    forward::placement::MAX_OVERLAP,
     tokio::sync::mpsc,
 };
 
@@ -27,9 +29,10 @@
 #[derive(Debug)]
 pub struct Placement {
     engine: EndpointKey,
-    has_ended: bool,
     id: String,
     is_confirmed: bool,
+    /// Whether the stream has neither left the engine, nor has the run ended there.
+    is_open: bool,
     run: RunKey,
     shared: Rc<Shared>,
 }
@@ -38,15 +41,13 @@
     /// Records that a run is about to be sent to an engine.
     #[must_use]
     pub fn new(shared: &Rc<Shared>, run: RunKey, id: &str, engine: EndpointKey) -> Self {
-        let mut placements = shared.placements.borrow_mut();
-        let index = placements.partition_point(|other| *other < (run, engine));
-        placements.insert(index, (run, engine));
-        drop(placements);
+        let now = clock::now();
+        shared.placements.borrow_mut().begin(now, run, engine);
         Self {
             engine,
-            has_ended: false,
             id: id.to_string(),
             is_confirmed: false,
+            is_open: true,
             run,
             shared: Rc::clone(shared),
         }
@@ -63,37 +64,46 @@
         self.is_confirmed = true;
     }
 
-    /// Records that the engine does not work on the run: it was not sent, was rejected, has come to its end or was stopped.
-    pub const fn end(&mut self) {
-        self.has_ended = true;
+    /// Records that the run was not sent, or was rejected.
+    pub fn withdraw(&mut self) {
+        if std::mem::take(&mut self.is_open) {
+            let mut placements = self.shared.placements.borrow_mut();
+            placements.end(self.run, self.engine);
+        }
     }
-}
 
-impl Drop for Placement {
-    fn drop(&mut self) {
-        let mut placements = self.shared.placements.borrow_mut();
-        let own = (self.run, self.engine);
-        if let Ok(index) = placements.binary_search(&own) {
-            placements.remove(index);
+    /// Records that the run has come to its end at the engine, or was stopped there.
+    pub fn end(&mut self) {
+        if std::mem::take(&mut self.is_open) {
+            self.shared.end_placement(self.run, self.engine, &self.id);
         }
-        drop(placements);
-        if self.has_ended {
+    }
+
+    /// Has the engine told to stop the run.
+    fn leave(&mut self) {
+        if !std::mem::take(&mut self.is_open) {
             return;
         }
-        let mut state = self.shared.state.borrow_mut();
-        state.record_takeover(self.run, self.engine);
-        drop(state);
+        let (run, engine) = (self.run, self.engine);
+        self.shared.placements.borrow_mut().leave(run, engine);
+        self.shared.state.borrow_mut().record_takeover(run, engine);
         let abandoned = Abandoned {
-            engine: self.engine,
-            id: std::mem::take(&mut self.id),
+            engine,
+            id: self.id.clone(),
             is_confirmed: self.is_confirmed,
-            run: self.run,
+            run,
         };
         // Fails while the instance exits, which closes all connections.
         let _told = self.shared.abandoned.send(abandoned);
     }
 }
 
+impl Drop for Placement {
+    fn drop(&mut self) {
+        self.leave();
+    }
+}
+
 /// A run that a stream has left at an engine which may be working on it.
 #[derive(Clone, Debug)]
 pub struct Abandoned {
@@ -116,27 +126,31 @@
 
 async fn stop(shared: Rc<Shared>, abandoned: Abandoned) {
     sleep(CLOSE_DELAY).await;
-    if timeout(STOP_TIMEOUT, try_stop(&shared, &abandoned))
-        .await
-        .is_err()
-    {
-        let endpoint = shared.endpoint_name(abandoned.engine);
-        log::warn!(id = abandoned.id, endpoint; "engine may work on a stream that has left it");
+    let stopped = timeout(STOP_TIMEOUT, try_stop(&shared, &abandoned)).await;
+    let Abandoned {
+        engine, id, run, ..
+    } = &abandoned;
+    if stopped.is_err() {
+        let endpoint = shared.endpoint_name(*engine);
+        log::warn!(id, endpoint; "engine may work on a stream that has left it");
+    }
+    if !shared.placements.borrow().has_stream(*run, *engine) {
+        shared.end_placement(*run, *engine, id);
     }
 }
 
 async fn try_stop(shared: &Rc<Shared>, abandoned: &Abandoned) {
+    let (run, engine) = (abandoned.run, abandoned.engine);
     let mut delay = RETRY_DELAY;
     // The stream may have come back meanwhile.
-    while !shared.is_placed(abandoned.run, abandoned.engine) {
+    while !shared.placements.borrow().has_stream(run, engine) {
         match relocate::stop_abandoned(shared, abandoned).await {
             StopAnswer::Ended if abandoned.is_confirmed => {
-                let mut state = shared.state.borrow_mut();
-                return state.settle_takeover(abandoned.run, abandoned.engine);
+                return shared.state.borrow_mut().settle_takeover(run, engine);
             }
             StopAnswer::Ended | StopAnswer::Gone => return,
             StopAnswer::Busy => {}
-            StopAnswer::Unknown => shared.wait_until_responsive(abandoned.engine).await,
+            StopAnswer::Unknown => shared.wait_until_responsive(engine).await,
         }
         sleep(delay).await;
         delay = delay.saturating_mul(2).min(MAX_RETRY_DELAY);
@@ -144,9 +158,25 @@
 }
 
 impl Shared {
-    /// Whether a stream is at an engine with a run.
-    fn is_placed(&self, run: RunKey, engine: EndpointKey) -> bool {
-        let placements = self.placements.borrow();
-        placements.binary_search(&(run, engine)).is_ok()
+    /// Records that an engine does not work on a run, or is not asked about it any more, and for how long it may have worked
+    /// on it beside another one.
+    fn end_placement(&self, run: RunKey, engine: EndpointKey, id: &str) {
+        let since = self.placements.borrow_mut().end(run, engine);
+        let Some(since) = since else {
+            return;
+        };
+        let overlap = clock::now().since(since);
+        let endpoint = self.endpoint_name(engine);
+        let is_late = overlap > MAX_OVERLAP;
+        let level = if is_late {
+            log::Level::Warn
+        } else {
+            log::Level::Info
+        };
+        log::log!(
+            level, id, endpoint, ms = overlap.as_millis();
+            "engine has ended a run beside another engine"
+        );
+        self.metrics.record_overlap(is_late);
     }
 }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -32,6 +32,7 @@
         intake::Intake,
         limit::notice::Answer,
         load::Report,
+        placement::Placements,
         profile::News,
         reader::{Readers, TOPICS},
         request::Ticket,
@@ -65,8 +66,8 @@
     pub client: Client,
     /// Open connections of callers.
     pub connections: Cell<usize>,
-    /// Runs and the engines that streams use for them, sorted.
-    pub placements: RefCell<Vec<(RunKey, EndpointKey)>>,
+    /// Engines that may be working on runs.
+    pub placements: RefCell<Placements>,
     /// Whether the instance is shutting down.
     pub draining: Cell<bool>,
     /// Whether it is about to exit, and ends the requests that are in progress.
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -229,7 +229,7 @@
     let opened = async {
         let sent = exchange::send(shared, original, &destination, limit).await;
         if sent.is_not_run() {
-            placement.end();
+            placement.withdraw();
         }
         match sent {
             SendOutcome::Withheld => OpenOutcome::NotReached,
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -288,7 +288,7 @@
         let mut placement = Placement::new(&self.shared, self.run, id, key);
         let sent = exchange::send(&self.shared, &self.original, &destination, limit).await;
         if sent.is_not_run() {
-            placement.end();
+            placement.withdraw();
         }
         let result = match sent {
             SendOutcome::Answer(answer, flags)
