--- a/crates/carawayhead/tests/forwarding/faulty.rs
+++ b/crates/carawayhead/tests/forwarding/faulty.rs
@@ -12,14 +12,32 @@
         fault::Fault,
     },
     std::time::Duration,
+    tokio::time::sleep,
 };
 
 /// How long each of the copies takes that an engine makes one after the other.
 const COPY_TIME: Duration = Duration::from_millis(30);
 
+/// The same where a copy takes half of the time for which two engines may work on a run.
+const SLOW_COPY_TIME: Duration = Duration::from_millis(200);
+
+/// Age of a stream whose copy may not have been begun.
+const YOUNG_AGE: Duration = Duration::from_millis(60);
+
 /// Times that an engine is asked to stop a run within the two seconds of a stream, at intervals that double from 40 ms.
 const MAX_STOPS: usize = 6;
 
+/// Index of the engine with the backup copy of the only run.
+fn backup(deployment: &Deployment) -> usize {
+    let sent = deployment.instance.log_lines_containing("\"sent\"");
+    let mut engines = deployment.engines.iter();
+    let backup = engines.position(|engine| {
+        let copy = format!("\"copy\":\"{}\"", engine.id());
+        sent.iter().any(|line| line.contains(&copy))
+    });
+    backup.expect("the run has a backup copy")
+}
+
 /// Index of the engine with most runs.
 fn busiest(deployment: &Deployment) -> usize {
     let runs = deployment.engines.iter().enumerate();
@@ -94,6 +112,80 @@
     assert!(overlapping <= MAX_OVERLAPPING_EVENTS, "{overlapping}");
 }
 
+/// Guards against an engine that works on a stream beside the next one, which is silent: it has closed the connection of the
+/// stream, and is told to stop only when the next one is given up.
+#[tokio::test]
+async fn engine_that_closed_a_stream_stops_before_the_next_one_answers() {
+    let deployment = deployment(3).await;
+    let stream = start_stream(deployment.instance.caller_address, "r1".to_string());
+    let index = deployment.wait_for_run().await;
+    let (engine, next) = (
+        &deployment.engines[index],
+        &deployment.engines[backup(&deployment)],
+    );
+    next.set_mute(true);
+    next.ignore_disconnects();
+    engine.ignore_disconnects();
+    engine.cut_connections();
+    assert_complete(vec![stream]).await;
+    assert_eq!(next.executed_calls().len(), 1);
+    let overlapping = deployment.shared_runs.max_overlapping_events();
+    assert!(overlapping <= MAX_OVERLAPPING_EVENTS, "{overlapping}");
+}
+
+/// Guards against a stream that is moved, which takes time, while another engine that does not answer may be working on it: its
+/// engine has refused to stop it.
+#[tokio::test]
+async fn engine_that_refuses_to_stop_is_asked_again_while_another_one_may_work() {
+    let deployment = deployment(3).await;
+    let stream = start_stream(deployment.instance.caller_address, "r1".to_string());
+    let index = deployment.wait_for_run().await;
+    let (engine, next) = (
+        &deployment.engines[index],
+        &deployment.engines[backup(&deployment)],
+    );
+    deployment.shared_runs.set_copy_time(SLOW_COPY_TIME);
+    engine.ignore_disconnects();
+    engine.refuse_first_stops();
+    next.set_mute(true);
+    next.ignore_disconnects();
+    deployment.announce_leaving(index);
+    wait_until("the next engine runs it", || async {
+        !next.executed_calls().is_empty()
+    })
+    .await;
+    next.ignore_calls();
+    assert_complete(vec![stream]).await;
+    let overlapping = deployment.shared_runs.overlapping_events_of(engine.id());
+    assert!(overlapping <= MAX_OVERLAPPING_EVENTS, "{overlapping}");
+}
+
+/// Guards against a stream that begins a second time at an engine without a copy: it was so young when its engine fell silent that
+/// its copy may not have been begun.
+#[tokio::test]
+async fn young_stream_is_not_taken_over_where_no_copy_is_known() {
+    let deployment = deployment(2).await;
+    let stream = start_stream(deployment.instance.caller_address, "r1".to_string());
+    let index = || {
+        let mut engines = deployment.engines.iter();
+        engines.position(|engine| !engine.executed_calls().is_empty())
+    };
+    wait_until("an engine has the run", || async { index().is_some() }).await;
+    let index = index().expect("an engine has the run");
+    let (engine, other) = (&deployment.engines[index], &deployment.engines[1 - index]);
+    sleep(YOUNG_AGE).await;
+    deployment.shared_runs.drop_copies();
+    engine.freeze();
+    wait_until("the stream has been silent several times", || async {
+        let lines = deployment.instance.log_lines_containing("stream is silent");
+        lines.len() >= 3
+    })
+    .await;
+    engine.thaw();
+    assert_complete(vec![stream]).await;
+    assert_eq!(other.rejected_takeovers(), 0);
+}
+
 /// Guards against an engine that is asked without a pause to stop a run which it does not stop.
 #[tokio::test]
 async fn engine_that_refuses_to_stop_a_run_is_asked_at_growing_intervals() {
--- a/crates/carawayhead/tests/forwarding/memory.rs
+++ b/crates/carawayhead/tests/forwarding/memory.rs
@@ -70,6 +70,9 @@
         "/draft/sound" => write_events(stream, &head, SOUND_EVENTS, 100).await,
         "/order/slow" => read_slowly(stream).await,
         "/look/large" => write_large(stream, &head).await,
+        path if ENDLESS_BODIES.iter().any(|(endless, ..)| *endless == path) => {
+            write_without_end(stream, &head, path).await
+        }
         "/draft/invalid" => write_large(stream, &head.replace("200 OK", "400 Bad Request")).await,
         _ => {
             let answer = format!("{head}content-length: 2\r\nconnection: close\r\n\r\nok");
@@ -102,6 +105,20 @@
     stream.write_all(&vec![b'x'; LARGE_BODY_BYTES]).await
 }
 
+/// Writes a body of one kind until the connection is closed.
+async fn write_without_end(mut stream: TcpStream, head: &str, path: &str) -> std::io::Result<()> {
+    let mut bodies = ENDLESS_BODIES.iter();
+    let body = bodies.find(|(endless, ..)| *endless == path);
+    let (_, start, part) = body.expect("a kind of body");
+    stream
+        .write_all(format!("{head}{start}").as_bytes())
+        .await?;
+    let repeated = part.repeat(8192_usize.div_ceil(part.len()));
+    loop {
+        stream.write_all(repeated.as_bytes()).await?;
+    }
+}
+
 /// Reads a byte a second until the connection is closed.
 async fn read_slowly(mut stream: TcpStream) -> std::io::Result<()> {
     while stream.read_u8().await.is_ok() {
@@ -324,3 +341,59 @@
     assert_eq!((short.count(), lines.len()), (2, 2), "{lines:?}");
     assert_eq!(instance.exit_status(), None);
 }
+
+/// What comes before the part that a server repeats without end, after its status line and the headers of its answer.
+const ENDLESS_BODIES: [(&str, &str, &str); 4] = [
+    ("/look/close", "connection: close\r\n\r\n", "x"),
+    ("/look/length", "content-length: 99999999999\r\n\r\n", "x"),
+    (
+        "/look/chunks",
+        "transfer-encoding: chunked\r\n\r\n",
+        "6\r\nfiller\r\n",
+    ),
+    ("/draft/line", "\r\n", "x"),
+];
+
+/// Callers of answers without end, and sound ones beside them.
+const ENDLESS_CALLERS: usize = 160;
+const BESIDE_CALLERS: usize = 40;
+
+/// Guards against answers whose bodies do not end, which together cost the instance its memory, or other callers their answers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answers_without_end_cost_only_their_own_callers() {
+    let (_store, mut instance) = start_instance(8000).await;
+    let address = instance.caller_address;
+    let endless = (0..ENDLESS_CALLERS).map(|number| {
+        tokio::spawn(async move {
+            let id = format!("endless-{number}");
+            let path = ENDLESS_BODIES[number % ENDLESS_BODIES.len()].0;
+            send_request(address, &CallerRequest::new(&id, path)).await
+        })
+    });
+    let endless = endless.collect::<Vec<_>>();
+    wait_until("answers are read", || async {
+        instance.log_lines_containing("\"sent\"").len() >= ENDLESS_CALLERS / 2
+    })
+    .await;
+    let mut refused = Vec::new();
+    for number in 0..BESIDE_CALLERS {
+        let id = format!("beside-{number}");
+        let response = send_request(address, &CallerRequest::new(&id, "/order/7")).await;
+        let response = response.expect("the instance responds");
+        if (response.status, response.body.as_str()) != (StatusCode::OK, "ok") {
+            refused.push((id, response.status));
+        }
+    }
+    for endless in endless {
+        let response = timeout(WAIT_TIMEOUT, endless).await;
+        let response = response.expect("the request ends").expect("it is sent");
+        let complete =
+            response.is_some_and(|response| response.complete && response.status == StatusCode::OK);
+        assert!(!complete);
+    }
+    let peak = peak_memory_kb(&instance);
+    println!("peak of {peak} KiB");
+    assert_eq!(instance.exit_status(), None);
+    assert!(refused.is_empty(), "{refused:?}");
+    assert!(peak < MEMORY_MB << 10, "{peak}");
+}
