Fix: a body without end takes no more memory than is counted for it

Cause: a body was gathered in a buffer that doubles, of which the budget counted the bytes and neither the rest of the buffer nor the copy while it grew; passing it on copied it once more. Event lines were counted by their bytes, not by what was allocated. Ruled out: heads, trailers and chunk sizes, which were bounded before. Change: bodies are gathered in blocks of 16 KiB at most, counted as they are allocated and passed on as they are; a length beyond the limit ends the response at once; event lines count what is allocated. The test's sound orders go to a server of their own now: before, they went to the faulty one, which is avoided for a while, and their 503 was truthful. All of them have to be answered, as before.

--- a/crates/carawayhead/tests/forwarding/memory.rs
+++ b/crates/carawayhead/tests/forwarding/memory.rs
@@ -138,16 +138,7 @@
     limits: &str,
 ) -> (Store, Instance) {
     let store = Store::start().await;
-    let config = config(1, &["key-1"], timeout_ms)
-        .replace(r#""service":"desk""#, r#""service":"model""#)
-        .replace(r#""maxConnections":100"#, r#""maxConnections":5000"#)
-        .replace(r#""maxBodyBytes":4096"#, r#""maxBodyBytes":10000000"#)
-        .replace(
-            r#""kvCapacityTokens":34000"#,
-            r#""kvCapacityTokens":99000000"#,
-        )
-        .replace(r#""coldPerS":100.0"#, r#""coldPerS":100000.0"#)
-        .replace(r#""slots":48"#, r#""slots":5000"#);
+    let config = test_config(timeout_ms);
     store.write_operator_record("config", &config);
     for id in endpoints {
         let entry = serde_json::json!({
@@ -164,6 +155,20 @@
     (store, instance)
 }
 
+/// The configuration of an instance whose requests all go to one service.
+fn test_config(timeout_ms: u32) -> String {
+    config(1, &["key-1"], timeout_ms)
+        .replace(r#""service":"desk""#, r#""service":"model""#)
+        .replace(r#""maxConnections":100"#, r#""maxConnections":5000"#)
+        .replace(r#""maxBodyBytes":4096"#, r#""maxBodyBytes":10000000"#)
+        .replace(
+            r#""kvCapacityTokens":34000"#,
+            r#""kvCapacityTokens":99000000"#,
+        )
+        .replace(r#""coldPerS":100.0"#, r#""coldPerS":100000.0"#)
+        .replace(r#""slots":48"#, r#""slots":5000"#)
+}
+
 /// Largest memory that the instance has used, in kibibytes.
 fn peak_memory_kb(instance: &Instance) -> usize {
     let status = std::fs::read_to_string(format!("/proc/{}/status", instance.pid()));
@@ -354,6 +359,9 @@
     ("/draft/line", "\r\n", "x"),
 ];
 
+/// Index of the route of orders in the configuration.
+const ORDER_ROUTE: usize = 2;
+
 /// Callers of answers without end, and sound ones beside them.
 const ENDLESS_CALLERS: usize = 160;
 const BESIDE_CALLERS: usize = 40;
@@ -361,8 +369,25 @@
 /// Guards against answers whose bodies do not end, which together cost the instance its memory, or other callers their answers.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn answers_without_end_cost_only_their_own_callers() {
-    let (_store, mut instance) = start_instance(8000).await;
+    let (store, mut instance) = start_instance(8000).await;
+    let mut config = serde_json::from_str::<serde_json::Value>(&test_config(8000));
+    let config = config.as_mut().expect("the configuration is JSON");
+    config["version"] = 2.into();
+    config["routes"][ORDER_ROUTE]["service"] = "desk".into();
+    store.write_operator_record("config", &config.to_string());
+    let entry = serde_json::json!({
+        "address": start_endpoint().await.to_string(), "coldRemainingMs": 0, "sequence": 1,
+        "service": "desk", "slots": 48, "state": "ready", "version": "v1", "zone": "a",
+    });
+    store.write_endpoint_entry("d1", &entry.to_string());
     let address = instance.caller_address;
+    wait_until("orders are answered by their own service", || async {
+        let response = send_request(address, &CallerRequest::new("r0", "/order/7")).await;
+        let lines = instance.log_lines_containing("\"sent\"");
+        let is_there = lines.iter().any(|line| line.contains("\"d1\""));
+        is_there && response.is_some_and(|response| response.status == StatusCode::OK)
+    })
+    .await;
     let endless = (0..ENDLESS_CALLERS).map(|number| {
         tokio::spawn(async move {
             let id = format!("endless-{number}");
--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -2,10 +2,14 @@
 
 use {
     crate::{
+        body::Gathered,
         bounded::{Bounded, MAX_BUFFER_BYTES, Progress},
         prelude::*,
     },
-    hyper::client::conn::http1::{self, SendRequest},
+    hyper::{
+        body::Body as _,
+        client::conn::http1::{self, SendRequest},
+    },
     hyper_util::rt::TokioIo,
     std::{io, net::SocketAddr, pin::Pin, time::Instant},
     tokio::{
@@ -363,28 +367,38 @@
     ///
     /// The connection broke, what was received is no response, or the body is larger.
     pub async fn read_body(self, max_bytes: usize) -> Result<Bytes, Error> {
-        self.read_body_while(max_bytes, |_| true).await
+        let mut blocks = self.read_blocks(max_bytes, |_| true).await?;
+        if blocks.len() == 1 {
+            return Ok(blocks.swap_remove(0));
+        }
+        Ok(blocks.concat().into())
     }
 
-    /// Reads the whole body like [`Self::read_body`], for as long as `takes` agrees to the length of each chunk.
+    /// Reads the whole body like [`Self::read_body`] in blocks, for as long as `takes` agrees to each number of bytes that is
+    /// allocated for it.
     ///
     /// # Errors
     ///
     /// The connection broke, what was received is no response, or the body is larger.
-    pub async fn read_body_while(
+    pub async fn read_blocks(
         mut self,
         max_bytes: usize,
         takes: impl Fn(usize) -> bool,
-    ) -> Result<Bytes, Error> {
-        let mut body = BytesMut::new();
+    ) -> Result<Vec<Bytes>, Error> {
+        let announced = self.response.body().size_hint().lower();
+        if usize::try_from(announced).is_ok_and(|announced| announced > max_bytes) {
+            return Err(Error::TooLarge);
+        }
+        let mut body = Gathered::default();
         while let Some(chunk) = self.chunk().await? {
-            if body.len() + chunk.len() > max_bytes || !takes(chunk.len()) {
+            let missing = body.missing(chunk.len());
+            if body.len + chunk.len() > max_bytes || (missing > 0 && !takes(missing)) {
                 return Err(Error::TooLarge);
             }
-            body.extend_from_slice(&chunk);
+            body.push(&chunk, missing);
         }
         self.release();
-        Ok(body.freeze())
+        Ok(body.into_blocks())
     }
 }
 
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -1,5 +1,6 @@
 //! HTTP client for model engines and plain services.
 
+mod body;
 pub mod bounded;
 pub mod client;
 pub mod engine;
--- a/crates/endpoint/src/sse.rs
+++ b/crates/endpoint/src/sse.rs
@@ -67,10 +67,13 @@
         !self.partial.is_empty()
     }
 
-    /// Number of bytes of the incomplete block that is buffered.
+    /// Number of bytes that are allocated for the incomplete block; none if there is none.
     #[must_use]
     pub fn partial_bytes(&self) -> usize {
-        self.partial.len()
+        if self.partial.is_empty() {
+            return 0;
+        }
+        self.partial.capacity()
     }
 }
 
--- a/crates/endpoint/tests/endless.rs
+++ b/crates/endpoint/tests/endless.rs
@@ -25,6 +25,7 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
 const OK: &str = "HTTP/1.1 200 OK\r\n";
+const OK_UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\n\r\n";
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 
 /// A server that answers one request with `start`, and then with `part` over and over until its connection closes.
@@ -247,3 +248,33 @@
         assert!(error.is_break_of_endpoint(), "{start:?}: {error:?}");
     }
 }
+
+/// Guards against a body without end of which a caller's budget counts less than is allocated.
+#[tokio::test]
+async fn blocks_of_a_body_take_no_more_than_was_agreed_to() {
+    const BUDGET: usize = 512 << 10;
+    for (start, part) in [
+        (OK_UNTIL_CLOSE, "x"),
+        ("HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n", "x"),
+        (CHUNKED, "6\r\nfiller\r\n"),
+    ] {
+        let server = Endless::start(start, part).await;
+        let client = Client::new(WAIT_TIMEOUT);
+        let reply = client.send(&server.address, request()).await;
+        let reply = reply.expect("the head is read");
+        let allocated = std::cell::Cell::new(0);
+        let asked = std::cell::Cell::new(0);
+        let takes = |bytes: usize| {
+            asked.set(asked.get() + 1);
+            if allocated.get() + bytes > BUDGET {
+                return false;
+            }
+            allocated.set(allocated.get() + bytes);
+            true
+        };
+        let read = timeout(WAIT_TIMEOUT, reply.read_blocks(MAX_BODY_BYTES, takes)).await;
+        read.expect("the response ends").expect_err("it has no end");
+        assert!(allocated.get() > BUDGET / 2, "{part}: {}", allocated.get());
+        assert!(asked.get() < BUDGET >> 10, "{part}: {}", asked.get());
+    }
+}
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -39,7 +39,7 @@
 
 /// A response that has been read in full.
 struct BufferedAnswer {
-    body: Bytes,
+    body: Vec<Bytes>,
     held: Held,
     headers: http::HeaderMap,
     status: StatusCode,
@@ -238,7 +238,7 @@
     })
 }
 
-/// Reads a whole body, as far as there is memory for it.
+/// Reads a whole body in blocks, as far as there is memory for it.
 ///
 /// # Errors
 ///
@@ -246,12 +246,18 @@
 pub async fn read_body(
     reply: endpoint::client::Reply,
     held: &Held,
-) -> Result<Bytes, endpoint::Error> {
-    tokio::select! {
+) -> Result<Vec<Bytes>, endpoint::Error> {
+    let blocks = tokio::select! {
         biased;
         _ = held.let_go() => Err(endpoint::Error::TooLarge),
-        body = reply.read_body_while(MAX_ANSWER_BYTES, |bytes| held.take(bytes)) => body,
+        blocks = reply.read_blocks(MAX_ANSWER_BYTES, |bytes| held.take(bytes)) => blocks,
+    }?;
+    let bytes = blocks.iter().map(Bytes::len).sum();
+    // The caller takes the bytes, not what was allocated for them.
+    if !held.resize(bytes) {
+        return Err(endpoint::Error::TooLarge);
     }
+    Ok(blocks)
 }
 
 /// Decides whether a response goes to the caller, is retried or fails the request.
--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -47,6 +47,16 @@
         }
     }
 
+    /// A complete body that is counted, in blocks.
+    #[must_use]
+    pub fn blocks(blocks: Vec<Bytes>, held: Held) -> Self {
+        let frames = blocks.into_iter().flat_map(frames).collect();
+        Self {
+            handed_out: 0,
+            source: Source::Full(frames, Some(held)),
+        }
+    }
+
     /// A streamed body, with what counts its parts.
     #[must_use]
     pub const fn stream(parts: mpsc::UnboundedReceiver<BodyPart>, held: Rc<Held>) -> Self {
@@ -159,22 +169,22 @@
 /// A response with a complete body that is small.
 #[must_use]
 pub fn full(status: StatusCode, headers: http::HeaderMap, body: Bytes) -> Reply {
-    complete(status, headers, body, None)
+    complete(status, headers, Body::full(body, None))
 }
 
-/// A response with a complete body that is counted.
+/// A response with a complete body that is counted, in blocks.
 #[must_use]
-pub fn counted(status: StatusCode, headers: http::HeaderMap, body: Bytes, held: Held) -> Reply {
-    complete(status, headers, body, Some(held))
-}
-
-fn complete(
+pub fn counted(
     status: StatusCode,
     headers: http::HeaderMap,
-    body: Bytes,
-    held: Option<Held>,
+    blocks: Vec<Bytes>,
+    held: Held,
 ) -> Reply {
-    let mut reply = Response::new(Body::full(body, held));
+    complete(status, headers, Body::blocks(blocks, held))
+}
+
+fn complete(status: StatusCode, headers: http::HeaderMap, body: Body) -> Reply {
+    let mut reply = Response::new(body);
     *reply.status_mut() = status;
     *reply.headers_mut() = headers;
     reply
