Fix: no takeover is sent to an engine of which no copy is known

What callers saw: streams that ran a second time, at an engine that had no copy and did not answer (TWICE). Change: a backup counts from 200 ms of events of the run on, in which the failure domain of the backup was not cut off as seen from here (a new connection hung, and nothing had been read from the domain for 250 ms); anew after the run has gone on elsewhere.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod config;
 pub mod cooldown;
 pub mod crashes;
+pub mod cuts;
 pub mod departed;
 pub mod endpoint;
 pub mod fairness;
--- a/crates/forward/src/silence.rs
+++ b/crates/forward/src/silence.rs
@@ -116,6 +116,7 @@
     /// Records that something was read from an endpoint; returns for how long it had left a check unanswered.
     pub fn record_heard(&mut self, now: Time, key: EndpointKey) -> Option<Duration> {
         let endpoint = self.endpoints.get_mut(key)?;
+        self.cuts.record_heard(now, &endpoint.listing.domain);
         endpoint.lost_at = None;
         endpoint.liveness.record_heard(now)
     }
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -11,6 +11,8 @@
 mod shares;
 mod takeovers;
 
+use self::takeovers::Copying;
+
 pub use self::{
     conditions::{Answer, Outlook},
     limits::{Admission, Ask, Response},
@@ -22,6 +24,7 @@
         aggregate::{Sums, members::Members},
         brittleness::Brittleness,
         budget::RetryBudget,
+        cuts::Cuts,
         departed::Departed,
         fairness::Shares,
         freshness::Freshness,
@@ -60,6 +63,10 @@
 pub struct State {
     /// Engines that were asked to take a run over, sorted.
     asked: SecondaryMap<RunKey, Vec<EndpointKey>>,
+    /// Runs whose events are read while their engines copy them.
+    copying: SecondaryMap<RunKey, Copying>,
+    /// Cuts of the links to failure domains.
+    pub(crate) cuts: Cuts,
     /// Spreads the backoff of instances.
     backoff_seed: u64,
     /// Services whose endpoints fall over when they reject too much.
@@ -134,6 +141,8 @@
         rollouts.set_limit(settings.canary);
         Self {
             asked: SecondaryMap::new(),
+            copying: SecondaryMap::new(),
+            cuts: Cuts::default(),
             backoff_seed: random.clone().random(),
             brittleness: Brittleness::default(),
             budget: RetryBudget::new(&settings),
@@ -331,6 +340,7 @@
     /// Removes a run that has ended.
     pub fn end(&mut self, key: RunKey) -> Option<Run> {
         self.asked.remove(key);
+        self.copying.remove(key);
         self.runs.remove(key)
     }
 
--- a/crates/forward/src/state/takeovers.rs
+++ b/crates/forward/src/state/takeovers.rs
@@ -2,6 +2,18 @@
 
 use {super::State, crate::prelude::*};
 
+/// Time within which an engine begins to copy a run, as it does several times a second.
+const MIN_COPY_TIME: Duration = Duration::from_millis(200);
+
+/// A run whose events are read while its engine copies it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Copying {
+    /// When the last event was read.
+    heard_at: Time,
+    /// When the first event of this engine was read.
+    since: Time,
+}
+
 impl State {
     /// Records that an engine is asked to take a run over. Until it refuses, it may be running it, also
     /// without an answer, and would run it again if it were asked again: backup copies can be used
@@ -54,10 +66,52 @@
         current.filter(|key| *key != engine).or(other)
     }
 
+    /// Records that events of a run have been read from its engine, which copies it to its backup as it goes on.
+    pub fn record_events(&mut self, now: Time, run: RunKey) {
+        if !self.runs.contains_key(run) {
+            return;
+        }
+        let Some(copying) = self.copying.entry(run) else {
+            return;
+        };
+        let copying = copying.or_insert(Copying {
+            heard_at: now,
+            since: now,
+        });
+        copying.heard_at = now;
+    }
+
+    /// Records that a run goes on at another engine, which copies it to a backup of its own.
+    pub fn restart_copy(&mut self, run: RunKey) {
+        self.copying.remove(run);
+    }
+
+    /// Records that a connection to an endpoint was neither accepted nor refused.
+    pub fn record_hang(&mut self, now: Time, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get(key) {
+            self.cuts.record_hang(now, &endpoint.listing.domain);
+        }
+    }
+
+    /// Whether the backup copy of a run has been begun: its engine was at work for long enough, while the failure domain of the
+    /// backup could be reached. An engine without a copy might run the request anew.
+    fn has_copy(&self, run: RunKey, backup: EndpointKey) -> bool {
+        let copying = self.copying.get(run);
+        let Some((copying, endpoint)) = copying.zip(self.endpoints.get(backup)) else {
+            return false;
+        };
+        let Some(reachable) = self.cuts.reachable_since(&endpoint.listing.domain) else {
+            return false;
+        };
+        let since = copying.since.max(reachable);
+        copying.heard_at.since(since) >= MIN_COPY_TIME
+    }
+
     /// The engine that holds the backup copy of a run, if it may be asked to continue it.
     #[must_use]
     pub fn backup(&self, now: Time, run: RunKey) -> Option<EndpointKey> {
         let backup = self.runs.get(run)?.backup?;
-        (self.may_continue_at(now, backup) && !self.may_be_running(run, backup)).then_some(backup)
+        let is_free = self.may_continue_at(now, backup) && !self.may_be_running(run, backup);
+        (is_free && self.has_copy(run, backup)).then_some(backup)
     }
 }
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -157,8 +157,20 @@
     state
 }
 
-/// Adds a run of a long generation.
+/// Adds a run of a long generation, whose engine has been at work for long enough to copy it.
 pub fn begin_run(state: &mut State, endpoint: EndpointKey, backup: Option<EndpointKey>) -> RunKey {
+    let run = begin_unread_run(state, endpoint, backup);
+    state.record_events(at(0), run);
+    state.record_events(at(500), run);
+    run
+}
+
+/// Adds a run of a long generation of which no event has been read.
+pub fn begin_unread_run(
+    state: &mut State,
+    endpoint: EndpointKey,
+    backup: Option<EndpointKey>,
+) -> RunKey {
     state.begin(Run {
         backup,
         endpoint,
--- /dev/null
+++ b/crates/forward/tests/copies.rs
@@ -0,0 +1,79 @@
+//! What is known of the backup copies of runs.
+
+mod common;
+
+use {
+    common::{at, begin_unread_run, instance, listing},
+    forward::{State, prelude::EndpointKey},
+};
+
+fn engine(state: &State, id: &str) -> EndpointKey {
+    let mut endpoints = state.endpoints();
+    let found = endpoints.find(|(_, endpoint)| endpoint.listing.id == id);
+    found.expect("a known endpoint").0
+}
+
+/// Guards against a takeover that is sent to an engine without a copy, which might run the request anew: the run was so young when
+/// it was last heard that its copy may not have been begun.
+#[test]
+fn young_run_has_no_backup() {
+    let mut state = instance(&[listing("m1", "model", "a"), listing("m2", "model", "b")]);
+    let (source, backup) = (engine(&state, "m1"), engine(&state, "m2"));
+    let run = begin_unread_run(&mut state, source, Some(backup));
+    assert_eq!(state.backup(at(0), run), None);
+    state.record_events(at(1000), run);
+    state.record_events(at(1199), run);
+    assert_eq!(state.backup(at(5000), run), None);
+    state.record_events(at(1200), run);
+    assert_eq!(state.backup(at(5000), run), Some(backup));
+}
+
+/// Guards against the same after the run has gone on at another engine, which copies it to another backup.
+#[test]
+fn run_that_went_on_elsewhere_has_no_backup_at_once() {
+    let mut state = instance(&[listing("m1", "model", "a"), listing("m2", "model", "b")]);
+    let (source, backup) = (engine(&state, "m1"), engine(&state, "m2"));
+    let run = begin_unread_run(&mut state, source, Some(backup));
+    state.record_events(at(1000), run);
+    state.record_events(at(2000), run);
+    state.restart_copy(run);
+    assert_eq!(state.backup(at(2000), run), None);
+    state.record_events(at(2010), run);
+    assert_eq!(state.backup(at(2010), run), None);
+}
+
+/// Guards against the same where the failure domain of the backup was cut off while the run was at work.
+#[test]
+fn copy_is_not_known_while_the_domain_of_the_backup_is_cut_off() {
+    let mut state = instance(&[listing("m1", "model", "a"), listing("m2", "model", "b")]);
+    let (source, backup) = (engine(&state, "m1"), engine(&state, "m2"));
+    state.record_heard(at(900), backup);
+    let run = begin_unread_run(&mut state, source, Some(backup));
+    state.record_events(at(1000), run);
+    state.record_hang(at(1300), backup);
+    state.record_events(at(3000), run);
+    assert_eq!(state.backup(at(3000), run), None);
+    state.record_heard(at(3000), backup);
+    assert_eq!(state.backup(at(3000), run), None);
+    state.record_events(at(3200), run);
+    assert_eq!(state.backup(at(3200), run), Some(backup));
+}
+
+/// Guards against streams that are lost although their copies are known: one engine of the domain does not answer, while others do.
+#[test]
+fn one_engine_that_hangs_does_not_cut_off_its_domain() {
+    let listings = [
+        listing("m1", "model", "a"),
+        listing("m2", "model", "b"),
+        listing("m3", "model", "b"),
+    ];
+    let mut state = instance(&listings);
+    let (source, backup) = (engine(&state, "m1"), engine(&state, "m2"));
+    let run = begin_unread_run(&mut state, source, Some(backup));
+    state.record_events(at(1000), run);
+    state.record_heard(at(1200), backup);
+    state.record_events(at(1300), run);
+    let other = engine(&state, "m3");
+    state.record_hang(at(1310), other);
+    assert_eq!(state.backup(at(1310), run), Some(backup));
+}
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -4,7 +4,7 @@
     crate::{logging, prelude::*},
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Gauge, Histogram, MeterProvider as _},
+        metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _},
     },
     opentelemetry_sdk::metrics::SdkMeterProvider,
     prometheus::{Encoder as _, Registry, TextEncoder},
@@ -93,11 +93,7 @@
                 .with_boundaries(LATENCY_BUCKETS_SECONDS.to_vec())
                 .build()
         };
-        meter
-            .u64_observable_counter("log_lines_dropped")
-            .with_description("log lines dropped because standard output was not read")
-            .with_callback(|observer| observer.observe(logging::dropped(), &[]))
-            .build();
+        observe_dropped_lines(&meter);
         let held = meter
             .u64_gauge("buffered_bytes")
             .with_description("bytes held for callers and endpoints, by use")
@@ -329,3 +325,11 @@
         String::from_utf8_lossy(&text).into_owned()
     }
 }
+
+fn observe_dropped_lines(meter: &Meter) {
+    meter
+        .u64_observable_counter("log_lines_dropped")
+        .with_description("log lines dropped because standard output was not read")
+        .with_callback(|observer| observer.observe(logging::dropped(), &[]))
+        .build();
+}
--- a/crates/proxy/src/path.rs
+++ b/crates/proxy/src/path.rs
@@ -250,6 +250,9 @@
 /// Records that an endpoint could not be reached directly. If connections hang, those that are open
 /// to other endpoints of a partitioned service do so too, and are not used again.
 pub fn record_unreached(shared: &Shared, key: EndpointKey, hangs: bool) {
+    if hangs {
+        shared.state.borrow_mut().record_hang(clock::now(), key);
+    }
     let change = shared
         .state
         .borrow_mut()
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -533,9 +533,12 @@
         self.end_silence(now);
         self.longest_pause = self.longest_pause.max(now.since(self.last_event_at));
         self.last_event_at = now;
-        if let Some(run) = self.shared.state.borrow_mut().run_mut(self.running.key) {
+        let mut state = self.shared.state.borrow_mut();
+        if let Some(run) = state.run_mut(self.running.key) {
             run.events = self.sequence.count();
         }
+        state.record_events(now, self.running.key);
+        drop(state);
         if self.sequence.count() >= OBSERVED_EVENTS {
             self.judge_answer();
         }
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -467,6 +467,7 @@
         self.source.placement.confirm();
         let mut state = self.shared.state.borrow_mut();
         state.settle_takeover(self.running.key, key);
+        state.restart_copy(self.running.key);
         if let Some(run) = state.run_mut(self.running.key) {
             run.endpoint = key;
             run.backup = backup;
