Fix: an engine is told to stop when the connection of its stream breaks, and again while two may be at work

What callers saw: streams that two engines worked on for longer than 400 ms (TWICE), or that ended incomplete while two engines worked on them. Cause: an engine that had closed the connection of a stream was told to stop once the next one had answered or was given up, up to 2.5 s later; after a takeover without an answer, a stop that was refused was followed by a move, which takes time, and nothing knew how much of the 400 ms was used. Evidence: engine_that_closed_a_stream_stops_before_the_next_one_answers and engine_that_refuses_to_stop_is_asked_again_while_another_one_may_work failed (the stream incomplete; 34 events of 26). The engine that is left is told before the next send where its connection has ended; what it keeps of the run is offered to the stream, which goes on from it if the takeover fails or is not answered within 1.2 s, and is freed otherwise. While a later engine may be working on the run, its engine is asked to stop it every 40 ms, and the run is not moved.

--- a/crates/proxy/src/placement.rs
+++ b/crates/proxy/src/placement.rs
@@ -7,10 +7,10 @@
     crate::{
         clock,
         prelude::*,
-        relocate::{self, StopAnswer},
+        relocate::{self, RunCopy, StopAnswer, StoppedCopy},
     },
     forward::placement::MAX_OVERLAP,
-    tokio::sync::mpsc,
+    tokio::sync::{mpsc, oneshot},
 };
 
 /// How long an engine has to notice that the connection of a run is closed before it is told to stop it. One that does
@@ -79,8 +79,20 @@
         }
     }
 
-    /// Has the engine told to stop the run.
-    fn leave(&mut self) {
+    /// Has the engine told to stop the run, whose connection has ended. Returns what it keeps of the run, unless the run has ended
+    /// there.
+    #[must_use]
+    pub fn leave_closed(&mut self) -> Option<Kept> {
+        if !self.is_open {
+            return None;
+        }
+        let (offer, kept) = offer();
+        self.leave(Some(offer));
+        Some(kept)
+    }
+
+    /// Has the engine told to stop the run; what it keeps is offered to the stream, or freed.
+    fn leave(&mut self, offer: Option<Offer>) {
         if !std::mem::take(&mut self.is_open) {
             return;
         }
@@ -91,6 +103,7 @@
             engine,
             id: self.id.clone(),
             is_confirmed: self.is_confirmed,
+            offer,
             run,
         };
         // Fails while the instance exits, which closes all connections.
@@ -100,12 +113,70 @@
 
 impl Drop for Placement {
     fn drop(&mut self) {
-        self.leave();
+        self.leave(None);
+    }
+}
+
+/// Offers a stream what an engine keeps of its run.
+#[derive(Debug)]
+struct Offer {
+    copies: oneshot::Sender<Vec<RunCopy>>,
+    /// Answered if the stream has used it, and closed if it does not need it.
+    used: oneshot::Receiver<()>,
+}
+
+/// What an engine that a stream has left keeps of its run, from when it has stopped it. It is freed once this is dropped.
+#[derive(Debug)]
+pub struct Kept {
+    arrived: Vec<RunCopy>,
+    copies: Option<oneshot::Receiver<Vec<RunCopy>>>,
+    used: oneshot::Sender<()>,
+}
+
+fn offer() -> (Offer, Kept) {
+    let (sender, copies) = oneshot::channel();
+    let (confirm, used) = oneshot::channel();
+    let offer = Offer {
+        copies: sender,
+        used,
+    };
+    let kept = Kept {
+        arrived: Vec::new(),
+        copies: Some(copies),
+        used: confirm,
+    };
+    (offer, kept)
+}
+
+impl Kept {
+    /// Whether the engine has not answered yet.
+    #[must_use]
+    pub const fn is_awaited(&self) -> bool {
+        self.copies.is_some()
+    }
+
+    /// Waits for the copies, the best one first; none if the engine keeps nothing. Never returns a second time.
+    pub async fn arrived(&mut self) -> Vec<RunCopy> {
+        let Some(copies) = &mut self.copies else {
+            return std::future::pending().await;
+        };
+        let arrived = copies.await.unwrap_or_default();
+        self.copies = None;
+        self.arrived.clone_from(&arrived);
+        arrived
+    }
+
+    /// Ends this after the stream has gone on from a copy. What it has used is not freed.
+    pub fn settle(self, copy: Option<&RunCopy>) {
+        if copy.is_some_and(|copy| self.arrived.contains(copy)) {
+            // Fails if the engine was not told.
+            let _told = self.used.send(());
+        }
     }
 }
 
 /// A run that a stream has left at an engine which may be working on it.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Abandoned {
     /// The engine.
     pub engine: EndpointKey,
@@ -113,6 +184,8 @@
     pub id: String,
     /// Whether the stream had its events from the engine. One that has run it without an answer might do so again.
     pub is_confirmed: bool,
+    /// Offers the stream what the engine keeps, where its connection has ended.
+    offer: Option<Offer>,
     /// The run.
     pub run: RunKey,
 }
@@ -125,36 +198,57 @@
 }
 
 async fn stop(shared: Rc<Shared>, abandoned: Abandoned) {
-    sleep(CLOSE_DELAY).await;
+    if abandoned.offer.is_none() {
+        sleep(CLOSE_DELAY).await;
+    }
     let stopped = timeout(STOP_TIMEOUT, try_stop(&shared, &abandoned)).await;
     let Abandoned {
-        engine, id, run, ..
-    } = &abandoned;
+        engine,
+        id,
+        offer,
+        run,
+        ..
+    } = abandoned;
     if stopped.is_err() {
-        let endpoint = shared.endpoint_name(*engine);
+        let endpoint = shared.endpoint_name(engine);
         log::warn!(id, endpoint; "engine may work on a stream that has left it");
     }
-    if !shared.placements.borrow().has_stream(*run, *engine) {
-        shared.end_placement(*run, *engine, id);
+    if !shared.placements.borrow().has_stream(run, engine) {
+        shared.end_placement(run, engine, &id);
+    }
+    let Some(copy) = stopped.ok().flatten() else {
+        return;
+    };
+    if let Some(offer) = offer
+        && offer.copies.send(copy.run_copies()).is_ok()
+        && offer.used.await.is_ok()
+    {
+        return;
     }
+    copy.release(&shared).await;
 }
 
-async fn try_stop(shared: &Rc<Shared>, abandoned: &Abandoned) {
+/// Returns what the engine keeps of the run if it has stopped it.
+async fn try_stop(shared: &Rc<Shared>, abandoned: &Abandoned) -> Option<StoppedCopy> {
     let (run, engine) = (abandoned.run, abandoned.engine);
     let mut delay = RETRY_DELAY;
     // The stream may have come back meanwhile.
     while !shared.placements.borrow().has_stream(run, engine) {
         match relocate::stop_abandoned(shared, abandoned).await {
-            StopAnswer::Ended if abandoned.is_confirmed => {
-                return shared.state.borrow_mut().settle_takeover(run, engine);
+            StopAnswer::Ended(copy) => {
+                if abandoned.is_confirmed {
+                    shared.state.borrow_mut().settle_takeover(run, engine);
+                }
+                return copy;
             }
-            StopAnswer::Ended | StopAnswer::Gone => return,
+            StopAnswer::Gone => return None,
             StopAnswer::Busy => {}
             StopAnswer::Unknown => shared.wait_until_responsive(engine).await,
         }
         sleep(delay).await;
         delay = delay.saturating_mul(2).min(MAX_RETRY_DELAY);
     }
+    None
 }
 
 impl Shared {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -11,12 +11,13 @@
         clock,
         exchange::Original,
         memory::{Held, Reason},
+        placement::Kept,
         prelude::*,
         progress::Progress,
         relocate::RunCopy,
         reply::{self, BodyPart},
         shared::RunGuard,
-        takeover::{EventSource, TakeoverContext},
+        takeover::{EventSource, MAX_TAKEOVER_OVERLAP, TakeoverContext},
     },
     endpoint::sse,
     forward::{
@@ -39,6 +40,9 @@
 /// How long an engine's stream may stay unread. Engines cut off a response that stays unread for some seconds.
 const ENGINE_READ_PAUSE: Duration = Duration::from_secs(1);
 
+/// Interval at which an engine is asked to stop a run that another engine may be working on.
+const STOP_INTERVAL: Duration = Duration::from_millis(40);
+
 /// Number of events after which an answer counts in the judgement of its engine's version.
 const OBSERVED_EVENTS: u32 = 12;
 
@@ -56,6 +60,8 @@
     /// Counts what the caller has not read.
     held: Rc<Held>,
     first_event_delay: Duration,
+    /// What the engine before keeps of the run.
+    kept: Option<Kept>,
     /// Whether the connection to the current engine is open, for attempts in progress.
     is_connected: Rc<Cell<bool>>,
     /// Whether the events are told apart by their numbers, for attempts in progress.
@@ -135,6 +141,8 @@
     Lost(Break),
     /// The caller has caught up, or the engine's stream has been unread for as long as it may be.
     ReadOn,
+    /// The engine before has answered with what it keeps of the run.
+    Kept(Vec<RunCopy>),
     /// An attempt to continue elsewhere has not ended in time after the connection broke.
     Overdue,
     Settled(Settled),
@@ -204,6 +212,7 @@
             continuing: None,
             earlier_events: 0,
             held: start.held,
+            kept: None,
             first_event_delay: now.since(inbound.arrived),
             began_at: None,
             is_connected: Rc::new(Cell::new(true)),
@@ -318,6 +327,7 @@
                     self.cancel_takeover(&mut attempt);
                     self.pass_on(blocks)
                 }
+                Step::Kept(copies) => self.add_kept(&mut attempt, copies).await,
                 Step::Lost(broken) => self.lost(&mut attempt, broken).await,
                 Step::Overdue => self.overdue(&mut attempt).await,
                 Step::Settled(settled) => {
@@ -333,11 +343,21 @@
         }
     }
 
-    /// Starts to move the run if its engine is leaving.
+    /// Starts to move the run if its engine is leaving, or to stop it if another engine may be working on it as well.
     fn start_move(&mut self, attempt: &mut Option<Attempt>) {
         let now = clock::now();
         let is_due = attempt.is_none() && self.broken.is_none() && now >= self.next_move;
-        if !is_due || !self.is_leaving() {
+        if !is_due {
+            return;
+        }
+        if let Some((other, since)) = self.successor() {
+            if now.since(since) >= MAX_TAKEOVER_OVERLAP {
+                self.next_move = now.after(STOP_INTERVAL);
+                self.stop_duplicate(attempt, other);
+            }
+            return;
+        }
+        if !self.is_leaving() {
             return;
         }
         if self.backup_copy().is_none() && self.ends_soon() {
@@ -351,6 +371,12 @@
         ));
     }
 
+    /// The engine that may have begun to work on the run after the present one has, and when.
+    fn successor(&self) -> Option<(EndpointKey, Time)> {
+        let placements = self.shared.placements.borrow();
+        placements.successor(self.running.key, self.source.key)
+    }
+
     /// The data that a takeover needs, without the stream itself.
     fn takeover_context(&self) -> TakeoverContext {
         TakeoverContext {
@@ -380,9 +406,11 @@
             return Step::Expired;
         }
         let lags = self.held.bytes() >= MAX_UNREAD_BYTES && now < self.read_on_at;
+        let overlaps = attempt.is_none() && self.successor().is_some();
         let (until, due) = match &self.broken {
             Some(broken) => (broken.until, Step::Overdue),
             None if lags => (self.read_on_at, Step::ReadOn),
+            None if overlaps => (self.next_look.min(now.after(STOP_INTERVAL)), Step::Silent),
             None => (self.next_look, Step::Silent),
         };
         let wait = remaining.min(until.since(now));
@@ -397,6 +425,7 @@
             () = self.held.falls_below(MAX_UNREAD_BYTES), if is_open && lags => Step::ReadOn,
             settled = attempt::settled(attempt) => Step::Settled(settled),
             settled = attempt::settled(&mut self.stopping) => Step::SettledStop(settled),
+            copies = kept_copies(&mut self.kept) => Step::Kept(copies),
             () = self.shared.stopped(&self.original, events) => Step::Stopped,
             () = self.shared.exits() => Step::Exits,
             () = sleep(wait) => if wait == remaining { Step::Expired } else { due },
@@ -545,3 +574,11 @@
         Ok(())
     }
 }
+
+/// Waits for what an engine keeps of a run; never returns if nothing is awaited.
+async fn kept_copies(kept: &mut Option<Kept>) -> Vec<RunCopy> {
+    match kept {
+        Some(kept) => kept.arrived().await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -8,6 +8,7 @@
     crate::{
         buffered::acquire_endpoint,
         clock,
+        placement::Kept,
         prelude::*,
         relocate::{self, RunCopy, StopOutcome},
         takeover::{self, Opened, TAKEOVER_TIMEOUT, TakeoverOutcome},
@@ -27,7 +28,8 @@
 /// repeated prefill takes half a second.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// How long the copy of a run that has stopped is awaited where there is a backup copy as well.
+/// How long the copy of a run that has stopped is awaited where there is a backup copy as well, and the answer of the engine with
+/// the backup copy where there is that of a run that has stopped.
 const STOPPED_TIMEOUT: Duration = Duration::from_millis(1200);
 
 /// How often the engines with copies of a lost run that have not answered are asked again.
@@ -76,6 +78,8 @@
             if attempt.kind == Kind::Stop {
                 self.stopping = Some(attempt);
             }
+        } else {
+            self.kept = None;
         }
         self.fail_over(attempt, "attempt takes too long").await
     }
@@ -98,10 +102,39 @@
             // Used if the attempt in progress fails.
             let kept = self.kept_copy(&copy);
             self.copies.splice(0..0, [kept, copy]);
+        } else if self.broken.is_some() {
+            self.leave_engine();
         }
         Ok(())
     }
 
+    /// Has the engine whose connection has ended told to stop the run, unless it was asked to already.
+    fn leave_engine(&mut self) {
+        if self.stopping.is_none() && self.kept.is_none() {
+            self.kept = self.source.placement.leave_closed();
+        }
+    }
+
+    /// Handles the answer of the engine that the stream has left: what it keeps of the run is used if nothing else goes on with it.
+    pub(super) async fn add_kept(
+        &mut self,
+        attempt: &mut Option<Attempt>,
+        copies: Vec<RunCopy>,
+    ) -> Result<(), Ending> {
+        if attempt.is_some() {
+            let until = clock::now().after(STOPPED_TIMEOUT);
+            if let Some(broken) = self.broken.as_mut().filter(|_| !copies.is_empty()) {
+                broken.until = broken.until.min(until);
+            }
+            self.copies.splice(0..0, copies.into_iter().rev());
+            return Ok(());
+        }
+        match self.broken.take() {
+            Some(broken) => self.continue_or_restart(attempt, copies, broken).await,
+            None => Ok(()),
+        }
+    }
+
     /// Handles the end of an attempt.
     pub(super) async fn settle(
         &mut self,
@@ -152,10 +185,16 @@
 
     /// Restarts the stream, unless its engine may have stopped it and has not answered yet.
     async fn restart_or_wait(&mut self, broken: Break, lost: String) -> Result<(), Ending> {
-        if self.stopping.is_none() || self.may_run_again() {
+        self.leave_engine();
+        let keeps = self.kept.as_ref().is_some_and(Kept::is_awaited);
+        if self.may_run_again() || (self.stopping.is_none() && !keeps) {
             return self.restart(&broken.why, lost).await;
         }
-        let until = self.ticket.expires;
+        let until = if keeps {
+            clock::now().after(STOPPED_TIMEOUT).min(self.ticket.expires)
+        } else {
+            self.ticket.expires
+        };
         self.broken = Some(Break { until, ..broken });
         Ok(())
     }
@@ -328,6 +367,7 @@
         self.copies.reverse();
         self.copies.dedup();
         self.broken = Some(broken);
+        self.leave_engine();
         self.continue_from_next(attempt)
     }
 
@@ -479,6 +519,9 @@
         self.began_at = None;
         self.window.restart();
         self.broken = None;
+        if let Some(kept) = self.kept.take() {
+            kept.settle(self.continuing.as_ref());
+        }
         self.continuing = None;
         self.copies.clear();
         self.is_connected = Rc::new(Cell::new(true));
--- a/crates/proxy/src/relocate.rs
+++ b/crates/proxy/src/relocate.rs
@@ -171,50 +171,77 @@
 }
 
 /// What an engine is known to do with a run that a stream has left there.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Debug)]
 pub enum StopAnswer {
     /// It cannot stop it yet.
     Busy,
-    /// It does not work on it.
-    Ended,
+    /// It does not work on it, and keeps this.
+    Ended(Option<StoppedCopy>),
     /// There is no such engine any more, or none that can stop runs.
     Gone,
     /// It has not answered.
     Unknown,
 }
 
+/// What an engine keeps of a run that it has stopped.
+#[derive(Debug)]
+pub struct StoppedCopy {
+    ends: MoveEnds,
+    handle: String,
+    /// Whether the target has a copy as well.
+    is_copied: bool,
+}
+
+impl StoppedCopy {
+    /// The copies from which the run can continue, the best one first.
+    #[must_use]
+    pub fn run_copies(&self) -> Vec<RunCopy> {
+        let target = self.is_copied.then_some(self.ends.target_key);
+        let keys = target.into_iter().chain([self.ends.source_key]);
+        let copies = keys.map(|key| RunCopy {
+            address: self.ends.source,
+            handle: self.handle.clone(),
+            key,
+        });
+        copies.collect()
+    }
+
+    /// Frees the copy, which would take a slot and memory of two engines.
+    pub async fn release(&self, shared: &Shared) {
+        let request = engine::release_request(self.ends.source, &self.handle);
+        let released = match request {
+            Ok(request) => path::call(shared, self.ends.source_key, request).await,
+            Err(error) => Err(error.into()),
+        };
+        if let Err(error) = released {
+            log::info!(handle = self.handle, error:%; "copy not released");
+        }
+    }
+}
+
 /// Asks an engine to stop a run that a stream has left there.
 pub async fn stop_abandoned(shared: &Shared, abandoned: &Abandoned) -> StopAnswer {
     let (engine, id) = (abandoned.engine, &abandoned.id);
-    let target = shared.state.borrow().stop_target(abandoned.run, engine);
+    let target = pick_stop_target(shared, abandoned.run, engine);
     let Some(ends) = target.and_then(|target| ends_between(shared, engine, target)) else {
         return StopAnswer::Gone;
     };
     let asked_at = clock::now();
     let result = call(shared, &ends, id, true).await;
     log_stop(shared, &ends, id, clock::now().since(asked_at), &result);
-    match result {
-        Ok(MoveResult::NoRun) => StopAnswer::Ended,
-        Ok(MoveResult::Copied { handle, .. } | MoveResult::Refused(Some(handle))) => {
-            release(shared, &ends, &handle).await;
-            StopAnswer::Ended
-        }
-        Ok(MoveResult::Busy | MoveResult::Refused(None)) => StopAnswer::Busy,
-        Err(failure) if failure.is_refused => StopAnswer::Gone,
-        Err(_) => StopAnswer::Unknown,
-    }
-}
-
-/// Frees a copy that nothing will use, which would take a slot and memory of two engines.
-async fn release(shared: &Shared, ends: &MoveEnds, handle: &str) {
-    let request = engine::release_request(ends.source, handle);
-    let released = match request {
-        Ok(request) => path::call(shared, ends.source_key, request).await,
-        Err(error) => Err(error.into()),
+    let (handle, is_copied) = match result {
+        Ok(MoveResult::NoRun) => return StopAnswer::Ended(None),
+        Ok(MoveResult::Copied { handle, .. }) => (handle, true),
+        Ok(MoveResult::Refused(Some(handle))) => (handle, false),
+        Ok(MoveResult::Busy | MoveResult::Refused(None)) => return StopAnswer::Busy,
+        Err(failure) if failure.is_refused => return StopAnswer::Gone,
+        Err(_) => return StopAnswer::Unknown,
     };
-    if let Err(error) = released {
-        log::info!(handle, error:%; "copy not released");
-    }
+    StopAnswer::Ended(Some(StoppedCopy {
+        ends,
+        handle,
+        is_copied,
+    }))
 }
 
 fn log_stop(
@@ -250,6 +277,7 @@
 }
 
 /// Source and target of a move.
+#[derive(Debug)]
 struct MoveEnds {
     source: SocketAddr,
     source_key: EndpointKey,
@@ -265,6 +293,16 @@
     }
 }
 
+/// Where an engine that a stream has left is told to copy the run: to one with room while the stream is at no other engine.
+fn pick_stop_target(shared: &Shared, run: RunKey, engine: EndpointKey) -> Option<EndpointKey> {
+    let mut state = shared.state.borrow_mut();
+    let target = state.stop_target(run, engine)?;
+    if state.run(run).is_none_or(|run| run.endpoint != engine) {
+        return Some(target);
+    }
+    state.pick_target(clock::now(), run, &[]).or(Some(target))
+}
+
 /// The engine that has the run, and another one with room.
 fn pick_ends(shared: &Shared, run: RunKey, tried: &[EndpointKey]) -> Option<MoveEnds> {
     let target = {
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -17,8 +17,8 @@
 pub const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Timeout of a takeover while the run's current engine may still be running it. Two engines
-/// may run it concurrently for up to this long.
-const MAX_OVERLAP: Duration = Duration::from_millis(250);
+/// may run it concurrently for up to this long, and until one of them has stopped.
+pub const MAX_TAKEOVER_OVERLAP: Duration = Duration::from_millis(250);
 
 /// How long an engine with a backup copy may take to answer a check before the run is copied to another one.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
@@ -164,7 +164,7 @@
         }
         let opening = self.open_from_copy(copy, why, TAKEOVER_TIMEOUT);
         tokio::pin!(opening);
-        let opened = match timeout(MAX_OVERLAP, opening.as_mut()).await {
+        let opened = match timeout(MAX_TAKEOVER_OVERLAP, opening.as_mut()).await {
             Err(_) if self.is_connected.get() => return TakeoverOutcome::Unknown(copy.key),
             Err(_) => opening.await,
             Ok(opened) => opened,
@@ -189,7 +189,7 @@
         if !self.shared.keeps_move_room() || !is_numbered || !self.is_connected.get() {
             return;
         }
-        let left = MAX_OVERLAP.saturating_sub(clock::now().since(source.sent_at));
+        let left = MAX_TAKEOVER_OVERLAP.saturating_sub(clock::now().since(source.sent_at));
         source.early = timeout(left, source.answer.chunk()).await.ok();
     }
 
