Fix: a copy does not count after the failure domain of its engine was cut off

Cause: an engine does not go on copying a run once the links to the backup were cut, while the clock of the copy was only restarted. Change: a cut since the first event of the run puts its copy in doubt for good, and no copies are ordered in a domain that is cut off.

--- a/crates/forward/src/choice/copy.rs
+++ b/crates/forward/src/choice/copy.rs
@@ -64,7 +64,8 @@
             let usable = endpoint.listing.service == service.name
                 && endpoint.usable(now)
                 && gate.access(endpoint) == Access::Open
-                && !self.is_disabled(&endpoint.listing.domain);
+                && !self.is_disabled(&endpoint.listing.domain)
+                && !self.cuts.is_cut(&endpoint.listing.domain);
             let load = self.load(key, endpoint, known.loads);
             let tokens = f64::from(load.tokens.saturating_add(need));
             let same_domain = source_domain == Some(endpoint.listing.domain.as_str());
--- a/crates/forward/src/cuts.rs
+++ b/crates/forward/src/cuts.rs
@@ -46,6 +46,12 @@
         (!link.is_cut).then_some(link.restored_at)
     }
 
+    /// Whether the links to a failure domain are cut, as far as is known.
+    #[must_use]
+    pub fn is_cut(&self, domain: &str) -> bool {
+        self.reachable_since(domain).is_none()
+    }
+
     fn link_mut(&mut self, domain: &str) -> &mut Link {
         let index = self.find(domain).unwrap_or_else(|index| {
             let link = Link {
--- a/crates/forward/src/state/takeovers.rs
+++ b/crates/forward/src/state/takeovers.rs
@@ -93,18 +93,16 @@
         }
     }
 
-    /// Whether the backup copy of a run has been begun: its engine was at work for long enough, while the failure domain of the
-    /// backup could be reached. An engine without a copy might run the request anew.
+    /// Whether the backup copy of a run has been begun: its engine was at work for long enough, and the failure domain of the backup
+    /// was not cut off meanwhile, after which engines do not go on copying. An engine without a copy might run the request anew.
     fn has_copy(&self, run: RunKey, backup: EndpointKey) -> bool {
         let copying = self.copying.get(run);
         let Some((copying, endpoint)) = copying.zip(self.endpoints.get(backup)) else {
             return false;
         };
-        let Some(reachable) = self.cuts.reachable_since(&endpoint.listing.domain) else {
-            return false;
-        };
-        let since = copying.since.max(reachable);
-        copying.heard_at.since(since) >= MIN_COPY_TIME
+        let reachable_since = self.cuts.reachable_since(&endpoint.listing.domain);
+        let is_whole = reachable_since.is_some_and(|since| since <= copying.since);
+        is_whole && copying.heard_at.since(copying.since) >= MIN_COPY_TIME
     }
 
     /// The engine that holds the backup copy of a run, if it may be asked to continue it.
