Fix: a failure domain whose instances do not report counts as cut off

Cause: an instance in a failure domain that is cut off sends everything to engines of its own, so that no connection shows the cut, and orders copies across it. Change: reports of peers, which come four times a second, show a cut by a gap of a second. Where no peer reports, as at members of large deployments, connections that hang show it, as before.

--- a/crates/forward/src/choice/copy.rs
+++ b/crates/forward/src/choice/copy.rs
@@ -65,7 +65,7 @@
                 && endpoint.usable(now)
                 && gate.access(endpoint) == Access::Open
                 && !self.is_disabled(&endpoint.listing.domain)
-                && !self.cuts.is_cut(&endpoint.listing.domain);
+                && !self.cuts.is_cut(now, &endpoint.listing.domain);
             let load = self.load(key, endpoint, known.loads);
             let tokens = f64::from(load.tokens.saturating_add(need));
             let same_domain = source_domain == Some(endpoint.listing.domain.as_str());
--- a/crates/forward/src/state/takeovers.rs
+++ b/crates/forward/src/state/takeovers.rs
@@ -86,6 +86,13 @@
         self.copying.remove(run);
     }
 
+    /// Records that a peer has reported.
+    pub fn record_peer_report(&mut self, now: Time, name: &str) {
+        if let Some(domain) = self.members.domain(name) {
+            self.cuts.record_report(now, domain);
+        }
+    }
+
     /// Records that a connection to an endpoint was neither accepted nor refused.
     pub fn record_hang(&mut self, now: Time, key: EndpointKey) {
         if let Some(endpoint) = self.endpoints.get(key) {
@@ -95,14 +102,14 @@
 
     /// Whether the backup copy of a run has been begun: its engine was at work for long enough, and the failure domain of the backup
     /// was not cut off meanwhile, after which engines do not go on copying. An engine without a copy might run the request anew.
-    fn has_copy(&self, run: RunKey, backup: EndpointKey) -> bool {
+    fn has_copy(&self, now: Time, run: RunKey, backup: EndpointKey) -> bool {
         let copying = self.copying.get(run);
         let Some((copying, endpoint)) = copying.zip(self.endpoints.get(backup)) else {
             return false;
         };
-        let reachable_since = self.cuts.reachable_since(&endpoint.listing.domain);
-        let is_whole = reachable_since.is_some_and(|since| since <= copying.since);
-        is_whole && copying.heard_at.since(copying.since) >= MIN_COPY_TIME
+        let domain = &endpoint.listing.domain;
+        let is_reachable = self.cuts.is_reachable_since(now, domain, copying.since);
+        is_reachable && copying.heard_at.since(copying.since) >= MIN_COPY_TIME
     }
 
     /// The engine that holds the backup copy of a run, if it may be asked to continue it.
@@ -110,6 +117,6 @@
     pub fn backup(&self, now: Time, run: RunKey) -> Option<EndpointKey> {
         let backup = self.runs.get(run)?.backup?;
         let is_free = self.may_continue_at(now, backup) && !self.may_be_running(run, backup);
-        (is_free && self.has_copy(run, backup)).then_some(backup)
+        (is_free && self.has_copy(now, run, backup)).then_some(backup)
     }
 }
--- a/crates/forward/tests/copies.rs
+++ b/crates/forward/tests/copies.rs
@@ -99,3 +99,29 @@
     state.record_hang(at(1310), other);
     assert_eq!(state.backup(at(1310), run), Some(backup));
 }
+
+/// Guards against the same where nothing was sent to the failure domain of the backup while it was cut off: its instances did not
+/// report.
+#[test]
+fn copy_is_not_known_after_a_domain_has_not_reported() {
+    let mut state = instance(&[listing("m1", "model", "a"), listing("m2", "model", "b")]);
+    let (source, backup) = (engine(&state, "m1"), engine(&state, "m2"));
+    state.members.set("e2", "b", 1000);
+    for sent_at in [500, 750, 1000] {
+        state.record_peer_report(at(sent_at), "e2");
+    }
+    let run = begin_unread_run(&mut state, source, Some(backup));
+    state.record_events(at(1500), run);
+    state.record_events(at(3000), run);
+    assert_eq!(state.backup(at(3000), run), None);
+    assert_eq!(state.pick_backup(at(3000), run, source), None);
+    state.record_peer_report(at(3100), "e2");
+    state.record_events(at(4000), run);
+    assert_eq!(state.backup(at(4000), run), None);
+    let later = begin_unread_run(&mut state, source, Some(backup));
+    state.record_events(at(3200), later);
+    state.record_peer_report(at(3300), "e2");
+    state.record_events(at(4000), later);
+    assert_eq!(state.backup(at(4000), later), Some(backup));
+    assert_eq!(state.pick_backup(at(4000), later, source), Some(backup));
+}
--- a/crates/proxy/src/gossip/receive.rs
+++ b/crates/proxy/src/gossip/receive.rs
@@ -138,6 +138,9 @@
 
 /// Records incarnation and number of a peer's message; drops reports of an earlier incarnation.
 fn note_sender(shared: &Shared, name: &str, incarnation: u64, number: u64) {
+    let mut state = shared.state.borrow_mut();
+    state.record_peer_report(clock::now(), name);
+    drop(state);
     if shared.peers.record_report(name, incarnation, number) {
         log::info!(fellow = name; "peer instance restarted");
         let mut state = shared.state.borrow_mut();
