Soak: engines that run requests and do not answer, break streams off and work on, at many instances with little processor time

Engines leave one request in twenty that they run without an answer, close the connection of as many in its place, and break all of their streams off now and then.

--- a/crates/carawayhead/tests/soak/deployment.rs
+++ b/crates/carawayhead/tests/soak/deployment.rs
@@ -34,9 +34,32 @@
 /// Seconds within which a rollout has to be decided.
 const ROLLOUT_S: f64 = 5.0;
 
-/// Failure domains, with one instance in each.
+/// Share of the requests that faulty engines run and leave without an answer, and of those whose connections they close.
+const UNANSWERED_SHARE: f64 = 0.05;
+
+/// Failure domains.
 pub const DOMAINS: [&str; 3] = ["a", "b", "c"];
 
+/// Failure domains of the engines of a small deployment.
+const ENGINE_DOMAINS: [&str; 4] = ["a", "b", "c", "a"];
+
+/// Number of parts of a deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub instances: usize,
+    pub engines: usize,
+    pub services: usize,
+}
+
+impl Size {
+    /// One instance in each failure domain.
+    pub const SMALL: Self = Self {
+        instances: 3,
+        engines: 4,
+        services: 2,
+    };
+}
+
 /// An endpoint behind its fault proxy.
 pub struct ProxiedServer<T> {
     pub server: T,
@@ -90,6 +113,7 @@
 
 fn set_faults(engine: &Engine, seed: u64) {
     engine.faults().set(FAULT_SHARE, &fault_kinds(), seed);
+    engine.leave_unanswered(UNANSWERED_SHARE, seed);
     engine.refuse_first_moves();
     engine.ignore_disconnects();
 }
@@ -115,7 +139,7 @@
 
 impl Deployment {
     /// Starts all parts and waits until every instance is ready.
-    pub async fn start(seed: u64) -> Self {
+    pub async fn start(seed: u64, size: Size) -> Self {
         let store = Store::start().await;
         let mut deployment = Self {
             services: Vec::new(),
@@ -134,11 +158,11 @@
         deployment.shared_runs.crash_engines_on(FATAL_BODY, 0);
         deployment.shared_runs.crash_engines_on_part(FATAL_PART);
         deployment.publish();
-        for domain in ["a", "b", "c", "a"] {
+        for domain in ENGINE_DOMAINS.into_iter().cycle().take(size.engines) {
             deployment.add_engine(domain).await;
         }
-        for domain in ["a", "b"] {
-            let id = format!("desk-{domain}");
+        for (number, domain) in (0..size.services).zip(DOMAINS.into_iter().cycle()) {
+            let id = format!("desk-{number}");
             let mut server = PlainService::start(&id).await;
             let proxy = FaultProxy::start(server.address).await;
             server.address = proxy.address;
@@ -152,9 +176,9 @@
                 domain,
             });
         }
-        for domain in DOMAINS {
+        for (number, domain) in (0..size.instances).zip(DOMAINS.into_iter().cycle()) {
             let proxy = FaultProxy::start(deployment.store.address).await;
-            let name = format!("soak-{seed}-{domain}");
+            let name = format!("soak-{seed}-{number}");
             let mut slot = InstanceSlot {
                 earlier_lines: Vec::new(),
                 instance: None,
@@ -272,6 +296,7 @@
         self.fault_seed = None;
         for engine in &self.engines {
             engine.server.faults().clear();
+            engine.server.leave_unanswered(0.0, 0);
         }
         for service in &self.services {
             service.server.faults().clear();
--- a/crates/carawayhead/tests/soak/main.rs
+++ b/crates/carawayhead/tests/soak/main.rs
@@ -11,10 +11,11 @@
 mod instance;
 mod loopback;
 mod script;
+mod throttle;
 
 use {
     callers::{FATAL_BODY, FATAL_PART, Record, check_events},
-    deployment::Deployment,
+    deployment::{Deployment, Size},
     http::StatusCode,
     platform::standin::{
         Engine,
@@ -28,6 +29,7 @@
         sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
+    throttle::Throttle,
     tokio::sync::watch,
 };
 
@@ -36,6 +38,9 @@
 /// Callers where engines are to have many streams each.
 const STREAM_CALLER_COUNT: usize = 50;
 
+/// The same where there are many instances.
+const CALLERS_PER_INSTANCE: usize = 4;
+
 /// Deadline of callers, and one that a stream does not reach whose engine is paused.
 const DEADLINE: Duration = Duration::from_secs(3);
 const LONG_DEADLINE: Duration = Duration::from_secs(10);
@@ -203,6 +208,28 @@
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
+/// Guards against the same in a deployment of many instances, most of which have little processor time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn guarantees_hold_before_faulty_servers_at_many_instances() {
+    let (first, count) = (
+        env_or_default("SOAK_SEED", 1),
+        env_or_default("SOAK_SIZE_SEEDS", 1),
+    );
+    let parts = |name: &str, default: u64| env_or_default(name, default).try_into();
+    let size = Size {
+        instances: parts("SOAK_INSTANCES", 9).expect("a number of instances"),
+        engines: parts("SOAK_ENGINES", 6).expect("a number of engines"),
+        services: parts("SOAK_SERVICES", 3).expect("a number of services"),
+    };
+    let length = Duration::from_secs(env_or_default("SOAK_SECONDS", 6));
+    let mut violations = Vec::new();
+    for seed in first..first + count {
+        println!("seed {seed} with {size:?}");
+        violations.extend(run_seed_at(size, Mode::Servers, seed, length).await);
+    }
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 /// The only trial of a harmless stream is sent to an engine that has crashed before, behind a proxy that accepts its
 /// connections. The stream must be served all the same once the faults have ended.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -224,7 +251,13 @@
 }
 
 async fn run_seed_in(mode: Mode, seed: u64, length: Duration) -> Vec<String> {
-    let mut deployment = Deployment::start(seed).await;
+    run_seed_at(Size::SMALL, mode, seed, length).await
+}
+
+async fn run_seed_at(size: Size, mode: Mode, seed: u64, length: Duration) -> Vec<String> {
+    let mut deployment = Deployment::start(seed, size).await;
+    let is_large = size.instances > Size::SMALL.instances;
+    let throttle = is_large.then(|| Throttle::start(&deployment.pids()));
     let (mut injector, listening) = FaultInjector::new(mode, SmallRng::seed_from_u64(seed));
     injector.publish_addresses(&deployment);
     let (stop, stopped) = watch::channel(false);
@@ -234,10 +267,10 @@
     } else {
         DEADLINE
     };
-    let count = if mode == Mode::Servers {
-        STREAM_CALLER_COUNT
-    } else {
-        CALLER_COUNT
+    let count = match mode {
+        Mode::Servers if is_large => size.instances * CALLERS_PER_INSTANCE,
+        Mode::Servers => STREAM_CALLER_COUNT,
+        _ => CALLER_COUNT,
     };
     let callers = (0..count).map(|number| {
         let records = Arc::clone(&records);
@@ -282,6 +315,7 @@
     for caller in callers {
         caller.await.expect("the caller task does not panic");
     }
+    drop(throttle);
     let records = records.lock().expect("not poisoned").clone();
     let mut violations = check_guarantees(&deployment, &injector, &records);
     violations.extend(check_rollout(&deployment));
--- a/crates/carawayhead/tests/soak/script.rs
+++ b/crates/carawayhead/tests/soak/script.rs
@@ -173,8 +173,12 @@
         service.set_behavior(ServiceBehavior::Working(work));
     }
 
-    /// Has a service reject requests for a moment, or an engine leave without backup copies of its runs.
+    /// Has a service reject requests for a moment, an engine break its streams off, or one leave without backup copies of its runs.
     fn change_servers(&mut self, deployment: &Deployment) {
+        if self.random.random_bool(0.3) {
+            let index = self.random.random_range(0..deployment.engines.len());
+            return deployment.engines[index].server.cut_connections();
+        }
         let leaves = self.has_pending_undo(|undo| matches!(undo, Undo::Leave(_)));
         if !leaves && self.random.random_bool(0.5) {
             deployment.drop_copies();
