--- a/crates/carawayhead/tests/forwarding/stopping.rs
+++ b/crates/carawayhead/tests/forwarding/stopping.rs
@@ -8,6 +8,7 @@
         caller::{CallerRequest, CallerResponse, config, send_request},
         engine::SharedRuns,
         service::ServiceBehavior,
+        store::StoreBehavior,
     },
     rustix::process::Signal,
     std::{
@@ -108,12 +109,24 @@
 /// Guards against a stopping instance that sends orders to services which work on them until after its exit.
 #[tokio::test]
 async fn orders_that_a_stopping_instance_sends_are_answered() {
+    stop_beside_orders(StoreBehavior::Healthy).await;
+}
+
+/// Guards against the same while the store is away, which the instance tells that it stops.
+#[tokio::test]
+async fn orders_are_answered_by_an_instance_that_stops_while_the_store_is_away() {
+    stop_beside_orders(StoreBehavior::Unresponsive).await;
+    stop_beside_orders(StoreBehavior::Rejecting).await;
+}
+
+async fn stop_beside_orders(behavior: StoreBehavior) {
     let store = store_with_config(ROUTE_TIMEOUT_MS).await;
     let mut services = Vec::new();
     for id in ["d1", "d2", "d3", "d4", "d5", "d6"] {
         services.push(add_service(&store, id, Duration::from_millis(900)).await);
     }
     let mut instance = Instance::start("e1", "a", &store).await;
+    store.set_behavior(behavior);
     let outcomes = send_until_exit(&mut instance, "/order/7").await;
     let mut executed = Vec::new();
     for service in &services {
