Cuts: a failure domain whose engines are heard is not cut off; streams at two engines are looked at without a line of silence

Found by reading the change: an instance that was replaced left its domain unreported for over a second and put the copies there in doubt, and a stream that waits for an engine to stop logged "stream is silent" at its first look.

--- a/crates/forward/src/cuts.rs
+++ b/crates/forward/src/cuts.rs
@@ -7,7 +7,7 @@
 /// Time for which nothing was read from a failure domain where new connections hang, from which on its links count as cut.
 const MIN_GAP: Duration = Duration::from_millis(250);
 
-/// Time between two reports from a failure domain from which on its links were cut.
+/// Time for which nothing was heard of a failure domain whose instances report, from which on its links were cut.
 const MAX_REPORT_GAP: Duration = Duration::from_secs(1);
 
 /// Time since the last report from a failure domain up to which another one is expected.
@@ -48,8 +48,8 @@
     /// Records that an instance of a failure domain has reported.
     pub fn record_report(&mut self, now: Time, domain: &str) {
         let link = self.link_mut(domain);
-        let before = link.reported_at.replace(now);
-        link.is_cut |= before.is_some_and(|before| now.since(before) >= MAX_REPORT_GAP);
+        let is_expected = link.reported_at.replace(now).is_some();
+        link.is_cut |= is_expected && now.since(link.heard_at) >= MAX_REPORT_GAP;
         link.record_heard(now);
     }
 
--- a/crates/forward/tests/copies.rs
+++ b/crates/forward/tests/copies.rs
@@ -125,3 +125,20 @@
     assert_eq!(state.backup(at(4000), later), Some(backup));
     assert_eq!(state.pick_backup(at(4000), later, source), Some(backup));
 }
+
+/// Guards against copies that are in doubt after the only instance of their failure domain was replaced, while its engines answered.
+#[test]
+fn failure_domain_whose_engines_are_heard_is_not_cut_off() {
+    let mut state = instance(&[listing("m1", "model", "a"), listing("m2", "model", "b")]);
+    let (source, backup) = (engine(&state, "m1"), engine(&state, "m2"));
+    state.members.set("e2", "b", 1000);
+    state.record_peer_report(at(500), "e2");
+    let run = begin_unread_run(&mut state, source, Some(backup));
+    state.record_events(at(600), run);
+    for heard_at in [700, 1500, 2300] {
+        state.record_heard(at(heard_at), backup);
+        state.record_events(at(heard_at), run);
+    }
+    state.record_peer_report(at(3000), "e2");
+    assert_eq!(state.backup(at(3000), run), Some(backup));
+}
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -145,6 +145,8 @@
     Kept(Vec<RunCopy>),
     /// An attempt to continue elsewhere has not ended in time after the connection broke.
     Overdue,
+    /// Another engine may still be working on the run.
+    Overlaps,
     Settled(Settled),
     /// The request to stop the run was answered while another attempt was in progress.
     SettledStop(Settled),
@@ -330,6 +332,7 @@
                 Step::Kept(copies) => self.add_kept(&mut attempt, copies).await,
                 Step::Lost(broken) => self.lost(&mut attempt, broken).await,
                 Step::Overdue => self.overdue(&mut attempt).await,
+                Step::Overlaps => Ok(()),
                 Step::Settled(settled) => {
                     attempt = None;
                     self.settle(&mut attempt, settled).await
@@ -410,7 +413,9 @@
         let (until, due) = match &self.broken {
             Some(broken) => (broken.until, Step::Overdue),
             None if lags => (self.read_on_at, Step::ReadOn),
-            None if overlaps => (self.next_look.min(now.after(STOP_INTERVAL)), Step::Silent),
+            None if overlaps && now < self.next_look => {
+                (self.next_look.min(now.after(STOP_INTERVAL)), Step::Overlaps)
+            }
             None => (self.next_look, Step::Silent),
         };
         let wait = remaining.min(until.since(now));
