Log and count answers on connections that had carried the same request before

Tells the hypotheses of the incident apart: a refusal that is a copy can be taken for the answer of its request only where the connection has carried the request's id before. Connections remember digests of the ids that they have carried; nothing is decided by them yet.

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -4,6 +4,7 @@
     crate::{
         body::Gathered,
         bounded::{Bounded, MAX_BUFFER_BYTES, Progress},
+        carried::Carried,
         prelude::*,
     },
     hyper::{
@@ -11,7 +12,13 @@
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
-    std::{io, net::SocketAddr, pin::Pin, time::Instant},
+    std::{
+        hash::{BuildHasher as _, RandomState},
+        io,
+        net::SocketAddr,
+        pin::Pin,
+        time::Instant,
+    },
     tokio::{
         io::{AsyncRead, AsyncWrite},
         net::TcpStream,
@@ -38,7 +45,10 @@
 /// An open connection.
 #[derive(Debug)]
 struct Connection {
+    carried: Carried,
     progress: Progress,
+    /// Whether it had carried the present request before.
+    repeats: bool,
     sender: RequestSender,
 }
 
@@ -79,6 +89,8 @@
 pub struct Client {
     connect_timeout: Duration,
     dialer: Option<Dialer>,
+    /// Digests the ids of requests.
+    hasher: RandomState,
     idle: Arc<Mutex<IdleConnections>>,
 }
 
@@ -89,6 +101,7 @@
         Self {
             connect_timeout,
             dialer: None,
+            hasher: RandomState::new(),
             idle: Arc::new(Mutex::new(Vec::new())),
         }
     }
@@ -102,19 +115,19 @@
         }
     }
 
-    /// Sends a request on an idle connection, or on a new one.
+    /// Sends a call that has no id on an idle connection, or on a new one.
     ///
     /// # Errors
     ///
     /// [`Error::unwritten`] says whether the endpoint may have received anything.
     pub async fn send(&self, address: &str, request: Request<Full<Bytes>>) -> Result<Reply, Error> {
-        match self.send_idle(address, request).await? {
+        match self.try_idle(address, None, request).await? {
             Sent::Answered(reply) => Ok(reply),
             Sent::Unsent(request) => self.send_new(address, request).await,
         }
     }
 
-    /// Sends a request on an idle connection, if there is one that is still open.
+    /// Sends the request with an id on an idle connection, if there is one that is still open.
     ///
     /// # Errors
     ///
@@ -122,6 +135,17 @@
     pub async fn send_idle(
         &self,
         address: &str,
+        id: &str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Sent, Error> {
+        let digest = self.hasher.hash_one(id);
+        self.try_idle(address, Some(digest), request).await
+    }
+
+    async fn try_idle(
+        &self,
+        address: &str,
+        digest: Option<u64>,
         request: Request<Full<Bytes>>,
     ) -> Result<Sent, Error> {
         if self.dialer.is_some() {
@@ -130,6 +154,7 @@
         let mut request = request;
         while let Some(mut connection) = self.take_idle(address) {
             connection.progress.record();
+            connection.repeats = digest.is_some_and(|digest| connection.carried.insert(digest));
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     let address = Some(address.to_string());
@@ -159,7 +184,9 @@
     ) -> Result<Reply, Error> {
         let Some(Dialer(open)) = &self.dialer else {
             let stream = self.connect(address).await?;
-            return self.send_on(address, stream, request).await;
+            let mut reply = self.send_over(stream, request).await?;
+            reply.address = Some(address.to_string());
+            return Ok(reply);
         };
         let invalid = |error| io::Error::new(io::ErrorKind::InvalidInput, error);
         let address = address.parse().map_err(invalid).map_err(Error::Connect)?;
@@ -181,7 +208,7 @@
         self.send_over(stream, request).await
     }
 
-    /// Sends a request on a connection that [`Self::connect`] has opened.
+    /// Sends the request with an id on a connection that [`Self::connect`] has opened, and that other requests may use after it.
     ///
     /// # Errors
     ///
@@ -189,10 +216,12 @@
     pub async fn send_on(
         &self,
         address: &str,
+        id: &str,
         stream: TcpStream,
         request: Request<Full<Bytes>>,
     ) -> Result<Reply, Error> {
         let mut reply = self.send_over(stream, request).await?;
+        reply.connection.carried.insert(self.hasher.hash_one(id));
         reply.address = Some(address.to_string());
         Ok(reply)
     }
@@ -298,6 +327,12 @@
 }
 
 impl Reply {
+    /// Whether the connection had carried a request with the same id before, whose answer this may be.
+    #[must_use]
+    pub const fn is_ambiguous(&self) -> bool {
+        self.connection.repeats
+    }
+
     /// The HTTP status.
     #[must_use]
     pub fn status(&self) -> StatusCode {
@@ -442,7 +477,12 @@
             log::debug!(error:% = error; "connection to an endpoint failed");
         }
     });
-    Ok(Connection { progress, sender })
+    Ok(Connection {
+        carried: Carried::default(),
+        progress,
+        repeats: false,
+        sender,
+    })
 }
 
 /// The `timeout` parameter of a `Keep-Alive` header.
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod body;
 pub mod bounded;
+mod carried;
 pub mod client;
 pub mod engine;
 pub mod error;
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -94,11 +94,11 @@
 
 impl Destination<'_> {
     /// An engine that is asked to continue a run may have answered a request with the same id before.
-    const fn reuse(&self) -> Reuse {
+    const fn reuse<'a>(&self, id: &'a str) -> Reuse<'a> {
         if self.source.is_some() || self.last_event.is_some() {
             Reuse::Never
         } else {
-            Reuse::Allowed
+            Reuse::Allowed(id)
         }
     }
 }
@@ -147,7 +147,7 @@
         &permit,
         request,
         &original.inbound.id,
-        destination.reuse(),
+        destination.reuse(&original.inbound.id),
         limit.min(left),
     )
     .await;
@@ -257,7 +257,7 @@
     permit: &SendPermit<'_>,
     request: Request<Full<Bytes>>,
     id: &str,
-    reuse: Reuse,
+    reuse: Reuse<'_>,
     limit: Duration,
 ) -> SendOutcome {
     let key = permit.key;
@@ -271,6 +271,9 @@
         Ok(Ok(reply)) => {
             shared.record_heard(key);
             shared.note_conditions(key, reply.headers());
+            if reply.is_ambiguous() {
+                log_ambiguous(shared, key, id, &reply);
+            }
             let flags = head::response_flags(reply.status(), reply.headers(), id);
             if !flags.matches {
                 // A late response to an earlier request. The right one may follow, but the
@@ -283,6 +286,16 @@
     }
 }
 
+/// Logs a response on a connection that had carried the same request before.
+fn log_ambiguous(shared: &Shared, key: EndpointKey, id: &str, reply: &endpoint::client::Reply) {
+    let endpoint = shared.endpoint_name(key);
+    log::warn!(
+        id, endpoint, status = reply.status().as_u16();
+        "connection has carried the request before"
+    );
+    shared.metrics.record_repeated_id();
+}
+
 /// Logs a response that stood where that of another request was due.
 fn log_foreign(shared: &Shared, key: EndpointKey, id: &str, reply: &endpoint::client::Reply) {
     let endpoint = shared.endpoint_name(key);
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -26,6 +26,21 @@
 }
 
 impl BufferMetrics {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            held: meter
+                .u64_gauge("buffered_bytes")
+                .with_description("bytes held for callers and endpoints, by use")
+                .build(),
+            let_go: meter
+                .u64_counter("responses_let_go")
+                .with_description(
+                    "responses that ended since their callers did not read them, or memory was short",
+                )
+                .build(),
+        }
+    }
+
     /// Records the number of bytes held for a use.
     pub fn record_held(&self, held_for: &'static str, bytes: usize) {
         let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
@@ -59,6 +74,7 @@
     parts: Counter<u64>,
     registry: Registry,
     rejections: Counter<u64>,
+    repeated_ids: Counter<u64>,
     rollouts: Counter<u64>,
     sends: Counter<u64>,
     stops: Counter<u64>,
@@ -94,18 +110,8 @@
                 .build()
         };
         observe_dropped_lines(&meter);
-        let held = meter
-            .u64_gauge("buffered_bytes")
-            .with_description("bytes held for callers and endpoints, by use")
-            .build();
         Ok(Self {
-            buffers: BufferMetrics {
-                held,
-                let_go: counter(
-                    "responses_let_go",
-                    "responses that ended since their callers did not read them, or memory was short",
-                ),
-            },
+            buffers: BufferMetrics::new(&meter),
             breaks: counter(
                 "connections_broken",
                 "connections to endpoints that broke during a request, by service",
@@ -150,6 +156,10 @@
                 "requests_rejected",
                 "requests that endpoints rejected without running them, by service and whether a cooldown was asked for",
             ),
+            repeated_ids: counter(
+                "repeated_ids",
+                "requests that were answered on a connection which had carried them before",
+            ),
             rollouts: counter(
                 "rollout_steps",
                 "requests to versions that are not judged yet, and stages recorded",
@@ -267,6 +277,11 @@
         self.rejections.add(1, &labels);
     }
 
+    /// Records a request that was answered on a connection which had carried it before.
+    pub fn record_repeated_id(&self) {
+        self.repeated_ids.add(1, &[]);
+    }
+
     /// Records a request to a version that is not judged yet (`exposed`), or a stage of a rollout.
     pub fn record_rollout(&self, service: &str, step: &'static str) {
         let labels = [
--- a/crates/proxy/src/path.rs
+++ b/crates/proxy/src/path.rs
@@ -26,10 +26,10 @@
 
 /// Whether a request shares its connection with other requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Reuse {
-    /// It may use one that was open before, and leaves it to others: the response names the id of its request, which the
+pub enum Reuse<'a> {
+    /// It may use one that was open before, and leaves it to others: the response names this id of its request, which the
     /// endpoint has not seen before.
-    Allowed,
+    Allowed(&'a str),
     /// It has one of its own, since nothing but the connection tells its response from a late copy of another one.
     Never,
 }
@@ -57,7 +57,7 @@
     shared: &Shared,
     key: EndpointKey,
     request: Request<Full<Bytes>>,
-    reuse: Reuse,
+    reuse: Reuse<'_>,
     may_write: impl Fn() -> bool,
 ) -> Result<Reply, endpoint::Error> {
     let mut request = request;
@@ -65,8 +65,8 @@
         return Err(unreachable_error("endpoint is no longer listed"));
     };
     let text = address.to_string();
-    if reuse == Reuse::Allowed {
-        let sending = shared.client.send_idle(&text, request);
+    if let Reuse::Allowed(id) = reuse {
+        let sending = shared.client.send_idle(&text, id, request);
         match watch(shared, key, &text, sending).await? {
             Sent::Answered(reply) => {
                 let mut state = shared.state.borrow_mut();
@@ -137,7 +137,7 @@
     key: EndpointKey,
     address: &str,
     request: Request<Full<Bytes>>,
-    reuse: Reuse,
+    reuse: Reuse<'_>,
     may_write: impl Fn() -> bool,
 ) -> Result<Reply, endpoint::Error> {
     let stream = shared.client.connect(address).await;
@@ -147,7 +147,7 @@
     }
     let sending = async {
         match reuse {
-            Reuse::Allowed => shared.client.send_on(address, stream, request).await,
+            Reuse::Allowed(id) => shared.client.send_on(address, id, stream, request).await,
             Reuse::Never => shared.client.send_over(stream, request).await,
         }
     };
