Tests that a copied refusal of a request does not hide its run

A server refuses a request on a pooled connection and sends a copy of the refusal where the next answer on that connection is due. The same request comes back on the connection and runs, and the copy counts as its answer. Callers saw 503 for requests that had run, or their order ran at another server as well and they saw 200.

--- a/crates/carawayhead/tests/forwarding/main.rs
+++ b/crates/carawayhead/tests/forwarding/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod bounds;
 mod cooldowns;
+mod copies;
 mod crashes;
 mod faulty;
 mod instance;
