Fix: no connection carries a request's id twice

What callers saw: 503 for orders that a server had run, and orders that ran at two servers.

Cause: a request that was refused left its connection to the pool, which holds connections by address, while the endpoints that were tried are held by key. A server that starts again has a new entry at its address. The request came back over the very connection on which it was refused, as the one used last is taken first. A copy of the refusal has the right id, so the request counted as not run. The class: an answer was told from another one by its id alone, where its connection had carried that id before.

Change: a connection remembers digests of the ids that it has carried, 512 at most, after which it is not used again; an idle connection that has carried an id is passed over for it, whatever brings the request back. Requests that found idle connections of that kind only are logged and counted (`repeated_ids`).

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -47,8 +47,6 @@
 struct Connection {
     carried: Carried,
     progress: Progress,
-    /// Whether it had carried the present request before.
-    repeats: bool,
     sender: RequestSender,
 }
 
@@ -123,11 +121,12 @@
     pub async fn send(&self, address: &str, request: Request<Full<Bytes>>) -> Result<Reply, Error> {
         match self.try_idle(address, None, request).await? {
             Sent::Answered(reply) => Ok(reply),
-            Sent::Unsent(request) => self.send_new(address, request).await,
+            Sent::Unsent(unsent) => self.send_new(address, unsent.request).await,
         }
     }
 
-    /// Sends the request with an id on an idle connection, if there is one that is still open.
+    /// Sends the request with an id on an idle connection, if there is one that is still open and has not carried the id: a late
+    /// copy of its first answer would be taken for the second one.
     ///
     /// # Errors
     ///
@@ -149,12 +148,17 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Sent, Error> {
         if self.dialer.is_some() {
-            return Ok(Sent::Unsent(request));
+            return Ok(Sent::Unsent(Unsent {
+                is_repeat: false,
+                request,
+            }));
         }
         let mut request = request;
-        while let Some(mut connection) = self.take_idle(address) {
+        while let Some(mut connection) = self.take_idle(address, digest) {
             connection.progress.record();
-            connection.repeats = digest.is_some_and(|digest| connection.carried.insert(digest));
+            if let Some(digest) = digest {
+                connection.carried.insert(digest);
+            }
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     let address = Some(address.to_string());
@@ -166,7 +170,10 @@
                 },
             }
         }
-        Ok(Sent::Unsent(request))
+        Ok(Sent::Unsent(Unsent {
+            is_repeat: self.has_idle(address),
+            request,
+        }))
     }
 
     /// Sends a request on a new connection.
@@ -295,7 +302,15 @@
         }
     }
 
-    fn take_idle(&self, address: &str) -> Option<Connection> {
+    /// Whether there are idle connections to an address.
+    fn has_idle(&self, address: &str) -> bool {
+        let idle = self.idle.lock().expect("the pool is never poisoned");
+        let index = idle.binary_search_by(|(other, _)| other.as_str().cmp(address));
+        index.is_ok_and(|index| !idle[index].1.is_empty())
+    }
+
+    /// The connection that was used last, of those that may carry the request with this digest.
+    fn take_idle(&self, address: &str, digest: Option<u64>) -> Option<Connection> {
         let mut idle = self.idle.lock().expect("the pool is never poisoned");
         let index = idle
             .binary_search_by(|(other, _)| other.as_str().cmp(address))
@@ -303,7 +318,11 @@
         let connections = &mut idle[index].1;
         let now = Instant::now();
         connections.retain(|idle| idle.reusable_until > now && idle.connection.sender.is_ready());
-        connections.pop().map(|idle| idle.connection)
+        let index = connections.iter().rposition(|idle| {
+            let carried = &idle.connection.carried;
+            digest.is_none_or(|digest| !carried.contains(digest))
+        })?;
+        Some(connections.remove(index).connection)
     }
 }
 
@@ -312,8 +331,17 @@
 pub enum Sent {
     /// The endpoint responded.
     Answered(Reply),
-    /// There was no idle connection that was still open; nothing was written.
-    Unsent(Request<Full<Bytes>>),
+    /// There was no idle connection for it that was still open; nothing was written.
+    Unsent(Unsent),
+}
+
+/// A request that was not sent.
+#[derive(Debug)]
+pub struct Unsent {
+    /// Whether all idle connections had carried it before.
+    pub is_repeat: bool,
+    /// The request.
+    pub request: Request<Full<Bytes>>,
 }
 
 /// A response whose body is read on demand.
@@ -327,12 +355,6 @@
 }
 
 impl Reply {
-    /// Whether the connection had carried a request with the same id before, whose answer this may be.
-    #[must_use]
-    pub const fn is_ambiguous(&self) -> bool {
-        self.connection.repeats
-    }
-
     /// The HTTP status.
     #[must_use]
     pub fn status(&self) -> StatusCode {
@@ -385,6 +407,9 @@
         let Some(address) = &self.address else {
             return;
         };
+        if self.connection.carried.is_full() {
+            return;
+        }
         let limit = self.header("keep-alive").and_then(keep_alive_timeout);
         let max_idle = limit.map_or(DEFAULT_IDLE_TIMEOUT, |limit| limit.mul_f64(REUSE_FRACTION));
         put_back(&self.idle, address, self.connection, max_idle);
@@ -480,7 +505,6 @@
     Ok(Connection {
         carried: Carried::default(),
         progress,
-        repeats: false,
         sender,
     })
 }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -271,9 +271,6 @@
         Ok(Ok(reply)) => {
             shared.record_heard(key);
             shared.note_conditions(key, reply.headers());
-            if reply.is_ambiguous() {
-                log_ambiguous(shared, key, id, &reply);
-            }
             let flags = head::response_flags(reply.status(), reply.headers(), id);
             if !flags.matches {
                 // A late response to an earlier request. The right one may follow, but the
@@ -286,16 +283,6 @@
     }
 }
 
-/// Logs a response on a connection that had carried the same request before.
-fn log_ambiguous(shared: &Shared, key: EndpointKey, id: &str, reply: &endpoint::client::Reply) {
-    let endpoint = shared.endpoint_name(key);
-    log::warn!(
-        id, endpoint, status = reply.status().as_u16();
-        "connection has carried the request before"
-    );
-    shared.metrics.record_repeated_id();
-}
-
 /// Logs a response that stood where that of another request was due.
 fn log_foreign(shared: &Shared, key: EndpointKey, id: &str, reply: &endpoint::client::Reply) {
     let endpoint = shared.endpoint_name(key);
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -158,7 +158,7 @@
             ),
             repeated_ids: counter(
                 "repeated_ids",
-                "requests that were answered on a connection which had carried them before",
+                "requests for which no idle connection was used, since all had carried them before",
             ),
             rollouts: counter(
                 "rollout_steps",
@@ -277,7 +277,7 @@
         self.rejections.add(1, &labels);
     }
 
-    /// Records a request that was answered on a connection which had carried it before.
+    /// Records a request for which no idle connection was used, since all had carried it before.
     pub fn record_repeated_id(&self) {
         self.repeated_ids.add(1, &[]);
     }
--- a/crates/proxy/src/path.rs
+++ b/crates/proxy/src/path.rs
@@ -27,8 +27,7 @@
 /// Whether a request shares its connection with other requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reuse<'a> {
-    /// It may use one that was open before, and leaves it to others: the response names this id of its request, which the
-    /// endpoint has not seen before.
+    /// It may use one that was open before and has not carried this id, which its response names, and leaves it to others.
     Allowed(&'a str),
     /// It has one of its own, since nothing but the connection tells its response from a late copy of another one.
     Never,
@@ -73,7 +72,14 @@
                 state.record_answer_on_open_connection(clock::now(), key);
                 return Ok(reply);
             }
-            Sent::Unsent(unsent) => request = unsent,
+            Sent::Unsent(unsent) => {
+                if unsent.is_repeat {
+                    let endpoint = shared.endpoint_name(key);
+                    log::info!(id, endpoint; "all idle connections have carried the request before");
+                    shared.metrics.record_repeated_id();
+                }
+                request = unsent.request;
+            }
         }
     }
     if !shared.is_partitioned(&service) {
