`serve` sends generations and calls on connections of their own

What callers saw: the answer of another caller as their own (its tokens, its body, its error), or a request that counts as not run and is sent again while it runs, where an engine or a service sends the copy of an earlier answer once the next request on the connection has been read.

Cause: engines and services name no request in their answers to `serve`, so that nothing but the connection tells an answer from a late copy of another one. Generations, idempotent calls, load queries and cancellations shared one pool. Generation ids are random for each send, so that none is sent twice; they don't help, as no answer names them.

Why the fix works: a connection that carries one request only has no earlier answer to copy, and isn't left to others. The price is a new connection for each generation and each idempotent call, as for each other call before; it isn't measured. Load queries and cancellations still share connections with each other only.

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -201,6 +201,22 @@
         self.send_over(stream, request).await
     }
 
+    /// Sends a request on a new connection, or over the dialer, that is used for nothing else: its answer names no request, so that
+    /// only the connection tells it from a late copy of another answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::unwritten`] says whether the endpoint may have received anything.
+    pub async fn send_unshared(
+        &self,
+        address: &str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Reply, Error> {
+        let mut reply = self.send_new(address, request).await?;
+        reply.address = None;
+        Ok(reply)
+    }
+
     /// Sends a request on a new connection that is used for nothing else.
     ///
     /// # Errors
--- a/crates/endpoint/src/engine.rs
+++ b/crates/endpoint/src/engine.rs
@@ -44,7 +44,11 @@
         .header(GENERATION_ID_HEADER, attempt.generation.to_string())
         .header(TIMEOUT_HEADER, format_seconds(start.wait))
         .body(Full::new(start.body));
-    let last = match send(&client, &address, request).await {
+    let sent = match request {
+        Ok(request) => client.send_unshared(&address, request).await,
+        Err(error) => Err(error.into()),
+    };
+    let last = match sent {
         Ok(reply) if reply.status() == StatusCode::OK => read(reply, attempt, 0, &events).await,
         Ok(reply) => {
             if let Some(cooldown) = retry_after::read(reply.status(), reply.headers()) {
@@ -71,7 +75,7 @@
         .body(Full::default());
     // A pooled connection may be dead without having been closed.
     let sent = match request {
-        Ok(request) => client.send_new(&address, request).await,
+        Ok(request) => client.send_unshared(&address, request).await,
         Err(error) => Err(error.into()),
     };
     let last = match sent {
@@ -196,10 +200,10 @@
     }
 }
 
-/// Reads the rest of a body whose stream has ended, so that its connection can be used again.
+/// Reads the rest of a body whose stream has ended, so that its engine does not find the connection closed before it has written
+/// all.
 async fn drain(mut reply: crate::client::Reply) {
     while let Ok(Some(_)) = reply.chunk().await {}
-    reply.release();
 }
 
 /// Maps an error response to an event: 429 and 503 may be retried at another engine, any
