Test that the copy of a rejection of another request states no cooldown

With another id it doesn't: `exchange` returns before anything is recorded of what the response states. No logic of the product changes.

--- a/crates/carawayhead/tests/forwarding/cooldowns.rs
+++ b/crates/carawayhead/tests/forwarding/cooldowns.rs
@@ -7,6 +7,7 @@
         Engine, PlainService, Store,
         caller::{CallerRequest, CallerResponse, config, send_request},
         engine::SharedRuns,
+        fault::Fault,
         http::Call,
         store::StoreBehavior,
     },
@@ -32,6 +33,9 @@
 /// Time for which an endpoint rejects all requests.
 const REJECTING_TIME: Duration = Duration::from_secs(8);
 
+/// Time after a rejection that asks for a second, from which on an instance sends again.
+const COOLDOWN_AND_RESUMPTION: Duration = Duration::from_secs(2);
+
 /// Time for which a request is held at most that no endpoint can take; the queue's limit is half of the timeout.
 const TIMEOUT_MS: u32 = 5000;
 const QUEUE_TIMEOUT_MS: u64 = 2500;
@@ -285,6 +289,35 @@
     check_is_used_again(&instances, &load, || cooling.executed_calls().len()).await;
 }
 
+/// Guards against a cooldown that is counted once more, and from a later time, when a late copy of the rejection of another
+/// request states it.
+#[tokio::test]
+async fn copy_of_a_rejection_of_another_request_states_no_cooldown() {
+    let store = start_store(TIMEOUT_MS).await;
+    let cooling = PlainService::start("d1").await;
+    store.write_endpoint_entry("d1", &cooling.entry("desk", "a", "ready"));
+    let instances = start_instances(1, &store).await;
+    let send = async |id| {
+        let answer = send_request(
+            instances[0].caller_address,
+            &CallerRequest::new(id, "/order/x"),
+        )
+        .await;
+        answer.expect("the instance responds").status
+    };
+    cooling.conditions().set_cooldown(Some("1"));
+    cooling.faults().set(1.0, &[Fault::LateSecondCopy], 1);
+    assert_eq!(send("r1").await, StatusCode::SERVICE_UNAVAILABLE);
+    cooling.conditions().set_cooldown(None);
+    cooling.faults().clear();
+    sleep(COOLDOWN_AND_RESUMPTION).await;
+    // The copy comes first.
+    assert_eq!(send("r2").await, StatusCode::BAD_GATEWAY);
+    assert_eq!(send("r3").await, StatusCode::OK);
+    let rejections = instances[0].log_lines_containing("request rejected by endpoint");
+    assert_eq!(rejections.len(), 1, "{rejections:?}");
+}
+
 /// Guards against streams that are sent to an engine in its cooldown.
 #[tokio::test]
 async fn cooldown_of_an_engine_is_kept() {
