--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -201,13 +201,13 @@
         self.send_over(stream, request).await
     }
 
-    /// Sends a request on a new connection, or over the dialer, that is used for nothing else: its answer names no request, so that
-    /// only the connection tells it from a late copy of another answer.
+    /// Sends a request on a new connection that is used for nothing else: its answer names no request, so that only the connection
+    /// tells it from a late copy of another answer.
     ///
     /// # Errors
     ///
     /// [`Error::unwritten`] says whether the endpoint may have received anything.
-    pub async fn send_unshared(
+    pub async fn send_alone(
         &self,
         address: &str,
         request: Request<Full<Bytes>>,
@@ -217,20 +217,6 @@
         Ok(reply)
     }
 
-    /// Sends a request on a new connection that is used for nothing else.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::unwritten`] says whether the endpoint may have received anything.
-    pub async fn send_alone(
-        &self,
-        address: &str,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Reply, Error> {
-        let stream = self.connect(address).await?;
-        self.send_over(stream, request).await
-    }
-
     /// Sends the request with an id on a connection that [`Self::connect`] has opened, and that other requests may use after it.
     ///
     /// # Errors
--- a/crates/endpoint/src/engine.rs
+++ b/crates/endpoint/src/engine.rs
@@ -45,7 +45,7 @@
         .header(TIMEOUT_HEADER, format_seconds(start.wait))
         .body(Full::new(start.body));
     let sent = match request {
-        Ok(request) => client.send_unshared(&address, request).await,
+        Ok(request) => client.send_alone(&address, request).await,
         Err(error) => Err(error.into()),
     };
     let last = match sent {
@@ -75,7 +75,7 @@
         .body(Full::default());
     // A pooled connection may be dead without having been closed.
     let sent = match request {
-        Ok(request) => client.send_unshared(&address, request).await,
+        Ok(request) => client.send_alone(&address, request).await,
         Err(error) => Err(error.into()),
     };
     let last = match sent {
--- a/crates/endpoint/src/service.rs
+++ b/crates/endpoint/src/service.rs
@@ -95,7 +95,7 @@
         request = request.header("idempotency-key", key);
     }
     let request = request.body(Full::new(call.body))?;
-    let reply = client.send_unshared(address, request).await?;
+    let reply = client.send_alone(address, request).await?;
     let cooldown = retry_after::read(reply.status(), reply.headers());
     let (status, media) = (reply.status().as_u16(), reply.content_type());
     let body = reply.read_body(MAX_RESPONSE_BYTES).await?;
