Fix: an instance makes one claim of the next trial once the last one is over

What callers saw: all instances refused sound prompts at the end of a soak (guarantees_hold_while_prompts_crash_engines, second failure). Its log showed two requests that won one claim of a trial: two engines for one trial.

Cause: a claim names its instance, not its request. Whether a claim is on its way was asked only where the part had no earlier trial, or an engine was lost since. From a second after a trial without a result on, a second request at the instance made an equal claim of the next number while the first claim was on its way to the log and back, and both took it for theirs.

Evidence: the new test, without network, gets a second claim 5 ms after the first on the code before. That the two requests of the failure were at one instance is inferred; its log is gone.

Ruled out: other changes are not needed.

Change: a claim on its way is looked for first. Others wait for its result as they do for a first trial.

Measured: the new test failed before and passes, with 25 others of its file, `suspects`, `crash_histories`, 7 tests of `decision`'s `crashes`.

--- a/crates/decision/src/part_suspects/trial.rs
+++ b/crates/decision/src/part_suspects/trial.rs
@@ -155,10 +155,10 @@
 
     /// Time left for the result of the trial of a part; `None` if it is not being tried.
     fn trial_left(&self, now: Time, part: Part) -> Option<Duration> {
-        let tried_since = self.find(part).and_then(|suspect| suspect.tried_since);
-        let Some(tried_since) = tried_since else {
-            return self.is_claimed(part).then_some(RESULT_TIMEOUT);
-        };
+        if self.is_claimed(part) {
+            return Some(RESULT_TIMEOUT);
+        }
+        let tried_since = self.find(part)?.tried_since?;
         let left = RESULT_TIMEOUT.saturating_sub(now.since(tried_since));
         (!left.is_zero()).then_some(left)
     }
--- a/crates/forward/tests/part_suspects.rs
+++ b/crates/forward/tests/part_suspects.rs
@@ -376,6 +376,25 @@
     assert_eq!(second.map(|claim| claim.number), Some(2));
 }
 
+/// Guards against two requests at one instance that make the same claim, the second one while the first is on its way,
+/// once the result of the last trial is no longer awaited: both would win it.
+#[test]
+fn one_request_of_an_instance_claims_the_next_trial() {
+    let (mut suspects, now) = companion_of_two_fatal_parts();
+    let first = claim(&mut suspects, now, &parts("aa cc"), 1).expect("a claim");
+    suspects.apply(now, &Change::Claimed(first));
+    for waited in [1000, 1005, 5000] {
+        let later = now.after(millis(waited));
+        let second = claim(&mut suspects, later, &parts("aa dd"), 1);
+        assert_eq!(second.is_some(), waited == 1000, "{waited} ms");
+    }
+    // Others may wait for its result.
+    let requests = suspects::Suspects::default();
+    let other = forward::fingerprint::Fingerprint::new(None, "h.example", "/draft/7", b"others");
+    let due = suspects.result_due(now.after(millis(1005)), other, &parts("aa dd"), &requests);
+    assert_eq!(due, Some(RESULT_TIMEOUT));
+}
+
 /// A sound part came with two fatal ones, so that it has lost more engines than either. Prompts without other
 /// suspects are its first trial: the engine that another one crashes would count against it for long.
 #[test]
