--- a/crates/carawayhead/tests/forwarding/copies.rs
+++ b/crates/carawayhead/tests/forwarding/copies.rs
@@ -15,6 +15,9 @@
 /// Time limit of the routes. Orders wait for an endpoint for half of it.
 const TIMEOUT_MS: u32 = 16_000;
 
+/// Shows that the connection with the copy was open.
+const PASSED_OVER: &str = "idle connections have carried the request before";
+
 const DRAFT: &str = "/draft/7";
 const ORDER: &str = "/order/7";
 
@@ -167,6 +170,10 @@
         store.write_endpoint_entry("d3", &other.entry(service, "b", "ready"));
     }
     let response = sent.await.expect("the task does not panic");
+    // Connections of refused streams are closed.
+    if service == "desk" {
+        deployment.wait_for_log(PASSED_OVER, "\"r1\"").await;
+    }
     fault_of(&[server, &other], response.as_ref())
 }
 
--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -57,6 +57,12 @@
     reusable_until: Instant,
 }
 
+impl IdleConnection {
+    fn is_reusable(&self, now: Instant) -> bool {
+        self.reusable_until > now && self.connection.sender.is_ready()
+    }
+}
+
 /// A byte stream to an endpoint.
 pub trait Stream: AsyncRead + AsyncWrite + Send + Unpin {}
 
@@ -119,9 +125,9 @@
     ///
     /// [`Error::unwritten`] says whether the endpoint may have received anything.
     pub async fn send(&self, address: &str, request: Request<Full<Bytes>>) -> Result<Reply, Error> {
-        match self.try_idle(address, None, request).await? {
+        match self.try_idle(address, None, request).await?.sent {
             Sent::Answered(reply) => Ok(reply),
-            Sent::Unsent(unsent) => self.send_new(address, unsent.request).await,
+            Sent::Unsent(request) => self.send_new(address, request).await,
         }
     }
 
@@ -136,7 +142,7 @@
         address: &str,
         id: &str,
         request: Request<Full<Bytes>>,
-    ) -> Result<Sent, Error> {
+    ) -> Result<Tried, Error> {
         let digest = self.hasher.hash_one(id);
         self.try_idle(address, Some(digest), request).await
     }
@@ -146,15 +152,15 @@
         address: &str,
         digest: Option<u64>,
         request: Request<Full<Bytes>>,
-    ) -> Result<Sent, Error> {
-        if self.dialer.is_some() {
-            return Ok(Sent::Unsent(Unsent {
-                is_repeat: false,
-                request,
-            }));
-        }
+    ) -> Result<Tried, Error> {
+        let mut is_repeat = false;
         let mut request = request;
-        while let Some(mut connection) = self.take_idle(address, digest) {
+        while self.dialer.is_none() {
+            let taken = self.take_idle(address, digest);
+            is_repeat |= taken.is_repeat;
+            let Some(mut connection) = taken.connection else {
+                break;
+            };
             connection.progress.record();
             if let Some(digest) = digest {
                 connection.carried.insert(digest);
@@ -162,7 +168,8 @@
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     let address = Some(address.to_string());
-                    return Ok(Sent::Answered(self.reply(address, connection, response)));
+                    let sent = Sent::Answered(self.reply(address, connection, response));
+                    return Ok(Tried { is_repeat, sent });
                 }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
@@ -170,10 +177,8 @@
                 },
             }
         }
-        Ok(Sent::Unsent(Unsent {
-            is_repeat: self.has_idle(address),
-            request,
-        }))
+        let sent = Sent::Unsent(request);
+        Ok(Tried { is_repeat, sent })
     }
 
     /// Sends a request on a new connection.
@@ -304,46 +309,50 @@
         }
     }
 
-    /// Whether there are idle connections to an address.
-    fn has_idle(&self, address: &str) -> bool {
-        let idle = self.idle.lock().expect("the pool is never poisoned");
-        let index = idle.binary_search_by(|(other, _)| other.as_str().cmp(address));
-        index.is_ok_and(|index| !idle[index].1.is_empty())
-    }
-
     /// The connection that was used last, of those that may carry the request with this digest.
-    fn take_idle(&self, address: &str, digest: Option<u64>) -> Option<Connection> {
+    fn take_idle(&self, address: &str, digest: Option<u64>) -> Taken {
         let mut idle = self.idle.lock().expect("the pool is never poisoned");
-        let index = idle
-            .binary_search_by(|(other, _)| other.as_str().cmp(address))
-            .ok()?;
+        let Ok(index) = idle.binary_search_by(|(other, _)| other.as_str().cmp(address)) else {
+            return Taken::default();
+        };
         let connections = &mut idle[index].1;
         let now = Instant::now();
-        connections.retain(|idle| idle.reusable_until > now && idle.connection.sender.is_ready());
+        connections.retain(|idle| idle.is_reusable(now));
         let index = connections.iter().rposition(|idle| {
             let carried = &idle.connection.carried;
             digest.is_none_or(|digest| !carried.contains(digest))
-        })?;
-        Some(connections.remove(index).connection)
+        });
+        Taken {
+            is_repeat: index.map_or(0, |index| index + 1) < connections.len(),
+            connection: index.map(|index| connections.remove(index).connection),
+        }
     }
 }
 
+/// An idle connection for a request.
+#[derive(Debug, Default)]
+struct Taken {
+    connection: Option<Connection>,
+    /// Whether others were passed over, as they had carried the request before.
+    is_repeat: bool,
+}
+
+/// A request that was to be sent on an idle connection.
+#[derive(Debug)]
+pub struct Tried {
+    /// Whether idle connections were passed over, as they had carried the request before.
+    pub is_repeat: bool,
+    /// The result.
+    pub sent: Sent,
+}
+
 /// Result of a request on an idle connection.
 #[derive(Debug)]
 pub enum Sent {
     /// The endpoint responded.
     Answered(Reply),
     /// There was no idle connection for it that was still open; nothing was written.
-    Unsent(Unsent),
-}
-
-/// A request that was not sent.
-#[derive(Debug)]
-pub struct Unsent {
-    /// Whether all idle connections had carried it before.
-    pub is_repeat: bool,
-    /// The request.
-    pub request: Request<Full<Bytes>>,
+    Unsent(Request<Full<Bytes>>),
 }
 
 /// A response whose body is read on demand.
@@ -472,6 +481,7 @@
     max_idle: Duration,
 ) {
     let mut idle = idle.lock().expect("the pool is never poisoned");
+    let now = Instant::now();
     let index = match idle.binary_search_by(|(other, _)| other.as_str().cmp(address)) {
         Ok(index) => index,
         Err(index) => {
@@ -481,7 +491,7 @@
     };
     let connections = &mut idle[index].1;
     if connections.len() < MAX_IDLE_PER_ADDRESS {
-        let reusable_until = Instant::now() + max_idle;
+        let reusable_until = now + max_idle;
         connections.push(IdleConnection {
             connection,
             reusable_until,
--- a/crates/endpoint/tests/reuse.rs
+++ b/crates/endpoint/tests/reuse.rs
@@ -12,20 +12,23 @@
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
         net::{TcpListener, TcpStream},
+        sync::mpsc,
+        time::timeout,
     },
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Number of requests that a client may remember of one connection, at most.
-const MAX_REMEMBERED: u32 = 1 << 12;
+/// Number of requests, more than a client may remember of one connection, and of connections that it may give up meanwhile.
+const REQUESTS: u32 = 1 << 12;
+const MAX_RETIRED: u32 = REQUESTS / 100;
 
-/// Answers all requests of a connection with its number.
-async fn answer_all(stream: TcpStream, number: u32) {
+/// Answers all requests of a connection with its number, and this header.
+async fn answer_all(stream: TcpStream, number: u32, header: &'static str) {
     let mut stream = stream;
     let body = number.to_string();
     let answer = format!(
-        "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}",
+        "HTTP/1.1 200 OK\r\n{header}content-length: {}\r\n\r\n{body}",
         body.len()
     );
     let mut request = Vec::new();
@@ -42,18 +45,24 @@
     }
 }
 
-async fn start_server() -> String {
+/// A server that sends this header. Returns its address, and the numbers of its connections as they end.
+async fn start_server(header: &'static str) -> (String, mpsc::UnboundedReceiver<u32>) {
     let listener = TcpListener::bind("127.0.0.1:0").await;
     let listener = listener.expect("a free loopback port");
     let address = listener.local_addr().expect("a bound address").to_string();
+    let (ended, endings) = mpsc::unbounded_channel();
     tokio::spawn(async move {
-        let mut number = 0;
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(answer_all(stream, number));
-            number += 1;
+        for number in 0.. {
+            let (stream, _) = listener.accept().await.expect("the client connects");
+            let ended = ended.clone();
+            tokio::spawn(async move {
+                answer_all(stream, number, header).await;
+                // Most tests do not ask.
+                let _sent = ended.send(number);
+            });
         }
     });
-    address
+    (address, endings)
 }
 
 fn request() -> Request<Full<Bytes>> {
@@ -71,11 +80,11 @@
 /// Sends a request on an idle connection or a new one, and returns the number of its connection.
 async fn send(client: &Client, address: &str, id: &str) -> u32 {
     let sent = client.send_idle(address, id, request()).await;
-    match sent.expect("the server answers") {
+    match sent.expect("the server answers").sent {
         Sent::Answered(reply) => number(reply).await,
         Sent::Unsent(unsent) => {
             let stream = client.connect(address).await.expect("the server accepts");
-            let reply = client.send_on(address, id, stream, unsent.request).await;
+            let reply = client.send_on(address, id, stream, unsent).await;
             number(reply.expect("the server answers")).await
         }
     }
@@ -84,23 +93,47 @@
 /// Guards against a late copy of an answer that is taken for the answer to the same request, sent once more on its connection.
 #[tokio::test]
 async fn connection_does_not_carry_an_id_twice() {
-    let address = start_server().await;
+    for (ids, expected) in [
+        (&["a", "b", "a", "b", "c", "a"][..], &[0, 0, 1, 1, 1, 2][..]),
+        (&["a", "b", "b"], &[0, 0, 1]),
+    ] {
+        let (address, _) = start_server("").await;
+        let client = Client::new(CONNECT_TIMEOUT);
+        let mut connections = Vec::new();
+        for id in ids {
+            connections.push(send(&client, &address, id).await);
+        }
+        assert_eq!(connections, expected, "{ids:?}");
+    }
+}
+
+/// Guards against a request that comes back to its address and shows in no log, since another connection was free.
+#[tokio::test]
+async fn passed_over_connections_are_reported() {
+    let (address, _) = start_server("").await;
     let client = Client::new(CONNECT_TIMEOUT);
-    let mut connections = Vec::new();
-    for id in ["a", "b", "a", "b", "c", "a"] {
-        connections.push(send(&client, &address, id).await);
+    for id in ["a", "a", "b"] {
+        send(&client, &address, id).await;
+    }
+    for (id, is_repeat) in [("c", false), ("b", true)] {
+        let tried = client.send_idle(&address, id, request()).await;
+        let tried = tried.expect("the server answers");
+        assert_eq!(tried.is_repeat, is_repeat, "{id}");
+        let Sent::Answered(reply) = tried.sent else {
+            panic!("{id} was not sent");
+        };
+        number(reply).await;
     }
-    assert_eq!(connections, [0, 0, 1, 1, 1, 2]);
 }
 
 /// Guards against a connection whose memory of its requests grows for as long as it is open.
 #[tokio::test]
 async fn connection_is_replaced_after_many_requests() {
-    let address = start_server().await;
+    let (address, _) = start_server("").await;
     let client = Client::new(CONNECT_TIMEOUT);
     let mut last = 0;
-    for request in 0..MAX_REMEMBERED {
+    for request in 0..REQUESTS {
         last = send(&client, &address, &request.to_string()).await;
     }
-    assert!(last > 0);
+    assert!((1..=MAX_RETIRED).contains(&last), "{last}");
 }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -93,7 +93,7 @@
 }
 
 impl Destination<'_> {
-    /// An engine that is asked to continue a run may have answered a request with the same id before.
+    /// Requests that continue a run have connections of their own: engines have seen their ids.
     const fn reuse<'a>(&self, id: &'a str) -> Reuse<'a> {
         if self.source.is_some() || self.last_event.is_some() {
             Reuse::Never
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -158,7 +158,7 @@
             ),
             repeated_ids: counter(
                 "repeated_ids",
-                "requests for which no idle connection was used, since all had carried them before",
+                "requests that passed over idle connections which had carried them before",
             ),
             rollouts: counter(
                 "rollout_steps",
@@ -277,7 +277,7 @@
         self.rejections.add(1, &labels);
     }
 
-    /// Records a request for which no idle connection was used, since all had carried it before.
+    /// Records a request that passed over idle connections which had carried it before.
     pub fn record_repeated_id(&self) {
         self.repeated_ids.add(1, &[]);
     }
--- a/crates/proxy/src/path.rs
+++ b/crates/proxy/src/path.rs
@@ -27,9 +27,9 @@
 /// Whether a request shares its connection with other requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reuse<'a> {
-    /// It may use one that was open before and has not carried this id, which its response names, and leaves it to others.
+    /// It may use one that was open before and has not carried this id, and leaves it to others. The response names the id.
     Allowed(&'a str),
-    /// It has one of its own, since nothing but the connection tells its response from a late copy of another one.
+    /// It has one of its own, so that its response is no late copy of another one.
     Never,
 }
 
@@ -59,27 +59,28 @@
     reuse: Reuse<'_>,
     may_write: impl Fn() -> bool,
 ) -> Result<Reply, endpoint::Error> {
-    let mut request = request;
+    let (mut request, mut reuse) = (request, reuse);
     let Some((address, service)) = shared.endpoint_service(key) else {
         return Err(unreachable_error("endpoint is no longer listed"));
     };
     let text = address.to_string();
     if let Reuse::Allowed(id) = reuse {
         let sending = shared.client.send_idle(&text, id, request);
-        match watch(shared, key, &text, sending).await? {
+        let tried = watch(shared, key, &text, sending).await?;
+        if tried.is_repeat {
+            let endpoint = shared.endpoint_name(key);
+            log::info!(id, endpoint; "idle connections have carried the request before");
+            shared.metrics.record_repeated_id();
+            // The pool would gain a connection with each request of a caller that repeats an id.
+            reuse = Reuse::Never;
+        }
+        match tried.sent {
             Sent::Answered(reply) => {
                 let mut state = shared.state.borrow_mut();
                 state.record_answer_on_open_connection(clock::now(), key);
                 return Ok(reply);
             }
-            Sent::Unsent(unsent) => {
-                if unsent.is_repeat {
-                    let endpoint = shared.endpoint_name(key);
-                    log::info!(id, endpoint; "all idle connections have carried the request before");
-                    shared.metrics.record_repeated_id();
-                }
-                request = unsent.request;
-            }
+            Sent::Unsent(unsent) => request = unsent,
         }
     }
     if !shared.is_partitioned(&service) {
