Fix: idle connections to addresses that are gone are closed

What callers saw: nothing that was reported. Idle connections were dropped only when their address was asked for again, so that those to endpoints that had left stayed open, 64 an address at most, with what they remember of their requests.

Change: a new address has those of all others dropped that are closed or were idle for too long.

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -485,6 +485,10 @@
     let index = match idle.binary_search_by(|(other, _)| other.as_str().cmp(address)) {
         Ok(index) => index,
         Err(index) => {
+            // Addresses that are gone are not asked for again.
+            for (_, connections) in idle.iter_mut() {
+                connections.retain(|idle| idle.is_reusable(now));
+            }
             idle.insert(index, (address.to_string(), Vec::new()));
             index
         }
--- a/crates/endpoint/tests/reuse.rs
+++ b/crates/endpoint/tests/reuse.rs
@@ -137,3 +137,15 @@
     }
     assert!((1..=MAX_RETIRED).contains(&last), "{last}");
 }
+
+/// Guards against idle connections to addresses that are gone, which are never closed.
+#[tokio::test]
+async fn idle_connections_to_other_addresses_end() {
+    let (address, mut ended) = start_server("keep-alive: timeout=0\r\n").await;
+    let (other, _) = start_server("").await;
+    let client = Client::new(CONNECT_TIMEOUT);
+    send(&client, &address, "a").await;
+    send(&client, &other, "b").await;
+    let closed = timeout(CONNECT_TIMEOUT, ended.recv()).await;
+    assert_eq!(closed.expect("the connection ends"), Some(0));
+}
