Soak: plain services start again under new ids at their addresses, and copy refusals late

What callers saw: 503 for orders that servers had run, and an order that ran at two servers.

Faulty plain services now start again under new ids, with old entries that stay for up to 1.5 s and new ones that are up to 0.6 s late, send late copies of most refusals, and reject one in 25 requests. Undone changes put all entries right at the end.

Each of those whose logs were kept was refused on a connection that had carried it before.

--- a/crates/carawayhead/tests/soak/deployment.rs
+++ b/crates/carawayhead/tests/soak/deployment.rs
@@ -31,6 +31,14 @@
 const FAULT_SHARE: f64 = 0.3;
 const LATE_COPY_WEIGHT: usize = 10;
 
+/// The same for plain services, most faults of which are late second copies of refusals. Other answers have as many faults as
+/// those of engines.
+const SERVICE_FAULT_SHARE: f64 = 0.9;
+const REFUSAL_COPY_WEIGHT: usize = 2 * (Fault::ALL.len() + LATE_COPY_WEIGHT);
+
+/// Of so many requests, faulty plain services reject one.
+const REJECTED_EACH: usize = 25;
+
 /// Seconds within which a rollout has to be decided.
 const ROLLOUT_S: f64 = 5.0;
 
@@ -130,6 +138,7 @@
     /// Seed of the faults of servers; `None` if they have none.
     fault_seed: Option<u64>,
     engines_started: u32,
+    services_restarted: u32,
     config_version: u64,
     shared_runs: Arc<SharedRuns>,
     /// Endpoints of the version that is rolled out, and whether it is bad.
@@ -150,6 +159,7 @@
             store,
             fault_seed: None,
             engines_started: 0,
+            services_restarted: 0,
             config_version: 0,
             shared_runs: Arc::default(),
             canaries: Vec::new(),
@@ -166,15 +176,13 @@
             let mut server = PlainService::start(&id).await;
             let proxy = FaultProxy::start(server.address).await;
             server.address = proxy.address;
-            deployment
-                .store
-                .write_endpoint_entry(&id, &server.entry("desk", domain, "ready"));
             deployment.services.push(ProxiedServer {
                 server,
                 proxy,
                 id,
                 domain,
             });
+            deployment.add_service_entry(number);
         }
         for (number, domain) in (0..size.instances).zip(DOMAINS.into_iter().cycle()) {
             let proxy = FaultProxy::start(deployment.store.address).await;
@@ -266,6 +274,23 @@
         });
     }
 
+    /// Starts a plain service again with a new ID at the same address, as after a crash. Returns its old ID; the entries are
+    /// left as they are.
+    pub fn restart_service(&mut self, index: usize) -> String {
+        self.services_restarted += 1;
+        let id = format!("desk-{index}-{}", self.services_restarted);
+        let service = &mut self.services[index];
+        service.server.restart_as(&id);
+        std::mem::replace(&mut service.id, id)
+    }
+
+    /// Adds the entry of a plain service to the store.
+    pub fn add_service_entry(&self, index: usize) {
+        let service = &self.services[index];
+        let entry = service.server.entry("desk", service.domain, "ready");
+        self.store.write_endpoint_entry(&service.id, &entry);
+    }
+
     /// Index of the engine with this id, unless it was replaced.
     pub fn engine_index(&self, id: &str) -> Option<usize> {
         self.engines.iter().position(|engine| engine.id == id)
@@ -285,8 +310,11 @@
             set_faults(&engine.server, seed + number);
         }
         for (service, number) in self.services.iter().zip(1..) {
+            let mut kinds = fault_kinds();
+            kinds.extend([Fault::LateRefusalCopy; REFUSAL_COPY_WEIGHT]);
             let faults = service.server.faults();
-            faults.set(FAULT_SHARE, &fault_kinds(), seed.wrapping_sub(number));
+            faults.set(SERVICE_FAULT_SHARE, &kinds, seed.wrapping_sub(number));
+            service.server.reject_each(REJECTED_EACH);
         }
         self.shared_runs.set_copy_time(SHORT_COPY_TIME);
     }
@@ -300,6 +328,7 @@
         }
         for service in &self.services {
             service.server.faults().clear();
+            service.server.reject_each(0);
         }
     }
 
--- a/crates/carawayhead/tests/soak/main.rs
+++ b/crates/carawayhead/tests/soak/main.rs
@@ -397,7 +397,10 @@
         };
         let claims_not_run = matches!(response.status.as_u16(), 408 | 421 | 429 | 503);
         if claims_not_run && !run_times.is_empty() {
-            violations.push(format!("{} got {} and ran", record.id, response.status));
+            violations.push(format!(
+                "{} {} got {} and ran",
+                record.id, record.path, response.status
+            ));
         }
         if response.id.as_ref().is_some_and(|id| *id != record.id) {
             violations.push(format!("{} got the answer to {:?}", record.id, response.id));
--- a/crates/carawayhead/tests/soak/script.rs
+++ b/crates/carawayhead/tests/soak/script.rs
@@ -22,6 +22,9 @@
 /// Shortest notice of an engine that leaves; longer than a stream of 0.9 s, so that one that just started can complete.
 const MIN_NOTICE: Duration = Duration::from_millis(1800);
 
+/// Share of the changes with which plain services start again.
+const RESTART_SHARE: f64 = 0.3;
+
 /// Which changes a soak run makes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Mode {
@@ -37,7 +40,8 @@
     Silences,
     /// Planned changes, and plain services that work on each request for up to a second.
     Work,
-    /// Planned changes, and servers that send answers twice, break connections off and work on after they are closed.
+    /// Planned changes, and servers that send answers twice, break connections off, work on after they are closed and start
+    /// again with new ids.
     Servers,
 }
 
@@ -45,6 +49,10 @@
 /// replaced meanwhile.
 #[derive(Clone, Debug)]
 enum Undo {
+    /// The plain service is not listed.
+    Unlisted(usize),
+    /// The entry of a plain service that has ended is listed.
+    Listed(String),
     Service(usize),
     ServiceLink(usize),
     Domain(usize),
@@ -116,8 +124,14 @@
                 | Mode::Silences => {
                     self.apply_planned_change(deployment);
                 }
-                Mode::Servers if self.random.random_bool(0.5) => self.change_servers(deployment),
-                Mode::Servers => self.apply_planned_change(deployment),
+                Mode::Servers => {
+                    self.restart_services(deployment);
+                    if self.random.random_bool(0.5) {
+                        self.change_servers(deployment);
+                    } else {
+                        self.apply_planned_change(deployment);
+                    }
+                }
                 Mode::Work => {
                     self.change_work(deployment);
                     self.apply_planned_change(deployment);
@@ -199,6 +213,24 @@
         self.schedule_undo(50, 500, Undo::Service(index));
     }
 
+    /// Has any number of plain services start again now and then. The entries that they had are removed at once or later, and those
+    /// that they have then are late.
+    fn restart_services(&mut self, deployment: &mut Deployment) {
+        let unlisted = self.has_pending_undo(|undo| matches!(undo, Undo::Unlisted(_)));
+        if unlisted || !self.random.random_bool(RESTART_SHARE) {
+            return;
+        }
+        let share = [0.5, 1.0][self.random.random_range(0..2)];
+        for index in 0..deployment.services.len() {
+            if self.random.random_bool(share) {
+                let ended = deployment.restart_service(index);
+                self.schedule_undo(0, 600, Undo::Unlisted(index));
+                let max_ms = [1, 1500][self.random.random_range(0..2)];
+                self.schedule_undo(0, max_ms, Undo::Listed(ended));
+            }
+        }
+    }
+
     /// Pauses any number of engines, unless some are already.
     fn pause_engines(&mut self, deployment: &Deployment) {
         if self.has_pending_undo(|undo| matches!(undo, Undo::Thaw)) {
@@ -369,6 +401,8 @@
             || self.has_pending_undo(|undo| matches!(undo, Undo::Thaw));
         for undo in due {
             match undo {
+                Undo::Unlisted(index) => deployment.add_service_entry(index),
+                Undo::Listed(id) => deployment.store.write_endpoint_entry(&id, ""),
                 Undo::Service(index) => deployment.services[index]
                     .server
                     .set_behavior(ServiceBehavior::Healthy),
