--- a/crates/carawayhead/tests/forwarding/faulty.rs
+++ b/crates/carawayhead/tests/forwarding/faulty.rs
@@ -133,6 +133,32 @@
     assert!(overlapping <= MAX_OVERLAPPING_EVENTS, "{overlapping}");
 }
 
+/// Guards against an engine that works on a stream beside the next one, which is silent: it has closed the connection of the
+/// stream while the stream was moved, and is told to stop only when the move is given up.
+#[tokio::test]
+async fn engine_that_closed_a_stream_stops_while_the_stream_is_moved() {
+    let deployment = deployment(2).await;
+    let stream = start_stream(deployment.instance.caller_address, "r1".to_string());
+    let index = deployment.wait_for_run().await;
+    let (engine, next) = (&deployment.engines[index], &deployment.engines[1 - index]);
+    deployment.shared_runs.drop_copies();
+    deployment.shared_runs.set_copy_time(SLOW_COPY_TIME);
+    engine.ignore_disconnects();
+    next.ignore_disconnects();
+    deployment.announce_leaving(index);
+    wait_until("the stream is moved", || async {
+        let lines = deployment.instance.log_lines_containing("takeover");
+        !lines.is_empty()
+    })
+    .await;
+    next.set_mute(true);
+    engine.cut_connections();
+    assert_complete(vec![stream]).await;
+    assert_eq!(next.executed_calls().len(), 1);
+    let overlapping = deployment.shared_runs.max_overlapping_events();
+    assert!(overlapping <= MAX_OVERLAPPING_EVENTS, "{overlapping}");
+}
+
 /// Guards against a stream that is moved, which takes time, while another engine that does not answer may be working on it: its
 /// engine has refused to stop it.
 #[tokio::test]
