Fix: an engine that closes a stream which is being moved is told to stop

What callers saw: an engine went on with a stream for seconds while the next one worked on it as well (TWICE), and the stream ended incomplete.

Cause: where a stream is being moved, or taken over, when the connection of its engine ends, the engine was told to stop only once that attempt had ended; an engine that works on after it has closed a connection did so for as long as the next one was silent. And an engine that cannot stop a run yet, as it copies it, is asked again at intervals that double, however soon another one begins.

Change: the engine is told when its connection ends, whatever is in progress but a stop; what it keeps is used if the attempt fails. A pause between two such calls ends when another engine begins.

--- a/crates/proxy/src/placement.rs
+++ b/crates/proxy/src/placement.rs
@@ -245,12 +245,37 @@
             StopAnswer::Busy => {}
             StopAnswer::Unknown => shared.wait_until_responsive(engine).await,
         }
-        sleep(delay).await;
-        delay = delay.saturating_mul(2).min(MAX_RETRY_DELAY);
+        delay = if pause_until_overlap(shared, run, engine, delay).await {
+            RETRY_DELAY
+        } else {
+            delay.saturating_mul(2).min(MAX_RETRY_DELAY)
+        };
     }
     None
 }
 
+/// Waits for `delay`, or until another engine begins to work on the run meanwhile; returns whether one has.
+async fn pause_until_overlap(
+    shared: &Shared,
+    run: RunKey,
+    engine: EndpointKey,
+    delay: Duration,
+) -> bool {
+    let overlaps = || shared.placements.borrow().successor(run, engine).is_some();
+    if overlaps() {
+        sleep(delay).await;
+        return false;
+    }
+    let until = clock::now().after(delay);
+    while !until.since(clock::now()).is_zero() {
+        sleep(until.since(clock::now()).min(RETRY_DELAY)).await;
+        if overlaps() {
+            return true;
+        }
+    }
+    false
+}
+
 impl Shared {
     /// Records that an engine does not work on a run, or is not asked about it any more, and for how long it may have worked
     /// on it beside another one.
--- a/crates/proxy/src/relay/failover.rs
+++ b/crates/proxy/src/relay/failover.rs
@@ -68,6 +68,9 @@
             self.record_crash(&broken);
         }
         self.broken = Some(Break { until, ..broken });
+        if kind != Kind::Stop {
+            self.leave_engine();
+        }
         Ok(())
     }
 
