Known red: what was learned of two tests of requests that crash engines; one prints the log of its instance

A claim that is won late is ruled out by reading. The assertion that a request is served prints the log of the instance if it fails; what it asks is the same.

--- a/crates/carawayhead/tests/forwarding/crashes.rs
+++ b/crates/carawayhead/tests/forwarding/crashes.rs
@@ -122,7 +122,10 @@
 
     async fn assert_served(&self, path: &str, body: &str, number: usize) {
         let response = self.send(path, body, number).await;
-        assert_eq!((response.status, response.complete), (StatusCode::OK, true));
+        let served = (response.status, response.complete);
+        let instance = &self.instances[number % self.instances.len()];
+        let lines = || instance.log_lines_containing("").join("\n");
+        assert_eq!(served, (StatusCode::OK, true), "{}", lines());
     }
 
     /// Removes the entries of engines that have crashed, as the store does; never returns.
