--- a/crates/carawayhead/tests/forwarding/faulty.rs
+++ b/crates/carawayhead/tests/forwarding/faulty.rs
@@ -185,7 +185,7 @@
         .filter(|other| other.executed_calls().is_empty());
     free.for_each(|other| other.set_mute(false));
     assert_complete(vec![stream]).await;
-    let overlapping = deployment.shared_runs.overlapping_events_of(engine.id());
+    let overlapping = deployment.shared_runs.max_overlapping_events();
     assert!(overlapping <= MAX_OVERLAPPING_EVENTS, "{overlapping}");
 }
 
