--- a/review/standins-2/engine.rs
+++ b/review/standins-2/engine.rs
@@ -36,6 +36,12 @@
     /// Copies that moves have made, by handle: the id of the run, and the address of the server that may use it.
     moves: Arc<Mutex<Moves>>,
     open: Mutex<Vec<TcpStream>>,
+    /// Taken by the prompt that is being read; prompts are read one after another.
+    reading: Mutex<()>,
+    /// How long it reads one token of a prompt; the answer begins afterwards.
+    pub read_time: Mutex<Duration>,
+    /// When runs ended here, by id.
+    pub ends: Mutex<Vec<(String, Instant)>>,
     record: Record,
     /// Until when it is cold, and the requests a second at which it crashes then.
     pub cold: Mutex<Option<(Instant, usize)>>,
@@ -94,6 +100,9 @@
             link: Mutex::default(),
             moves: Arc::clone(moves),
             open: Mutex::default(),
+            reading: Mutex::default(),
+            read_time: Mutex::default(),
+            ends: Mutex::default(),
             record: record.clone(),
             cold: Mutex::default(),
             crashed: Flag::default(),
@@ -184,7 +193,9 @@
             let tokens = call.header("carawayhead-token-count").unwrap_or_default();
             let prompt = tokens.split(',').next().and_then(|prompt| prompt.trim().parse().ok());
             let prompt = prompt.unwrap_or_default();
-            self.stream(&mut stream, &id, from.unwrap_or_default(), prompt)?;
+            let result = self.stream(&mut stream, &id, from.unwrap_or_default(), prompt);
+            self.ends.lock().unwrap().push((id, Instant::now()));
+            result?;
         }
         Ok(())
     }
@@ -196,6 +207,9 @@
         from: u32,
         prompt: u32,
     ) -> io::Result<()> {
+        if !self.read_prompt(stream, prompt) {
+            return Err(io::ErrorKind::BrokenPipe.into());
+        }
         write!(
             stream,
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCarawayhead-Request-Id: {id}\r\n\
@@ -212,6 +226,16 @@
         write!(stream, "0\r\n\r\n")
     }
 
+    /// Reads a prompt behind those that came before; `false` if the channel is closed meanwhile.
+    fn read_prompt(&self, stream: &TcpStream, prompt: u32) -> bool {
+        let time = self.read_time.lock().unwrap().saturating_mul(prompt);
+        if time.is_zero() {
+            return true;
+        }
+        let _reading = self.reading.lock().unwrap();
+        wait_while_open(stream, time)
+    }
+
     /// Sends the events of a run; `false` if it was stopped.
     fn events(&self, stream: &mut TcpStream, id: &str, from: u32) -> io::Result<bool> {
         for number in from + 1..=self.events {
--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -476,6 +476,10 @@
         self.0.store(true, Ordering::SeqCst);
     }
 
+    pub fn clear(&self) {
+        self.0.store(false, Ordering::SeqCst);
+    }
+
     pub fn is_set(&self) -> bool {
         self.0.load(Ordering::SeqCst)
     }
